Build one path through separate processes in the final layout

Cause: the product needs a skeleton in which every later part grows: the folders, the core types, and one request served from a caller to the last stage.

Decision packages are held pure by an import test.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments."""
--- /dev/null
+++ b/greengagehoist/admission/__init__.py
@@ -0,0 +1,3 @@
+"""Admission and fairness."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/claims/__init__.py
@@ -0,0 +1,3 @@
+"""Idempotency claims."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/codec/__init__.py
@@ -0,0 +1,3 @@
+"""Encoding of messages and lists."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/daemon/_main.py
@@ -0,0 +1,50 @@
+"""Program ``greengagehoistd``."""
+
+import asyncio
+import random
+import signal
+import sys
+
+import click
+
+from greengagehoist.daemon._daemon import Daemon
+from greengagehoist.daemon._settings import Settings, check_settings
+from greengagehoist.utils import SystemClock, ValidationError, setup_logging
+
+BAD_SETTINGS = 2
+
+
+@click.command(context_settings={"auto_envvar_prefix": "GREENGAGEHOIST"})
+@click.option("--vm", required=True, help="Name of this VM.")
+@click.option("--data-centre", required=True, help="Data centre of this VM.")
+@click.option("--callers", default="127.0.0.1:8080", show_default=True, help="Callers' ip:port.")
+@click.option(
+    "--operators", default="127.0.0.1:8081", show_default=True, help="Operators' ip:port."
+)
+@click.option("--peers", default="127.0.0.1:8082", show_default=True, help="Peers' ip:port.")
+@click.option("--platform", required=True, help="Platform's ip:port.")
+@click.option("--seed", "seeds", multiple=True, help="Peer ip:port to contact first.")
+@click.option("--operator-credential", required=True, help="Credential that operators show.")
+@click.option("--peer-credential", required=True, help="Credential shared by all daemons.")
+@click.option("--statsd", default="", help="statsd ip:port; no metrics if empty.")
+@click.option("--log-level", default="INFO", show_default=True)
+def main(**options) -> None:
+    """Run the entry daemon of this VM."""
+    try:
+        settings = check_settings(Settings(**options))
+    except ValidationError as exc:
+        click.echo(f"greengagehoistd: {exc}", err=True)
+        sys.exit(BAD_SETTINGS)
+    setup_logging(settings.log_level, vm=settings.vm)
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: Settings) -> None:
+    daemon = Daemon(settings, SystemClock(), random.SystemRandom())
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await daemon.start()
+    await stopping.wait()
+    await daemon.stop()
--- /dev/null
+++ b/greengagehoist/daemon/_settings.py
@@ -0,0 +1,43 @@
+"""Settings of the daemon, read from flags and environment variables."""
+
+from typing import NamedTuple
+
+from greengagehoist.utils import ValidationError, check_address, check_name, check_text
+
+SHORTEST_CREDENTIAL = 16
+
+
+class Settings(NamedTuple):
+    """Settings of one daemon; addresses are ``ip:port``."""
+
+    vm: str
+    data_centre: str
+    callers: str
+    operators: str
+    peers: str
+    platform: str
+    seeds: tuple[str, ...]
+    operator_credential: str
+    peer_credential: str
+    statsd: str
+    log_level: str
+
+
+def check_settings(settings: Settings) -> Settings:
+    """Return the settings if all are valid.
+
+    :raises ValidationError: naming the first bad setting, its value and what is accepted.
+    """
+    check_name("--vm", settings.vm)
+    check_name("--data-centre", settings.data_centre)
+    for flag in ("callers", "operators", "peers", "platform"):
+        check_address(f"--{flag}", getattr(settings, flag))
+    for seed in settings.seeds:
+        check_address("--seed", seed)
+    if settings.statsd:
+        check_address("--statsd", settings.statsd)
+    for flag in ("operator_credential", "peer_credential"):
+        name = "--" + flag.replace("_", "-")
+        if len(check_text(name, getattr(settings, flag), 512)) < SHORTEST_CREDENTIAL:
+            raise ValidationError(name, "(hidden)", f"at least {SHORTEST_CREDENTIAL} characters")
+    return settings
--- /dev/null
+++ b/greengagehoist/deadlines/__init__.py
@@ -0,0 +1,3 @@
+"""Division of a deadline over stages."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Life cycles of VMs and targets."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/orders/__init__.py
@@ -0,0 +1,3 @@
+"""Orders to engines."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Links between daemons."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/quiet_hours/__init__.py
@@ -0,0 +1,3 @@
+"""Quiet hours in local time."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/quota/__init__.py
@@ -0,0 +1,3 @@
+"""Plan limits shared between daemons."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/retries/__init__.py
@@ -0,0 +1,3 @@
+"""Retry classes and budgets."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Choice of targets."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/scaling/__init__.py
@@ -0,0 +1,3 @@
+"""Growth and shrinkage of stages."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/greengagehoist/server/_callers.py
@@ -0,0 +1,278 @@
+"""HTTP interface for callers."""
+
+import asyncio
+import json
+import random
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from typing import Any
+
+from returns.result import Failure, Result, Success
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from greengagehoist.base import (
+    Answer,
+    Call,
+    ErrorCode,
+    Exchange,
+    PipelineCall,
+    Proceed,
+    ServiceCall,
+    StepError,
+    TraceContext,
+    not_run,
+)
+from greengagehoist.controllers import Record
+from greengagehoist.tracing import Span, parse_traceparent
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Metrics,
+    ValidationError,
+    check_int,
+    check_text,
+    log_event,
+    new_id,
+)
+
+LARGEST_BODY_BYTES = 256 * 1024
+BODY_TIMEOUT_S = 5.0
+LONGEST_TEXT = 100_000
+MOST_TOKENS = 32_768
+LONGEST_KEY = 128
+LONGEST_DEADLINE_MS = 600_000
+KEEP_ALIVE_EVENT_S = 1.0
+
+STATUS = {
+    ErrorCode.INVALID: 400,
+    ErrorCode.UNAUTHENTICATED: 401,
+    ErrorCode.FORBIDDEN: 403,
+    ErrorCode.NOT_FOUND: 404,
+    ErrorCode.CONFLICT: 409,
+    ErrorCode.KEY_REUSED: 422,
+    ErrorCode.OVER_PLAN: 429,
+    ErrorCode.QUIET_HOURS: 429,
+    ErrorCode.OVERLOADED: 503,
+    ErrorCode.DEADLINE: 504,
+    ErrorCode.UNAVAILABLE: 503,
+    ErrorCode.TARGET_FAILED: 502,
+    ErrorCode.CONNECTION: 502,
+    ErrorCode.PLATFORM: 503,
+    ErrorCode.DRAINING: 503,
+}
+
+
+class CallerApp:
+    """Turns HTTP requests into exchanges and answers into HTTP responses.
+
+    :param proceed: entry of the filter chain.
+    """
+
+    def __init__(
+        self,
+        proceed: Proceed,
+        traces: Controller,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        vm: str,
+    ):
+        self.proceed = proceed
+        self.traces = traces
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.vm = vm
+
+    def build(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/v1/pipelines/{name}", self.run_pipeline, methods=["POST"]),
+                Route("/v1/services/{service}/{operation}", self.call_service, methods=["POST"]),
+            ]
+        )
+
+    async def run_pipeline(self, request: Request) -> Response:
+        """Run a pipeline and answer whole or as a stream."""
+        return await self._answer(request, _pipeline_call)
+
+    async def call_service(self, request: Request) -> Response:
+        """Call an operation of a plain service."""
+        return await self._answer(request, _service_call)
+
+    async def _answer(self, request: Request, parse: Any) -> Response:
+        request_id, arrived = new_id(self.rng), self.clock.monotonic()
+        try:
+            body = await _read_body(request)
+            exchange = self._exchange(request, request_id, arrived, parse(request, body), body)
+        except ValidationError as exc:
+            error = not_run("read", ErrorCode.INVALID, str(exc))
+            return _failure_response(error, request_id)
+        if isinstance(exchange.call, PipelineCall) and exchange.call.stream:
+            return StreamingResponse(self._events(exchange), media_type="text/event-stream")
+        result = await self._run(exchange)
+        match result:
+            case Success(answer):
+                return JSONResponse(_answer_body(answer, exchange))
+            case Failure(error):
+                return _failure_response(error, request_id)
+
+    def _exchange(
+        self, request: Request, request_id: str, arrived: float, call: Call, body: dict
+    ) -> Exchange:
+        shortened = None
+        if body.get("deadline_ms") is not None:
+            milliseconds = check_int("deadline_ms", body["deadline_ms"], 1, LONGEST_DEADLINE_MS)
+            shortened = timedelta(milliseconds=milliseconds)
+        key = request.headers.get("idempotency-key", "")
+        if key:
+            check_text("Idempotency-Key", key, LONGEST_KEY)
+        scheme, _, credential = request.headers.get("authorization", "").partition(" ")
+        parent = parse_traceparent(request.headers.get("traceparent", ""))
+        trace_id = parent[0] if parent else new_id(self.rng)
+        return Exchange(
+            request_id=request_id,
+            credential=credential if scheme.lower() == "bearer" else "",
+            call=call,
+            arrived=arrived,
+            trace=TraceContext(trace_id, new_id(self.rng, 64)),
+            idempotency_key=key,
+            shortened=shortened,
+        )
+
+    async def _run(self, exchange: Exchange) -> Result[Answer, StepError]:
+        wall = self.clock.now().timestamp()
+        result = await self.proceed(exchange)
+        duration = self.clock.monotonic() - exchange.arrived
+        status = "ok"
+        match result:
+            case Failure(error):
+                status = str(error.code)
+                log_event(
+                    "request_failed",
+                    "WARNING",
+                    request=exchange.request_id,
+                    step=error.step,
+                    peer=error.peer,
+                    outcome=error.outcome,
+                    code=error.code,
+                    message=error.message,
+                )
+        trace_id, span_id = exchange.trace
+        span = Span(trace_id, span_id, "", "request", self.vm, "", wall, duration, status)
+        self.traces.tell(Record((span,)))
+        self.metrics.incr(f"request.{status}")
+        self.metrics.timing("request.duration", duration * 1000)
+        return result
+
+    async def _events(self, exchange: Exchange) -> AsyncIterator[str]:
+        queue: asyncio.Queue[str | None] = asyncio.Queue()
+
+        async def emit(offset: int, tokens: tuple[str, ...]) -> None:
+            queue.put_nowait(_event("tokens", {"offset": offset, "tokens": tokens}))
+
+        async def run() -> None:
+            result = await self._run(exchange._replace(emit=emit))
+            match result:
+                case Success(answer):
+                    body = _answer_body(answer, exchange)
+                    del body["output"]
+                    queue.put_nowait(_event("end", body))
+                case Failure(error):
+                    queue.put_nowait(_event("error", _failure_body(error, exchange.request_id)))
+            queue.put_nowait(None)
+
+        task = asyncio.create_task(run())
+        try:
+            while True:
+                try:
+                    async with asyncio.timeout(KEEP_ALIVE_EVENT_S):
+                        event = await queue.get()
+                except TimeoutError:
+                    yield ": keep-alive\n\n"
+                    continue
+                if event is None:
+                    return
+                yield event
+        finally:
+            task.cancel()
+
+
+async def _read_body(request: Request) -> dict[str, Any]:
+    chunks, size = [], 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for chunk in request.stream():
+                size += len(chunk)
+                if size > LARGEST_BODY_BYTES:
+                    accepted = f"at most {LARGEST_BODY_BYTES} bytes"
+                    raise ValidationError("body", f"{size} bytes or more", accepted)
+                chunks.append(chunk)
+    except (TimeoutError, ClientDisconnect) as exc:
+        accepted = f"a whole body within {BODY_TIMEOUT_S} s"
+        raise ValidationError("body", f"{size} bytes", accepted) from exc
+    try:
+        body = json.loads(b"".join(chunks))
+    except (ValueError, RecursionError) as exc:
+        raise ValidationError("body", str(exc), "a JSON object in UTF-8") from exc
+    if not isinstance(body, dict):
+        raise ValidationError("body", type(body).__name__, "a JSON object in UTF-8")
+    return body
+
+
+def _pipeline_call(request: Request, body: dict[str, Any]) -> PipelineCall:
+    stream = body.get("stream", False)
+    if not isinstance(stream, bool):
+        raise ValidationError("stream", stream, "true or false")
+    return PipelineCall(
+        request.path_params["name"],
+        check_text("input", body.get("input"), LONGEST_TEXT),
+        check_int("max_tokens", body.get("max_tokens"), 1, MOST_TOKENS),
+        stream,
+    )
+
+
+def _service_call(request: Request, body: dict[str, Any]) -> ServiceCall:
+    args = body.get("args", {})
+    if not isinstance(args, dict):
+        raise ValidationError("args", args, "a JSON object")
+    return ServiceCall(request.path_params["service"], request.path_params["operation"], args)
+
+
+def _answer_body(answer: Answer, exchange: Exchange) -> dict[str, Any]:
+    body = {
+        "request_id": exchange.request_id,
+        "trace_id": exchange.trace.trace_id,
+        "output": answer.body,
+    }
+    if isinstance(exchange.call, PipelineCall):
+        return {**body, "tokens": answer.tokens, "digest": answer.digest}
+    return {**body, "replayed": answer.replayed}
+
+
+def _failure_body(error: StepError, request_id: str) -> dict[str, Any]:
+    after = error.retry_after
+    return {
+        "error": {
+            "outcome": error.outcome,
+            "code": error.code,
+            "message": error.message,
+            "step": error.step,
+            "peer": error.peer,
+            "retry_safe": error.retry_safe,
+            "retry_after_ms": None if after is None else int(after / timedelta(milliseconds=1)),
+        },
+        "request_id": request_id,
+    }
+
+
+def _failure_response(error: StepError, request_id: str) -> JSONResponse:
+    return JSONResponse(_failure_body(error, request_id), STATUS[error.code])
+
+
+def _event(name: str, data: dict[str, Any]) -> str:
+    return f"event: {name}\ndata: {json.dumps(data)}\n\n"
--- /dev/null
+++ b/greengagehoist/server/_serve.py
@@ -0,0 +1,73 @@
+"""Serving of ASGI applications inside the running event loop."""
+
+import asyncio
+import socket
+from typing import Any, NamedTuple
+
+import uvicorn
+
+# Idle caller connections are closed after this many seconds.
+KEEP_ALIVE_S = 30
+BACKLOG = 1024
+
+
+class Listener(NamedTuple):
+    """A running HTTP server.
+
+    :param address: bound ``ip:port``.
+    :param task: ends when the server has stopped.
+    """
+
+    address: str
+    server: uvicorn.Server
+    task: asyncio.Task
+
+    async def stop(self) -> None:
+        """Stop accepting connections, let running requests finish and wait for the end."""
+        self.server.should_exit = True
+        await self.task
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Bind a TCP socket.
+
+    :raises OSError: if the address is not available.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host.strip("[]"), port))
+    sock.listen(BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+async def serve(app: Any, host: str, port: int, *, shutdown_s: float | None = None) -> Listener:
+    """Serve ``app`` on ``host:port``.
+
+    :param shutdown_s: seconds that running requests get at the stop, None for no limit.
+    :raises OSError: if the address is not available.
+    """
+    sock = bind(host, port)
+    address = f"{host}:{sock.getsockname()[1]}"
+    cfg = uvicorn.Config(
+        app,
+        log_level="critical",
+        access_log=False,
+        lifespan="off",
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=shutdown_s,
+    )
+    server = _EmbeddedServer(cfg)
+    task = asyncio.get_running_loop().create_task(server.serve(sockets=[sock]))
+    return Listener(address, server, task)
+
+
+class _EmbeddedServer(uvicorn.Server):
+    """A server that leaves signal handling to the program."""
+
+    def capture_signals(self):
+        """Return a context that installs no handlers."""
+        import contextlib
+
+        return contextlib.nullcontext()
--- /dev/null
+++ b/greengagehoist/standins/__init__.py
@@ -0,0 +1,40 @@
+"""Stand-ins for outside systems in tests and demos."""
+
+from greengagehoist.standins._engine import build_engine
+from greengagehoist.standins._functions import (
+    digest,
+    generate_tokens,
+    run_pipeline,
+    run_stage,
+    token_digest,
+)
+from greengagehoist.standins._lists import STAGES, credential_of, example_changes
+from greengagehoist.standins._main import main
+from greengagehoist.standins._platform import build_platform
+from greengagehoist.standins._processes import (
+    OPERATOR_CREDENTIAL,
+    PEER_CREDENTIAL,
+    Process,
+    ProcessGroup,
+)
+from greengagehoist.standins._targets import build_pool, build_service
+
+__all__ = [
+    "OPERATOR_CREDENTIAL",
+    "PEER_CREDENTIAL",
+    "Process",
+    "ProcessGroup",
+    "STAGES",
+    "build_engine",
+    "build_platform",
+    "build_pool",
+    "build_service",
+    "credential_of",
+    "digest",
+    "example_changes",
+    "generate_tokens",
+    "main",
+    "run_pipeline",
+    "run_stage",
+    "token_digest",
+]
--- /dev/null
+++ b/greengagehoist/standins/_engine.py
@@ -0,0 +1,134 @@
+"""Stand-in of a model engine with continuous batching."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, StreamingResponse
+from starlette.routing import Route
+
+from greengagehoist.standins._faults import Faults, control_routes
+from greengagehoist.standins._functions import generate_tokens, token_digest
+from greengagehoist.standins._targets import LoadReport
+
+
+class Sequence:
+    """One generation in the engine's batch."""
+
+    def __init__(self, body: dict[str, Any], tokens: tuple[str, ...]):
+        self.body = body
+        self.tokens = tokens
+        self.position = body["offset"]
+        self.produced: asyncio.Queue[str | None] = asyncio.Queue()
+
+
+class Engine:
+    """A model engine that runs up to ``batch`` sequences and gives each one token a step.
+
+    :param step_s: seconds of one step.
+    """
+
+    def __init__(self, model: str, step_s: float, batch: int, incarnation: int):
+        self.model = model
+        self.step_s = step_s
+        self.load = LoadReport(batch, incarnation)
+        self.records: list[dict] = []
+        self.fence = 0
+        self._waiting: list[Sequence] = []
+        self._running: list[Sequence] = []
+        self._stepper: asyncio.Task | None = None
+
+    async def generate(self, request: Request) -> Any:
+        """Stream the tokens from the requested offset."""
+        body = await request.json()
+        if self.load.state == "leaving":
+            return JSONResponse({"error": "leaving", "incarnation": self.load.incarnation}, 503)
+        tokens = generate_tokens(self.model, body["input"], body["max_tokens"])
+        sequence = Sequence(body, tokens)
+        self._waiting.append(sequence)
+        self._waiting.sort(key=lambda item: -item.body["priority"])
+        if self._stepper is None or self._stepper.done():
+            self._stepper = asyncio.create_task(self._step_until_idle())
+        return StreamingResponse(self._lines(sequence), media_type="application/x-ndjson")
+
+    async def _lines(self, sequence: Sequence) -> AsyncIterator[str]:
+        identity = {name: sequence.body[name] for name in ("request_id", "stage", "attempt")}
+        offset = sequence.body["offset"]
+        try:
+            while (token := await sequence.produced.get()) is not None:
+                tokens = [token]
+                while not sequence.produced.empty() and (more := sequence.produced.get_nowait()):
+                    tokens.append(more)
+                yield json.dumps({**identity, "offset": offset, "tokens": tokens}) + "\n"
+                offset += len(tokens)
+                if offset == len(sequence.tokens):
+                    break
+            end = {"length": len(sequence.tokens), "digest": token_digest(sequence.tokens)}
+            yield json.dumps({**identity, "end": True, **end}) + "\n"
+        finally:
+            self._remove(sequence)
+            self.records.append({**identity, "tokens": sequence.position - sequence.body["offset"]})
+
+    def _remove(self, sequence: Sequence) -> None:
+        for group in (self._waiting, self._running):
+            if sequence in group:
+                group.remove(sequence)
+
+    async def _step_until_idle(self) -> None:
+        while self._waiting or self._running:
+            while self._waiting and len(self._running) < self.load.capacity:
+                self._running.append(self._waiting.pop(0))
+            await asyncio.sleep(self.step_s)
+            for sequence in list(self._running):
+                self._advance(sequence)
+
+    def _advance(self, sequence: Sequence) -> None:
+        if sequence.position < len(sequence.tokens):
+            sequence.produced.put_nowait(sequence.tokens[sequence.position])
+            sequence.position += 1
+        if sequence.position >= len(sequence.tokens):
+            sequence.produced.put_nowait(None)
+            self._remove(sequence)
+
+    async def cancel(self, request: Request) -> JSONResponse:
+        """Stop the generation of a request."""
+        body = await request.json()
+        found = [s for s in self._waiting + self._running if _matches(s, body["request_id"])]
+        for sequence in found:
+            self._remove(sequence)
+        return JSONResponse({"cancelled": len(found)})
+
+    async def report(self, request: Request) -> JSONResponse:
+        """Return the load report."""
+        self.load.queue, self.load.running = len(self._waiting), len(self._running)
+        return JSONResponse(self.load.as_json(models=[self.model]))
+
+    async def leave(self, request: Request) -> JSONResponse:
+        """Start refusing new work."""
+        self.load.state = "leaving"
+        return JSONResponse(self.load.as_json())
+
+
+def _matches(sequence: Sequence, request_id: str) -> bool:
+    return sequence.body["request_id"] == request_id
+
+
+def build_engine(
+    model: str, step_s: float = 0.002, batch: int = 16, incarnation: int = 1
+) -> Faults:
+    """Return a model engine as an ASGI application."""
+    engine = Engine(model, step_s, batch, incarnation)
+    faults = Faults(None)
+    faults.app = Starlette(
+        routes=[
+            Route("/generate", engine.generate, methods=["POST"]),
+            Route("/cancel", engine.cancel, methods=["POST"]),
+            Route("/load", engine.report),
+            Route("/control/leave", engine.leave, methods=["PUT"]),
+            *control_routes(faults, engine.records),
+        ]
+    )
+    return faults
--- /dev/null
+++ b/greengagehoist/standins/_targets.py
@@ -0,0 +1,122 @@
+"""Stand-ins of targets: stage pools and plain services."""
+
+import asyncio
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from greengagehoist.standins._faults import Faults, control_routes
+from greengagehoist.standins._functions import digest, run_stage
+
+
+class LoadReport:
+    """What a target reports as its load.
+
+    :param capacity: requests that the target runs at once.
+    """
+
+    def __init__(self, capacity: int, incarnation: int):
+        self.capacity = capacity
+        self.incarnation = incarnation
+        self.state = "live"
+        self.running = 0
+        self.queue = 0
+
+    def as_json(self, **more: Any) -> dict[str, Any]:
+        """Return the report as a JSON object."""
+        return {
+            "queue": self.queue,
+            "running": self.running,
+            "capacity": self.capacity,
+            "state": self.state,
+            "incarnation": self.incarnation,
+            **more,
+        }
+
+
+def build_pool(
+    role: str, work_s: float = 0.005, capacity: int = 16, incarnation: int = 1
+) -> Faults:
+    """Return a stage pool replica as an ASGI application.
+
+    :param work_s: busy seconds of each run.
+    """
+    load, records = LoadReport(capacity, incarnation), []
+    slots = asyncio.Semaphore(capacity)
+
+    async def run(request: Request) -> JSONResponse:
+        body = await request.json()
+        if load.state == "leaving":
+            return JSONResponse({"error": "leaving", "incarnation": incarnation}, 503)
+        load.queue += 1
+        async with slots:
+            load.queue -= 1
+            load.running += 1
+            await asyncio.sleep(work_s)
+            load.running -= 1
+        output = run_stage(role, body["input"])
+        identity = {name: body[name] for name in ("request_id", "stage", "attempt")}
+        records.append({**identity, "busy_s": work_s})
+        return JSONResponse({**identity, "output": output, "digest": digest(output)})
+
+    return _application(load, records, [Route("/run", run, methods=["POST"])])
+
+
+def build_service(
+    name: str, work_s: float = 0.005, keeps_keys: bool = False, incarnation: int = 1
+) -> Faults:
+    """Return a replica of a plain service as an ASGI application.
+
+    :param keeps_keys: whether a repeated key returns the first result instead of running again.
+    """
+    load, records = LoadReport(64, incarnation), []
+    results: dict[str, Any] = {}
+
+    async def operate(request: Request) -> JSONResponse:
+        body, operation = await request.json(), request.path_params["operation"]
+        if load.state == "leaving":
+            return JSONResponse({"error": "leaving", "incarnation": incarnation}, 503)
+        key = body["key"]
+        if keeps_keys and key and key in results:
+            return JSONResponse(results[key])
+        load.running += 1
+        await asyncio.sleep(work_s)
+        load.running -= 1
+        result = {"request_id": body["request_id"], "result": {"done": operation, **body["args"]}}
+        records.append({"operation": operation, "key": key, "request_id": body["request_id"]})
+        if key:
+            results.setdefault(key, result)
+        return JSONResponse(result)
+
+    async def by_key(request: Request) -> JSONResponse:
+        result = results.get(request.path_params["key"])
+        return JSONResponse({"ran": result is not None, "answer": result})
+
+    routes = [
+        Route("/operations/by-key/{key:path}", by_key),
+        Route("/operations/{operation}", operate, methods=["POST"]),
+    ]
+    return _application(load, records, routes)
+
+
+def _application(load: LoadReport, records: list[dict], routes: list[Route]) -> Faults:
+    async def report(request: Request) -> JSONResponse:
+        return JSONResponse(load.as_json())
+
+    async def leave(request: Request) -> JSONResponse:
+        load.state = "leaving"
+        return JSONResponse(load.as_json())
+
+    faults = Faults(None)
+    faults.app = Starlette(
+        routes=[
+            *routes,
+            Route("/load", report),
+            Route("/control/leave", leave, methods=["PUT"]),
+            *control_routes(faults, records),
+        ]
+    )
+    return faults
--- /dev/null
+++ b/greengagehoist/targets/__init__.py
@@ -0,0 +1,34 @@
+"""Calls to targets: model engines, stage pools and plain services."""
+
+from greengagehoist.targets._calls import (
+    Attempt,
+    Chunk,
+    GenerateCall,
+    LoadWire,
+    OperationCall,
+    OperationReply,
+    PoolCall,
+    Send,
+    StageReply,
+    StreamEnd,
+    Target,
+    TargetCall,
+)
+from greengagehoist.targets._link import ReadLoad, TargetLink
+
+__all__ = [
+    "Attempt",
+    "Chunk",
+    "GenerateCall",
+    "LoadWire",
+    "OperationCall",
+    "OperationReply",
+    "PoolCall",
+    "ReadLoad",
+    "Send",
+    "StageReply",
+    "StreamEnd",
+    "Target",
+    "TargetCall",
+    "TargetLink",
+]
--- /dev/null
+++ b/greengagehoist/targets/_calls.py
@@ -0,0 +1,164 @@
+"""Calls to targets and what targets reply."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, NamedTuple, TypedDict
+
+
+class Attempt(NamedTuple):
+    """Identity of one dispatch of a stage; results are accepted only for an open attempt.
+
+    :param attempt: counts from 1 within the stage of the request.
+    """
+
+    request_id: str
+    stage: str
+    attempt: int
+
+
+class Target(NamedTuple):
+    """A target as the router sees it.
+
+    :param name: VM name; unique together with the incarnation.
+    :param role: for example ``encoder``, ``engine`` or ``service:ledger``.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    role: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class PoolCall:
+    """Run a pool stage.
+
+    :param deadline_ms: milliseconds left when the call is sent.
+    """
+
+    attempt: Attempt
+    text: str
+    deadline_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class GenerateCall:
+    """Generate tokens from ``offset`` on; chunks go to ``sink`` as they arrive.
+
+    :param deadline_ms: milliseconds left when the call is sent.
+    """
+
+    attempt: Attempt
+    text: str
+    max_tokens: int
+    offset: int
+    priority: int
+    deadline_ms: int
+    sink: Callable[["Chunk"], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class OperationCall:
+    """Call an operation of a plain service."""
+
+    attempt: Attempt
+    operation: str
+    key: str
+    args: dict[str, Any]
+
+
+TargetCall = PoolCall | GenerateCall | OperationCall
+
+
+class StageReply(NamedTuple):
+    """Output of a pool stage.
+
+    :param digest: lower-case hex SHA-256 of the output, as the target computed it.
+    """
+
+    attempt: Attempt
+    output: str
+    digest: str
+
+
+class Chunk(NamedTuple):
+    """Tokens of a stream from ``offset`` on."""
+
+    attempt: Attempt
+    offset: int
+    tokens: tuple[str, ...]
+
+
+class StreamEnd(NamedTuple):
+    """End of a stream.
+
+    :param length: tokens of the whole generation, those before the offset included.
+    :param digest: lower-case hex SHA-256 of all tokens joined by spaces.
+    """
+
+    attempt: Attempt
+    length: int
+    digest: str
+
+
+class OperationReply(NamedTuple):
+    """Result of a service operation."""
+
+    request_id: str
+    result: Any
+
+
+class Send(NamedTuple):
+    """Ask a target link to send a call.
+
+    Replied by ``Result[StageReply | StreamEnd | OperationReply, StepError]``.
+
+    :param timeout: seconds for the whole call.
+    :param progress: seconds without a byte after which the connection counts as silent.
+    """
+
+    call: TargetCall
+    timeout: float
+    progress: float
+
+
+class StageWire(TypedDict):
+    """JSON body of a pool's reply."""
+
+    request_id: str
+    stage: str
+    attempt: int
+    output: str
+    digest: str
+
+
+class OperationWire(TypedDict):
+    """JSON body of a service's reply."""
+
+    request_id: str
+    result: Any
+
+
+class ChunkWire(TypedDict, total=False):
+    """One NDJSON line of an engine's stream; a line with ``end`` closes it."""
+
+    request_id: str
+    stage: str
+    attempt: int
+    offset: int
+    tokens: list[str]
+    end: bool
+    length: int
+    digest: str
+
+
+class LoadWire(TypedDict, total=False):
+    """JSON body of a load report."""
+
+    queue: int
+    running: int
+    capacity: int
+    state: str
+    incarnation: int
+    models: list[str]
--- /dev/null
+++ b/greengagehoist/tests/test_imports.py
@@ -0,0 +1,81 @@
+"""Guards against decision packages that come to depend on I/O, encodings or the clock."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+DECISION_PACKAGES = (
+    "base",
+    "config",
+    "quiet_hours",
+    "quota",
+    "claims",
+    "answers",
+    "deadlines",
+    "admission",
+    "retries",
+    "routing",
+    "membership",
+    "orders",
+    "scaling",
+    "tracing",
+)
+ALLOWED_OWN = {*DECISION_PACKAGES, "utils._validation"}
+FORBIDDEN = {
+    "aiosonic",
+    "asyncio",
+    "cbor2",
+    "click",
+    "json",
+    "loguru",
+    "msgspec",
+    "os",
+    "socket",
+    "starlette",
+    "statsd",
+    "subprocess",
+    "threading",
+    "time",
+    "uvicorn",
+    "websockets",
+    "yaml",
+}
+
+
+def imported_modules(path: Path) -> set[str]:
+    """Return the names of all modules that a file imports."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            found.add(node.module or "")
+    return found
+
+
+def violations(path: Path) -> list[str]:
+    """Return the imports of a decision module that the rule forbids."""
+    bad = []
+    for module in imported_modules(path):
+        if module.split(".")[0] in FORBIDDEN:
+            bad.append(module)
+        elif module.startswith("greengagehoist."):
+            rest = module.removeprefix("greengagehoist.")
+            if rest not in ALLOWED_OWN and rest.split(".")[0] not in DECISION_PACKAGES:
+                bad.append(module)
+    return bad
+
+
+@pytest.mark.parametrize("package", DECISION_PACKAGES)
+def test_decision_package_is_pure(package):
+    modules = sorted((ROOT / package).glob("*.py"))
+    assert modules
+    assert {path.name: bad for path in modules if (bad := violations(path))} == {}
+
+
+def test_rule_finds_a_forbidden_import(tmp_path):
+    module = tmp_path / "_bad.py"
+    module.write_text("import asyncio\nfrom greengagehoist.targets import Send\n")
+    assert sorted(violations(module)) == ["asyncio", "greengagehoist.targets"]
--- /dev/null
+++ b/greengagehoist/utils/__init__.py
@@ -0,0 +1,37 @@
+"""Helpers shared by all packages: clock, controller task, validation, logging and metrics."""
+
+from greengagehoist.utils._clock import Clock, SteppedClock, SystemClock
+from greengagehoist.utils._controller import Controller, Reply, Tick, tick
+from greengagehoist.utils._ids import new_id
+from greengagehoist.utils._logging import log_event, setup_logging
+from greengagehoist.utils._metrics import Metrics, NullMetrics, connect_metrics
+from greengagehoist.utils._validation import (
+    ValidationError,
+    check_address,
+    check_float,
+    check_int,
+    check_name,
+    check_text,
+)
+
+__all__ = [
+    "Clock",
+    "Controller",
+    "Metrics",
+    "NullMetrics",
+    "Reply",
+    "SteppedClock",
+    "SystemClock",
+    "Tick",
+    "ValidationError",
+    "check_address",
+    "check_float",
+    "check_int",
+    "check_name",
+    "check_text",
+    "connect_metrics",
+    "log_event",
+    "new_id",
+    "setup_logging",
+    "tick",
+]
--- /dev/null
+++ b/greengagehoist/utils/_ids.py
@@ -0,0 +1,8 @@
+"""Identifiers drawn from a passed-in source of randomness."""
+
+import random
+
+
+def new_id(rng: random.Random, bits: int = 128) -> str:
+    """Return a lower-case hex identifier of ``bits`` random bits."""
+    return f"{rng.getrandbits(bits):0{bits // 4}x}"
--- /dev/null
+++ b/greengagehoist/utils/_validation.py
@@ -0,0 +1,83 @@
+"""Checks shared by constructors' callers, settings and lists."""
+
+import ipaddress
+import re
+from typing import Any
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._:-]{0,63}")
+
+
+class ValidationError(ValueError):
+    """A value outside the accepted range.
+
+    :param field: name or path of the field.
+    :param value: the value that was given.
+    :param accepted: what would have been accepted.
+    """
+
+    def __init__(self, field: str, value: Any, accepted: str):
+        super().__init__(f"{field}: got {value!r}, accepted: {accepted}")
+        self.field = field
+        self.value = value
+        self.accepted = accepted
+
+
+def check_int(field: str, value: Any, low: int, high: int) -> int:
+    """Return ``value`` if it is an integer in [low, high].
+
+    :raises ValidationError: otherwise.
+    """
+    if not isinstance(value, int) or isinstance(value, bool) or not low <= value <= high:
+        raise ValidationError(field, value, f"an integer from {low} to {high}")
+    return value
+
+
+def check_float(field: str, value: Any, low: float, high: float) -> float:
+    """Return ``value`` as float if it is a number in [low, high].
+
+    :raises ValidationError: otherwise.
+    """
+    if not isinstance(value, int | float) or isinstance(value, bool) or not low <= value <= high:
+        raise ValidationError(field, value, f"a number from {low} to {high}")
+    return float(value)
+
+
+def check_name(field: str, value: Any) -> str:
+    """Return ``value`` if it is a name of at most 64 lower-case characters.
+
+    :raises ValidationError: otherwise.
+    """
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        raise ValidationError(field, value, "1 to 64 of a-z 0-9 . _ : -, first a letter or digit")
+    return value
+
+
+def check_text(field: str, value: Any, longest: int) -> str:
+    """Return ``value`` if it is a string of 1 to ``longest`` characters.
+
+    :raises ValidationError: otherwise.
+    """
+    if not isinstance(value, str) or not 1 <= len(value) <= longest:
+        shown = value if not isinstance(value, str) or len(value) < 80 else value[:80]
+        raise ValidationError(field, shown, f"a string of 1 to {longest} characters")
+    return value
+
+
+def check_address(field: str, value: Any) -> tuple[str, int]:
+    """Parse ``ip:port``.
+
+    :returns: the IP number and the port (0 lets the system choose).
+    :raises ValidationError: if ``value`` is not an IP number and a port from 0 to 65535.
+    """
+    accepted = "an IP number and a port, for example 127.0.0.1:8080"
+    if not isinstance(value, str) or ":" not in value:
+        raise ValidationError(field, value, accepted)
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError as exc:
+        raise ValidationError(field, value, accepted) from exc
+    if not 0 <= number <= 65535:
+        raise ValidationError(field, value, accepted)
+    return host, number
