Define the messages between daemons

Cause: configuration, quota and membership exchange messages over the same links and are written in parallel.

Change: add the message types and the interface of the peer controller; no link exists yet.

--- /dev/null
+++ b/greengagehoist/peers/_types.py
@@ -0,0 +1,56 @@
+"""Messages between the controllers of one daemon and its peer controller."""
+
+from typing import NamedTuple
+
+from greengagehoist.peers._messages import Heartbeat, PeerMessage
+from greengagehoist.utils import Controller
+
+
+class Peer(NamedTuple):
+    """A daemon with a working link.
+
+    :param heartbeat: last heartbeat, or None before the first.
+    :param silent_for: seconds since the last frame from the peer.
+    """
+
+    vm: str
+    data_centre: str
+    incarnation: int
+    heartbeat: Heartbeat | None
+    silent_for: float
+
+
+class SendTo(NamedTuple):
+    """Send a message to one peer; replied by True if it was handed to a working link."""
+
+    vm: str
+    message: PeerMessage
+
+
+class Broadcast(NamedTuple):
+    """Send a message to all peers with a working link; replied by their number."""
+
+    message: PeerMessage
+
+
+class Subscribe(NamedTuple):
+    """Deliver messages of these types to ``controller`` as :class:`FromPeer`."""
+
+    types: tuple[type, ...]
+    controller: Controller
+
+
+class FromPeer(NamedTuple):
+    """A message that a peer has sent.
+
+    :param incarnation: incarnation of the sending daemon.
+    """
+
+    vm: str
+    data_centre: str
+    incarnation: int
+    message: PeerMessage
+
+
+class GetPeers(NamedTuple):
+    """Ask for the peers with a working link; replied by ``tuple[Peer, ...]``."""
