Link daemons over WebSocket with CBOR messages

Controllers need to exchange configuration, quota and leave marks. Adds the CBOR codec with one schema check at the border, the peer controller with its listener and links, heartbeats, dead-link detection and bounded send queues, and the choice of peers by rendezvous hash.

--- a/greengagehoist/codec/__init__.py
+++ b/greengagehoist/codec/__init__.py
@@ -1,3 +1,5 @@
 """Encoding of messages and lists."""
 
-__all__: list[str] = []
+from greengagehoist.codec._peer import LARGEST_FRAME_BYTES, FrameError, MessageCodec
+
+__all__ = ["FrameError", "LARGEST_FRAME_BYTES", "MessageCodec"]
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -7,6 +7,8 @@
 from greengagehoist.controllers import ConfigController, TargetController, TraceController
 from greengagehoist.daemon._settings import Settings
 from greengagehoist.filters import DeadlineFilter, DispatchFilter, IdentifyFilter, PlanFilter
+from greengagehoist.membership import Member
+from greengagehoist.peers import PeerController
 from greengagehoist.platform_client import PlatformController
 from greengagehoist.server import AdminApp, CallerApp, Listener, serve
 from greengagehoist.utils import Clock, Controller, check_address, connect_metrics, log_event
@@ -19,7 +21,10 @@
         self.settings = settings
         self.clock = clock
         self.rng = rng
+        self.incarnation = int(clock.now().timestamp() * 1000)
         self.platform = PlatformController(settings.platform)
+        own = Member(settings.vm, settings.data_centre, settings.peers, self.incarnation)
+        self.peers = PeerController(own, settings.seeds, settings.peer_credential, clock, rng)
         self.configs = ConfigController(self.platform, clock)
         self.traces = TraceController()
         self.targets = TargetController(self.platform, clock, rng, settings.data_centre)
@@ -41,7 +46,7 @@
         )
 
     def _controllers(self) -> list[Controller]:
-        return [self.platform, self.configs, self.traces, self.targets]
+        return [self.platform, self.peers, self.configs, self.traces, self.targets]
 
     async def start(self) -> None:
         """Start the controllers, then the listeners.
@@ -49,6 +54,7 @@
         :raises OSError: if an address is not available.
         """
         loop = asyncio.get_running_loop()
+        log_event("listening", interface="peers", address=self.peers.listen())
         self._tasks = [loop.create_task(item.run()) for item in self._controllers()]
         callers = CallerApp(
             self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
--- a/greengagehoist/membership/__init__.py
+++ b/greengagehoist/membership/__init__.py
@@ -1,3 +1,5 @@
-"""Life cycles of VMs and targets."""
+"""Life cycles of VMs and targets, leave marks and the choice of peers."""
 
-__all__: list[str] = []
+from greengagehoist.membership._choice import Member, choose_peers
+
+__all__ = ["Member", "choose_peers"]
--- a/greengagehoist/peers/__init__.py
+++ b/greengagehoist/peers/__init__.py
@@ -1,5 +1,6 @@
 """Links between daemons and the messages on them."""
 
+from greengagehoist.peers._controller import PeerController
 from greengagehoist.peers._messages import (
     ConfigPush,
     ConfigWant,
@@ -16,10 +17,21 @@
     UnitReturn,
     UnitWant,
 )
-from greengagehoist.peers._types import Broadcast, FromPeer, GetPeers, Peer, SendTo, Subscribe
+from greengagehoist.peers._types import (
+    Broadcast,
+    CloseLinks,
+    FromPeer,
+    GetPeers,
+    Peer,
+    SendTo,
+    SetMembers,
+    Subscribe,
+    UpdateHeartbeat,
+)
 
 __all__ = [
     "Broadcast",
+    "CloseLinks",
     "ConfigPush",
     "ConfigWant",
     "FromPeer",
@@ -29,8 +41,10 @@
     "Hello",
     "LeaveMark",
     "Peer",
+    "PeerController",
     "PeerMessage",
     "SendTo",
+    "SetMembers",
     "Subscribe",
     "TraceSpans",
     "TraceWant",
@@ -39,4 +53,5 @@
     "UnitLend",
     "UnitReturn",
     "UnitWant",
+    "UpdateHeartbeat",
 ]
--- /dev/null
+++ b/greengagehoist/peers/_controller.py
@@ -0,0 +1,321 @@
+"""Controller that owns the peers' listener and the links to all peers."""
+
+import hmac
+import random
+import socket
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from greengagehoist.codec import LARGEST_FRAME_BYTES, FrameError
+from greengagehoist.membership import Member, choose_peers
+from greengagehoist.peers._link import (
+    CLOSE_TIMEOUT_S,
+    DEAD_AFTER_S,
+    LinkClosed,
+    LinkOpened,
+    LinkReceived,
+    PeerLink,
+)
+from greengagehoist.peers._messages import Goodbye, Heartbeat, Hello
+from greengagehoist.peers._types import (
+    Broadcast,
+    CloseLinks,
+    FromPeer,
+    GetPeers,
+    Peer,
+    SendTo,
+    SetMembers,
+    Subscribe,
+    UpdateHeartbeat,
+)
+from greengagehoist.peers._wire import PEER_CODEC
+from greengagehoist.utils import Clock, Controller, Reply, Tick, log_event, tick
+
+HEARTBEAT_PERIOD_S = 1.0
+DIAL_PERIOD_S = 0.1
+DIAL_TIMEOUT_S = 1.0
+SHORTEST_BACKOFF_S = 0.2
+LONGEST_BACKOFF_S = 5.0
+BACKLOG = 1024
+
+_SOCKET_OPTIONS = {
+    "compression": None,
+    "ping_interval": None,
+    "close_timeout": CLOSE_TIMEOUT_S,
+    "max_size": LARGEST_FRAME_BYTES,
+    "open_timeout": DIAL_TIMEOUT_S,
+}
+
+
+class _Open:
+    """A peer with a working link."""
+
+    def __init__(self, link: PeerLink, hello: Hello, now: float):
+        self.link = link
+        self.hello = hello
+        self.last_frame = now
+        self.heartbeat: Heartbeat | None = None
+
+
+class _Dial:
+    """Attempts to reach one address.
+
+    :param vm: VM that answered there last; its address in ``Hello`` may be another one.
+    """
+
+    def __init__(self):
+        self.vm = ""
+        self.active = False
+        self.failures = 0
+        self.not_before = 0.0
+
+
+class _DialFailed(NamedTuple):
+    address: str
+
+
+class PeerController(Controller):
+    """Keeps one link to each chosen peer and passes messages between peers and controllers.
+
+    :param address: ``ip:port`` of the peers' listener; port 0 lets the system choose.
+    :param seeds: peers' addresses to dial while no other peer is known or linked.
+    :param dead_after: seconds without a frame after which a link is dead.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: tuple[str, ...],
+        credential: str,
+        clock: Clock,
+        rng: random.Random,
+        dead_after: float = DEAD_AFTER_S,
+    ):
+        super().__init__("peers")
+        self.own = own
+        self.seeds = seeds
+        self.credential = credential
+        self.clock = clock
+        self.rng = rng
+        self.dead_after = dead_after
+        self._socket: socket.socket | None = None
+        self._open: dict[str, _Open] = {}
+        self._dials: dict[str, _Dial] = {}
+        self._own_addresses: set[str] = set()
+        self._members: tuple[Member, ...] = ()
+        self._subscribers: list[Subscribe] = []
+        self._beat = Heartbeat(0, 0, False, 0, 0.0, ())
+        self._closing = False
+
+    def listen(self) -> str:
+        """Bind the listener's socket and return its ``ip:port``.
+
+        :raises OSError: if the address is not available.
+        """
+        host, _, port = self.own.address.rpartition(":")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host.strip("[]"), int(port)))
+        sock.listen(BACKLOG)
+        self._socket = sock
+        self.own = self.own._replace(address=f"{host}:{sock.getsockname()[1]}")
+        return self.own.address
+
+    async def run(self) -> None:
+        """Serve the listener and keep the links until cancelled."""
+        if self._socket is None:
+            self.listen()
+        server = await serve(
+            self._accept,
+            sock=self._socket,
+            backlog=BACKLOG,
+            process_request=self._check_credential,
+            **_SOCKET_OPTIONS,
+        )
+        self.start(tick(self, self.clock, DIAL_PERIOD_S, "dial"))
+        self.start(tick(self, self.clock, HEARTBEAT_PERIOD_S, "heartbeat"))
+        try:
+            await super().run()
+        finally:
+            server.close(close_connections=False)
+            for entry in self._open.values():
+                entry.link.abort()
+
+    def handle(self, message: Any, reply: Reply) -> None:
+        """Process one message."""
+        match message:
+            case LinkReceived(link, received):
+                self._receive(link, received)
+            case Tick("heartbeat"):
+                self._beat = self._beat._replace(seq=self._beat.seq + 1)
+                self._broadcast(self._beat)
+            case Tick("dial"):
+                self._dial_missing()
+            case LinkOpened(link, hello):
+                self._opened(link, hello)
+            case LinkClosed(link, reason):
+                self._closed(link, reason)
+            case _DialFailed(address):
+                self._back_off(address)
+            case SendTo(vm, sent):
+                entry = self._open.get(vm)
+                reply(entry is not None and self._send(entry, sent))
+            case Broadcast(sent):
+                reply(self._broadcast(sent))
+            case Subscribe():
+                self._subscribers.append(message)
+            case GetPeers():
+                reply(self._peers())
+            case UpdateHeartbeat():
+                fields = {k: v for k, v in message._asdict().items() if v is not None}
+                self._beat = self._beat._replace(**fields)
+            case SetMembers(members):
+                self._members = choose_peers(self.own.vm, self.own.data_centre, members)
+            case CloseLinks(reason):
+                self._close_links(reason)
+                reply(None)
+
+    def _hello(self) -> Hello:
+        return Hello(self.own.vm, self.own.data_centre, self.own.incarnation, self.own.address)
+
+    def _check_credential(self, connection: ServerConnection, request: Any) -> Any:
+        values = request.headers.get_all("Authorization")
+        given = values[0].encode("utf-8", "surrogateescape") if len(values) == 1 else b""
+        if self._closing or not hmac.compare_digest(given, f"Bearer {self.credential}".encode()):
+            return connection.respond(HTTPStatus.UNAUTHORIZED, "unknown peer credential\n")
+        return None
+
+    async def _accept(self, connection: ServerConnection) -> None:
+        await PeerLink(connection, self._hello(), self, dead_after=self.dead_after).run()
+
+    def _dial_missing(self) -> None:
+        if self._closing:
+            return
+        wanted = {item.address for item in self._members}
+        if not wanted or not self._open:
+            wanted.update(self.seeds)
+        linked = {entry.hello.address for entry in self._open.values()}
+        missing = wanted - linked - self._own_addresses - {self.own.address}
+        now = self.clock.monotonic()
+        for address in sorted(missing):
+            dial = self._dials.setdefault(address, _Dial())
+            if not dial.active and dial.not_before <= now and dial.vm not in self._open:
+                dial.active = True
+                self.start(self._dial(address))
+        for address in [item for item in self._dials if item not in wanted]:
+            if not self._dials[address].active:
+                del self._dials[address]
+
+    async def _dial(self, address: str) -> None:
+        try:
+            connection = await connect(
+                f"ws://{address}/",
+                additional_headers={"Authorization": f"Bearer {self.credential}"},
+                proxy=None,
+                **_SOCKET_OPTIONS,
+            )
+        except (WebSocketException, OSError, TimeoutError, EOFError):
+            self.tell(_DialFailed(address))
+            return
+        await PeerLink(connection, self._hello(), self, address, self.dead_after).run()
+
+    def _back_off(self, address: str) -> None:
+        dial = self._dials.setdefault(address, _Dial())
+        dial.active = False
+        longest = min(LONGEST_BACKOFF_S, SHORTEST_BACKOFF_S * 2 ** min(dial.failures, 10))
+        dial.failures += 1
+        dial.not_before = self.clock.monotonic() + self.rng.uniform(0.0, longest)
+
+    def _opened(self, link: PeerLink, hello: Hello) -> None:
+        if hello.vm == self.own.vm:
+            if hello.incarnation == self.own.incarnation and link.dialled:
+                self._own_addresses.add(link.dialled)
+            link.abort()
+            return
+        held = self._open.get(hello.vm)
+        if link.dialled in self._dials:
+            self._dials[link.dialled].vm = hello.vm
+            self._dials[link.dialled].failures = 0
+        if self._closing or (held is not None and not self._replaces(link, hello, held)):
+            link.finish()
+            return
+        if held is not None:
+            held.link.finish()
+        self._open[hello.vm] = _Open(link, hello, self.clock.monotonic())
+        log_event("peer_linked", peer=hello.vm, address=hello.address, dialled=bool(link.dialled))
+        self._deliver(hello, hello)
+        link.offer(PEER_CODEC.encode(self._beat))
+
+    def _replaces(self, link: PeerLink, hello: Hello, held: _Open) -> bool:
+        """Return whether a second link to a peer is kept instead of the first.
+
+        Both sides come to the same decision: the link that the VM with the lower name dialled is
+        kept, and of two that the same side dialled, the newer one.
+        """
+        if hello.incarnation != held.hello.incarnation:
+            return hello.incarnation > held.hello.incarnation
+        if bool(link.dialled) == bool(held.link.dialled):
+            return True
+        return bool(link.dialled) == (self.own.vm < hello.vm)
+
+    def _closed(self, link: PeerLink, reason: str) -> None:
+        if link.dialled:
+            self._back_off(link.dialled)
+        for vm, entry in list(self._open.items()):
+            if entry.link is link:
+                del self._open[vm]
+                log_event("peer_lost", "WARNING", peer=vm, reason=reason)
+
+    def _receive(self, link: PeerLink, message: Any) -> None:
+        for entry in self._open.values():
+            if entry.link is link:
+                entry.last_frame = self.clock.monotonic()
+                if isinstance(message, Heartbeat):
+                    entry.heartbeat = message
+                self._deliver(entry.hello, message)
+                return
+
+    def _deliver(self, hello: Hello, message: Any) -> None:
+        for subscriber in self._subscribers:
+            if isinstance(message, subscriber.types):
+                sender = FromPeer(hello.vm, hello.data_centre, hello.incarnation, message)
+                subscriber.controller.tell(sender)
+
+    def _send(self, entry: _Open, message: Any) -> bool:
+        try:
+            return entry.link.offer(PEER_CODEC.encode(message))
+        except FrameError as exc:
+            log_event("frame_too_large", "ERROR", peer=entry.hello.vm, reason=str(exc))
+            return False
+
+    def _broadcast(self, message: Any) -> int:
+        try:
+            frame = PEER_CODEC.encode(message)
+        except FrameError as exc:
+            log_event("frame_too_large", "ERROR", reason=str(exc))
+            return 0
+        return sum(entry.link.offer(frame) for entry in list(self._open.values()))
+
+    def _peers(self) -> tuple[Peer, ...]:
+        now = self.clock.monotonic()
+        return tuple(
+            Peer(
+                vm,
+                entry.hello.data_centre,
+                entry.hello.incarnation,
+                entry.heartbeat,
+                now - entry.last_frame,
+            )
+            for vm, entry in sorted(self._open.items())
+        )
+
+    def _close_links(self, reason: str) -> None:
+        self._closing = True
+        self._broadcast(Goodbye(reason))
+        for entry in self._open.values():
+            entry.link.finish()
--- a/greengagehoist/peers/_types.py
+++ b/greengagehoist/peers/_types.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from greengagehoist.peers._messages import Heartbeat, PeerMessage
+from greengagehoist.membership import Member
+from greengagehoist.peers._messages import Heartbeat, LeaveMark, PeerMessage
 from greengagehoist.utils import Controller
 
 
@@ -54,3 +55,25 @@
 
 class GetPeers(NamedTuple):
     """Ask for the peers with a working link; replied by ``tuple[Peer, ...]``."""
+
+
+class UpdateHeartbeat(NamedTuple):
+    """Replace those fields of the own heartbeat that are not None."""
+
+    config_version: int | None = None
+    ready: bool | None = None
+    in_flight: int | None = None
+    load: float | None = None
+    leave_marks: tuple[LeaveMark, ...] | None = None
+
+
+class SetMembers(NamedTuple):
+    """Replace the entry VMs that the VM list shows, with their peers' addresses."""
+
+    members: tuple[Member, ...]
+
+
+class CloseLinks(NamedTuple):
+    """Send :class:`Goodbye` to all peers, close the links and accept no others; replied by None."""
+
+    reason: str
--- /dev/null
+++ b/greengagehoist/peers/_wire.py
@@ -0,0 +1,36 @@
+"""Numbers of the message types on peer links."""
+
+from greengagehoist.codec import MessageCodec
+from greengagehoist.peers._messages import (
+    ConfigPush,
+    ConfigWant,
+    Goodbye,
+    Heartbeat,
+    Hello,
+    LeaveMark,
+    TraceSpans,
+    TraceWant,
+    Transfer,
+    TransferWant,
+    UnitLend,
+    UnitReturn,
+    UnitWant,
+)
+
+PEER_CODEC = MessageCodec(
+    {
+        Hello: 1,
+        Heartbeat: 2,
+        Goodbye: 3,
+        LeaveMark: 4,
+        ConfigPush: 5,
+        ConfigWant: 6,
+        TransferWant: 7,
+        Transfer: 8,
+        UnitWant: 9,
+        UnitLend: 10,
+        UnitReturn: 11,
+        TraceWant: 12,
+        TraceSpans: 13,
+    }
+)
