Drain gracefully, share leave marks and collect traces from all daemons

A stop only closed the listeners, leave marks stayed within one daemon, and a trace showed only the spans of the daemon that was asked. Adds the roster of VMs and targets, the drain controller with readiness, refusal and hand-over, and the collection of spans from peers.

--- a/greengagehoist/controllers/_targets.py
+++ b/greengagehoist/controllers/_targets.py
@@ -7,12 +7,28 @@
 from returns.result import Failure, Success
 
 from greengagehoist.base import ErrorCode, not_run
-from greengagehoist.platform_client import ListVms, Vm
-from greengagehoist.targets import Target, TargetLink
+from greengagehoist.controllers._roster import ENTRY_ROLE, VmsListed
+from greengagehoist.membership import Listing, Mark, TargetRoster, TargetState
+from greengagehoist.peers import (
+    Broadcast,
+    FromPeer,
+    Heartbeat,
+    Hello,
+    LeaveMark,
+    SendTo,
+    Subscribe,
+    UpdateHeartbeat,
+)
+from greengagehoist.platform_client import Vm
+from greengagehoist.targets import LoadWire, RefusedWork, Target, TargetLink
 from greengagehoist.utils import Clock, Controller, Reply, Tick, log_event, tick
 
-ROSTER_PERIOD_S = 0.5
-ENTRY_ROLE = "entry"
+UPKEEP_PERIOD_S = 0.5
+# Calls to a link that end without a reply, such as load polls, have ended after this time.
+LINK_LINGER_S = 5.0
+MISSING_LINGER_S = 30.0
+# Marks of this many past seconds go to a peer when its link opens.
+MARKS_FOR_NEW_LINK_S = 600.0
 
 
 class Route(NamedTuple):
@@ -48,8 +64,17 @@
     ok: bool
 
 
-class _Listed(NamedTuple):
-    vms: tuple[Vm, ...]
+class GetLinks(NamedTuple):
+    """Ask for the targets of a role that take new work; replied by ``tuple[Assignment, ...]``."""
+
+    role: str
+
+
+class Reported(NamedTuple):
+    """Tell a target's load report."""
+
+    target: Target
+    load: LoadWire
 
 
 class _Replica:
@@ -60,67 +85,157 @@
         self.link = link
         self.task = task
         self.in_flight = 0
-        self.leaving = False
+        self.drop_at = 0.0
 
 
 class TargetController(Controller):
-    """Keeps the roster of targets in line with the VM list and chooses among them."""
+    """Keeps the roster of targets in line with the VM list and chooses among them.
+
+    :param peers: peer controller, or None if there are no peers.
+    """
 
-    def __init__(self, platform: Controller, clock: Clock, rng: random.Random, data_centre: str):
+    def __init__(
+        self,
+        platform: Controller,
+        clock: Clock,
+        rng: random.Random,
+        data_centre: str,
+        peers: Controller | None = None,
+    ):
         super().__init__("targets")
         self.platform = platform
         self.clock = clock
         self.rng = rng
         self.data_centre = data_centre
+        self.peers = peers
         self._replicas: dict[str, _Replica] = {}
+        self._retired: list[_Replica] = []
+        self._roster = TargetRoster()
 
     async def run(self) -> None:
-        """Poll the VM list until cancelled."""
-        self.start(tick(self, self.clock, ROSTER_PERIOD_S))
+        """Keep the roster until cancelled."""
+        if self.peers is not None:
+            self.peers.tell(Subscribe((Hello, Heartbeat, LeaveMark), self))
+        self.start(tick(self, self.clock, UPKEEP_PERIOD_S))
         await super().run()
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
         match message:
-            case Tick():
-                self.start(self._fetch())
-            case _Listed(vms):
-                self._update(vms)
             case Route():
                 reply(self._route(message))
             case Completed(target):
-                replica = self._replicas.get(target.name)
-                if replica is not None:
-                    replica.in_flight -= 1
-
-    async def _fetch(self) -> None:
-        match await self.platform.ask(ListVms()):
-            case Success(vms):
-                self.tell(_Listed(vms))
+                self._complete(target)
+            case Tick():
+                self._drop_idle_links()
+                self._show_marks()
+            case VmsListed(vms):
+                self._update(vms)
+            case RefusedWork(target):
+                self._mark(Mark(target.name, target.incarnation), "refusal")
+            case Reported(target, load):
+                self._apply_report(target, load)
+            case FromPeer():
+                self._apply_peer(message)
+            case GetLinks(role):
+                reply(self._links(role))
 
     def _update(self, vms: tuple[Vm, ...]) -> None:
-        for vm in vms:
-            if vm.role == ENTRY_ROLE:
-                continue
+        targets = [vm for vm in vms if vm.role != ENTRY_ROLE]
+        listings = [Listing(vm.vm, vm.incarnation, vm.state == "leaving") for vm in targets]
+        for mark in self._roster.apply_list(listings, self.clock.monotonic()):
+            self._announce(mark, "vm_list")
+        for vm in targets:
             replica = self._replicas.get(vm.vm)
             if replica is None or vm.incarnation > replica.target.incarnation:
                 self._add(vm)
-            elif vm.state == "leaving" and not replica.leaving:
-                replica.leaving = True
-                log_event("target_leaving", target=vm.vm, incarnation=vm.incarnation)
 
     def _add(self, vm: Vm) -> None:
+        if vm.vm in self._replicas:
+            self._retire(vm.vm, LINK_LINGER_S)
+        if not self._roster.is_routable(vm.vm, vm.incarnation):
+            return
         target = Target(vm.vm, vm.address, vm.data_centre, vm.role, vm.incarnation)
-        link = TargetLink(target)
+        link = TargetLink(target, self)
         self._replicas[vm.vm] = _Replica(target, link, self.start(link.run()))
         log_event("target_added", target=vm.vm, role=vm.role, address=vm.address)
 
+    def _complete(self, target: Target) -> None:
+        for replica in (self._replicas.get(target.name), *self._retired):
+            if replica is not None and replica.target == target:
+                replica.in_flight -= 1
+                return
+
+    def _apply_report(self, target: Target, load: LoadWire) -> None:
+        if load.get("state") == "leaving":
+            self._mark(Mark(target.name, load.get("incarnation", target.incarnation)), "load")
+
+    def _apply_peer(self, message: FromPeer) -> None:
+        match message.message:
+            case LeaveMark(target, incarnation):
+                self._mark(Mark(target, incarnation), f"peer:{message.vm}")
+            case Heartbeat(leave_marks=marks):
+                for mark in marks:
+                    self._mark(Mark(*mark), f"peer:{message.vm}")
+            case Hello():
+                now = self.clock.monotonic()
+                for mark in self._roster.marks.recent(now, MARKS_FOR_NEW_LINK_S):
+                    self.peers.tell(SendTo(message.vm, LeaveMark(*mark)))
+
+    def _mark(self, mark: Mark, source: str) -> None:
+        if self._roster.apply_mark(mark, self.clock.monotonic()):
+            self._announce(mark, source)
+
+    def _announce(self, mark: Mark, source: str) -> None:
+        log_event("target_leaving", target=mark.target, incarnation=mark.incarnation, source=source)
+        if self.peers is not None:
+            self.peers.tell(Broadcast(LeaveMark(*mark)))
+            self._show_marks()
+
+    def _show_marks(self) -> None:
+        if self.peers is not None:
+            marks = self._roster.marks.recent(self.clock.monotonic())
+            self.peers.tell(UpdateHeartbeat(leave_marks=tuple(LeaveMark(*m) for m in marks)))
+
+    def _drop_idle_links(self) -> None:
+        """End the links of targets that take no new work and on which nothing runs."""
+        now = self.clock.monotonic()
+        for name, replica in list(self._replicas.items()):
+            standing = self._roster.standing(name)
+            leaving = standing.state is TargetState.LEAVING
+            linger = LINK_LINGER_S if leaving else MISSING_LINGER_S
+            unused = leaving or standing.state is TargetState.SUSPECT
+            if unused and replica.in_flight <= 0 and now - standing.since >= linger:
+                self._roster.release(name, now)
+                self._retire(name, 0.0)
+        for replica in [item for item in self._retired if item.in_flight <= 0]:
+            if replica.drop_at > now:
+                continue
+            replica.task.cancel()
+            self._retired.remove(replica)
+            log_event("target_dropped", target=replica.target.name)
+
+    def _retire(self, name: str, linger: float) -> None:
+        replica = self._replicas.pop(name)
+        replica.drop_at = self.clock.monotonic() + linger
+        self._retired.append(replica)
+
+    def _links(self, role: str) -> tuple[Assignment, ...]:
+        return tuple(
+            Assignment(replica.target, replica.link)
+            for replica in self._replicas.values()
+            if replica.target.role == role and self._takes_work(replica.target)
+        )
+
+    def _takes_work(self, target: Target) -> bool:
+        return self._roster.is_routable(target.name, target.incarnation)
+
     def _route(self, message: Route) -> Any:
         candidates = [
             replica
             for replica in self._replicas.values()
             if replica.target.role == message.role
-            and not replica.leaving
+            and self._takes_work(replica.target)
             and replica.target.name not in message.exclude
         ]
         if not candidates:
--- a/greengagehoist/controllers/_traces.py
+++ b/greengagehoist/controllers/_traces.py
@@ -1,13 +1,25 @@
 """Controller that keeps the most recent spans of this daemon."""
 
+import asyncio
 from collections import OrderedDict
 from typing import Any, NamedTuple
 
+from greengagehoist.peers import (
+    FromPeer,
+    GetPeers,
+    SendTo,
+    Subscribe,
+    TraceSpans,
+    TraceWant,
+)
 from greengagehoist.tracing import Span
 from greengagehoist.utils import Controller, Reply
 
 MOST_TRACES = 2000
 MOST_SPANS_PER_TRACE = 200
+# A peer that is asked waits for the others in its data centre for the shorter time.
+COLLECT_TIMEOUT_S = 1.0
+RELAY_TIMEOUT_S = 0.5
 
 
 class Record(NamedTuple):
@@ -22,12 +34,45 @@
     trace_id: str
 
 
+class CollectTrace(NamedTuple):
+    """Ask for the spans of a trace at all reachable daemons; replied by ``tuple[Span, ...]``."""
+
+    trace_id: str
+
+
+class _Collection:
+    """Spans of one trace that arrive from peers.
+
+    :param missing: peers that have not answered.
+    """
+
+    def __init__(self, missing: set[str]):
+        self.missing = missing
+        self.spans: list[Span] = []
+        self.complete = asyncio.Event()
+
+
 class TraceController(Controller):
-    """Keeps spans by trace and drops the oldest traces."""
+    """Keeps spans by trace, drops the oldest traces, and collects traces from peers.
+
+    A daemon is linked to all peers of its own data centre, but only to some of each other one.
+    A peer that is asked from another data centre therefore asks those of its own.
 
-    def __init__(self):
+    :param peers: peer controller, or None if there are no peers.
+    """
+
+    def __init__(self, peers: Controller | None = None, data_centre: str = ""):
         super().__init__("traces")
+        self.peers = peers
+        self.data_centre = data_centre
         self._traces: OrderedDict[str, list[Span]] = OrderedDict()
+        self._collections: dict[str, list[_Collection]] = {}
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        if self.peers is not None:
+            self.peers.tell(Subscribe((TraceWant, TraceSpans), self))
+        await super().run()
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
@@ -37,6 +82,12 @@
                     self._keep(span)
             case GetTrace(trace_id):
                 reply(tuple(self._traces.get(trace_id, ())))
+            case CollectTrace(trace_id):
+                self.start(self._collect(trace_id, reply))
+            case FromPeer(vm, data_centre, _, TraceWant(trace_id)):
+                self.start(self._answer(vm, data_centre, trace_id))
+            case FromPeer(vm, _, _, TraceSpans(trace_id, spans)):
+                self._accept(vm, trace_id, spans)
 
     def _keep(self, span: Span) -> None:
         kept = self._traces.setdefault(span.trace_id, [])
@@ -44,3 +95,51 @@
             kept.append(span)
         while len(self._traces) > MOST_TRACES:
             self._traces.popitem(last=False)
+
+    async def _collect(self, trace_id: str, reply: Reply) -> None:
+        peers = () if self.peers is None else await self.peers.ask(GetPeers())
+        names = {peer.vm for peer in peers}
+        reply(await self._gather(trace_id, names, COLLECT_TIMEOUT_S))
+
+    async def _answer(self, vm: str, data_centre: str, trace_id: str) -> None:
+        names = set()
+        if data_centre != self.data_centre:
+            peers = await self.peers.ask(GetPeers())
+            names = {peer.vm for peer in peers if peer.data_centre == self.data_centre}
+        spans = await self._gather(trace_id, names, RELAY_TIMEOUT_S)
+        await self.peers.ask(SendTo(vm, TraceSpans(trace_id, tuple(map(tuple, spans)))))
+
+    async def _gather(self, trace_id: str, names: set[str], timeout: float) -> tuple[Span, ...]:
+        collection = _Collection(set(names))
+        waiting = self._collections.setdefault(trace_id, [])
+        waiting.append(collection)
+        try:
+            for vm in names:
+                if not await self.peers.ask(SendTo(vm, TraceWant(trace_id))):
+                    collection.missing.discard(vm)
+            if collection.missing:
+                async with asyncio.timeout(timeout):
+                    await collection.complete.wait()
+        except TimeoutError:
+            pass
+        finally:
+            waiting.remove(collection)
+            if not waiting:
+                self._collections.pop(trace_id, None)
+        own = self._traces.get(trace_id, ())
+        return tuple(dict.fromkeys((*own, *collection.spans)))
+
+    def _accept(self, vm: str, trace_id: str, spans: tuple[tuple, ...]) -> None:
+        for collection in self._collections.get(trace_id, ()):
+            if vm not in collection.missing:
+                continue
+            collection.missing.discard(vm)
+            collection.spans.extend(Span(*fields) for fields in spans if is_span(fields))
+            if not collection.missing:
+                collection.complete.set()
+
+
+def is_span(fields: tuple) -> bool:
+    """Return whether fields from a peer have the number and the types of a span's fields."""
+    types = tuple(Span.__annotations__.values())
+    return len(fields) == len(types) and all(map(isinstance, fields, types))
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -4,13 +4,21 @@
 import random
 
 from greengagehoist.base import Proceed, compose
-from greengagehoist.controllers import ConfigController, TargetController, TraceController
+from greengagehoist.controllers import (
+    ConfigController,
+    DrainController,
+    RosterController,
+    StartDrain,
+    TargetController,
+    TraceController,
+    WaitStopped,
+)
 from greengagehoist.daemon._settings import Settings
 from greengagehoist.filters import DeadlineFilter, DispatchFilter, IdentifyFilter, PlanFilter
 from greengagehoist.membership import Member
 from greengagehoist.peers import PeerController
 from greengagehoist.platform_client import PlatformController
-from greengagehoist.server import AdminApp, CallerApp, Listener, serve
+from greengagehoist.server import AdminApp, CallerApp, DrainGate, Listener, serve
 from greengagehoist.utils import Clock, Controller, check_address, connect_metrics, log_event
 
 
@@ -26,8 +34,11 @@
         own = Member(settings.vm, settings.data_centre, settings.peers, self.incarnation)
         self.peers = PeerController(own, settings.seeds, settings.peer_credential, clock, rng)
         self.configs = ConfigController(self.platform, clock)
-        self.traces = TraceController()
-        self.targets = TargetController(self.platform, clock, rng, settings.data_centre)
+        self.traces = TraceController(self.peers, settings.data_centre)
+        self.targets = TargetController(self.platform, clock, rng, settings.data_centre, self.peers)
+        self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
+        followers = (self.targets, self.drains)
+        self.roster = RosterController(self.platform, self.peers, followers, clock)
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
         )
@@ -46,7 +57,15 @@
         )
 
     def _controllers(self) -> list[Controller]:
-        return [self.platform, self.peers, self.configs, self.traces, self.targets]
+        return [
+            self.platform,
+            self.peers,
+            self.configs,
+            self.traces,
+            self.targets,
+            self.drains,
+            self.roster,
+        ]
 
     async def start(self) -> None:
         """Start the controllers, then the listeners.
@@ -59,16 +78,24 @@
         callers = CallerApp(
             self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
         )
-        admin = AdminApp(self.configs, self.traces, self.rng, self.settings.operator_credential)
-        for app, field in ((callers, "callers"), (admin, "operators")):
+        admin = AdminApp(
+            self.configs, self.traces, self.drains, self.rng, self.settings.operator_credential
+        )
+        gate = DrainGate(callers.build(), self.drains)
+        for app, field in ((gate, "callers"), (admin.build(), "operators")):
             host, port = check_address(f"--{field}", getattr(self.settings, field))
-            listener = await serve(app.build(), host, port)
+            listener = await serve(app, host, port)
             self.listeners.append(listener)
             log_event("listening", interface=field, address=listener.address)
 
+    async def wait_stopped(self) -> None:
+        """Wait until a graceful stop, asked for by an operator, has handed everything over."""
+        await self.drains.ask(WaitStopped())
+
     async def stop(self) -> None:
-        """Finish the requests in flight, then stop the controllers."""
-        log_event("draining")
+        """Stop gracefully: finish the requests in flight, hand over, then stop the controllers."""
+        await self.drains.ask(StartDrain())
+        await self.wait_stopped()
         for listener in self.listeners:
             await listener.stop()
         for task in self._tasks:
--- a/greengagehoist/daemon/_main.py
+++ b/greengagehoist/daemon/_main.py
@@ -27,6 +27,12 @@
 @click.option("--operator-credential", required=True, help="Credential that operators show.")
 @click.option("--peer-credential", required=True, help="Credential shared by all daemons.")
 @click.option("--statsd", default="", help="statsd ip:port; no metrics if empty.")
+@click.option(
+    "--drain-delay",
+    default=2.0,
+    show_default=True,
+    help="Seconds from the end of readiness to the refusal of requests; covers the load balancer.",
+)
 @click.option("--log-level", default="INFO", show_default=True)
 def main(**options) -> None:
     """Run the entry daemon of this VM."""
@@ -46,5 +52,6 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     await daemon.start()
-    await stopping.wait()
+    waits = [loop.create_task(stopping.wait()), loop.create_task(daemon.wait_stopped())]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     await daemon.stop()
--- a/greengagehoist/daemon/_settings.py
+++ b/greengagehoist/daemon/_settings.py
@@ -2,13 +2,17 @@
 
 from typing import NamedTuple
 
-from greengagehoist.utils import ValidationError, check_address, check_name, check_text
+from greengagehoist.utils import ValidationError, check_address, check_float, check_name, check_text
 
 SHORTEST_CREDENTIAL = 16
+LONGEST_DRAIN_DELAY_S = 300.0
 
 
 class Settings(NamedTuple):
-    """Settings of one daemon; addresses are ``ip:port``."""
+    """Settings of one daemon; addresses are ``ip:port``.
+
+    :param drain_delay: seconds between the end of readiness and the refusal of new requests.
+    """
 
     vm: str
     data_centre: str
@@ -21,6 +25,7 @@
     peer_credential: str
     statsd: str
     log_level: str
+    drain_delay: float = 2.0
 
 
 def check_settings(settings: Settings) -> Settings:
@@ -40,4 +45,5 @@
         name = "--" + flag.replace("_", "-")
         if len(check_text(name, getattr(settings, flag), 512)) < SHORTEST_CREDENTIAL:
             raise ValidationError(name, "(hidden)", f"at least {SHORTEST_CREDENTIAL} characters")
+    check_float("--drain-delay", settings.drain_delay, 0.0, LONGEST_DRAIN_DELAY_S)
     return settings
--- a/greengagehoist/membership/__init__.py
+++ b/greengagehoist/membership/__init__.py
@@ -1,5 +1,26 @@
 """Life cycles of VMs and targets, leave marks and the choice of peers."""
 
 from greengagehoist.membership._choice import Member, choose_peers
+from greengagehoist.membership._lifecycle import (
+    TARGET_LIFE,
+    VM_LIFE,
+    LifeCycle,
+    TargetState,
+    VmState,
+)
+from greengagehoist.membership._marks import LeaveMarks, Listing, Mark, Standing, TargetRoster
 
-__all__ = ["Member", "choose_peers"]
+__all__ = [
+    "LeaveMarks",
+    "LifeCycle",
+    "Listing",
+    "Mark",
+    "Member",
+    "Standing",
+    "TARGET_LIFE",
+    "TargetRoster",
+    "TargetState",
+    "VM_LIFE",
+    "VmState",
+    "choose_peers",
+]
--- a/greengagehoist/server/__init__.py
+++ b/greengagehoist/server/__init__.py
@@ -2,6 +2,7 @@
 
 from greengagehoist.server._admin import AdminApp
 from greengagehoist.server._callers import CallerApp
+from greengagehoist.server._gate import DrainGate
 from greengagehoist.server._serve import Listener, serve
 
-__all__ = ["AdminApp", "CallerApp", "Listener", "serve"]
+__all__ = ["AdminApp", "CallerApp", "DrainGate", "Listener", "serve"]
--- a/greengagehoist/server/_admin.py
+++ b/greengagehoist/server/_admin.py
@@ -12,7 +12,7 @@
 from starlette.routing import Route
 
 from greengagehoist.config import Change
-from greengagehoist.controllers import GetConfig, GetTrace, Propose
+from greengagehoist.controllers import CollectTrace, GetConfig, GetReadiness, Propose, StartDrain
 from greengagehoist.server._callers import STATUS
 from greengagehoist.tracing import order_spans
 from greengagehoist.utils import Controller, new_id
@@ -25,10 +25,16 @@
     """
 
     def __init__(
-        self, configs: Controller, traces: Controller, rng: random.Random, credential: str
+        self,
+        configs: Controller,
+        traces: Controller,
+        drains: Controller,
+        rng: random.Random,
+        credential: str,
     ):
         self.configs = configs
         self.traces = traces
+        self.drains = drains
         self.rng = rng
         self.credential = credential
 
@@ -39,6 +45,7 @@
                 Route("/healthz", self.health),
                 Route("/readyz", self.ready),
                 Route("/admin/config", self._guarded(self.propose), methods=["POST"]),
+                Route("/admin/drain", self._guarded(self.drain), methods=["POST"]),
                 Route("/admin/status", self._guarded(self.status)),
                 Route("/admin/traces/{trace_id}", self._guarded(self.trace)),
             ]
@@ -60,8 +67,20 @@
 
     async def ready(self, request: Request) -> Response:
         """Answer 200 if requests can be served."""
-        cfg = await self.configs.ask(GetConfig())
-        return JSONResponse({"ready": cfg.version > 0}, 200 if cfg.version > 0 else 503)
+        readiness = await self.drains.ask(GetReadiness())
+        ready = not readiness.reasons
+        body = {
+            "ready": ready,
+            "state": readiness.state,
+            "in_flight": readiness.in_flight,
+            "reasons": readiness.reasons,
+        }
+        return JSONResponse(body, 200 if ready else 503)
+
+    async def drain(self, request: Request) -> Response:
+        """Begin the graceful stop."""
+        await self.drains.ask(StartDrain())
+        return JSONResponse({"draining": True}, 202)
 
     async def propose(self, request: Request) -> Response:
         """Accept changes of the lists as a new version."""
@@ -81,7 +100,7 @@
         return JSONResponse({"config_version": cfg.version})
 
     async def trace(self, request: Request) -> Response:
-        """Return the spans of a trace in order."""
-        spans = await self.traces.ask(GetTrace(request.path_params["trace_id"]))
+        """Return the spans of a trace in order, from all reachable daemons."""
+        spans = await self.traces.ask(CollectTrace(request.path_params["trace_id"]))
         lines = [{"depth": line.depth, **line.span._asdict()} for line in order_spans(spans)]
         return JSONResponse({"spans": lines})
--- a/greengagehoist/server/_callers.py
+++ b/greengagehoist/server/_callers.py
@@ -183,7 +183,7 @@
                     del body["output"]
                     queue.put_nowait(_event("end", body))
                 case Failure(error):
-                    queue.put_nowait(_event("error", _failure_body(error, exchange.request_id)))
+                    queue.put_nowait(_event("error", failure_body(error, exchange.request_id)))
             queue.put_nowait(None)
 
         task = asyncio.create_task(run())
@@ -254,7 +254,8 @@
     return {**body, "replayed": answer.replayed}
 
 
-def _failure_body(error: StepError, request_id: str) -> dict[str, Any]:
+def failure_body(error: StepError, request_id: str) -> dict[str, Any]:
+    """Return the JSON body of a failed request."""
     after = error.retry_after
     return {
         "error": {
@@ -271,7 +272,7 @@
 
 
 def _failure_response(error: StepError, request_id: str) -> JSONResponse:
-    return JSONResponse(_failure_body(error, request_id), STATUS[error.code])
+    return JSONResponse(failure_body(error, request_id), STATUS[error.code])
 
 
 def _event(name: str, data: dict[str, Any]) -> str:
--- a/greengagehoist/targets/__init__.py
+++ b/greengagehoist/targets/__init__.py
@@ -14,7 +14,7 @@
     Target,
     TargetCall,
 )
-from greengagehoist.targets._link import ReadLoad, TargetLink
+from greengagehoist.targets._link import ReadLoad, RefusedWork, SendOrder, TargetLink
 
 __all__ = [
     "Attempt",
@@ -25,7 +25,9 @@
     "OperationReply",
     "PoolCall",
     "ReadLoad",
+    "RefusedWork",
     "Send",
+    "SendOrder",
     "StageReply",
     "StreamEnd",
     "Target",
--- a/greengagehoist/targets/_calls.py
+++ b/greengagehoist/targets/_calls.py
@@ -154,7 +154,10 @@
 
 
 class LoadWire(TypedDict, total=False):
-    """JSON body of a load report."""
+    """JSON body of a load report.
+
+    ``models``, ``adapters``, ``serves_as``, ``fence`` and ``checks_fence`` are sent by engines.
+    """
 
     queue: int
     running: int
@@ -162,3 +165,7 @@
     state: str
     incarnation: int
     models: list[str]
+    adapters: list[str]
+    serves_as: str
+    fence: int
+    checks_fence: bool
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -1,7 +1,7 @@
 """Task that owns the connections to one target."""
 
 import asyncio
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiosonic
 import msgspec
@@ -42,12 +42,34 @@
     """Ask a target link for the target's load report."""
 
 
+class SendOrder(NamedTuple):
+    """Ask a target link to send an order; replied by ``Result[None, StepError]``.
+
+    :param fence: fencing number of the issuer's lease.
+    :param timeout: seconds for the whole call.
+    """
+
+    order: dict[str, Any]
+    fence: int
+    timeout: float
+
+
+class RefusedWork(NamedTuple):
+    """Tell the link's owner that the target is leaving and refused a call."""
+
+    target: Target
+
+
 class TargetLink(Controller):
-    """Sends calls to one target over its own connections."""
+    """Sends calls to one target over its own connections.
 
-    def __init__(self, target: Target):
+    :param owner: receives :class:`RefusedWork`, or None.
+    """
+
+    def __init__(self, target: Target, owner: Controller | None = None):
         super().__init__(f"target:{target.name}")
         self.target = target
+        self.owner = owner
         self._client: aiosonic.HTTPClient | None = None
 
     def handle(self, message: Any, reply: Reply) -> None:
@@ -57,6 +79,8 @@
                 self.start(self._send(message, reply))
             case ReadLoad():
                 self.start(self._read_load(reply))
+            case SendOrder():
+                self.start(self._send_order(message, reply))
 
     async def _send(self, message: Send, reply: Reply) -> None:
         try:
@@ -77,7 +101,9 @@
             case OperationCall() as call:
                 path = f"/operations/{call.operation}"
                 response = await self._post(path, _operation_body(call), message)
-        if response.status_code == LEAVING_STATUS:
+        if response.status_code == LEAVING_STATUS and _is_leaving(await response.content()):
+            if self.owner is not None:
+                self.owner.tell(RefusedWork(self.target))
             return Failure(self._refusal(message.call))
         if response.status_code != 200:
             raise ValueError(f"status {response.status_code}")
@@ -133,6 +159,24 @@
                 )
             )
 
+    async def _send_order(self, message: SendOrder, reply: Reply) -> None:
+        limit = message.timeout
+        timeouts = Timeouts(min(CONNECT_TIMEOUT_S, limit), limit, limit, limit)
+        body = {"order": message.order, "fence": message.fence}
+        try:
+            async with asyncio.timeout(limit):
+                url = f"http://{self.target.address}/orders"
+                response = await self._http().request(url, "POST", json=body, timeouts=timeouts)
+            if response.status_code == 200:
+                reply(Success(None))
+                return
+            outcome, text = Outcome.NOT_RUN, f"status {response.status_code}"
+        except _NOT_SENT as exc:
+            outcome, text = Outcome.NOT_RUN, type(exc).__name__
+        except (TimeoutError, *_BROKEN) as exc:
+            outcome, text = Outcome.UNKNOWN, type(exc).__name__
+        reply(Failure(StepError("order", self.target.name, outcome, ErrorCode.TARGET_FAILED, text)))
+
     def _failure(
         self, call: TargetCall, exc: Exception, outcome: Outcome
     ) -> Result[Any, StepError]:
@@ -150,6 +194,14 @@
         )
 
 
+def _is_leaving(content: bytes) -> bool:
+    """Tell a target that leaves from one that refuses for another reason, such as overload."""
+    try:
+        return msgspec.json.decode(content, type=dict).get("error") == "leaving"
+    except msgspec.MsgspecError:
+        return False
+
+
 async def _accept_line(call: GenerateCall, line: bytes) -> StreamEnd | None:
     wire = msgspec.json.decode(line, type=ChunkWire)
     attempt = Attempt(wire["request_id"], wire["stage"], wire["attempt"])
