Test the graceful stop, the collection of traces and frozen peers with processes

Four process tests: a stop by signal and by operator under load cuts no request, a trace is shown by the other daemon, and a link to a stopped process is dropped and comes back.

--- /dev/null
+++ b/greengagehoist/daemon/tests/test_drain.py
@@ -0,0 +1,181 @@
+"""Guards against stops that cut requests and against links to frozen daemons that stay."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+
+from greengagehoist.standins import (
+    OPERATOR_CREDENTIAL,
+    STAGES,
+    credential_of,
+    example_changes,
+    run_pipeline,
+)
+
+WAIT_S = 30.0
+WORKERS = 8
+MOST_REQUESTS_PER_WORKER = 2000
+
+
+async def http(address, method, path, body=None, credential=OPERATOR_CREDENTIAL):
+    """Send one request on its own connection and return status and body as text."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    data = b"" if body is None else json.dumps(body).encode()
+    head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {credential}\r\n"
+    head += f"Connection: close\r\nContent-Length: {len(data)}\r\n\r\n"
+    writer.write(head.encode() + data)
+    async with asyncio.timeout(WAIT_S):
+        raw = await reader.read()
+    writer.close()
+    head, _, text = raw.decode().partition("\r\n\r\n")
+    return int(head.split()[1]), text
+
+
+async def until(check):
+    """Wait until the coroutine function ``check`` returns something true, and return it."""
+    async with asyncio.timeout(WAIT_S):
+        while not (found := await check()):
+            await asyncio.sleep(0.05)
+        return found
+
+
+@pytest.fixture
+def deployment(group):
+    """Return the operators', callers' and peers' addresses of two linked daemons."""
+    platform = group.start_standin("platform", "platform").addresses["listening"]
+    vms = []
+    for role, model in STAGES:
+        args = ("engine", model, "--step-s", "0.01") if model else ("pool", role)
+        address = group.start_standin(role, *args).addresses["listening"]
+        vms.append([role, address, role])
+    first = group.start_daemon("entry-0", "dc1", platform, "--drain-delay", "0.3")
+    seed = ("--seed", first.addresses["peers"])
+    second = group.start_daemon("entry-1", "dc2", platform, "--drain-delay", "0.3", *seed)
+    vms.extend([item.name, item.addresses["peers"], "entry"] for item in (first, second))
+    names = ("vm", "address", "role", "data_centre", "state", "incarnation")
+    listed = [dict(zip(names, (*vm, "dc1", "live", 1), strict=True)) for vm in vms]
+    sent = {"base": 0, "changes": example_changes(), "author": "test"}
+
+    async def prepare():
+        await http(platform, "PUT", "/control/vms", listed)
+        await http(first.addresses["operators"], "POST", "/admin/config", sent)
+        for daemon in (first, second):
+
+            async def ready(daemon=daemon):
+                return (await http(daemon.addresses["operators"], "GET", "/readyz"))[0] == 200
+
+            async def answers(daemon=daemon):
+                return (await generate(daemon.addresses["callers"], False))[0] == 200
+
+            await until(ready)
+            await until(answers)
+
+    asyncio.run(prepare())
+    return first, second
+
+
+async def generate(address, stream):
+    body = {"input": "gully 9", "max_tokens": 40, "stream": stream}
+    path = "/v1/pipelines/round-summary"
+    return await http(address, "POST", path, body, credential_of("depot"))
+
+
+def is_whole(text, stream):
+    expected = run_pipeline(list(STAGES), "gully 9", 40)
+    if not stream:
+        return json.loads(text).get("output") == expected
+    return "event: end" in text and expected.split()[-1] in text
+
+
+async def work(address, stream, counts):
+    """Send requests until one is refused as draining; count whole, cut and refused ones."""
+    for _ in range(MOST_REQUESTS_PER_WORKER):
+        try:
+            status, text = await generate(address, stream)
+        except (OSError, ValueError, IndexError):
+            counts["cut"] += 1
+            return
+        if status == 200:
+            counts["whole" if is_whole(text, stream) else "cut"] += 1
+            continue
+        error = json.loads(text)["error"]
+        refused = error["code"] == "draining" and error["outcome"] == "not_run"
+        counts["refused" if refused and error["retry_safe"] else "cut"] += 1
+        return
+
+
+@pytest.mark.parametrize("how", ["signal", "operator"])
+def test_stop_under_load_cuts_no_request(group, deployment, how):
+    first, _ = deployment
+
+    async def scenario():
+        counts = {"whole": 0, "cut": 0, "refused": 0}
+        address = first.addresses["callers"]
+        workers = [asyncio.create_task(work(address, n % 2 == 0, counts)) for n in range(WORKERS)]
+
+        async def warm():
+            return counts["whole"] >= WORKERS
+
+        await until(warm)
+        if how == "signal":
+            group.signal("entry-0", signal.SIGTERM)
+        else:
+            await http(first.addresses["operators"], "POST", "/admin/drain")
+
+        async def not_ready():
+            return (await http(first.addresses["operators"], "GET", "/readyz"))[0] == 503
+
+        await until(not_ready)
+        await asyncio.gather(*workers)
+        return counts
+
+    counts = asyncio.run(scenario())
+    assert counts["cut"] == 0, counts
+    assert counts["refused"] == WORKERS, counts
+    assert first.popen.wait(WAIT_S) == 0
+
+
+def test_trace_is_shown_by_the_other_daemon(deployment):
+    first, second = deployment
+
+    async def scenario():
+        _, text = await generate(first.addresses["callers"], False)
+        path = f"/admin/traces/{json.loads(text)['trace_id']}"
+        _, shown = await http(second.addresses["operators"], "GET", path)
+        return {(span["vm"], span["name"]) for span in json.loads(shown)["spans"]}
+
+    names = asyncio.run(scenario())
+    assert names == {("entry-0", name) for name in ("request", *(role for role, _ in STAGES))}
+
+
+def test_link_to_a_stopped_process_is_dropped_and_comes_back(group, deployment):
+    _, second = deployment
+
+    async def count(text):
+        log = second.log.read_text()
+        return log.count(f"event={text} peer=entry-0")
+
+    async def scenario():
+        async def linked():
+            return await count("peer_linked") > await count("peer_lost")
+
+        await until(linked)
+        before = await count("peer_linked")
+        group.signal("entry-0", signal.SIGSTOP)
+
+        async def lost():
+            return await count("peer_lost") == before
+
+        await until(lost)
+        group.signal("entry-0", signal.SIGCONT)
+
+        async def replaced():
+            return await count("peer_linked") > before
+
+        await until(replaced)
+
+    asyncio.run(scenario())
+    assert "reason=silent" in second.log.read_text()
