--- a/greengagehoist/codec/_peer.py
+++ b/greengagehoist/codec/_peer.py
@@ -1,5 +1,6 @@
 """CBOR encoding of the messages on peer links."""
 
+import io
 from collections.abc import Mapping
 from typing import Any
 
@@ -45,7 +46,7 @@
         if not isinstance(frame, bytes) or len(frame) > LARGEST_FRAME_BYTES:
             raise FrameError(f"accepted: a binary frame of up to {LARGEST_FRAME_BYTES} bytes")
         try:
-            value = cbor2.loads(frame)
+            value = _load(frame)
             _check_plain(value)
         except (cbor2.CBORDecodeError, ValueError, TypeError, OverflowError, RecursionError) as exc:
             raise FrameError(f"not plain CBOR: {type(exc).__name__} {exc}") from exc
@@ -57,6 +58,16 @@
         return None
 
 
+def _load(frame: bytes) -> Any:
+    source = io.BytesIO(frame)
+    value = cbor2.CBORDecoder(
+        source, max_depth=DEEPEST_NESTING, allow_indefinite=False, strict_hashable_types=True
+    ).decode()
+    if source.tell() != len(frame):
+        raise FrameError("accepted: one value without bytes after it")
+    return value
+
+
 def _convert(fields: list, kind: type) -> Any:
     try:
         return msgspec.convert(fields, type=kind)
--- a/greengagehoist/membership/_lifecycle.py
+++ b/greengagehoist/membership/_lifecycle.py
@@ -48,8 +48,10 @@
 class LifeCycle:
     """Applies triggers of a state machine to states that are kept elsewhere.
 
-    One machine serves all targets, because a machine for each of 12,000 targets would take more
-    memory than their state.
+    One machine serves all targets and each of its steps is computed once, because 12,000 targets
+    are read from the VM list every few seconds.
+
+    :param rows: transitions as ``transitions.Machine`` takes them.
     """
 
     def __init__(self, states: type[enum.StrEnum], rows: list[dict]):
@@ -57,9 +59,16 @@
         self.rows = rows
         self._machine: Machine | None = None
         self._model = _Model()
+        self._known: dict[tuple[enum.StrEnum, str], enum.StrEnum] = {}
 
     def advance(self, state: enum.StrEnum, trigger: str) -> enum.StrEnum:
         """Return the state after ``trigger``, which is ``state`` if it does not apply."""
+        found = self._known.get((state, trigger))
+        if found is None:
+            found = self._known[state, trigger] = self._run(state, trigger)
+        return found
+
+    def _run(self, state: enum.StrEnum, trigger: str) -> enum.StrEnum:
         if self._machine is None:
             self._machine = Machine(
                 self._model,
--- a/greengagehoist/membership/_marks.py
+++ b/greengagehoist/membership/_marks.py
@@ -135,7 +135,8 @@
         if standing is None or item.incarnation > standing.incarnation:
             self._standings[item.target] = Standing(item.incarnation, TargetState.JOINING, 0, now)
         elif item.incarnation == standing.incarnation:
-            self._standings[item.target] = standing._replace(missing=0)
+            if standing.missing:
+                self._standings[item.target] = standing._replace(missing=0)
         else:
             return
         marked = self.marks.covers(item.target, item.incarnation)
--- /dev/null
+++ b/greengagehoist/membership/tests/test_choice.py
@@ -0,0 +1,44 @@
+"""Guards against a mesh with too few or too many links."""
+
+import pytest
+
+from greengagehoist.membership import Member, choose_peers
+
+
+def members(count, data_centres):
+    return tuple(
+        Member(f"vm{index}", f"dc{index % data_centres}", f"127.0.0.1:{index}", 1)
+        for index in range(count)
+    )
+
+
+@pytest.mark.parametrize("count", [1, 7, 16])
+def test_small_roster_is_a_full_mesh(count):
+    roster = members(count, 4)
+    for item in roster:
+        chosen = choose_peers(item.vm, item.data_centre, roster)
+        assert set(chosen) == set(roster) - {item}
+
+
+def test_large_roster_links_the_own_data_centre_and_two_in_each_other():
+    roster = members(560, 12)
+    for item in roster[::50]:
+        chosen = choose_peers(item.vm, item.data_centre, roster)
+        by_centre = {}
+        for peer in chosen:
+            by_centre.setdefault(peer.data_centre, []).append(peer)
+        own = by_centre.pop(item.data_centre)
+        assert len(own) == sum(m.data_centre == item.data_centre for m in roster) - 1
+        assert {len(peers) for peers in by_centre.values()} == {2} and len(by_centre) == 11
+
+
+def test_choice_does_not_depend_on_the_order_of_the_list():
+    roster = members(60, 3)
+    chosen = choose_peers("vm1", "dc1", roster)
+    assert chosen == choose_peers("vm1", "dc1", roster[::-1])
+
+
+def test_one_member_more_changes_few_choices():
+    roster = members(60, 3)
+    before = set(choose_peers("vm1", "dc1", roster[:-1]))
+    assert len(before - set(choose_peers("vm1", "dc1", roster))) <= 1
