Issue orders to engines under a lease with a fencing number

Two daemons could order different states of one engine. Adds the pure choice of orders and of the lease, the order controller with reconciliation and retries, and the orders endpoint of the engine stand-in, with and without a check of the number.

--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -14,6 +14,7 @@
     StartDrain,
     WaitStopped,
 )
+from greengagehoist.controllers._orders import GetOrderStates, OrderController, Want
 from greengagehoist.controllers._roster import (
     ClockChecked,
     GetRoster,
@@ -24,7 +25,7 @@
 from greengagehoist.controllers._targets import (
     Assignment,
     Completed,
-    GetLinks,
+    GetLink,
     Reported,
     Route,
     TargetController,
@@ -42,13 +43,15 @@
     "DrainController",
     "Enter",
     "GetConfig",
-    "GetLinks",
+    "GetLink",
+    "GetOrderStates",
     "GetReadiness",
     "GetRoster",
     "GetState",
     "GetTrace",
     "Leave",
     "OnDrain",
+    "OrderController",
     "Propose",
     "Readiness",
     "Record",
@@ -61,4 +64,5 @@
     "TraceController",
     "VmsListed",
     "WaitStopped",
+    "Want",
 ]
--- a/greengagehoist/controllers/_targets.py
+++ b/greengagehoist/controllers/_targets.py
@@ -64,10 +64,10 @@
     ok: bool
 
 
-class GetLinks(NamedTuple):
-    """Ask for the targets of a role that take new work; replied by ``tuple[Assignment, ...]``."""
+class GetLink(NamedTuple):
+    """Ask for a target by its name; replied by :class:`Assignment`, or None if it is leaving."""
 
-    role: str
+    name: str
 
 
 class Reported(NamedTuple):
@@ -137,8 +137,8 @@
                 self._apply_report(target, load)
             case FromPeer():
                 self._apply_peer(message)
-            case GetLinks(role):
-                reply(self._links(role))
+            case GetLink(name):
+                reply(self._link(name))
 
     def _update(self, vms: tuple[Vm, ...]) -> None:
         targets = [vm for vm in vms if vm.role != ENTRY_ROLE]
@@ -220,12 +220,11 @@
         replica.drop_at = self.clock.monotonic() + linger
         self._retired.append(replica)
 
-    def _links(self, role: str) -> tuple[Assignment, ...]:
-        return tuple(
-            Assignment(replica.target, replica.link)
-            for replica in self._replicas.values()
-            if replica.target.role == role and self._takes_work(replica.target)
-        )
+    def _link(self, name: str) -> Assignment | None:
+        replica = self._replicas.get(name)
+        if replica is None or not self._takes_work(replica.target):
+            return None
+        return Assignment(replica.target, replica.link)
 
     def _takes_work(self, target: Target) -> bool:
         return self._roster.is_routable(target.name, target.incarnation)
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -7,6 +7,7 @@
 from greengagehoist.controllers import (
     ConfigController,
     DrainController,
+    OrderController,
     RosterController,
     StartDrain,
     TargetController,
@@ -39,6 +40,9 @@
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
         followers = (self.targets, self.drains)
         self.roster = RosterController(self.platform, self.peers, followers, clock)
+        self.orders = OrderController(
+            self.platform, self.targets, clock, rng, settings.vm, self.incarnation
+        )
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
         )
--- a/greengagehoist/orders/__init__.py
+++ b/greengagehoist/orders/__init__.py
@@ -1,3 +1,43 @@
-"""Orders to engines."""
+"""Orders to engines: what to send, and who may send it."""
 
-__all__: list[str] = []
+from greengagehoist.orders._lease import (
+    LEASE_TTL_S,
+    LONGEST_SEND_S,
+    LeaseRow,
+    OrderLease,
+    Wait,
+    Write,
+    covers_send,
+    decide_lease,
+)
+from greengagehoist.orders._orders import (
+    EngineReport,
+    LoadAdapter,
+    LoadModel,
+    Order,
+    Restart,
+    SetRole,
+    Wanted,
+    choose_orders,
+    is_idempotent,
+)
+
+__all__ = [
+    "EngineReport",
+    "LEASE_TTL_S",
+    "LONGEST_SEND_S",
+    "LeaseRow",
+    "LoadAdapter",
+    "LoadModel",
+    "Order",
+    "OrderLease",
+    "Restart",
+    "SetRole",
+    "Wait",
+    "Wanted",
+    "Write",
+    "choose_orders",
+    "covers_send",
+    "decide_lease",
+    "is_idempotent",
+]
--- /dev/null
+++ b/greengagehoist/orders/_lease.py
@@ -0,0 +1,80 @@
+"""Lease that makes one daemon the issuer of orders to a target."""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+LEASE_TTL_S = 30.0
+LONGEST_SEND_S = 2.0
+LEASE_MARGIN_S = 2.0
+
+
+class LeaseRow(NamedTuple):
+    """A table row ``order/{target}``.
+
+    :param ttl: seconds from ``written_at`` for which the holder issues orders.
+    :param written_at: time of the write on the table's clock, in seconds.
+    """
+
+    holder: str
+    incarnation: int
+    fence: int
+    ttl: float
+    version: int
+    written_at: float
+
+
+class OrderLease(NamedTuple):
+    """A lease that this daemon holds.
+
+    :param monotonic: own monotonic clock before the write was sent, in seconds.
+    :param wall: own wall clock before the write was sent, in seconds since the Unix epoch.
+    """
+
+    fence: int
+    version: int
+    ttl: float
+    monotonic: float
+    wall: float
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Write the row with this fencing number if it still has this version."""
+
+    fence: int
+    expect: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Another daemon may still send orders for this many seconds."""
+
+    seconds: float
+
+
+def decide_lease(
+    row: LeaseRow | None, holder: str, incarnation: int, table_now: float
+) -> Write | Wait:
+    """Return how a daemon becomes or stays the issuer.
+
+    A new issuer waits until the last order that the previous one may have sent has ended, and takes
+    a higher fencing number.
+    """
+    if row is None:
+        return Write(1, 0)
+    if (row.holder, row.incarnation) == (holder, incarnation):
+        return Write(row.fence, row.version)
+    free_at = row.written_at + row.ttl + LONGEST_SEND_S + LEASE_MARGIN_S
+    if table_now < free_at:
+        return Wait(free_at - table_now)
+    return Write(row.fence + 1, row.version)
+
+
+def covers_send(lease: OrderLease, monotonic: float, wall: float) -> bool:
+    """Return whether an order that is sent now ends before the lease does.
+
+    The larger of both clocks' elapsed times counts, so that neither a suspended VM nor a clock that
+    was set back prolongs the lease.
+    """
+    elapsed = max(monotonic - lease.monotonic, wall - lease.wall)
+    return elapsed + LONGEST_SEND_S + LEASE_MARGIN_S <= lease.ttl
--- /dev/null
+++ b/greengagehoist/orders/tests/test_fencing.py
@@ -0,0 +1,171 @@
+"""Guards against an older issuer's order that takes effect after a newer issuer's."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from greengagehoist.orders import (
+    LEASE_TTL_S,
+    LONGEST_SEND_S,
+    EngineReport,
+    LeaseRow,
+    OrderLease,
+    SetRole,
+    Wanted,
+    Write,
+    choose_orders,
+    covers_send,
+    decide_lease,
+)
+
+ISSUERS = ("vm0", "vm1", "vm2")
+ROLES = ("prefill", "decode", "both")
+issuers = st.sampled_from(ISSUERS)
+roles = st.sampled_from(ROLES)
+
+
+class Engine:
+    """An engine with one role, which keeps the terms of the issuers whose orders it applied."""
+
+    def __init__(self, checks_fence):
+        self.checks_fence = checks_fence
+        self.role, self.fence, self.applied = "", 0, []
+
+    def apply(self, order, fence, term):
+        if self.checks_fence and fence < self.fence:
+            return
+        self.fence = max(self.fence, fence)
+        self.role = order.role
+        self.applied.append(term)
+
+    def report(self):
+        return EngineReport((), (), self.role, 1, self.fence, self.checks_fence)
+
+
+class FencingMachine(RuleBasedStateMachine):
+    """Issuers that pause anywhere, lost answers, clocks that differ, and two kinds of engine."""
+
+    @initialize()
+    def start(self):
+        self.now = 1000.0
+        self.row = None
+        self.leases = {}
+        self.term = 0
+        self.terms = {}
+        self.pending_write = {}
+        self.wanted = "both"
+        self.views = dict.fromkeys(ISSUERS, "both")
+        self.engines = (Engine(True), Engine(False))
+        self.in_flight = []
+        self.prompt = True
+
+    def offset(self, issuer):
+        return 0.2 * ISSUERS.index(issuer)
+
+    def clocks(self, issuer):
+        return self.now + 5000.0 * ISSUERS.index(issuer), self.now + self.offset(issuer)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 5.0, LEASE_TTL_S, LEASE_TTL_S + 5.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(role=roles)
+    def change_wanted(self, role):
+        self.wanted = role
+
+    @rule(issuer=issuers)
+    def learn_wanted(self, issuer):
+        self.views[issuer] = self.wanted
+
+    @rule(issuer=issuers)
+    def begin_lease(self, issuer):
+        decision = decide_lease(self.row, issuer, 1, self.now)
+        if isinstance(decision, Write):
+            self.pending_write[issuer] = (decision, self.clocks(issuer))
+
+    @rule(issuer=issuers, answer_lost=st.booleans())
+    def end_lease(self, issuer, answer_lost):
+        if issuer not in self.pending_write:
+            return
+        decision, before = self.pending_write.pop(issuer)
+        version = self.row.version if self.row else 0
+        if version == decision.expect:
+            self.term += self.row is None or self.row.holder != issuer
+            self.terms[issuer] = self.term
+            self.row = LeaseRow(
+                issuer, 1, decision.fence, LEASE_TTL_S, decision.expect + 1, self.now
+            )
+            if not answer_lost:
+                self.leases[issuer] = OrderLease(
+                    decision.fence, decision.expect + 1, LEASE_TTL_S, *before
+                )
+
+    @rule(issuer=issuers)
+    def send(self, issuer):
+        lease = self.leases.get(issuer)
+        if lease is None or not covers_send(lease, *self.clocks(issuer)):
+            return
+        for engine in self.engines:
+            for order in choose_orders(Wanted(role=self.views[issuer]), engine.report()):
+                sent = (self.now, engine, order, lease.fence, self.terms[issuer])
+                self.in_flight.append(sent)
+
+    @rule(data=st.data(), answer_lost=st.booleans())
+    def deliver(self, data, answer_lost):
+        if self.in_flight:
+            index = data.draw(st.integers(0, len(self.in_flight) - 1))
+            sent, engine, order, fence, term = self.in_flight[index]
+            if not answer_lost:
+                self.in_flight.pop(index)
+            self.prompt &= self.now - sent <= LONGEST_SEND_S
+            engine.apply(order, fence, term)
+
+    @rule()
+    def settle(self):
+        """Let every message arrive, then let one issuer reconcile without faults."""
+        for sent, engine, order, fence, term in self.in_flight:
+            self.prompt &= self.now - sent <= LONGEST_SEND_S
+            engine.apply(order, fence, term)
+        self.in_flight.clear()
+        self.pending_write.clear()
+        self.now += LEASE_TTL_S + 10.0
+        self.learn_wanted("vm0")
+        self.begin_lease("vm0")
+        self.end_lease("vm0", False)
+        self.send("vm0")
+        for _, engine, order, fence, term in self.in_flight:
+            engine.apply(order, fence, term)
+        self.in_flight.clear()
+        assert [engine.role for engine in self.engines] == [self.wanted, self.wanted]
+
+    @invariant()
+    def one_issuer_at_a_time(self):
+        may = [i for i, lease in self.leases.items() if covers_send(lease, *self.clocks(i))]
+        assert len(may) <= 1, may
+
+    @invariant()
+    def checking_engine_never_goes_back(self):
+        applied = self.engines[0].applied
+        assert applied == sorted(applied)
+
+    @invariant()
+    def other_engine_never_goes_back_without_long_pauses(self):
+        applied = self.engines[1].applied
+        assert not self.prompt or applied == sorted(applied)
+
+
+FencingMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=40, derandomize=True, deadline=None, database=None
+)
+test_fencing = FencingMachine.TestCase
+
+
+def test_late_order_of_a_paused_issuer_is_refused_or_repaired():
+    checking, other = Engine(True), Engine(False)
+    for engine in (checking, other):
+        engine.apply(SetRole("decode"), 2, 2)
+        engine.apply(SetRole("prefill"), 1, 1)
+    assert (
+        checking.role == "decode" and choose_orders(Wanted(role="decode"), checking.report()) == ()
+    )
+    assert choose_orders(Wanted(role="decode"), other.report()) == (SetRole("decode"),)
--- a/greengagehoist/standins/_engine.py
+++ b/greengagehoist/standins/_engine.py
@@ -31,12 +31,18 @@
     :param step_s: seconds of one step.
     """
 
-    def __init__(self, model: str, step_s: float, batch: int, incarnation: int):
+    def __init__(
+        self, model: str, step_s: float, batch: int, incarnation: int, checks_fence: bool = False
+    ):
         self.model = model
         self.step_s = step_s
         self.load = LoadReport(batch, incarnation)
         self.records: list[dict] = []
         self.fence = 0
+        self.checks_fence = checks_fence
+        self.models = [model]
+        self.adapters: list[str] = []
+        self.serves_as = ""
         self._waiting: list[Sequence] = []
         self._running: list[Sequence] = []
         self._stepper: asyncio.Task | None = None
@@ -104,7 +110,34 @@
     async def report(self, request: Request) -> JSONResponse:
         """Return the load report."""
         self.load.queue, self.load.running = len(self._waiting), len(self._running)
-        return JSONResponse(self.load.as_json(models=[self.model]))
+        return JSONResponse(
+            self.load.as_json(
+                models=self.models,
+                adapters=self.adapters,
+                serves_as=self.serves_as,
+                fence=self.fence,
+                checks_fence=self.checks_fence,
+            )
+        )
+
+    async def order(self, request: Request) -> JSONResponse:
+        """Apply an order, unless the engine checks fencing numbers and has seen a higher one."""
+        body = await request.json()
+        order, fence = body["order"], body["fence"]
+        if self.checks_fence and fence < self.fence:
+            return JSONResponse({"error": "stale fencing number", "fence": self.fence}, 409)
+        self.fence = max(self.fence, fence)
+        match order:
+            case {"kind": "load_model", "model": model} if model not in self.models:
+                self.models.append(model)
+            case {"kind": "load_adapter", "adapter": adapter} if adapter not in self.adapters:
+                self.adapters.append(adapter)
+            case {"kind": "set_role", "role": role}:
+                self.serves_as = role
+            case {"kind": "restart"}:
+                self.load.incarnation += 1
+        self.records.append({"order": order, "fence": fence})
+        return JSONResponse({"applied": True, "fence": fence})
 
     async def leave(self, request: Request) -> JSONResponse:
         """Start refusing new work."""
@@ -117,15 +150,23 @@
 
 
 def build_engine(
-    model: str, step_s: float = 0.002, batch: int = 16, incarnation: int = 1
+    model: str,
+    step_s: float = 0.002,
+    batch: int = 16,
+    incarnation: int = 1,
+    checks_fence: bool = False,
 ) -> Faults:
-    """Return a model engine as an ASGI application."""
-    engine = Engine(model, step_s, batch, incarnation)
+    """Return a model engine as an ASGI application.
+
+    :param checks_fence: whether the engine rejects orders with a stale fencing number.
+    """
+    engine = Engine(model, step_s, batch, incarnation, checks_fence)
     faults = Faults(None)
     faults.app = Starlette(
         routes=[
             Route("/generate", engine.generate, methods=["POST"]),
             Route("/cancel", engine.cancel, methods=["POST"]),
+            Route("/orders", engine.order, methods=["POST"]),
             Route("/load", engine.report),
             Route("/control/leave", engine.leave, methods=["PUT"]),
             *control_routes(faults, engine.records),
--- a/greengagehoist/standins/_main.py
+++ b/greengagehoist/standins/_main.py
@@ -42,10 +42,14 @@
 @click.argument("model")
 @click.option("--step-s", default=0.002, show_default=True, help="Seconds of each token step.")
 @click.option("--incarnation", default=1, show_default=True)
+@click.option("--checks-fence", is_flag=True, help="Reject orders with a stale fencing number.")
 @click.pass_obj
-def engine(address: tuple[str, int], model: str, step_s: float, incarnation: int) -> None:
+def engine(
+    address: tuple[str, int], model: str, step_s: float, incarnation: int, checks_fence: bool
+) -> None:
     """Run a model engine."""
-    _run(build_engine(model, step_s, incarnation=incarnation), address)
+    app = build_engine(model, step_s, incarnation=incarnation, checks_fence=checks_fence)
+    _run(app, address)
 
 
 @main.command()
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -1,6 +1,7 @@
 """Task that owns the connections to one target."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import aiosonic
@@ -47,11 +48,13 @@
 
     :param fence: fencing number of the issuer's lease.
     :param timeout: seconds for the whole call.
+    :param allowed: asked immediately before the call is sent; False means that it is not sent.
     """
 
     order: dict[str, Any]
     fence: int
     timeout: float
+    allowed: Callable[[], bool]
 
 
 class RefusedWork(NamedTuple):
@@ -163,6 +166,9 @@
         limit = message.timeout
         timeouts = Timeouts(min(CONNECT_TIMEOUT_S, limit), limit, limit, limit)
         body = {"order": message.order, "fence": message.fence}
+        if not message.allowed():
+            reply(Failure(self._order_error(Outcome.NOT_RUN, "the issuer's lease is ending")))
+            return
         try:
             async with asyncio.timeout(limit):
                 url = f"http://{self.target.address}/orders"
@@ -175,7 +181,10 @@
             outcome, text = Outcome.NOT_RUN, type(exc).__name__
         except (TimeoutError, *_BROKEN) as exc:
             outcome, text = Outcome.UNKNOWN, type(exc).__name__
-        reply(Failure(StepError("order", self.target.name, outcome, ErrorCode.TARGET_FAILED, text)))
+        reply(Failure(self._order_error(outcome, text)))
+
+    def _order_error(self, outcome: Outcome, text: str) -> StepError:
+        return StepError("order", self.target.name, outcome, ErrorCode.TARGET_FAILED, text)
 
     def _failure(
         self, call: TargetCall, exc: Exception, outcome: Outcome
