--- /dev/null
+++ b/benchmarks/_daemon_cost.py
@@ -0,0 +1,172 @@
+"""Processor time and memory of a daemon for each request, token chunk and idle second."""
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiosonic
+import psutil
+
+from greengagehoist.standins import (
+    OPERATOR_CREDENTIAL,
+    STAGES,
+    Process,
+    ProcessGroup,
+    credential_of,
+    example_changes,
+)
+
+CONCURRENCY = 8
+START_WAIT_S = 2.0
+
+
+class Cost(NamedTuple):
+    """Cost of a number of requests at one daemon.
+
+    :param cpu_s: processor seconds of the daemon process.
+    """
+
+    requests: int
+    tokens: int
+    cpu_s: float
+    wall_s: float
+
+
+class Deployment:
+    """A platform, one replica of each target and one daemon, as separate processes."""
+
+    def __init__(self, group: ProcessGroup):
+        self.group = group
+        self.client = aiosonic.HTTPClient()
+        self.daemon: Process | None = None
+        self.platform = ""
+
+    async def start(self, step_s: float) -> None:
+        """Start all processes and apply the example lists.
+
+        :param step_s: seconds between two tokens of the engine.
+        """
+        platform = self.group.start_standin("platform", "platform").addresses["listening"]
+        self.platform = platform
+        vms = [self._target(role, model, step_s) for role, model in STAGES]
+        vms.append(self._target("service:job-desk", "", step_s))
+        self.daemon = self.group.start_daemon("entry-0", "dc1", platform)
+        await self._json("PUT", f"{platform}/control/vms", vms)
+        changes = example_changes()
+        _raise_limits(changes)
+        body = {"base": 0, "changes": changes, "author": "bench"}
+        url = f"{self.daemon.addresses['operators']}/admin/config"
+        await self._json("POST", url, body, OPERATOR_CREDENTIAL)
+        await asyncio.sleep(START_WAIT_S)
+
+    def _target(self, role: str, model: str, step_s: float) -> dict[str, Any]:
+        if model:
+            args = ("engine", model, "--step-s", str(step_s))
+        elif role.startswith("service:"):
+            args = ("service", role.removeprefix("service:"))
+        else:
+            args = ("pool", role, "--work-s", "0.001")
+        name = role.replace(":", "-")
+        address = self.group.start_standin(name, *args).addresses["listening"]
+        return {
+            "vm": name,
+            "address": address,
+            "data_centre": "dc1",
+            "role": role,
+            "state": "live",
+            "incarnation": 1,
+        }
+
+    async def _json(self, method: str, url: str, body: Any, credential: str = "") -> Any:
+        headers = {"Authorization": f"Bearer {credential}"}
+        response = await self.client.request(f"http://{url}", method, headers=headers, json=body)
+        return await response.json()
+
+    async def measure(self, requests: int, max_tokens: int, *, stream: bool = False) -> Cost:
+        """Send pipeline requests and return what they cost the daemon.
+
+        :raises RuntimeError: if a request fails.
+        """
+        process = psutil.Process(self.daemon.popen.pid)
+        before, start = _cpu_seconds(process), time.monotonic()
+        numbers = iter(range(requests))
+        workers = [self._worker(numbers, max_tokens, stream) for _ in range(CONCURRENCY)]
+        tokens = sum(await asyncio.gather(*workers))
+        wall = time.monotonic() - start
+        return Cost(requests, tokens, _cpu_seconds(process) - before, wall)
+
+    async def _worker(self, numbers: Any, max_tokens: int, stream: bool) -> int:
+        tokens = 0
+        url = f"{self.daemon.addresses['callers']}/v1/pipelines/round-summary"
+        for number in numbers:
+            body = {"input": f"street {number}", "max_tokens": max_tokens, "stream": stream}
+            headers = {"Authorization": f"Bearer {credential_of('depot')}"}
+            response = await self.client.request(
+                f"http://{url}", "POST", headers=headers, json=body
+            )
+            text = await response.text()
+            if response.status_code != 200 or "digest" not in text:
+                raise RuntimeError(f"request {number} failed: {text[-300:]}")
+            tokens += text.count("event: tokens") if stream else (await response.json())["tokens"]
+        return tokens
+
+    async def idle(self, seconds: float) -> Cost:
+        """Return what the daemon costs without requests."""
+        process = psutil.Process(self.daemon.popen.pid)
+        before = _cpu_seconds(process)
+        await asyncio.sleep(seconds)
+        return Cost(0, 0, _cpu_seconds(process) - before, seconds)
+
+
+def _cpu_seconds(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _raise_limits(changes: list[dict[str, Any]]) -> None:
+    """Set limits that the measurement does not reach."""
+    for change in changes:
+        if change["section"] == "usage":
+            limits = change["value"]["limits"]
+            change["value"]["limits"] = dict.fromkeys(limits, 10**8)
+
+
+async def measure_daemon() -> list[tuple[str, float, str]]:
+    """Return rows (name, value, unit) of the daemon's cost."""
+    with tempfile.TemporaryDirectory() as folder:
+        group = ProcessGroup(Path(folder))
+        deployment = Deployment(group)
+        try:
+            await deployment.start(step_s=0.002)
+            await deployment.measure(100, 1)
+            short = await deployment.measure(400, 1)
+            whole = await deployment.measure(200, 64)
+            streamed = await deployment.measure(200, 64, stream=True)
+            idle = await deployment.idle(5.0)
+            resident = psutil.Process(deployment.daemon.popen.pid).memory_info().rss
+        finally:
+            group.stop_all()
+    per_request = short.cpu_s / short.requests
+    chunks = streamed.tokens
+    per_chunk = (streamed.cpu_s / streamed.requests - per_request) / (chunks / streamed.requests)
+    return [
+        ("daemon CPU per four-stage request, 1 token", per_request * 1e3, "ms"),
+        ("daemon CPU per four-stage request, whole answer", whole.cpu_s / 200 * 1e3, "ms"),
+        ("tokens per whole answer", whole.tokens / 200, "tokens"),
+        ("daemon CPU per streamed chunk", per_chunk * 1e6, "us"),
+        ("chunks per streamed answer", chunks / streamed.requests, "chunks"),
+        ("daemon CPU when idle", idle.cpu_s / idle.wall_s * 100, "% of a core"),
+        ("daemon resident memory", resident / 2**20, "MiB"),
+    ]
+
+
+def main() -> None:
+    """Print the rows."""
+    for name, value, unit in asyncio.run(measure_daemon()):
+        print(f"{name:<52} {value:>10.2f} {unit}")
+
+
+if __name__ == "__main__":
+    main()
--- a/greengagehoist/server/_serve.py
+++ b/greengagehoist/server/_serve.py
@@ -55,6 +55,8 @@
         log_level="critical",
         access_log=False,
         lifespan="off",
+        http="httptools",
+        loop="asyncio",
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=shutdown_s,
     )
