Validate whole lists and decide the acceptance of versions

Entries were converted without reporting missing or unknown fields, and nothing tied a row to the lists it results in. Validation now reports all problems with path, value and accepted range; each version carries the digest of the resulting lists, computed from the changed entries alone; and the steps from a proposal to its outcome are pure decisions.

--- /dev/null
+++ b/greengagehoist/config/_acceptance.py
@@ -0,0 +1,196 @@
+"""Decisions on the way from a proposal to its outcome.
+
+A proposal on top of version n is one conditional insert of row n+1. Rows are never replaced, so
+the content of row n+1 settles the outcome of every attempt, including those whose answer was lost
+and those that are still on their way.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from greengagehoist.config._changes import Change
+from greengagehoist.config._types import Config
+from greengagehoist.config._versions import Log, Version, make_version, versions_after
+
+
+@dataclass(frozen=True, slots=True)
+class Effective:
+    """The table answered that the insert took effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Occupied:
+    """The row exists; the answer to an insert that was refused or to reading back.
+
+    :param row: content of the row, None if it is malformed.
+    """
+
+    row: Version | None
+
+
+@dataclass(frozen=True, slots=True)
+class Absent:
+    """Reading back found no row."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """No answer; an insert may or may not have taken effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class NeverSent:
+    """The call certainly did not reach the table."""
+
+
+TableAnswer = Effective | Occupied | Absent | Lost | NeverSent
+
+
+@dataclass(frozen=True, slots=True)
+class Insert:
+    """Insert the row of the proposal."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadBack:
+    """Read the row of the proposal."""
+
+
+@dataclass(frozen=True, slots=True)
+class CatchUp:
+    """This daemon is behind the base version; learn newer versions, then begin again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The proposal is an accepted version.
+
+    :param row: the version if this daemon may still have to apply it, else None.
+    """
+
+    version: int
+    row: Version | None
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Another operation took the version; this one was not and will not be accepted.
+
+    :param others: the versions accepted since the base, as far as they are known.
+    """
+
+    version: int
+    others: tuple[Version, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Reused:
+    """The operation id belongs to an earlier operation with other changes."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """The table could not be reached and no insert was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Undetermined:
+    """An insert was sent and the row could not be read within the allowed time."""
+
+
+Step = Insert | ReadBack | CatchUp | Accepted | Conflict | Reused | NotAccepted | Undetermined
+FINAL_STEPS = (Accepted, Conflict, Reused, NotAccepted, Undetermined)
+
+
+class Proposal(NamedTuple):
+    """Progress of one proposal.
+
+    :param row: the version to insert; its digest is empty if it will not be inserted.
+    :param uncertain: an insert was sent whose effect is not known.
+    """
+
+    row: Version
+    uncertain: bool = False
+
+
+def begin_proposal(
+    log: Log, op_id: str, author: str, base: int, changes: tuple[Change, ...]
+) -> tuple[Proposal, Step]:
+    """Decide the first step of a proposal on top of version ``base``.
+
+    :raises ListsError: if the changes do not result in valid lists.
+    """
+    proposal = Proposal(Version(base + 1, op_id, author, changes, ""))
+    known = log.operations.get(op_id)
+    if known is not None:
+        return proposal, _settle_known(log, known, changes)
+    if base > log.cfg.version:
+        return proposal, CatchUp()
+    if base < log.cfg.version:
+        others = versions_after(log, base)
+        # A row that is no longer kept may hold this very operation, from an earlier attempt.
+        return proposal, ReadBack() if others is None else Conflict(base + 1, others)
+    row, _ = make_version(log.cfg, op_id, author, changes)
+    return Proposal(row), Insert()
+
+
+def _settle_known(log: Log, known: int, changes: tuple[Change, ...]) -> Step:
+    for item in log.recent:
+        if item.version == known and item.changes != changes:
+            return Reused(known)
+    return Accepted(known, None)
+
+
+def next_step(
+    proposal: Proposal, answer: TableAnswer, *, reading: bool, in_time: bool
+) -> tuple[Proposal, Step]:
+    """Decide the step after an answer of the table.
+
+    :param reading: True if the answer is to reading back, False if to an insert.
+    :param in_time: False if the time for settling the outcome has passed.
+    """
+    match answer:
+        case Effective():
+            return proposal, Accepted(proposal.row.version, proposal.row)
+        case Occupied(row):
+            return proposal, _settle_row(proposal, row)
+        case Lost() if not reading:
+            proposal = proposal._replace(uncertain=True)
+            return proposal, ReadBack() if in_time else Undetermined()
+    if not proposal.row.digest:
+        return proposal, ReadBack() if in_time else Undetermined()
+    if not in_time:
+        return proposal, Undetermined() if proposal.uncertain else NotAccepted()
+    if isinstance(answer, Absent) or not proposal.uncertain:
+        return proposal, Insert()
+    return proposal, ReadBack()
+
+
+def _settle_row(proposal: Proposal, row: Version | None) -> Step:
+    own = proposal.row
+    if row is None:
+        return Conflict(own.version, ())
+    if row.op_id != own.op_id:
+        return Conflict(own.version, (row,))
+    if row.changes != own.changes:
+        return Reused(own.version)
+    return Accepted(own.version, row)
+
+
+def is_ready(cfg: Config, table_read: bool, peers_highest: int | None) -> str:
+    """Return why a daemon is not ready, or an empty string if it is.
+
+    :param table_read: True if the table was read to its end at least once.
+    :param peers_highest: highest version that peers have announced, None if none was heard.
+    """
+    if cfg.version == 0:
+        return "no configuration version yet"
+    if table_read:
+        return ""
+    if peers_highest is None:
+        return "neither the table nor a peer confirmed the version"
+    if cfg.version < peers_highest:
+        return f"version {cfg.version} is behind a peer's {peers_highest}"
+    return ""
--- a/greengagehoist/config/_changes.py
+++ b/greengagehoist/config/_changes.py
@@ -1,9 +1,22 @@
-"""Changes of the lists and their application in order of versions."""
+"""Changes of the lists, their application in order of versions, and the difference of two lists."""
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from greengagehoist.config._parse import parse_entry
-from greengagehoist.config._types import Config
+from greengagehoist.config._parse import SECTIONS, read_entry
+from greengagehoist.config._plain import (
+    Lists,
+    digest_lists,
+    entry_hash,
+    format_digest,
+    plain_entry,
+    plain_lists,
+    plain_settings,
+)
+from greengagehoist.config._problems import ListsError, Problem, Problems
+from greengagehoist.config._types import DEFAULT_ATTAINMENT_WEIGHT, EMPTY_CONFIG, Config
+
+_ENTRY_SECTIONS = SECTIONS[:-1]
 
 
 class Change(NamedTuple):
@@ -19,26 +32,122 @@
     value: Any
 
 
-def apply_changes(cfg: Config, version: int, changes: tuple[Change, ...]) -> Config:
+def apply_changes(cfg: Config, version: int, changes: Iterable[Change]) -> Config:
     """Return the configuration after ``changes``.
 
     :param version: version of the result; must be the successor of ``cfg.version``.
-    :raises ValidationError: if a change has a value outside the accepted range.
+    :raises ListsError: with all problems, if the result is outside the accepted range.
     :raises ValueError: if ``version`` is not the successor.
     """
     if version != cfg.version + 1:
         raise ValueError(f"version {version} does not follow {cfg.version}")
-    sections = {name: dict(getattr(cfg, name)) for name in _SECTIONS}
+    problems = Problems()
+    changes = tuple(changes)
+    result = _apply(problems, cfg, changes)
+    if not problems.found:
+        check_references(problems, result)
+    if problems.found:
+        raise ListsError(tuple(problems.found))
+    touched = {(change.section, change.key) for change in changes}
+    total = int(cfg.digest, 16) - _hash_sum(cfg, touched) + _hash_sum(result, touched)
+    return result._replace(version=version, digest=format_digest(total))
+
+
+def _apply(problems: Problems, cfg: Config, changes: tuple[Change, ...]) -> Config:
+    sections = {name: getattr(cfg, name) for name in _ENTRY_SECTIONS}
+    for name in {change.section for change in changes} & set(_ENTRY_SECTIONS):
+        sections[name] = dict(sections[name])
     weight = cfg.attainment_weight
     for change in changes:
-        if change.section == "settings":
-            weight = parse_entry("settings", change.key, change.value)
-        elif change.value is None:
-            sections[change.section].pop(change.key, None)
+        if change.value is None and change.section in _ENTRY_SECTIONS:
+            if sections[change.section].pop(change.key, None) is None:
+                problems.add((change.section, change.key), change.key, "an entry that exists")
+        elif change.value is None and change[:2] == ("settings", "attainment_weight"):
+            weight = DEFAULT_ATTAINMENT_WEIGHT
         else:
-            entry = parse_entry(change.section, change.key, change.value)
-            sections[change.section][change.key] = entry
-    return Config(version, attainment_weight=weight, **sections)
+            entry = read_entry(problems, change.section, change.key, change.value)
+            if change.section == "settings":
+                weight = entry
+            elif change.section in sections:
+                sections[change.section][change.key] = entry
+    return Config(cfg.version, attainment_weight=weight, digest=cfg.digest, **sections)
+
+
+def check_references(problems: Problems, cfg: Config) -> None:
+    """Add a problem for each name that is referenced but undefined, and each shared credential."""
+    owners: dict[str, str] = {}
+    for customer, holding in cfg.holdings.items():
+        path = ("holdings", customer)
+        if holding.plan not in cfg.usage:
+            problems.add((*path, "plan"), holding.plan, "a plan that is defined in usage")
+        owner = owners.setdefault(holding.credential_sha256, customer)
+        if owner != customer:
+            accepted = f"a credential of its own; {owner} has the same"
+            problems.add((*path, "credential_sha256"), holding.credential_sha256, accepted)
+    for plan, usage in cfg.usage.items():
+        for section in ("pipelines", "services"):
+            for index, name in enumerate(getattr(usage, section)):
+                if name not in getattr(cfg, section):
+                    accepted = f"a name that is defined in {section}"
+                    problems.add(("usage", plan, section, index), name, accepted)
+
+
+def _hash_sum(cfg: Config, touched: set[tuple[str, str]]) -> int:
+    settings = plain_settings(cfg)
+    total = 0
+    for section, key in touched:
+        entries = settings if section == "settings" else getattr(cfg, section)
+        if key in entries:
+            total += entry_hash(section, key, plain_entry(entries[key]))
+    return total
+
+
+def read_lists(document: Any) -> tuple[Config, tuple[Problem, ...]]:
+    """Convert a full plain document.
+
+    :returns: the configuration (version 0), usable only if there are no problems, and the problems.
+    """
+    problems = Problems()
+    given = problems.fields((), document, ("holdings", "usage"), SECTIONS[2:])
+    entries: dict[str, dict[str, Any]] = {name: {} for name in SECTIONS}
+    for section in SECTIONS:
+        for key, value in problems.mapping((section,), given.get(section, {})).items():
+            entries[section][key] = read_entry(problems, section, key, value)
+    weight = entries.pop("settings").get("attainment_weight", DEFAULT_ATTAINMENT_WEIGHT)
+    cfg = Config(0, attainment_weight=weight, **entries)
+    if not problems.found:
+        check_references(problems, cfg)
+    if problems.found:
+        return EMPTY_CONFIG, tuple(problems.found)
+    return cfg._replace(digest=digest_lists(cfg)), ()
+
+
+def validate_lists(document: Any) -> tuple[Problem, ...]:
+    """Return all problems of a full plain document, empty if it is valid."""
+    return read_lists(document)[1]
+
+
+def build_config(document: Any, version: int = 0) -> Config:
+    """Return the configuration that a full plain document describes.
+
+    :raises ListsError: with all problems.
+    """
+    cfg, problems = read_lists(document)
+    if problems:
+        raise ListsError(problems)
+    return cfg._replace(version=version)
+
+
+def diff_lists(old: Config, new: Config) -> tuple[Change, ...]:
+    """Return the changes that turn the lists of ``old`` into those of ``new``."""
+    before, after = plain_lists(old), plain_lists(new)
+    changes = []
+    for section in SECTIONS:
+        changes += _diff_section(section, before, after)
+    return tuple(changes)
 
 
-_SECTIONS = ("holdings", "usage", "pipelines", "services")
+def _diff_section(section: str, before: Lists, after: Lists) -> list[Change]:
+    old, new = before[section], after[section]
+    keys = sorted({*old, *new})
+    return [Change(section, key, new.get(key)) for key in keys if old.get(key) != new.get(key)]
--- a/greengagehoist/config/_parse.py
+++ b/greengagehoist/config/_parse.py
@@ -1,14 +1,19 @@
 """Conversion of plain list entries to their types."""
 
+import re
 from datetime import time, timedelta
 from typing import Any
+from zoneinfo import ZoneInfo
 
+from greengagehoist.config._problems import ListsError, Path, Problems
 from greengagehoist.config._types import (
+    DEFAULT_ATTAINMENT_WEIGHT,
     EngineStage,
     Holding,
     Idempotent,
     Limits,
     NonIdempotent,
+    Operation,
     Pipeline,
     PlanUsage,
     PoolStage,
@@ -18,80 +23,195 @@
     Service,
     Stage,
 )
-from greengagehoist.utils._validation import ValidationError, check_float, check_int, check_name
 
+SECTIONS = ("holdings", "usage", "pipelines", "services", "settings")
 DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
 MOST = 10**9
+LONGEST_DEADLINE_MS = 600_000
+MOST_STAGES = 8
+MOST_SPANS = 28
+MOST_NAMES = 200
+MOST_OPERATIONS = 200
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_TIME = re.compile(r"([01][0-9]|2[0-3]):[0-5][0-9]")
+_ZONE = re.compile(r"[A-Za-z][A-Za-z0-9_+-]*(/[A-Za-z0-9_+-]+){0,2}")
 
 
 def parse_entry(section: str, key: str, value: Any) -> Any:
     """Return the typed entry of a section.
 
-    :raises ValidationError: if a field is missing or outside its accepted range.
+    :raises ListsError: with all problems of the entry.
     """
-    path = f"{section}.{key}"
+    problems = Problems()
+    entry = read_entry(problems, section, key, value)
+    if problems.found:
+        raise ListsError(tuple(problems.found))
+    return entry
+
+
+def read_entry(problems: Problems, section: str, key: str, value: Any) -> Any:
+    """Return the typed entry of a section; it is usable only if no problem was added."""
+    path = (section, key)
+    if section not in SECTIONS:
+        problems.add((section,), section, f"one of {', '.join(SECTIONS)}")
+        return None
+    problems.name(path, key)
     match section:
         case "holdings":
-            check_name(path, key)
-            return Holding(key, value["plan"], value["credential_sha256"])
+            return _read_holding(problems, path, key, value)
         case "usage":
-            return _parse_usage(path, key, value)
+            return _read_usage(problems, path, key, value)
         case "pipelines":
-            stages = tuple(_parse_stage(f"{path}.stages", stage) for stage in value["stages"])
-            return Pipeline(key, stages)
+            given = problems.fields(path, value, ("stages",))
+            return Pipeline(key, _read_stages(problems, (*path, "stages"), given))
         case "services":
-            return _parse_service(path, key, value)
-        case "settings":
-            return check_float(path, value, 0.0, 1.0)
+            return _read_service(problems, path, key, value)
         case _:
-            raise ValidationError("section", section, "holdings, usage, pipelines, services")
+            return _read_setting(problems, path, key, value)
 
 
-def _parse_usage(path: str, key: str, value: dict[str, Any]) -> PlanUsage:
-    limits = value["limits"]
+def _read_holding(problems: Problems, path: Path, key: str, value: Any) -> Holding:
+    given = problems.fields(path, value, ("plan", "credential_sha256"))
+    plan = problems.name((*path, "plan"), given["plan"]) if "plan" in given else ""
+    digest = given.get("credential_sha256", "")
+    if "credential_sha256" in given and not _matches(_DIGEST, digest):
+        problems.add((*path, "credential_sha256"), digest, "64 lower-case hex digits")
+    return Holding(key, plan, digest)
+
+
+def _read_usage(problems: Problems, path: Path, key: str, value: Any) -> PlanUsage:
+    optional = ("pipelines", "services", "weight", "priority", "quiet")
+    given = problems.fields(path, value, ("deadline_ms", "limits"), optional)
+    deadline = problems.integer(
+        (*path, "deadline_ms"), given.get("deadline_ms", 1), 1, LONGEST_DEADLINE_MS
+    )
+    limits = Limits(0, 0, 0)
+    if "limits" in given:
+        limits = _read_limits(problems, (*path, "limits"), given["limits"], Limits)
+    quiet = given.get("quiet")
     return PlanUsage(
         plan=key,
-        pipelines=tuple(value.get("pipelines", ())),
-        services=tuple(value.get("services", ())),
-        deadline=timedelta(
-            milliseconds=check_int(f"{path}.deadline_ms", value["deadline_ms"], 1, 600_000)
-        ),
-        weight=check_int(f"{path}.weight", value.get("weight", 1), 1, 1000),
-        priority=check_int(f"{path}.priority", value.get("priority", 0), 0, 9),
-        limits=Limits(
-            *(check_int(f"{path}.limits.{f}", limits[f], 0, MOST) for f in Limits._fields)
-        ),
-        quiet=_parse_quiet(f"{path}.quiet", value["quiet"]) if value.get("quiet") else None,
+        pipelines=problems.names((*path, "pipelines"), given.get("pipelines", ()), MOST_NAMES),
+        services=problems.names((*path, "services"), given.get("services", ()), MOST_NAMES),
+        deadline=timedelta(milliseconds=deadline),
+        weight=problems.integer((*path, "weight"), given.get("weight", 1), 1, 1000),
+        priority=problems.integer((*path, "priority"), given.get("priority", 0), 0, 9),
+        limits=limits,
+        quiet=None if quiet is None else _read_quiet(problems, (*path, "quiet"), quiet),
     )
 
 
-def _parse_quiet(path: str, value: dict[str, Any]) -> QuietHours:
-    limits = value["limits"]
+def _read_limits(problems: Problems, path: Path, value: Any, kind: Any) -> Any:
+    given = problems.fields(path, value, kind._fields)
+    return kind(
+        *(problems.integer((*path, field), given.get(field, 0), 0, MOST) for field in kind._fields)
+    )
+
+
+def _read_quiet(problems: Problems, path: Path, value: Any) -> QuietHours:
+    given = problems.fields(path, value, ("timezone", "spans", "limits"))
+    zone = given.get("timezone", "UTC")
+    if not _is_zone(zone):
+        problems.add((*path, "timezone"), zone, "an IANA time zone, for example Europe/Sofia")
+    limits = QuietLimits(0, 0, 0)
+    if "limits" in given:
+        limits = _read_limits(problems, (*path, "limits"), given["limits"], QuietLimits)
+    spans: list[Any] = []
+    if "spans" in given:
+        spans = problems.sequence((*path, "spans"), given["spans"], 1, MOST_SPANS)
     return QuietHours(
-        value["timezone"],
-        tuple(
-            QuietSpan(
-                tuple(DAYS.index(day) for day in span["days"]),
-                time.fromisoformat(span["start"]),
-                time.fromisoformat(span["end"]),
-            )
-            for span in value["spans"]
-        ),
-        QuietLimits(
-            *(check_int(f"{path}.limits.{f}", limits[f], 0, MOST) for f in QuietLimits._fields)
-        ),
+        zone,
+        tuple(_read_span(problems, (*path, "spans", i), span) for i, span in enumerate(spans)),
+        limits,
     )
 
 
-def _parse_stage(path: str, value: dict[str, Any]) -> Stage:
-    if "model" in value:
-        return EngineStage(value["name"], value["role"], value["model"])
-    return PoolStage(value["name"], value["role"])
+def _read_span(problems: Problems, path: Path, value: Any) -> QuietSpan:
+    given = problems.fields(path, value, ("days", "start", "end"))
+    days = []
+    if "days" in given:
+        for index, day in enumerate(problems.sequence((*path, "days"), given["days"], 1, 7)):
+            if day not in DAYS or DAYS.index(day) in days:
+                accepted = f"a day that is not repeated, one of {', '.join(DAYS)}"
+                problems.add((*path, "days", index), day, accepted)
+            else:
+                days.append(DAYS.index(day))
+    before = len(problems.found)
+    start = _read_time(problems, (*path, "start"), given.get("start", "00:00"))
+    end = _read_time(problems, (*path, "end"), given.get("end", "00:00"))
+    whole = len(problems.found) == before and "start" in given and "end" in given
+    if whole and start == end:
+        problems.add((*path, "end"), given["end"], "a time other than the start")
+    return QuietSpan(tuple(sorted(days)), start, end)
+
+
+def _read_time(problems: Problems, path: Path, value: Any) -> time:
+    if not _matches(_TIME, value):
+        problems.add(path, value, "a local time from 00:00 to 23:59")
+        return time()
+    return time.fromisoformat(value)
+
+
+def _read_stages(problems: Problems, path: Path, given: dict[str, Any]) -> tuple[Stage, ...]:
+    if "stages" not in given:
+        return ()
+    stages = []
+    for index, item in enumerate(problems.sequence(path, given["stages"], 1, MOST_STAGES)):
+        stage = _read_stage(problems, (*path, index), item)
+        if any(stage.name == other.name for other in stages):
+            problems.add((*path, index, "name"), stage.name, "a name that is not repeated")
+        stages.append(stage)
+    return tuple(stages)
+
+
+def _read_stage(problems: Problems, path: Path, value: Any) -> Stage:
+    given = problems.fields(path, value, ("name", "role"), ("model",))
+    texts = {key: problems.name((*path, key), item) for key, item in given.items() if key in _STAGE}
+    name, role = texts.get("name", f"invalid-{path[-1]}"), texts.get("role", "")
+    return EngineStage(name, role, texts["model"]) if "model" in texts else PoolStage(name, role)
+
+
+def _read_service(problems: Problems, path: Path, key: str, value: Any) -> Service:
+    given = problems.fields(path, value, ("operations",), ("keeps_keys",))
+    keeps_keys = problems.boolean((*path, "keeps_keys"), given.get("keeps_keys", False))
+    inner = (*path, "operations")
+    operations: dict[str, Operation] = {}
+    if "operations" in given:
+        listed = problems.mapping(inner, given["operations"])
+        if not listed or len(listed) > MOST_OPERATIONS:
+            problems.add(inner, given["operations"], f"1 to {MOST_OPERATIONS} operations")
+        for name, kind in listed.items():
+            problems.name((*inner, name), name)
+            match kind:
+                case "idempotent":
+                    operations[name] = Idempotent(name)
+                case "non-idempotent":
+                    operations[name] = NonIdempotent(name)
+                case _:
+                    problems.add((*inner, name), kind, "idempotent or non-idempotent")
+    return Service(key, keeps_keys, operations)
+
+
+def _read_setting(problems: Problems, path: Path, key: str, value: Any) -> float:
+    if key != "attainment_weight":
+        problems.add(path, key, "no such setting; the settings are attainment_weight")
+        return DEFAULT_ATTAINMENT_WEIGHT
+    return problems.number(path, value, 0.0, 1.0)
+
+
+def _matches(pattern: re.Pattern, value: Any) -> bool:
+    return isinstance(value, str) and pattern.fullmatch(value) is not None
+
+
+def _is_zone(value: Any) -> bool:
+    if not _matches(_ZONE, value):
+        return False
+    try:
+        ZoneInfo(value)
+    except (ValueError, OSError, KeyError):
+        return False
+    return True
 
 
-def _parse_service(path: str, key: str, value: dict[str, Any]) -> Service:
-    operations = {
-        name: Idempotent(name) if kind == "idempotent" else NonIdempotent(name)
-        for name, kind in value["operations"].items()
-    }
-    return Service(key, bool(value.get("keeps_keys", False)), operations)
+_STAGE = ("name", "role", "model")
--- a/greengagehoist/config/_types.py
+++ b/greengagehoist/config/_types.py
@@ -135,10 +135,15 @@
     operations: Mapping[str, Operation]
 
 
+DEFAULT_ATTAINMENT_WEIGHT = 0.5
+EMPTY_DIGEST = "0" * 64
+
+
 class Config(NamedTuple):
     """One accepted version of both lists.
 
     :param attainment_weight: 1.0 weighs attainment only, 0.0 cost only.
+    :param digest: digest of the lists, see :func:`digest_lists`.
     """
 
     version: int
@@ -146,7 +151,8 @@
     usage: Mapping[str, PlanUsage]
     pipelines: Mapping[str, Pipeline]
     services: Mapping[str, Service]
-    attainment_weight: float = 0.5
+    attainment_weight: float = DEFAULT_ATTAINMENT_WEIGHT
+    digest: str = EMPTY_DIGEST
 
 
 EMPTY_CONFIG = Config(0, {}, {}, {}, {})
--- /dev/null
+++ b/greengagehoist/config/_versions.py
@@ -0,0 +1,210 @@
+"""Accepted versions as kept by a daemon: order, integrity and recent history."""
+
+from typing import Any, NamedTuple
+
+from greengagehoist.config._changes import Change, apply_changes, build_config
+from greengagehoist.config._plain import Lists, plain_lists
+from greengagehoist.config._types import EMPTY_CONFIG, Config
+from greengagehoist.utils._validation import ValidationError, check_int, check_text
+
+RECENT_VERSIONS = 200
+RECENT_OPERATIONS = 1000
+MOST_PENDING = 256
+MOST_CHANGES = 100_000
+SNAPSHOT_EVERY = 100
+LONGEST_AUTHOR = 200
+LONGEST_OP_ID = 64
+HIGHEST_VERSION = 10**12 - 1
+
+
+class Version(NamedTuple):
+    """One accepted version.
+
+    :param op_id: identifier of the operation that made it.
+    :param digest: digest of the lists after the changes.
+    """
+
+    version: int
+    op_id: str
+    author: str
+    changes: tuple[Change, ...]
+    digest: str
+
+
+class Snapshot(NamedTuple):
+    """Whole lists of one version.
+
+    :param operations: identifiers of recent operations and the versions that they made.
+    """
+
+    version: int
+    digest: str
+    lists: Lists
+    operations: dict[str, int]
+
+
+class Log(NamedTuple):
+    """Accepted versions that a daemon knows.
+
+    :param cfg: configuration in force.
+    :param recent: most recent versions in order, the last one is in force.
+    :param pending: versions that arrived before their predecessors.
+    :param operations: recent operations and the versions that they made.
+    """
+
+    cfg: Config = EMPTY_CONFIG
+    recent: tuple[Version, ...] = ()
+    pending: tuple[Version, ...] = ()
+    operations: dict[str, int] = {}
+
+
+class Learned(NamedTuple):
+    """Result of learning versions.
+
+    :param applied: versions that came into force, in order.
+    :param faults: versions that could not be applied, with the reason.
+    """
+
+    log: Log
+    applied: tuple[Version, ...]
+    faults: tuple[tuple[int, str], ...]
+
+
+def plain_version(version: Version) -> dict[str, Any]:
+    """Return the content of the table row of a version."""
+    return {
+        "op_id": version.op_id,
+        "author": version.author,
+        "changes": [list(change) for change in version.changes],
+        "digest": version.digest,
+    }
+
+
+def read_version(version: Any, value: Any) -> Version:
+    """Check the content of a table row.
+
+    :raises ValidationError: naming the first bad field.
+    """
+    number = check_int("version", version, 1, HIGHEST_VERSION)
+    if not isinstance(value, dict):
+        raise ValidationError("row", type(value).__name__, "a mapping")
+    op_id = check_text("op_id", value.get("op_id"), LONGEST_OP_ID)
+    author = check_text("author", value.get("author"), LONGEST_AUTHOR)
+    digest = check_text("digest", value.get("digest"), 64)
+    return Version(number, op_id, author, read_changes(value.get("changes")), digest)
+
+
+def read_changes(value: Any) -> tuple[Change, ...]:
+    """Check a list of changes; the entries themselves are checked when they are applied.
+
+    :raises ValidationError: naming the first bad change.
+    """
+    accepted = f"a list of 1 to {MOST_CHANGES} changes [section, key, value]"
+    if not isinstance(value, list | tuple) or not 1 <= len(value) <= MOST_CHANGES:
+        raise ValidationError("changes", type(value).__name__, accepted)
+    changes, seen = [], set()
+    for index, item in enumerate(value):
+        field = f"changes[{index}]"
+        if not isinstance(item, list | tuple) or len(item) != 3:
+            raise ValidationError(field, type(item).__name__, "[section, key, value]")
+        section, key = (check_text(field, part, 64) for part in item[:2])
+        if (section, key) in seen:
+            raise ValidationError(field, f"{section}.{key}", "each entry at most once")
+        seen.add((section, key))
+        changes.append(Change(section, key, item[2]))
+    return tuple(changes)
+
+
+def make_version(
+    cfg: Config, op_id: str, author: str, changes: tuple[Change, ...]
+) -> tuple[Version, Config]:
+    """Return the successor of ``cfg`` as a version and as a configuration.
+
+    :raises ListsError: if the changes do not result in valid lists.
+    """
+    result = apply_changes(cfg, cfg.version + 1, changes)
+    return Version(result.version, op_id, author, changes, result.digest), result
+
+
+def learn(log: Log, versions: tuple[Version, ...]) -> Learned:
+    """Apply all versions that follow the one in force; keep later ones until their turn.
+
+    Version n+1 is applied only on top of n, so a daemon never goes back and applies each once.
+    """
+    current = log.cfg.version
+    waiting = {item.version: item for item in (*log.pending, *versions) if item.version > current}
+    applied, faults = [], []
+    while (following := log.cfg.version + 1) in waiting:
+        item = waiting.pop(following)
+        try:
+            log = _put_in_force(log, item)
+        except ValidationError as exc:
+            faults.append((following, str(exc)))
+            break
+        applied.append(item)
+    kept = sorted(waiting)[:MOST_PENDING]
+    return Learned(
+        log._replace(pending=tuple(waiting[number] for number in kept)),
+        tuple(applied),
+        tuple(faults),
+    )
+
+
+def _put_in_force(log: Log, item: Version) -> Log:
+    cfg = apply_changes(log.cfg, item.version, item.changes)
+    if cfg.digest != item.digest:
+        raise ValidationError("digest", item.digest, f"digest of the lists, {cfg.digest}")
+    operations = {**log.operations, item.op_id: item.version}
+    for op_id in list(operations)[: max(0, len(operations) - RECENT_OPERATIONS)]:
+        del operations[op_id]
+    recent = (*log.recent, item)[-RECENT_VERSIONS:]
+    return log._replace(cfg=cfg, recent=recent, operations=operations)
+
+
+def take_snapshot(log: Log) -> Snapshot:
+    """Return the lists in force as a snapshot."""
+    lists = plain_lists(log.cfg)
+    return Snapshot(log.cfg.version, log.cfg.digest, lists, dict(log.operations))
+
+
+def learn_snapshot(log: Log, snapshot: Snapshot) -> Learned:
+    """Put a snapshot in force if it is newer than the lists in force.
+
+    :returns: with a fault if the snapshot does not match its digest.
+    """
+    if snapshot.version <= log.cfg.version:
+        return Learned(log, (), ())
+    try:
+        cfg = build_config(snapshot.lists, snapshot.version)
+        if cfg.digest != snapshot.digest:
+            raise ValidationError("digest", snapshot.digest, f"digest of the lists, {cfg.digest}")
+    except ValidationError as exc:
+        return Learned(log, (), ((snapshot.version, str(exc)),))
+    return learn(Log(cfg, (), log.pending, dict(snapshot.operations)), ())
+
+
+def read_snapshot(value: Any) -> Snapshot:
+    """Check the plain form of a snapshot; its lists are checked when it is put in force.
+
+    :raises ValidationError: naming the first bad field.
+    """
+    if not isinstance(value, dict):
+        raise ValidationError("snapshot", type(value).__name__, "a mapping")
+    version = check_int("version", value.get("version"), 1, HIGHEST_VERSION)
+    digest = check_text("digest", value.get("digest"), 64)
+    operations = value.get("operations")
+    if not isinstance(operations, dict) or len(operations) > RECENT_OPERATIONS:
+        raise ValidationError("operations", type(operations).__name__, "a mapping")
+    for op_id, number in operations.items():
+        check_text("operations", op_id, LONGEST_OP_ID)
+        check_int("operations", number, 1, version)
+    return Snapshot(version, digest, value.get("lists"), operations)
+
+
+def versions_after(log: Log, after: int) -> tuple[Version, ...] | None:
+    """Return the versions after ``after``, or None if some are no longer kept."""
+    if after >= log.cfg.version:
+        return ()
+    if not log.recent or log.recent[0].version > after + 1:
+        return None
+    return tuple(item for item in log.recent if item.version > after)
--- a/greengagehoist/utils/__init__.py
+++ b/greengagehoist/utils/__init__.py
@@ -12,6 +12,7 @@
     check_int,
     check_name,
     check_text,
+    show_value,
 )
 
 __all__ = [
@@ -33,5 +34,6 @@
     "log_event",
     "new_id",
     "setup_logging",
+    "show_value",
     "tick",
 ]
--- a/greengagehoist/utils/_validation.py
+++ b/greengagehoist/utils/_validation.py
@@ -2,9 +2,24 @@
 
 import ipaddress
 import re
+import reprlib
 from typing import Any
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._:-]{0,63}")
+_LONGEST_SHOWN = 80
+_shortener = reprlib.Repr()
+_shortener.maxstring = _shortener.maxother = _LONGEST_SHOWN
+
+
+def show_value(value: Any) -> str:
+    """Return a short representation of any value.
+
+    Integers of several thousand digits cannot be converted to text.
+    """
+    try:
+        return _shortener.repr(value)
+    except ValueError:
+        return f"a very large {type(value).__name__}"
 
 
 class ValidationError(ValueError):
@@ -16,7 +31,7 @@
     """
 
     def __init__(self, field: str, value: Any, accepted: str):
-        super().__init__(f"{field}: got {value!r}, accepted: {accepted}")
+        super().__init__(f"{field}: got {show_value(value)}, accepted: {accepted}")
         self.field = field
         self.value = value
         self.accepted = accepted
