--- a/greengagehoist/controllers/_config.py
+++ b/greengagehoist/controllers/_config.py
@@ -1,128 +1,379 @@
 """Controller that owns the configuration in force."""
 
+import random
 from typing import Any, NamedTuple
 
 from returns.result import Failure, Success
 
-from greengagehoist.base import ErrorCode, Outcome, StepError, not_run
-from greengagehoist.config import EMPTY_CONFIG, Change, Config, apply_changes
-from greengagehoist.platform_client import ReadRange, ReadRow, Refused, Row, WriteRow, Written
-from greengagehoist.utils import Clock, Controller, Reply, Tick, ValidationError, log_event, tick
+from greengagehoist.codec import decode_snapshot, encode_snapshot
+from greengagehoist.config import (
+    SNAPSHOT_EVERY,
+    Learned,
+    ListsError,
+    Log,
+    Snapshot,
+    Version,
+    is_ready,
+    learn,
+    learn_snapshot,
+    plain_version,
+    read_snapshot,
+    read_version,
+    take_snapshot,
+    versions_after,
+)
+from greengagehoist.controllers._proposals import (
+    PREFIX,
+    Propose,
+    fulfil,
+    invalid,
+    read_row,
+    row_key,
+)
+from greengagehoist.peers import (
+    Broadcast,
+    ConfigPush,
+    ConfigWant,
+    FromPeer,
+    Heartbeat,
+    SendTo,
+    Subscribe,
+)
+from greengagehoist.platform_client import GetObject, PutObject, ReadRange, Row
+from greengagehoist.utils import Clock, Controller, Reply, Tick, ValidationError, log_event
 
 POLL_PERIOD_S = 1.0
-PREFIX = "config/"
+POLL_JITTER = 0.25
+WANT_PERIOD_S = 0.5
+PAGE_ROWS = 1000
+PUSHES_PER_WANT = 50
+SNAPSHOT_ATTEMPTS = 5
+SNAPSHOT_RETRY_S = 2.0
+SNAPSHOT_OBJECT = "config-snapshot"
 
 
 class GetConfig(NamedTuple):
-    """Ask for the configuration in force; replied by :class:`Config`."""
+    """Ask for the configuration in force; replied by ``Config``."""
 
 
-class Propose(NamedTuple):
-    """Propose changes on top of version ``base``; replied by ``Result[int, StepError]``.
+class GetConfigStatus(NamedTuple):
+    """Ask for the state of the configuration; replied by :class:`ConfigStatus`."""
 
-    :param op_id: identifier of the operation, which settles a lost answer.
+
+class GetHistory(NamedTuple):
+    """Ask for accepted versions; replied by ``tuple[HistoryLine, ...]``, the newest last.
+
+    :param limit: how many versions before the one in force are returned at most.
+    """
+
+    limit: int
+
+
+class HistoryLine(NamedTuple):
+    """One accepted version.
+
+    :param written_at: the table's time of acceptance in seconds since the Unix epoch, None if the
+        table is unreachable and the version comes from this daemon's memory.
     """
 
-    op_id: str
-    author: str
-    base: int
-    changes: tuple[Change, ...]
+    version: Version
+    written_at: float | None
 
 
-class _Fetched(NamedTuple):
+class ConfigStatus(NamedTuple):
+    """State of the configuration at a daemon.
+
+    :param age: seconds since the version came into force at this daemon.
+    :param not_ready: why requests cannot be served yet, empty if they can.
+    :param table_age: seconds since the table was read to its end, None if it never was.
+    :param blocked: why the next version in the table cannot be applied, empty if it can.
+    """
+
+    version: int
+    digest: str
+    age: float
+    not_ready: str
+    table_age: float | None
+    blocked: str
+
+
+class _Polled(NamedTuple):
+    """Rows of the table; replied by the version in force after they were applied."""
+
     rows: tuple[Row, ...]
+    complete: bool
+
+
+class _Settled(NamedTuple):
+    """A version that was accepted or met in the table; replied when it is applied."""
+
+    version: Version
+    own: bool
+
+
+class _Loaded(NamedTuple):
+    snapshot: Snapshot | None
+
+
+class _PollEnded(NamedTuple):
+    """The task that polls the table has ended."""
+
+
+class _GetLog(NamedTuple):
+    """Ask for the versions that the daemon knows; replied by :class:`Log`."""
 
 
 class ConfigController(Controller):
-    """Keeps the highest accepted configuration and accepts new versions through the table."""
+    """Keeps the highest accepted configuration and accepts new versions through the table.
+
+    :param peers: peer controller, or None if this daemon has no peers.
+    """
 
-    def __init__(self, platform: Controller, clock: Clock):
+    def __init__(
+        self,
+        platform: Controller,
+        clock: Clock,
+        rng: random.Random,
+        peers: Controller | None = None,
+    ):
         super().__init__("config")
         self.platform = platform
         self.clock = clock
-        self._cfg = EMPTY_CONFIG
+        self.rng = rng
+        self.peers = peers
+        self._log = Log()
+        self._applied_at = 0.0
+        self._table_read_at: float | None = None
+        self._peers_highest: int | None = None
+        self._wanted_at = float("-inf")
+        self._blocked = ""
+        self._polling = False
 
     async def run(self) -> None:
-        """Poll the table until cancelled."""
-        self.start(tick(self, self.clock, POLL_PERIOD_S))
+        """Poll the table and follow the peers until cancelled."""
+        self._applied_at = self.clock.monotonic()
+        if self.peers is not None:
+            self.peers.tell(Subscribe((Heartbeat, ConfigPush, ConfigWant), self))
+        self.start(self._tick())
         await super().run()
 
+    async def _tick(self) -> None:
+        while True:
+            self.tell(Tick())
+            await self.clock.sleep(POLL_PERIOD_S * (1 + self.rng.uniform(-1, 1) * POLL_JITTER))
+
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
         match message:
             case GetConfig():
-                reply(self._cfg)
-            case Tick():
-                self.start(self._fetch())
-            case _Fetched(rows):
-                self._apply_rows(rows)
+                reply(self._log.cfg)
+            case GetConfigStatus():
+                reply(self._status())
+            case GetHistory(limit):
+                self.start(self._history(self._log, limit, reply))
             case Propose():
-                self.start(self._propose(message, self._cfg, reply))
+                self.start(self._propose(message, self._log, reply))
+            case FromPeer(vm=vm, message=inner):
+                self._handle_peer(vm, inner)
+            case _:
+                self._handle_own(message, reply)
+
+    def _handle_own(self, message: Any, reply: Reply) -> None:
+        match message:
+            case Tick() if not self._polling:
+                self._polling = True
+                self.start(self._poll_once(self._log.cfg.version))
+            case _PollEnded():
+                self._polling = False
+            case _Polled(rows, complete):
+                self._apply_rows(rows)
+                if complete:
+                    self._table_read_at = self.clock.monotonic()
+                reply(self._log.cfg.version)
+            case _Loaded(snapshot):
+                if snapshot is not None:
+                    self._take(learn_snapshot(self._log, snapshot), "snapshot")
+                reply(self._log.cfg.version)
+            case _Settled(version, own):
+                self._settled(version, own)
+                reply(self._log.cfg.version)
+            case _GetLog():
+                reply(self._log)
+
+    def _status(self) -> ConfigStatus:
+        now, cfg = self.clock.monotonic(), self._log.cfg
+        read_at = self._table_read_at
+        return ConfigStatus(
+            cfg.version,
+            cfg.digest,
+            now - self._applied_at,
+            is_ready(cfg, read_at is not None, self._peers_highest),
+            None if read_at is None else now - read_at,
+            self._blocked,
+        )
+
+    # Versions
 
-    async def _fetch(self) -> None:
-        after = row_key(self._cfg.version)
-        result = await self.platform.ask(ReadRange(PREFIX, after))
-        match result:
-            case Success(found):
-                self.tell(_Fetched(found.rows))
+    def _take(self, learned: Learned, source: str) -> None:
+        """Put versions in force and log them and what could not be applied."""
+        before = self._log.cfg.version
+        self._log = learned.log
+        for item in learned.applied:
+            log_event(
+                "config_applied",
+                version=item.version,
+                op_id=item.op_id,
+                author=item.author,
+                source=source,
+            )
+        for version, reason in learned.faults:
+            self._report_fault(version, reason, source)
+        if self._log.cfg.version > before:
+            self._applied_at = self.clock.monotonic()
+            self._blocked = ""
+            if not learned.applied:
+                log_event("config_applied", version=self._log.cfg.version, source=source)
+
+    def _report_fault(self, version: int, reason: str, source: str) -> None:
+        """Log a version that cannot be applied; one in the table is logged once, not each poll."""
+        text = f"version {version}: {reason}"
+        if source == "table":
+            if text == self._blocked:
+                return
+            self._blocked = text
+        log_event("config_not_applied", "ERROR", version=version, reason=reason, source=source)
 
     def _apply_rows(self, rows: tuple[Row, ...]) -> None:
+        versions = []
         for row in rows:
-            version = int(row.key.removeprefix(PREFIX))
-            if version != self._cfg.version + 1:
+            found = read_row(row)
+            if isinstance(found, ValidationError) and found.field == "key":
+                log_event("config_key_ignored", "WARNING", key=row.key)
                 continue
-            changes = tuple(Change(*change) for change in row.value["changes"])
-            self._cfg = apply_changes(self._cfg, version, changes)
-            log_event("config_applied", version=version, op_id=row.value["op_id"])
+            if isinstance(found, ValidationError):
+                number = self._log.cfg.version + len(versions) + 1
+                self._take(learn(self._log, tuple(versions)), "table")
+                self._report_fault(number, f"row {row.key}: {found}", "table")
+                return
+            versions.append(found)
+        self._take(learn(self._log, tuple(versions)), "table")
 
-    async def _propose(self, message: Propose, cfg: Config, reply: Reply) -> None:
-        if message.base != cfg.version:
-            reply(Failure(_conflict(cfg.version)))
+    def _settled(self, version: Version, own: bool) -> None:
+        self._take(learn(self._log, (version,)), "proposal" if own else "table")
+        if not own:
             return
+        if self.peers is not None:
+            push = ConfigPush(version.version, plain_version(version))
+            self.peers.tell(Broadcast(push))
+        if version.version % SNAPSHOT_EVERY == 0:
+            self.start(self._save_snapshot(take_snapshot(self._log)))
+
+    # Peers
+
+    def _handle_peer(self, vm: str, message: Any) -> None:
+        match message:
+            case Heartbeat(config_version=version):
+                self._peers_highest = max(version, self._peers_highest or 0)
+                if version > self._log.cfg.version:
+                    self._want(vm)
+            case ConfigPush(version, value):
+                self._learn_push(vm, version, value)
+            case ConfigWant(after):
+                self._answer_want(vm, after)
+
+    def _want(self, vm: str) -> None:
+        now = self.clock.monotonic()
+        if now - self._wanted_at >= WANT_PERIOD_S:
+            self._wanted_at = now
+            self.peers.tell(SendTo(vm, ConfigWant(self._log.cfg.version)))
+
+    def _learn_push(self, vm: str, version: int, value: Any) -> None:
         try:
-            apply_changes(cfg, cfg.version + 1, message.changes)
+            if isinstance(value, dict) and "snapshot" in value:
+                learned = learn_snapshot(self._log, read_snapshot(value["snapshot"]))
+            else:
+                learned = learn(self._log, (read_version(version, value),))
         except ValidationError as exc:
-            reply(Failure(not_run("config", ErrorCode.INVALID, str(exc))))
+            log_event("config_push_rejected", "WARNING", vm=vm, version=version, reason=str(exc))
+            return
+        self._take(learned, vm)
+        if version > self._log.cfg.version:
+            self._want(vm)
+
+    def _answer_want(self, vm: str, after: int) -> None:
+        versions = versions_after(self._log, after)
+        if versions is None:
+            value = {"snapshot": take_snapshot(self._log)._asdict()}
+            self.peers.tell(SendTo(vm, ConfigPush(self._log.cfg.version, value)))
             return
-        value = {
-            "op_id": message.op_id,
-            "author": message.author,
-            "changes": [list(change) for change in message.changes],
-        }
-        key = row_key(cfg.version + 1)
-        result = await self.platform.ask(WriteRow(key, value, 0))
-        match result:
-            case Success(Written()):
-                pass
-            case Success(Refused()):
-                reply(Failure(_conflict(cfg.version + 1)))
+        for item in versions[:PUSHES_PER_WANT]:
+            self.peers.tell(SendTo(vm, ConfigPush(item.version, plain_version(item))))
+
+    # Table and object store
+
+    async def _poll_once(self, version: int) -> None:
+        try:
+            if version == 0:
+                version = await self.ask(_Loaded(await self._load_snapshot()))
+            await self._poll(version)
+        finally:
+            self.tell(_PollEnded())
+
+    async def _poll(self, version: int) -> None:
+        """Read the table to its end or to the first row that cannot be applied."""
+        while True:
+            query = ReadRange(PREFIX, row_key(version), PAGE_ROWS)
+            result = await self.platform.ask(query)
+            if not isinstance(result, Success):
                 return
-            case _:
-                settled = await self._settle(key, message.op_id)
-                if settled is not None:
-                    reply(Failure(settled))
-                    return
-        self.tell(Tick())
-        reply(Success(cfg.version + 1))
-
-    async def _settle(self, key: str, op_id: str) -> StepError | None:
-        """Return None if the write took effect, else the error to report."""
-        result = await self.platform.ask(ReadRow(key))
-        match result:
-            case Success(found) if found.rows and found.rows[0].value["op_id"] == op_id:
-                return None
-            case Success(found) if found.rows:
-                return _conflict(int(key.removeprefix(PREFIX)))
-            case _:
-                return StepError(
-                    "config", "table", Outcome.UNKNOWN, ErrorCode.PLATFORM, "write not settled"
-                )
+            rows = result.unwrap().rows
+            complete = len(rows) < PAGE_ROWS
+            reached = await self.ask(_Polled(rows, complete))
+            if complete or reached <= version:
+                return
+            version = reached
 
+    async def _load_snapshot(self) -> Snapshot | None:
+        result = await self.platform.ask(GetObject(SNAPSHOT_OBJECT))
+        data = result.value_or(None)
+        if data is None:
+            return None
+        try:
+            return decode_snapshot(data)
+        except ValidationError as exc:
+            log_event("config_snapshot_rejected", "ERROR", reason=str(exc))
+            return None
 
-def row_key(version: int) -> str:
-    """Return the table key of a version; keys sort in order of versions."""
-    return f"{PREFIX}{version:012d}"
+    async def _save_snapshot(self, snapshot: Snapshot) -> None:
+        data = encode_snapshot(snapshot)
+        for attempt in range(SNAPSHOT_ATTEMPTS):
+            result = await self.platform.ask(PutObject(SNAPSHOT_OBJECT, data))
+            if isinstance(result, Success):
+                log_event("config_snapshot_saved", version=snapshot.version, size=len(data))
+                return
+            await self.clock.sleep(self.rng.uniform(0, SNAPSHOT_RETRY_S * 2**attempt))
+        log_event("config_snapshot_not_saved", "WARNING", version=snapshot.version)
 
+    async def _history(self, log: Log, limit: int, reply: Reply) -> None:
+        after = max(0, log.cfg.version - limit)
+        result = await self.platform.ask(ReadRange(PREFIX, row_key(after), limit))
+        if isinstance(result, Success):
+            read = [(read_row(row), row.written_at) for row in result.unwrap().rows]
+            reply(tuple(HistoryLine(*item) for item in read if isinstance(item[0], Version)))
+            return
+        reply(tuple(HistoryLine(item, None) for item in log.recent if item.version > after))
 
-def _conflict(version: int) -> StepError:
-    return not_run("config", ErrorCode.CONFLICT, f"version {version} was accepted before")
+    # Proposals
+
+    async def _propose(self, message: Propose, log: Log, reply: Reply) -> None:
+        try:
+            if message.base > log.cfg.version:
+                await self._poll(log.cfg.version)
+                log = await self.ask(_GetLog())
+            outcome = await fulfil(message, log, self.platform, self.clock, self.rng)
+        except ListsError as exc:
+            reply(Failure(invalid(str(exc), exc.problems)))
+            return
+        if outcome.row is not None:
+            await self.ask(_Settled(outcome.row, isinstance(outcome.result, Success)))
+        reply(outcome.result)
--- /dev/null
+++ b/greengagehoist/controllers/_proposals.py
@@ -0,0 +1,170 @@
+"""Proposals of new versions of the configuration: their calls to the table and their outcome."""
+
+import random
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from greengagehoist.base import ErrorCode, Outcome, StepError, not_run, unknown
+from greengagehoist.config import (
+    Absent,
+    Accepted,
+    Change,
+    Conflict,
+    Effective,
+    Insert,
+    Log,
+    Lost,
+    NeverSent,
+    NotAccepted,
+    Occupied,
+    Problem,
+    Proposal,
+    ReadBack,
+    Reused,
+    Step,
+    TableAnswer,
+    Undetermined,
+    Version,
+    begin_proposal,
+    next_step,
+    plain_version,
+    read_version,
+)
+from greengagehoist.platform_client import ReadRow, Refused, Row, WriteRow, Written
+from greengagehoist.utils import Clock, Controller, ValidationError, log_event
+
+SETTLE_TIMEOUT_S = 10.0
+BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 1.0
+PREFIX = "config/"
+
+
+class Propose(NamedTuple):
+    """Propose changes on top of version ``base``; replied by ``Result[int, Rejection]``.
+
+    :param op_id: identifier of the operation, which settles a lost answer; a repeated proposal
+        keeps it.
+    """
+
+    op_id: str
+    author: str
+    base: int
+    changes: tuple[Change, ...]
+
+
+class Rejection(NamedTuple):
+    """A proposal that did not result in an accepted version, as far as is known.
+
+    :param others: versions of other operators, if the proposal conflicts with them.
+    :param problems: problems of the changes, if they are invalid.
+    """
+
+    error: StepError
+    others: tuple[Version, ...] = ()
+    problems: tuple[Problem, ...] = ()
+
+
+class Fulfilled(NamedTuple):
+    """Outcome of a proposal.
+
+    :param row: version met in the table, which this daemon may still have to apply.
+    """
+
+    result: Result[int, Rejection]
+    row: Version | None
+
+
+async def fulfil(
+    message: Propose, log: Log, platform: Controller, clock: Clock, rng: random.Random
+) -> Fulfilled:
+    """Carry a proposal to its outcome.
+
+    :param log: versions that this daemon knows.
+    :raises ListsError: if the changes do not result in valid lists.
+    """
+    until = clock.monotonic() + SETTLE_TIMEOUT_S
+    proposal, step = begin_proposal(log, *message)
+    backoff = BACKOFF_S
+    while isinstance(step, Insert | ReadBack):
+        reading = isinstance(step, ReadBack)
+        answer = await _ask_table(platform, proposal, reading)
+        in_time = clock.monotonic() < until
+        proposal, step = next_step(proposal, answer, reading=reading, in_time=in_time)
+        if isinstance(step, Insert | ReadBack):
+            await clock.sleep(rng.uniform(0, backoff))
+            backoff = min(2 * backoff, LONGEST_BACKOFF_S)
+    log_event(
+        "config_proposal",
+        op_id=message.op_id,
+        author=message.author,
+        base=message.base,
+        outcome=type(step).__name__,
+    )
+    return _conclude(message, log, step)
+
+
+async def _ask_table(platform: Controller, proposal: Proposal, reading: bool) -> TableAnswer:
+    key = row_key(proposal.row.version)
+    call = ReadRow(key) if reading else WriteRow(key, plain_version(proposal.row), 0)
+    match await platform.ask(call):
+        case Success(Written()):
+            return Effective()
+        case Success(Refused(row=Row() as row)):
+            return Occupied(_version_or_none(row))
+        case Success(found) if reading:
+            return Occupied(_version_or_none(found.rows[0])) if found.rows else Absent()
+        case Failure(StepError(outcome=Outcome.NOT_RUN)):
+            return NeverSent()
+        case _:
+            return Lost()
+
+
+def _conclude(message: Propose, log: Log, step: Step) -> Fulfilled:
+    match step:
+        case Accepted(version, row):
+            return Fulfilled(Success(version), row)
+        case Conflict(version, others):
+            authors = ", ".join(sorted({item.author for item in others})) or "another operator"
+            text = f"version {version} was accepted before, from {authors}"
+            error = not_run("config", ErrorCode.CONFLICT, text, peer="table")
+            return Fulfilled(Failure(Rejection(error, others)), others[0] if others else None)
+        case Reused(version):
+            text = f"op_id: got {message.op_id!r}, accepted: an id not used by version {version}"
+            return Fulfilled(Failure(invalid(text)), None)
+        case Undetermined():
+            text = f"the table did not show the outcome within {SETTLE_TIMEOUT_S:g} s"
+            error = unknown("config", ErrorCode.PLATFORM, text, peer="table")
+        case NotAccepted():
+            text = f"the table was not reachable within {SETTLE_TIMEOUT_S:g} s"
+            error = not_run("config", ErrorCode.UNAVAILABLE, text, peer="table")
+        case _:
+            text = f"this daemon has version {log.cfg.version}, the base is {message.base}"
+            error = not_run("config", ErrorCode.UNAVAILABLE, text)
+    return Fulfilled(Failure(Rejection(error)), None)
+
+
+def invalid(message: str, problems: tuple[Problem, ...] = ()) -> Rejection:
+    """Return the rejection of an invalid proposal."""
+    return Rejection(not_run("config", ErrorCode.INVALID, message), (), problems)
+
+
+def row_key(version: int) -> str:
+    """Return the table key of a version; keys sort in order of versions."""
+    return f"{PREFIX}{version:012d}"
+
+
+def read_row(row: Row) -> Version | ValidationError:
+    """Return the version that a table row holds, or why it holds none."""
+    digits = row.key.removeprefix(PREFIX)
+    if not (digits.isascii() and digits.isdecimal()) or row.key != row_key(int(digits)):
+        return ValidationError("key", row.key, f"{PREFIX} and 12 digits")
+    try:
+        return read_version(int(digits), row.value)
+    except ValidationError as exc:
+        return exc
+
+
+def _version_or_none(row: Row) -> Version | None:
+    found: Any = read_row(row)
+    return found if isinstance(found, Version) else None
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -20,7 +20,7 @@
         self.clock = clock
         self.rng = rng
         self.platform = PlatformController(settings.platform)
-        self.configs = ConfigController(self.platform, clock)
+        self.configs = ConfigController(self.platform, clock, rng)
         self.traces = TraceController()
         self.targets = TargetController(self.platform, clock, rng, settings.data_centre)
         self.metrics = connect_metrics(
