Complete the operators' interface and describe it in OpenAPI

Bodies of operators were used without checks. They are now bounded in size and validated, failures name the field, a conflict carries the other operators' versions, and the interface serves the lists, history, status, drain and report.

--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -8,7 +8,7 @@
 from greengagehoist.daemon._settings import Settings
 from greengagehoist.filters import DeadlineFilter, DispatchFilter, IdentifyFilter, PlanFilter
 from greengagehoist.platform_client import PlatformController
-from greengagehoist.server import AdminApp, CallerApp, Listener, serve
+from greengagehoist.server import AdminApp, AdminParts, CallerApp, Listener, serve
 from greengagehoist.utils import Clock, Controller, check_address, connect_metrics, log_event
 
 
@@ -53,7 +53,9 @@
         callers = CallerApp(
             self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
         )
-        admin = AdminApp(self.configs, self.traces, self.rng, self.settings.operator_credential)
+        parts = AdminParts(vm=self.settings.vm, data_centre=self.settings.data_centre)
+        credential = self.settings.operator_credential
+        admin = AdminApp(self.configs, self.traces, self.rng, credential, parts)
         for app, field in ((callers, "callers"), (admin, "operators")):
             host, port = check_address(f"--{field}", getattr(self.settings, field))
             listener = await serve(app.build(), host, port)
--- a/greengagehoist/server/__init__.py
+++ b/greengagehoist/server/__init__.py
@@ -1,7 +1,7 @@
 """HTTP interfaces for callers and operators."""
 
-from greengagehoist.server._admin import AdminApp
+from greengagehoist.server._admin import AdminApp, AdminParts
 from greengagehoist.server._callers import CallerApp
 from greengagehoist.server._serve import Listener, serve
 
-__all__ = ["AdminApp", "CallerApp", "Listener", "serve"]
+__all__ = ["AdminApp", "AdminParts", "CallerApp", "Listener", "serve"]
--- a/greengagehoist/server/_admin.py
+++ b/greengagehoist/server/_admin.py
@@ -1,9 +1,10 @@
 """HTTP interface for operators."""
 
 import hmac
-import json
 import random
-from typing import Any
+from collections.abc import Awaitable, Callable, Mapping
+from importlib.resources import files
+from typing import Any, NamedTuple
 
 from returns.result import Failure, Success
 from starlette.applications import Starlette
@@ -11,11 +12,41 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from greengagehoist.config import Change
-from greengagehoist.controllers import GetConfig, GetTrace, Propose
+from greengagehoist.base import ErrorCode, not_run
+from greengagehoist.config import plain_lists
+from greengagehoist.controllers import GetConfig, GetConfigStatus, GetHistory, GetTrace
+from greengagehoist.server._admin_bodies import (
+    error_body,
+    history_body,
+    parse_history,
+    parse_object,
+    parse_proposal,
+    parse_report,
+    read_body,
+    rejection_body,
+)
 from greengagehoist.server._callers import STATUS
 from greengagehoist.tracing import order_spans
-from greengagehoist.utils import Controller, new_id
+from greengagehoist.utils import Controller, ValidationError
+
+STORE_SILENT_S = 5.0
+
+
+class AdminParts(NamedTuple):
+    """What the daemon adds to the operators' interface; None if it has no such part.
+
+    :param drain: starts draining and returns the state of it.
+    :param report: returns the usage in quiet hours of a customer (empty for all) on a UTC date.
+    :param status: more fields of the status, by name.
+    :param ready: returns why requests cannot be served, empty if they can, by name.
+    """
+
+    vm: str = ""
+    data_centre: str = ""
+    drain: Callable[[], Awaitable[dict[str, Any]]] | None = None
+    report: Callable[[str, str], Awaitable[dict[str, Any]]] | None = None
+    status: Mapping[str, Callable[[], Awaitable[Any]]] = {}
+    ready: Mapping[str, Callable[[], Awaitable[str]]] = {}
 
 
 class AdminApp:
@@ -25,22 +56,34 @@
     """
 
     def __init__(
-        self, configs: Controller, traces: Controller, rng: random.Random, credential: str
+        self,
+        configs: Controller,
+        traces: Controller,
+        rng: random.Random,
+        credential: str,
+        parts: AdminParts | None = None,
     ):
         self.configs = configs
         self.traces = traces
         self.rng = rng
         self.credential = credential
+        self.parts = parts or AdminParts()
 
     def build(self) -> Starlette:
         """Return the ASGI application."""
+        guard = self._guarded
         return Starlette(
             routes=[
                 Route("/healthz", self.health),
                 Route("/readyz", self.ready),
-                Route("/admin/config", self._guarded(self.propose), methods=["POST"]),
-                Route("/admin/status", self._guarded(self.status)),
-                Route("/admin/traces/{trace_id}", self._guarded(self.trace)),
+                Route("/admin/config", guard(self.config), methods=["GET"]),
+                Route("/admin/config", guard(self.propose), methods=["POST"]),
+                Route("/admin/config/history", guard(self.history)),
+                Route("/admin/status", guard(self.status)),
+                Route("/admin/drain", guard(self.drain), methods=["POST"]),
+                Route("/admin/traces/{id}", guard(self.trace)),
+                Route("/admin/report", guard(self.report)),
+                Route("/admin/openapi.json", guard(self.openapi)),
             ]
         )
 
@@ -49,8 +92,11 @@
             expected = f"Bearer {self.credential}".encode()
             given = request.headers.get("authorization", "").encode()
             if not hmac.compare_digest(expected, given):
-                return JSONResponse({"error": "unknown operator credential"}, 401)
-            return await endpoint(request)
+                return _failure(ErrorCode.UNAUTHENTICATED, "unknown operator credential")
+            try:
+                return await endpoint(request)
+            except ValidationError as exc:
+                return _failure(ErrorCode.INVALID, str(exc), field=exc.field)
 
         return check
 
@@ -60,28 +106,81 @@
 
     async def ready(self, request: Request) -> Response:
         """Answer 200 if requests can be served."""
+        reasons = await self._not_ready()
+        return JSONResponse({"ready": not reasons, "reasons": reasons}, 503 if reasons else 200)
+
+    async def _not_ready(self) -> dict[str, str]:
+        reasons = {"config": (await self.configs.ask(GetConfigStatus())).not_ready}
+        for name, check in self.parts.ready.items():
+            reasons[name] = await check()
+        return {name: reason for name, reason in reasons.items() if reason}
+
+    async def config(self, request: Request) -> Response:
+        """Return the lists in force."""
         cfg = await self.configs.ask(GetConfig())
-        return JSONResponse({"ready": cfg.version > 0}, 200 if cfg.version > 0 else 503)
+        body = {"version": cfg.version, "digest": cfg.digest, "lists": plain_lists(cfg)}
+        return JSONResponse(body)
 
     async def propose(self, request: Request) -> Response:
         """Accept changes of the lists as a new version."""
-        body = json.loads(await request.body())
-        changes = tuple(Change(c["section"], c["key"], c["value"]) for c in body["changes"])
-        op_id = body.get("op_id") or new_id(self.rng)
-        message = Propose(op_id, body.get("author", ""), body["base"], changes)
+        message = parse_proposal(await read_body(request), self.rng)
         match await self.configs.ask(message):
             case Success(version):
-                return JSONResponse({"version": version})
-            case Failure(error):
-                return JSONResponse({"error": error.message}, STATUS[error.code])
+                return JSONResponse({"version": version, "op_id": message.op_id})
+            case Failure(rejection):
+                code = rejection.error.code
+                return JSONResponse(rejection_body(rejection), STATUS[code])
+
+    async def history(self, request: Request) -> Response:
+        """Return the most recent versions, the newest last."""
+        lines = await self.configs.ask(GetHistory(parse_history(request.query_params)))
+        return JSONResponse({"versions": [history_body(line) for line in lines]})
 
     async def status(self, request: Request) -> Response:
         """Return the state of this daemon."""
-        cfg = await self.configs.ask(GetConfig())
-        return JSONResponse({"config_version": cfg.version})
+        state = await self.configs.ask(GetConfigStatus())
+        reasons = await self._not_ready()
+        silent = state.table_age is None or state.table_age > STORE_SILENT_S
+        body = {
+            "vm": self.parts.vm,
+            "data_centre": self.parts.data_centre,
+            "config_version": state.version,
+            "config_digest": state.digest,
+            "config_age_s": state.age,
+            "config_blocked": state.blocked,
+            "ready": not reasons,
+            "not_ready": reasons,
+            "store": {"state": "silent" if silent else "ok", "age_s": state.table_age},
+        }
+        for name, part in self.parts.status.items():
+            body[name] = await part()
+        return JSONResponse(body)
+
+    async def drain(self, request: Request) -> Response:
+        """Start draining this daemon."""
+        parse_object(await read_body(request), ())
+        if self.parts.drain is None:
+            return _failure(ErrorCode.UNAVAILABLE, "this daemon cannot drain on request")
+        return JSONResponse(await self.parts.drain(), 202)
 
     async def trace(self, request: Request) -> Response:
         """Return the spans of a trace in order."""
-        spans = await self.traces.ask(GetTrace(request.path_params["trace_id"]))
+        spans = await self.traces.ask(GetTrace(request.path_params["id"]))
         lines = [{"depth": line.depth, **line.span._asdict()} for line in order_spans(spans)]
         return JSONResponse({"spans": lines})
+
+    async def report(self, request: Request) -> Response:
+        """Return the usage in quiet hours of a date."""
+        customer, date = parse_report(request.query_params)
+        if self.parts.report is None:
+            return _failure(ErrorCode.UNAVAILABLE, "this daemon keeps no records")
+        return JSONResponse(await self.parts.report(customer, date))
+
+    async def openapi(self, request: Request) -> Response:
+        """Return the description of this interface."""
+        data = files("greengagehoist.server").joinpath("openapi.json").read_bytes()
+        return Response(data, media_type="application/json")
+
+
+def _failure(code: ErrorCode, message: str, **more: Any) -> JSONResponse:
+    return JSONResponse(error_body(not_run("operators", code, message), **more), STATUS[code])
--- /dev/null
+++ b/greengagehoist/server/_admin_bodies.py
@@ -0,0 +1,169 @@
+"""Checks of operators' requests and the bodies of the answers to them."""
+
+import asyncio
+import json
+import random
+from collections.abc import Mapping
+from datetime import datetime
+from typing import Any
+
+from starlette.requests import ClientDisconnect, Request
+
+from greengagehoist.base import StepError
+from greengagehoist.config import (
+    LONGEST_AUTHOR,
+    Problem,
+    Version,
+    plain_version,
+    read_changes,
+)
+from greengagehoist.controllers import HistoryLine, Propose, Rejection
+from greengagehoist.utils import (
+    ValidationError,
+    check_int,
+    check_name,
+    check_text,
+    new_id,
+    show_value,
+)
+
+LARGEST_BODY_BYTES = 8 * 1024 * 1024
+BODY_TIMEOUT_S = 10.0
+HIGHEST_BASE = 10**12
+MOST_HISTORY = 1000
+DEFAULT_HISTORY = 20
+
+_PROPOSAL_FIELDS = ("base", "changes", "author", "op_id")
+_CHANGE_FIELDS = ("section", "key", "value")
+
+
+async def read_body(request: Request) -> bytes:
+    """Read a body of bounded size.
+
+    :raises ValidationError: if it is too large or does not arrive in time.
+    """
+    chunks, size = [], 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for chunk in request.stream():
+                size += len(chunk)
+                if size > LARGEST_BODY_BYTES:
+                    accepted = f"at most {LARGEST_BODY_BYTES} bytes"
+                    raise ValidationError("body", f"{size} bytes or more", accepted)
+                chunks.append(chunk)
+    except (TimeoutError, ClientDisconnect) as exc:
+        accepted = f"a whole body within {BODY_TIMEOUT_S} s"
+        raise ValidationError("body", f"{size} bytes", accepted) from exc
+    return b"".join(chunks)
+
+
+def parse_object(data: bytes, fields: tuple[str, ...]) -> dict[str, Any]:
+    """Return the JSON object of a body.
+
+    :raises ValidationError: if it is not a JSON object or has a field not in ``fields``.
+    """
+    try:
+        body = json.loads(data) if data else {}
+    except (ValueError, RecursionError) as exc:
+        raise ValidationError("body", type(exc).__name__, "a JSON object in UTF-8") from exc
+    if not isinstance(body, dict):
+        raise ValidationError("body", type(body).__name__, "a JSON object in UTF-8")
+    for field in body:
+        if field not in fields:
+            raise ValidationError("body", field, f"the fields {', '.join(fields) or 'none'}")
+    return body
+
+
+def parse_proposal(data: bytes, rng: random.Random) -> Propose:
+    """Return the proposal in the body of ``POST /admin/config``.
+
+    :param rng: source of the operation id if the body has none.
+    :raises ValidationError: naming the first bad field.
+    """
+    body = parse_object(data, _PROPOSAL_FIELDS)
+    base = check_int("base", body.get("base"), 0, HIGHEST_BASE)
+    author = check_text("author", body.get("author"), LONGEST_AUTHOR)
+    if not author.isprintable():
+        raise ValidationError("author", author, "printable text")
+    op_id = check_name("op_id", body.get("op_id", new_id(rng)))
+    items = body.get("changes")
+    if not isinstance(items, list):
+        raise ValidationError("changes", type(items).__name__, "a list of changes")
+    rows = [_change_row(f"changes[{index}]", item) for index, item in enumerate(items)]
+    return Propose(op_id, author, base, read_changes(rows))
+
+
+def _change_row(field: str, item: Any) -> list[Any]:
+    accepted = f"an object with the fields {', '.join(_CHANGE_FIELDS)}"
+    if not isinstance(item, dict) or set(item) != set(_CHANGE_FIELDS):
+        raise ValidationError(field, item, accepted)
+    return [item[name] for name in _CHANGE_FIELDS]
+
+
+def parse_history(query: Mapping[str, str]) -> int:
+    """Return the number of versions that ``GET /admin/config/history`` asks for.
+
+    :raises ValidationError: if it is not in the accepted range.
+    """
+    text = query.get("limit", str(DEFAULT_HISTORY))
+    digits = text.isascii() and text.isdecimal() and len(text) < 8
+    return check_int("limit", int(text) if digits else text, 1, MOST_HISTORY)
+
+
+def parse_report(query: Mapping[str, str]) -> tuple[str, str]:
+    """Return customer and date of ``GET /admin/report``; an empty customer means all.
+
+    :raises ValidationError: naming the first bad field.
+    """
+    customer, date = query.get("customer", ""), query.get("date", "")
+    if customer:
+        check_name("customer", customer)
+    try:
+        datetime.strptime(date, "%Y-%m-%d")
+    except ValueError as exc:
+        raise ValidationError("date", date, "a UTC date, for example 2026-01-31") from exc
+    return customer, date
+
+
+def version_body(version: Version) -> dict[str, Any]:
+    """Return a version with its changes as objects."""
+    changes = [change._asdict() for change in version.changes]
+    return {"version": version.version, **plain_version(version), "changes": changes}
+
+
+def history_body(line: HistoryLine) -> dict[str, Any]:
+    """Return a line of the history."""
+    return {**version_body(line.version), "written_at": line.written_at}
+
+
+def error_body(error: StepError, **more: Any) -> dict[str, Any]:
+    """Return the body of a failure, of the same form as callers' failures."""
+    return {
+        "error": {
+            "outcome": error.outcome,
+            "code": error.code,
+            "message": error.message,
+            "step": error.step,
+            "peer": error.peer,
+            "retry_safe": error.retry_safe,
+            **more,
+        }
+    }
+
+
+def rejection_body(rejection: Rejection) -> dict[str, Any]:
+    """Return the body of a rejected proposal."""
+    return error_body(
+        rejection.error,
+        others=[version_body(item) for item in rejection.others],
+        problems=[problem_body(problem) for problem in rejection.problems],
+    )
+
+
+def problem_body(problem: Problem) -> dict[str, str]:
+    """Return a problem of the lists."""
+    return {
+        "path": problem.field,
+        "value": show_value(problem.value),
+        "accepted": problem.accepted,
+    }
