--- a/greengagehoist/codec/_lists.py
+++ b/greengagehoist/codec/_lists.py
@@ -183,7 +183,7 @@
     if node.tag.startswith("!"):
         raise _error(name, node.start_mark, path, node.tag, "no tags")
     text = node.value
-    if node.style is not None:
+    if node.style:
         return text
     if text in _CONSTANTS:
         return _CONSTANTS[text]
