--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -1,6 +1,13 @@
 """Tasks that own state and talk by messages."""
 
-from greengagehoist.controllers._config import ConfigController, GetConfig, Propose
+from greengagehoist.controllers._config import (
+    ConfigController,
+    ConfigStatus,
+    GetConfig,
+    GetConfigStatus,
+    GetHistory,
+    HistoryLine,
+)
 from greengagehoist.controllers._drain import (
     DaemonState,
     Drain,
@@ -14,6 +21,7 @@
     StartDrain,
     WaitStopped,
 )
+from greengagehoist.controllers._proposals import Propose, Rejection
 from greengagehoist.controllers._roster import (
     ClockChecked,
     GetRoster,
@@ -37,21 +45,26 @@
     "CollectTrace",
     "Completed",
     "ConfigController",
+    "ConfigStatus",
     "DaemonState",
     "Drain",
     "DrainController",
     "Enter",
     "GetConfig",
+    "GetConfigStatus",
+    "GetHistory",
     "GetLinks",
     "GetReadiness",
     "GetRoster",
     "GetState",
     "GetTrace",
+    "HistoryLine",
     "Leave",
     "OnDrain",
     "Propose",
     "Readiness",
     "Record",
+    "Rejection",
     "Reported",
     "Roster",
     "RosterController",
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+from typing import Any
 
 from greengagehoist.base import Proceed, compose
 from greengagehoist.controllers import (
     ConfigController,
     DrainController,
+    GetReadiness,
     RosterController,
     StartDrain,
     TargetController,
@@ -18,7 +20,7 @@
 from greengagehoist.membership import Member
 from greengagehoist.peers import PeerController
 from greengagehoist.platform_client import PlatformController
-from greengagehoist.server import AdminApp, CallerApp, DrainGate, Listener, serve
+from greengagehoist.server import AdminApp, AdminParts, CallerApp, DrainGate, Listener, serve
 from greengagehoist.utils import Clock, Controller, check_address, connect_metrics, log_event
 
 
@@ -33,7 +35,7 @@
         self.platform = PlatformController(settings.platform)
         own = Member(settings.vm, settings.data_centre, settings.peers, self.incarnation)
         self.peers = PeerController(own, settings.seeds, settings.peer_credential, clock, rng)
-        self.configs = ConfigController(self.platform, clock)
+        self.configs = ConfigController(self.platform, clock, rng, self.peers)
         self.traces = TraceController(self.peers, settings.data_centre)
         self.targets = TargetController(self.platform, clock, rng, settings.data_centre, self.peers)
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
@@ -78,9 +80,8 @@
         callers = CallerApp(
             self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
         )
-        admin = AdminApp(
-            self.configs, self.traces, self.drains, self.rng, self.settings.operator_credential
-        )
+        credential = self.settings.operator_credential
+        admin = AdminApp(self.configs, self.traces, self.rng, credential, self._admin_parts())
         gate = DrainGate(callers.build(), self.drains)
         for app, field in ((gate, "callers"), (admin.build(), "operators")):
             host, port = check_address(f"--{field}", getattr(self.settings, field))
@@ -88,6 +89,27 @@
             self.listeners.append(listener)
             log_event("listening", interface=field, address=listener.address)
 
+    def _admin_parts(self) -> AdminParts:
+        return AdminParts(
+            vm=self.settings.vm,
+            data_centre=self.settings.data_centre,
+            drain=self._start_drain,
+            status={"daemon": self._daemon_status},
+            ready={"daemon": self._reasons_not_ready},
+        )
+
+    async def _start_drain(self) -> dict[str, Any]:
+        await self.drains.ask(StartDrain())
+        return {"draining": True}
+
+    async def _daemon_status(self) -> dict[str, Any]:
+        readiness = await self.drains.ask(GetReadiness())
+        return {"state": readiness.state, "in_flight": readiness.in_flight}
+
+    async def _reasons_not_ready(self) -> str:
+        readiness = await self.drains.ask(GetReadiness())
+        return ", ".join(readiness.reasons)
+
     async def wait_stopped(self) -> None:
         """Wait until a graceful stop, asked for by an operator, has handed everything over."""
         await self.drains.ask(WaitStopped())
