--- a/greengagehoist/answers/__init__.py
+++ b/greengagehoist/answers/__init__.py
@@ -1,5 +1,39 @@
 """Acceptance of stage results."""
 
-from greengagehoist.answers._accept import Stream, digest_text, digest_tokens, is_whole
+from greengagehoist.answers._accept import (
+    Appended,
+    AttemptEvent,
+    AttemptState,
+    Closed,
+    Dropped,
+    Stream,
+    Verdict,
+    accept_chunk,
+    accept_end,
+    accept_output,
+    digest_text,
+    digest_tokens,
+    end_attempt,
+    is_open,
+    is_whole,
+    open_attempt,
+)
 
-__all__ = ["Stream", "digest_text", "digest_tokens", "is_whole"]
+__all__ = [
+    "Appended",
+    "AttemptEvent",
+    "AttemptState",
+    "Closed",
+    "Dropped",
+    "Stream",
+    "Verdict",
+    "accept_chunk",
+    "accept_end",
+    "accept_output",
+    "digest_text",
+    "digest_tokens",
+    "end_attempt",
+    "is_open",
+    "is_whole",
+    "open_attempt",
+]
--- a/greengagehoist/base/__init__.py
+++ b/greengagehoist/base/__init__.py
@@ -13,6 +13,7 @@
     TraceContext,
     compose,
 )
+from greengagehoist.base._life_cycle import advance, build_machine
 
 __all__ = [
     "Answer",
@@ -27,6 +28,8 @@
     "ServiceCall",
     "StepError",
     "TraceContext",
+    "advance",
+    "build_machine",
     "compose",
     "not_run",
     "unknown",
--- a/greengagehoist/base/_exchange.py
+++ b/greengagehoist/base/_exchange.py
@@ -51,6 +51,8 @@
     :param arrived: arrival on the daemon's monotonic clock, in seconds.
     :param shortened: deadline asked for by the caller, or None.
     :param emit: receives text of a streamed answer as ``(offset, tokens)``.
+    :param assigned: target assignment that a claim names, for non-idempotent operations only.
+    :param attempt: number of the send of a claimed operation, from 1.
     """
 
     request_id: str
@@ -65,6 +67,8 @@
     usage: PlanUsage | None = None
     deadline: float = 0.0
     emit: Callable[[int, tuple[str, ...]], Awaitable[None]] | None = None
+    assigned: Any = None
+    attempt: int = 1
 
 
 class Answer(NamedTuple):
--- /dev/null
+++ b/greengagehoist/base/_life_cycle.py
@@ -0,0 +1,36 @@
+"""Life cycles as shared state machines whose state is kept in immutable values."""
+
+from typing import TypeVar
+
+from transitions import Machine
+
+State = TypeVar("State", bound=str)
+
+
+def build_machine(states: type, transitions: list[tuple[str, str, str]]) -> Machine:
+    """Return a machine without a model; :func:`advance` applies it to any value.
+
+    :param states: string enumeration; the first member is the initial state.
+    :param transitions: triples of event, source and destination.
+    """
+    names = [str(state) for state in states]
+    return Machine(
+        model=None,
+        states=names,
+        transitions=[[str(name) for name in item] for item in transitions],
+        initial=names[0],
+        auto_transitions=False,
+    )
+
+
+def advance(machine: Machine, state: State, event: str) -> State:
+    """Return the state that follows ``state`` on ``event``.
+
+    :raises ValueError: if the life cycle has no such transition.
+    """
+    known = machine.events.get(str(event))
+    found = known.transitions.get(str(state)) if known is not None else None
+    if not found:
+        accepted = ", ".join(machine.get_triggers(str(state))) or "no event"
+        raise ValueError(f"event {event} in state {state}; accepted: {accepted}")
+    return type(state)(found[0].dest)
--- a/greengagehoist/claims/__init__.py
+++ b/greengagehoist/claims/__init__.py
@@ -1,3 +1,39 @@
 """Idempotency claims."""
 
-__all__: list[str] = []
+from greengagehoist.claims._claim import (
+    Claim,
+    ClaimEvent,
+    ClaimState,
+    Decision,
+    Insert,
+    Kept,
+    Own,
+    Replace,
+    Replay,
+    Reused,
+    Settle,
+    apply_event,
+    choose_final,
+    choose_step,
+    event_of,
+    scoped_key,
+)
+
+__all__ = [
+    "Claim",
+    "ClaimEvent",
+    "ClaimState",
+    "Decision",
+    "Insert",
+    "Kept",
+    "Own",
+    "Replace",
+    "Replay",
+    "Reused",
+    "Settle",
+    "apply_event",
+    "choose_final",
+    "choose_step",
+    "event_of",
+    "scoped_key",
+]
--- /dev/null
+++ b/greengagehoist/controllers/_claims.py
@@ -0,0 +1,170 @@
+"""Controller that writes claims on idempotency keys to the table."""
+
+import random
+from typing import Any, NamedTuple
+
+import msgspec
+from returns.result import Failure, Success
+
+from greengagehoist.base import ErrorCode, not_run
+from greengagehoist.claims import (
+    Claim,
+    Insert,
+    Kept,
+    Own,
+    Replace,
+    choose_final,
+    choose_step,
+)
+from greengagehoist.platform_client import ReadRow, Refused, Row, WriteRow, Written
+from greengagehoist.utils import Clock, Controller, Reply, log_event
+
+PREFIX = "claim/"
+OPEN_ROUNDS = 4
+RETRY_FIRST_S = 0.2
+RETRY_LONGEST_S = 30.0
+MOST_PENDING = 10_000
+
+
+class OpenClaim(NamedTuple):
+    """Ask to hold a key; replied by ``Result[Decision, StepError]``.
+
+    Only a reply of ``Own`` allows the owner to send.
+
+    :param key: scoped idempotency key, see :func:`greengagehoist.claims.scoped_key`.
+    :param until: instant on the monotonic clock after which no further write is started.
+    :param version: version of the owner's row if it holds one for another target, else 0.
+    """
+
+    key: str
+    claim: Claim
+    until: float
+    version: int = 0
+
+
+class ReadClaim(NamedTuple):
+    """Ask for a claim; replied by ``Result[Kept | None, StepError]``."""
+
+    key: str
+
+
+class CloseClaim(NamedTuple):
+    """Write the final state of a claim; retried until the table has it.
+
+    Replied by True if the first write took effect, else by False.
+
+    :param version: version of the owner's row, or None to read it first.
+    """
+
+    key: str
+    claim: Claim
+    version: int | None
+
+
+class GetPendingClaims(NamedTuple):
+    """Ask for the number of final states that are not yet in the table."""
+
+
+class _Pending(NamedTuple):
+    change: int
+
+
+class ClaimController(Controller):
+    """Inserts claims, determines lost answers by reading and writes final states."""
+
+    def __init__(self, platform: Controller, clock: Clock, rng: random.Random):
+        super().__init__("claims")
+        self.platform = platform
+        self.clock = clock
+        self.rng = rng
+        self._pending = 0
+
+    def handle(self, message: Any, reply: Reply) -> None:
+        """Process one message."""
+        match message:
+            case OpenClaim():
+                self.start(self._open(message, reply))
+            case ReadClaim(key):
+                self.start(self._answer_read(key, reply))
+            case CloseClaim() if self._pending >= MOST_PENDING:
+                log_event("claim_close_dropped", "ERROR", key=message.key)
+                reply(False)
+            case CloseClaim():
+                self._pending += 1
+                self.start(self._close(message, reply))
+            case GetPendingClaims():
+                reply(self._pending)
+            case _Pending(change):
+                self._pending += change
+
+    async def _open(self, message: OpenClaim, reply: Reply) -> None:
+        expect = message.version
+        for _ in range(OPEN_ROUNDS):
+            if self.clock.monotonic() >= message.until:
+                break
+            match await self._write(message.key, message.claim, expect):
+                case Success(Written(version)):
+                    reply(Success(Own(version)))
+                    return
+                case Success(Refused(row)):
+                    found = Success(_decode(row))
+                case _:
+                    found = await self._read(message.key)
+            match found:
+                case Success(kept):
+                    decision = choose_step(kept, message.claim)
+                    match decision:
+                        case Insert():
+                            expect = 0
+                        case Replace(version):
+                            expect = version
+                        case _:
+                            reply(Success(decision))
+                            return
+        text = "claim not settled in the table"
+        reply(Failure(not_run("claim", ErrorCode.PLATFORM, text, peer="table")))
+
+    async def _answer_read(self, key: str, reply: Reply) -> None:
+        reply(await self._read(key))
+
+    async def _close(self, message: CloseClaim, reply: Reply) -> None:
+        version, delay = message.version, RETRY_FIRST_S
+        while not await self._close_once(message, version):
+            reply(False)
+            version = None
+            await self.clock.sleep(self.rng.uniform(0, delay))
+            delay = min(2 * delay, RETRY_LONGEST_S)
+        reply(True)
+        self.tell(_Pending(-1))
+
+    async def _close_once(self, message: CloseClaim, version: int | None) -> bool:
+        """Return True once the row needs no further write."""
+        if version is None:
+            match await self._read(message.key):
+                case Success(kept):
+                    version = choose_final(kept, message.claim)
+                case _:
+                    return False
+            if version is None:
+                return True
+        match await self._write(message.key, message.claim, version):
+            case Success(Written()):
+                return True
+            case Success(Refused(row)):
+                return choose_final(_decode(row), message.claim) is None
+            case _:
+                return False
+
+    async def _read(self, key: str) -> Any:
+        result = await self.platform.ask(ReadRow(PREFIX + key))
+        return result.map(lambda found: _decode(found.rows[0]) if found.rows else None)
+
+    async def _write(self, key: str, claim: Claim, expect: int) -> Any:
+        return await self.platform.ask(WriteRow(PREFIX + key, claim._asdict(), expect))
+
+
+def _decode(row: Row | None) -> Kept | None:
+    if row is None:
+        return None
+    names = {name: row.value.get(name) for name in Claim._fields}
+    return Kept(row.version, msgspec.convert(list(names.values()), Claim))
--- a/greengagehoist/controllers/_targets.py
+++ b/greengagehoist/controllers/_targets.py
@@ -36,6 +36,12 @@
     link: TargetLink
 
 
+class FindTarget(NamedTuple):
+    """Ask for a listed target by name; replied by ``Assignment | None``, without reserving it."""
+
+    name: str
+
+
 class Completed(NamedTuple):
     """Tell the end of a call.
 
@@ -88,6 +94,9 @@
                 self._update(vms)
             case Route():
                 reply(self._route(message))
+            case FindTarget(name):
+                replica = self._replicas.get(name)
+                reply(Assignment(replica.target, replica.link) if replica else None)
             case Completed(target):
                 replica = self._replicas.get(target.name)
                 if replica is not None:
@@ -111,7 +120,7 @@
 
     def _add(self, vm: Vm) -> None:
         target = Target(vm.vm, vm.address, vm.data_centre, vm.role, vm.incarnation)
-        link = TargetLink(target)
+        link = TargetLink(target, self.clock)
         self._replicas[vm.vm] = _Replica(target, link, self.start(link.run()))
         log_event("target_added", target=vm.vm, role=vm.role, address=vm.address)
 
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -4,9 +4,22 @@
 import random
 
 from greengagehoist.base import Proceed, compose
-from greengagehoist.controllers import ConfigController, TargetController, TraceController
+from greengagehoist.controllers import (
+    ClaimController,
+    ConfigController,
+    TargetController,
+    TraceController,
+)
 from greengagehoist.daemon._settings import Settings
-from greengagehoist.filters import DeadlineFilter, DispatchFilter, IdentifyFilter, PlanFilter
+from greengagehoist.filters import (
+    AttemptLimit,
+    ClaimFilter,
+    DeadlineFilter,
+    DispatchFilter,
+    IdentifyFilter,
+    PlanFilter,
+    Sender,
+)
 from greengagehoist.platform_client import PlatformController
 from greengagehoist.server import AdminApp, CallerApp, Listener, serve
 from greengagehoist.utils import Clock, Controller, check_address, connect_metrics, log_event
@@ -23,6 +36,9 @@
         self.configs = ConfigController(self.platform, clock)
         self.traces = TraceController()
         self.targets = TargetController(self.platform, clock, rng, settings.data_centre)
+        self.claims = ClaimController(self.platform, clock, rng)
+        self.retries = AttemptLimit()
+        self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
         )
@@ -31,17 +47,19 @@
 
     def build_chain(self) -> Proceed:
         """Return the entry of the filter chain."""
+        sender = Sender(self.targets, self.traces, self.clock, self.rng, self.settings.vm)
         return compose(
             [
                 IdentifyFilter(self.configs),
                 PlanFilter(),
                 DeadlineFilter(self.clock),
-                DispatchFilter(self.targets, self.traces, self.clock, self.rng, self.settings.vm),
+                self.claim_filter,
+                DispatchFilter(sender, self.retries, self.metrics),
             ]
         )
 
     def _controllers(self) -> list[Controller]:
-        return [self.platform, self.configs, self.traces, self.targets]
+        return [self.platform, self.configs, self.traces, self.targets, self.claims]
 
     async def start(self) -> None:
         """Start the controllers, then the listeners.
@@ -65,6 +83,7 @@
         log_event("draining")
         for listener in self.listeners:
             await listener.stop()
+        await self.claim_filter.finish()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/greengagehoist/filters/__init__.py
+++ b/greengagehoist/filters/__init__.py
@@ -1,6 +1,18 @@
 """Filters that a request passes in order."""
 
+from greengagehoist.filters._claim import ClaimFilter
 from greengagehoist.filters._dispatch import DispatchFilter
 from greengagehoist.filters._identify import DeadlineFilter, IdentifyFilter, PlanFilter
+from greengagehoist.filters._retry import AttemptLimit, RetryPolicy
+from greengagehoist.filters._sender import Sender
 
-__all__ = ["DeadlineFilter", "DispatchFilter", "IdentifyFilter", "PlanFilter"]
+__all__ = [
+    "AttemptLimit",
+    "ClaimFilter",
+    "DeadlineFilter",
+    "DispatchFilter",
+    "IdentifyFilter",
+    "PlanFilter",
+    "RetryPolicy",
+    "Sender",
+]
--- /dev/null
+++ b/greengagehoist/filters/_claim.py
@@ -0,0 +1,256 @@
+"""Filter that lets a non-idempotent operation run at most once."""
+
+import asyncio
+import hashlib
+import json
+import random
+from typing import Any
+
+from returns.result import Failure, Success
+
+from greengagehoist.base import (
+    Answer,
+    ErrorCode,
+    Exchange,
+    Outcome,
+    Outcomes,
+    Proceed,
+    ServiceCall,
+    StepError,
+    not_run,
+    unknown,
+)
+from greengagehoist.claims import (
+    Claim,
+    ClaimEvent,
+    Kept,
+    Own,
+    Replay,
+    Reused,
+    Settle,
+    apply_event,
+    choose_step,
+    event_of,
+    scoped_key,
+)
+from greengagehoist.config import NonIdempotent
+from greengagehoist.controllers import (
+    Assignment,
+    CloseClaim,
+    Completed,
+    FindTarget,
+    OpenClaim,
+    ReadClaim,
+    Route,
+)
+from greengagehoist.filters._retry import RetryPolicy
+from greengagehoist.targets import ReadRecord
+from greengagehoist.utils import Clock, Controller, log_event
+
+RECORD_TIMEOUT_S = 1.0
+RECORD_FIRST_DELAY_S = 0.05
+RECORD_ROUNDS = 6
+
+
+class ClaimFilter:
+    """Claims the key of a non-idempotent operation before it is sent.
+
+    The filter chooses the target, so that the claim's row names it before anything is sent. An
+    operation continues when its caller goes away.
+    """
+
+    def __init__(
+        self,
+        claims: Controller,
+        targets: Controller,
+        retries: RetryPolicy,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self.claims = claims
+        self.targets = targets
+        self.retries = retries
+        self.clock = clock
+        self.rng = rng
+        self._tasks: set[asyncio.Task] = set()
+
+    async def __call__(self, exchange: Exchange, proceed: Proceed) -> Outcomes:
+        """Return the operation's answer, its first answer for a repeated key, or the failure."""
+        match exchange.call:
+            case ServiceCall(service, operation):
+                kind = exchange.cfg.services[service].operations[operation]
+                if isinstance(kind, NonIdempotent):
+                    task = asyncio.get_running_loop().create_task(self._run(exchange, proceed))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._finish)
+                    return await asyncio.shield(task)
+        return await proceed(exchange)
+
+    async def finish(self) -> None:
+        """Wait until no operation is being sent any more."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event("operation_failed", "ERROR", error=repr(task.exception()))
+
+    async def _run(self, exchange: Exchange, proceed: Proceed) -> Outcomes:
+        if not exchange.idempotency_key:
+            exchange = exchange._replace(idempotency_key=exchange.request_id)
+        key = scoped_key(exchange.holding.customer, exchange.idempotency_key)
+        run = _OperationRun(self, exchange, proceed, key)
+        return await run.run()
+
+
+class _OperationRun:
+    """One non-idempotent operation from its claim to its final state."""
+
+    def __init__(self, owner: ClaimFilter, exchange: Exchange, proceed: Proceed, key: str):
+        self.owner = owner
+        self.exchange = exchange
+        self.proceed = proceed
+        self.key = key
+        self.claim = Claim(exchange.request_id, request_digest(exchange.call), "")
+        self.version = 0
+
+    async def run(self) -> Outcomes:
+        """Send to one target after another until one may have received the operation."""
+        call = self.exchange.call
+        route = Route(self.exchange.request_id, call.service, f"service:{call.service}")
+        tried: tuple[str, ...] = ()
+        number = 1
+        while True:
+            assigned = await self.owner.targets.ask(route._replace(exclude=tried))
+            if isinstance(assigned, Failure):
+                return await self._without_target(assigned, tried)
+            assignment = assigned.unwrap()
+            opened = await self._open(assignment)
+            if opened is not None:
+                self.owner.targets.tell(Completed(assignment.target, 0.0, True))
+                return opened
+            result = await self._send(assignment, number)
+            if isinstance(result, Success):
+                self._close(ClaimEvent.ANSWERED, result.unwrap().body)
+                return result
+            error = result.failure()
+            if error.outcome is not Outcome.NOT_RUN:
+                return await self._determine(assignment, error)
+            if not self.owner.retries.allow_retry(error, number, self._left()):
+                self._close(ClaimEvent.REFUSED)
+                return result
+            tried += (assignment.target.name,)
+            number += 1
+
+    async def _open(self, assignment: Assignment) -> Outcomes | None:
+        """Hold the claim for a target; return None if the operation may be sent to it."""
+        self.claim = self.claim._replace(target=assignment.target.name)
+        until = self.exchange.deadline
+        message = OpenClaim(self.key, self.claim, until, self.version)
+        opened = await self.owner.claims.ask(message)
+        match opened:
+            case Success(Own(version)):
+                self.version = version
+            case Success(decision):
+                return await self._without_send(decision)
+            case Failure() if self._service_keeps_keys() and self._left() > 0:
+                # The service itself rejects a repeated key, so that no row is needed to send.
+                self.version = 0
+            case Failure() as failure:
+                # A write that is still on its way must not leave a claim that nobody sends.
+                self.version = 0
+                self._close(ClaimEvent.REFUSED)
+                return failure
+        if self._left() <= 0:
+            self._close(ClaimEvent.REFUSED)
+            text = "deadline passed before the operation was sent"
+            return Failure(not_run("claim", ErrorCode.DEADLINE, text))
+        return None
+
+    async def _send(self, assignment: Assignment, number: int) -> Outcomes:
+        try:
+            return await self.proceed(self.exchange._replace(assigned=assignment, attempt=number))
+        except Exception as exc:
+            text = f"{type(exc).__name__} {exc}".rstrip()
+            return Failure(unknown("claim", ErrorCode.TARGET_FAILED, text))
+
+    async def _without_target(self, failure: Outcomes, tried: tuple[str, ...]) -> Outcomes:
+        """No target is available: return a stored first answer, else the failure."""
+        if tried:
+            self._close(ClaimEvent.REFUSED)
+            return failure
+        match await self.owner.claims.ask(ReadClaim(self.key)):
+            case Success(kept) if kept is not None:
+                decision = choose_step(kept, self.claim)
+                if isinstance(decision, Replay | Reused | Settle):
+                    return await self._without_send(decision)
+        return failure
+
+    async def _without_send(self, decision: Replay | Reused | Settle) -> Outcomes:
+        match decision:
+            case Replay(result):
+                return Success(Answer(self.exchange.request_id, result, replayed=True))
+            case Reused():
+                text = "the key was used for another request"
+                return Failure(not_run("claim", ErrorCode.KEY_REUSED, text))
+            case Settle(kept):
+                return await self._settle(kept)
+
+    async def _settle(self, kept: Kept) -> Outcomes:
+        """Determine from the target's record whether another owner's operation ran."""
+        text = "an earlier request with this key has no known end"
+        error = unknown("claim", ErrorCode.CONFLICT, text, peer=kept.claim.target)
+        assignment = await self.owner.targets.ask(FindTarget(kept.claim.target))
+        if assignment is None:
+            return Failure(error)
+        found = await self._read_record(assignment)
+        if found is None:
+            return Failure(error)
+        final = apply_event(kept.claim, ClaimEvent.FOUND, found.result)
+        self.owner.claims.tell(CloseClaim(self.key, final, kept.version))
+        return Success(Answer(self.exchange.request_id, found.result, replayed=True))
+
+    async def _determine(self, assignment: Assignment, error: StepError) -> Outcomes:
+        """Determine from the target's record whether this operation ran."""
+        found = await self._read_record(assignment)
+        if found is None:
+            self._close(event_of(Outcome.UNKNOWN))
+            return Failure(error._replace(outcome=Outcome.UNKNOWN))
+        self._close(ClaimEvent.FOUND, found.result)
+        return Success(Answer(self.exchange.request_id, found.result))
+
+    async def _read_record(self, assignment: Assignment) -> Any:
+        """Read the target's record until it shows the operation or the deadline has passed."""
+        delay = RECORD_FIRST_DELAY_S
+        for _ in range(RECORD_ROUNDS):
+            left = self._left()
+            if left <= 0:
+                return None
+            message = ReadRecord(self.key, min(left, RECORD_TIMEOUT_S))
+            match await assignment.link.ask(message):
+                case Success(found) if found is not None:
+                    return found
+                case Failure(error) if error.code is ErrorCode.NOT_FOUND:
+                    return None
+            await self.owner.clock.sleep(self.owner.rng.uniform(delay / 2, delay))
+            delay *= 2
+        return None
+
+    def _close(self, event: ClaimEvent, result: Any = None) -> None:
+        final = apply_event(self.claim, event, result)
+        self.owner.claims.tell(CloseClaim(self.key, final, self.version or None))
+
+    def _left(self) -> float:
+        return self.exchange.deadline - self.owner.clock.monotonic()
+
+    def _service_keeps_keys(self) -> bool:
+        return self.exchange.cfg.services[self.exchange.call.service].keeps_keys
+
+
+def request_digest(call: ServiceCall) -> str:
+    """Return the digest by which a repeated key is compared with the first request."""
+    text = json.dumps(
+        [call.service, call.operation, call.args], sort_keys=True, separators=(",", ":")
+    )
+    return hashlib.sha256(text.encode()).hexdigest()
--- a/greengagehoist/filters/_dispatch.py
+++ b/greengagehoist/filters/_dispatch.py
@@ -1,11 +1,10 @@
 """Last filter of the chain: runs the stages of a pipeline or calls a service."""
 
-import random
-from typing import NamedTuple
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
-from greengagehoist.answers import Stream, digest_text, digest_tokens, is_whole
+from greengagehoist.answers import digest_tokens
 from greengagehoist.base import (
     Answer,
     ErrorCode,
@@ -16,66 +15,50 @@
     Proceed,
     ServiceCall,
     StepError,
+    not_run,
 )
-from greengagehoist.config import EngineStage, PoolStage, Stage
-from greengagehoist.controllers import Assignment, Completed, Record, Route
-from greengagehoist.targets import (
-    Attempt,
-    Chunk,
-    GenerateCall,
-    OperationCall,
-    PoolCall,
-    Send,
-    TargetCall,
-)
-from greengagehoist.tracing import Span
-from greengagehoist.utils import Clock, Controller, new_id
-
-PROGRESS_S = 2.0
-
-
-class _Output(NamedTuple):
-    """Result of one stage."""
-
-    text: str
-    tokens: tuple[str, ...] = ()
+from greengagehoist.claims import scoped_key
+from greengagehoist.config import EngineStage, Idempotent, NonIdempotent, PoolStage, Stage
+from greengagehoist.controllers import Route
+from greengagehoist.filters._retry import RetryPolicy
+from greengagehoist.filters._sender import Sender
+from greengagehoist.filters._stages import Output, StageRun, StageRunner
+from greengagehoist.targets import Attempt, GenerateCall, OperationCall, PoolCall
+from greengagehoist.utils import Metrics, NullMetrics
 
 
 class DispatchFilter:
     """Runs stage after stage on targets that the target controller assigns.
 
-    :param vm: name of this daemon's VM, for spans.
+    A non-idempotent operation is sent once, to the target that the claim filter attached.
     """
 
-    def __init__(
-        self,
-        targets: Controller,
-        traces: Controller,
-        clock: Clock,
-        rng: random.Random,
-        vm: str,
-    ):
-        self.targets = targets
-        self.traces = traces
-        self.clock = clock
-        self.rng = rng
-        self.vm = vm
+    def __init__(self, sender: Sender, retries: RetryPolicy, metrics: Metrics | None = None):
+        self.sender = sender
+        self.retries = retries
+        self.runner = StageRunner(sender, retries, metrics or NullMetrics())
 
     async def __call__(self, exchange: Exchange, proceed: Proceed) -> Outcomes:
         """Return the answer; ``proceed`` is not called."""
         match exchange.call:
             case PipelineCall() as call:
                 return await self._run_pipeline(exchange, call)
-            case ServiceCall() as call:
-                return await self._run_operation(exchange, call)
+            case ServiceCall(service, operation) as call:
+                match exchange.cfg.services[service].operations[operation]:
+                    case NonIdempotent():
+                        return await self._send_once(exchange, call)
+                    case Idempotent():
+                        return await self._run_operation(exchange, call)
 
     async def _run_pipeline(self, exchange: Exchange, call: PipelineCall) -> Outcomes:
-        output = _Output(call.text)
+        output, ran = Output(call.text), False
         for stage in exchange.cfg.pipelines[call.pipeline].stages:
             result = await self._run_stage(exchange, call, stage, output.text)
             match result:
                 case Success(found):
-                    output = found
+                    output, ran = found, True
+                case Failure(error) if ran and error.outcome is Outcome.NOT_RUN:
+                    return Failure(error._replace(outcome=Outcome.RAN))
                 case Failure() as failure:
                     return failure
         tokens = output.tokens
@@ -83,102 +66,80 @@
 
     async def _run_stage(
         self, exchange: Exchange, call: PipelineCall, stage: Stage, text: str
-    ) -> Result[_Output, StepError]:
-        attempt = Attempt(exchange.request_id, stage.name, 1)
+    ) -> Result[Output, StepError]:
         match stage:
             case PoolStage(name, role):
-                sent = PoolCall(attempt, text, self._left_ms(exchange))
-                result = await self._send(exchange, Route(attempt.request_id, name, role), sent)
-                return result.bind(lambda reply: _check_stage(reply, attempt))
+
+                def make_pool(attempt: Attempt, run: StageRun) -> PoolCall:
+                    return PoolCall(attempt, text, self.sender.left_ms(exchange))
+
+                route = Route(exchange.request_id, name, role)
+                return await self.runner.run(exchange, route, make_pool)
             case EngineStage(name, role, model):
-                collected = _Collector(attempt, exchange)
-                sent = GenerateCall(
-                    attempt,
-                    text,
-                    call.max_tokens,
-                    0,
-                    exchange.usage.priority,
-                    self._left_ms(exchange),
-                    collected.accept,
-                )
-                route = Route(attempt.request_id, name, role, model)
-                result = await self._send(exchange, route, sent)
-                return result.bind(collected.close)
+
+                def make_generate(attempt: Attempt, run: StageRun) -> GenerateCall:
+                    return GenerateCall(
+                        attempt,
+                        text,
+                        call.max_tokens,
+                        run.offset,
+                        exchange.usage.priority,
+                        self.sender.left_ms(exchange),
+                        run.accept,
+                    )
+
+                route = Route(exchange.request_id, name, role, model)
+                return await self.runner.run(exchange, route, make_generate, call.max_tokens)
 
     async def _run_operation(self, exchange: Exchange, call: ServiceCall) -> Outcomes:
-        attempt = Attempt(exchange.request_id, call.service, 1)
-        sent = OperationCall(attempt, call.operation, exchange.idempotency_key, call.args)
         route = Route(exchange.request_id, call.service, f"service:{call.service}")
-        result = await self._send(exchange, route, sent)
-        return result.map(lambda reply: Answer(exchange.request_id, reply.result))
+        tried: tuple[str, ...] = ()
+        sent, number = False, 1
+        while True:
+            assigned = await self.sender.targets.ask(route._replace(exclude=tried))
+            if isinstance(assigned, Failure):
+                break
+            result = await self._send(exchange, call, assigned.unwrap(), number)
+            if isinstance(result, Success):
+                return result
+            error, left = result.failure(), self.sender.left(exchange)
+            sent = sent or error.outcome is not Outcome.NOT_RUN
+            assigned = result
+            if left <= 0 or not self.retries.allow_retry(error, number, left):
+                break
+            tried += (error.peer,)
+            number += 1
+        if sent and assigned.failure().outcome is Outcome.NOT_RUN:
+            return assigned.alt(lambda error: error._replace(outcome=Outcome.UNKNOWN))
+        return assigned
+
+    async def _send_once(self, exchange: Exchange, call: ServiceCall) -> Outcomes:
+        if exchange.assigned is None:
+            text = "non-idempotent operation without a claim"
+            return Failure(not_run("dispatch", ErrorCode.UNAVAILABLE, text))
+        return await self._send(exchange, call, exchange.assigned, exchange.attempt)
 
     async def _send(
-        self, exchange: Exchange, route: Route, call: TargetCall
-    ) -> Result[object, StepError]:
-        assigned = await self.targets.ask(route)
-        match assigned:
-            case Success(Assignment() as assignment):
-                return await self._send_to(exchange, assignment, call)
-            case _:
-                return assigned
-
-    async def _send_to(
-        self, exchange: Exchange, assignment: Assignment, call: TargetCall
-    ) -> Result[object, StepError]:
-        start, wall = self.clock.monotonic(), self.clock.now().timestamp()
-        left = max(0.001, exchange.deadline - start)
-        result = await assignment.link.ask(Send(call, left, min(left, PROGRESS_S)))
-        latency = self.clock.monotonic() - start
-        ok = isinstance(result, Success)
-        self.targets.tell(Completed(assignment.target, latency, ok))
-        status = "ok" if ok else str(result.failure().code)
-        span = Span(
-            exchange.trace.trace_id,
-            new_id(self.rng, 64),
-            exchange.trace.span_id,
-            call.attempt.stage,
-            self.vm,
-            assignment.target.name,
-            wall,
-            latency,
-            status,
-        )
-        self.traces.tell(Record((span,)))
-        return result
-
-    def _left_ms(self, exchange: Exchange) -> int:
-        return max(1, int((exchange.deadline - self.clock.monotonic()) * 1000))
-
-
-class _Collector:
-    """Accepts the chunks of one generation and passes them on to a streaming caller."""
-
-    def __init__(self, attempt: Attempt, exchange: Exchange):
-        self.attempt = attempt
-        self.exchange = exchange
-        self.stream = Stream()
-
-    async def accept(self, chunk: Chunk) -> None:
-        """Append a chunk that belongs to the open attempt and starts at the next offset."""
-        if chunk.attempt != self.attempt or chunk.offset != len(self.stream.tokens):
-            return
-        self.stream = Stream(self.stream.tokens + chunk.tokens)
-        if self.exchange.emit is not None:
-            await self.exchange.emit(chunk.offset, chunk.tokens)
-
-    def close(self, end) -> Result[_Output, StepError]:
-        """Return the output if the stream is whole."""
-        if end.attempt != self.attempt or not is_whole(self.stream, end.length, end.digest):
-            return Failure(_mismatch(self.attempt))
-        return Success(_Output(" ".join(self.stream.tokens), self.stream.tokens))
-
-
-def _check_stage(reply, attempt: Attempt) -> Result[_Output, StepError]:
-    if reply.attempt != attempt or digest_text(reply.output) != reply.digest:
-        return Failure(_mismatch(attempt))
-    return Success(_Output(reply.output))
-
-
-def _mismatch(attempt: Attempt) -> StepError:
-    text = "reply does not match the attempt or its digest"
-    return StepError(attempt.stage, "", Outcome.RAN, ErrorCode.TARGET_FAILED, text)
+        self, exchange: Exchange, call: ServiceCall, assignment: Any, number: int
+    ) -> Outcomes:
+        attempt = Attempt(exchange.request_id, call.service, number)
+        key = ""
+        if exchange.assigned is not None:
+            key = scoped_key(exchange.holding.customer, exchange.idempotency_key)
+        sent = OperationCall(attempt, call.operation, key, call.args, exchange.deadline)
+        result = await self.sender.send(exchange, assignment, sent)
+        return result.bind(lambda reply: _own_answer(exchange, assignment, reply))
+
+
+def _own_answer(exchange: Exchange, assignment: Any, reply: Any) -> Outcomes:
+    """Accept only a reply that names this request, or the first answer of a service's own key."""
+    if reply.request_id != exchange.request_id:
+        if (
+            exchange.assigned is not None
+            and exchange.cfg.services[exchange.call.service].keeps_keys
+        ):
+            return Success(Answer(exchange.request_id, reply.result, replayed=True))
+        stage, peer = exchange.call.service, assignment.target.name
+        text = "reply names another request"
+        return Failure(StepError(stage, peer, Outcome.UNKNOWN, ErrorCode.TARGET_FAILED, text))
+    return Success(Answer(exchange.request_id, reply.result))
--- /dev/null
+++ b/greengagehoist/filters/_sender.py
@@ -0,0 +1,99 @@
+"""Sends calls to assigned targets and records each attempt."""
+
+import asyncio
+import random
+from typing import Any
+
+from returns.result import Result, Success
+
+from greengagehoist.base import Exchange, StepError
+from greengagehoist.controllers import Assignment, Completed, Record
+from greengagehoist.targets import Cancel, GenerateCall, OperationCall, PoolCall, Send, TargetCall
+from greengagehoist.tracing import Span
+from greengagehoist.utils import Clock, Controller, new_id
+
+# Upper bound of the progress timeout; links shorten it to what they observe.
+PROGRESS_S = 2.0
+SHORTEST_TIMEOUT_S = 0.001
+
+
+class Sender:
+    """Sends one call, measures it and keeps a span for it.
+
+    :param vm: name of this daemon's VM, for spans.
+    """
+
+    def __init__(
+        self,
+        targets: Controller,
+        traces: Controller,
+        clock: Clock,
+        rng: random.Random,
+        vm: str,
+    ):
+        self.targets = targets
+        self.traces = traces
+        self.clock = clock
+        self.rng = rng
+        self.vm = vm
+
+    async def send(
+        self, exchange: Exchange, assignment: Assignment, call: TargetCall
+    ) -> Result[Any, StepError]:
+        """Send ``call`` and return the target's reply."""
+        start, wall = self.clock.monotonic(), self.clock.now().timestamp()
+        left = max(SHORTEST_TIMEOUT_S, exchange.deadline - start)
+        status = "cancelled"
+        try:
+            result = await assignment.link.ask(Send(call, left, min(left, PROGRESS_S)))
+            status = "ok" if isinstance(result, Success) else str(result.failure().code)
+        except asyncio.CancelledError:
+            _cancel(assignment, call)
+            raise
+        finally:
+            latency = self.clock.monotonic() - start
+            ok = status in ("ok", "cancelled")
+            self.targets.tell(Completed(assignment.target, latency, ok))
+            self._record(exchange, assignment, call, wall, latency, status)
+        if status != "ok":
+            _cancel(assignment, call)
+        return result
+
+    def left(self, exchange: Exchange) -> float:
+        """Return the seconds until the deadline."""
+        return exchange.deadline - self.clock.monotonic()
+
+    def left_ms(self, exchange: Exchange) -> int:
+        """Return the whole milliseconds until the deadline, at least 1."""
+        return max(1, int(self.left(exchange) * 1000))
+
+    def _record(
+        self,
+        exchange: Exchange,
+        assignment: Assignment,
+        call: TargetCall,
+        wall: float,
+        latency: float,
+        status: str,
+    ) -> None:
+        span = Span(
+            exchange.trace.trace_id,
+            new_id(self.rng, 64),
+            exchange.trace.span_id,
+            call.attempt.stage,
+            self.vm,
+            assignment.target.name,
+            wall,
+            latency,
+            status,
+        )
+        self.traces.tell(Record((span,)))
+
+
+def _cancel(assignment: Assignment, call: TargetCall) -> None:
+    """Free the target from work that nobody waits for; operations are never cancelled."""
+    match call:
+        case GenerateCall() | PoolCall():
+            assignment.link.tell(Cancel(call.attempt))
+        case OperationCall():
+            pass
--- a/greengagehoist/targets/__init__.py
+++ b/greengagehoist/targets/__init__.py
@@ -14,10 +14,11 @@
     Target,
     TargetCall,
 )
-from greengagehoist.targets._link import ReadLoad, TargetLink
+from greengagehoist.targets._link import Cancel, ReadLoad, ReadRecord, TargetLink
 
 __all__ = [
     "Attempt",
+    "Cancel",
     "Chunk",
     "GenerateCall",
     "LoadWire",
@@ -25,6 +26,7 @@
     "OperationReply",
     "PoolCall",
     "ReadLoad",
+    "ReadRecord",
     "Send",
     "StageReply",
     "StreamEnd",
--- a/greengagehoist/targets/_calls.py
+++ b/greengagehoist/targets/_calls.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple, Required, TypedDict
 
 
 class Attempt(NamedTuple):
@@ -60,12 +60,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OperationCall:
-    """Call an operation of a plain service."""
+    """Call an operation of a plain service.
+
+    :param key: idempotency key for the service, empty if none.
+    :param until: instant on the monotonic clock from which on nothing may be sent.
+    """
 
     attempt: Attempt
     operation: str
     key: str
     args: dict[str, Any]
+    until: float
 
 
 TargetCall = PoolCall | GenerateCall | OperationCall
@@ -140,6 +145,19 @@
     result: Any
 
 
+class RecordWire(TypedDict, total=False):
+    """JSON body of a service's record of a key."""
+
+    ran: Required[bool]
+    answer: OperationWire | None
+
+
+class RefusalWire(TypedDict):
+    """JSON body of a target's refusal."""
+
+    error: str
+
+
 class ChunkWire(TypedDict, total=False):
     """One NDJSON line of an engine's stream; a line with ``end`` closes it."""
 
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -1,7 +1,8 @@
 """Task that owns the connections to one target."""
 
 import asyncio
-from typing import Any
+from typing import Any, NamedTuple
+from urllib.parse import quote
 
 import aiosonic
 import msgspec
@@ -13,96 +14,153 @@
 from greengagehoist.targets._calls import (
     Attempt,
     Chunk,
-    ChunkWire,
     GenerateCall,
     LoadWire,
     OperationCall,
-    OperationReply,
-    OperationWire,
     PoolCall,
     Send,
-    StageReply,
-    StageWire,
     StreamEnd,
     Target,
-    TargetCall,
 )
-from greengagehoist.utils import Controller, Reply
+from greengagehoist.targets._connector import NotSentError, OneCallConnector, open_pool
+from greengagehoist.targets._wire import (
+    body_of,
+    decode_line,
+    decode_operation,
+    decode_record,
+    decode_stage,
+    is_refusal,
+    path_of,
+)
+from greengagehoist.utils import Clock, Controller, Reply, log_event
 
 CONNECT_TIMEOUT_S = 0.5
 LOAD_TIMEOUT_S = 1.0
-LEAVING_STATUS = 503
+CANCEL_TIMEOUT_S = 1.0
+REFUSED_STATUS = 503
+NO_RECORD_STATUS = 404
+LONGEST_LINE_BYTES = 1024 * 1024
 
 # Raised before any byte of the request could be sent.
-_NOT_SENT = (ConnectTimeout, ConnectionRefusedError, ConnectionPoolAcquireTimeout)
-_BROKEN = (AiosonicError, OSError, EOFError, ValueError, msgspec.MsgspecError)
+_NOT_SENT = (NotSentError, ConnectTimeout, ConnectionRefusedError, ConnectionPoolAcquireTimeout)
+_BROKEN = (AiosonicError, OSError, EOFError, ValueError, LookupError, msgspec.MsgspecError)
 
 
 class ReadLoad:
     """Ask a target link for the target's load report."""
 
 
+class ReadRecord(NamedTuple):
+    """Ask for the target's own record of a key.
+
+    Replied by ``Result[OperationReply | None, StepError]``, None if the operation has not run
+    yet. A failure with code ``not_found`` means that the target keeps no record.
+
+    :param timeout: seconds for the call.
+    """
+
+    key: str
+    timeout: float
+
+
+class Cancel(NamedTuple):
+    """Tell that nobody waits for an attempt any more; never used for operations."""
+
+    attempt: Attempt
+
+
 class TargetLink(Controller):
     """Sends calls to one target over its own connections."""
 
-    def __init__(self, target: Target):
+    def __init__(self, target: Target, clock: Clock):
         super().__init__(f"target:{target.name}")
         self.target = target
+        self.clock = clock
         self._client: aiosonic.HTTPClient | None = None
+        self._calls: dict[Attempt, asyncio.Task] = {}
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Start the call of ``message``."""
         match message:
+            case Send(OperationCall() as call):
+                self.start(self._operate(call, message, reply))
             case Send():
-                self.start(self._send(message, reply))
+                attempt = message.call.attempt
+                task = self.start(self._send(message, reply))
+                self._calls[attempt] = task
+                task.add_done_callback(lambda _: self._calls.pop(attempt, None))
+            case ReadRecord():
+                self.start(self._read_record(message, reply))
+            case Cancel(attempt):
+                self._cancel(attempt)
             case ReadLoad():
                 self.start(self._read_load(reply))
 
     async def _send(self, message: Send, reply: Reply) -> None:
+        client = self._pool()
         try:
             async with asyncio.timeout(message.timeout):
-                reply(await self._dispatch(message))
+                reply(await self._exchange(client, message))
+                return
         except _NOT_SENT as exc:
-            reply(self._failure(message.call, exc, Outcome.NOT_RUN))
+            reply(self._failure(message.call.attempt.stage, exc, Outcome.NOT_RUN))
         except (TimeoutError, *_BROKEN) as exc:
-            reply(self._failure(message.call, exc, Outcome.UNKNOWN))
-
-    async def _dispatch(self, message: Send) -> Result[Any, StepError]:
-        match message.call:
-            case PoolCall() as call:
-                response = await self._post("/run", _pool_body(call), message)
-            case GenerateCall() as call:
-                body = _generate_body(call)
-                response = await self._post("/generate", body, message, stream=True)
-            case OperationCall() as call:
-                path = f"/operations/{call.operation}"
-                response = await self._post(path, _operation_body(call), message)
-        if response.status_code == LEAVING_STATUS:
-            return Failure(self._refusal(message.call))
-        if response.status_code != 200:
-            raise ValueError(f"status {response.status_code}")
-        match message.call:
-            case PoolCall():
-                return Success(_stage_reply(await response.content()))
-            case GenerateCall() as call:
-                return Success(await self._read_stream(call, response, message.progress))
-            case OperationCall():
-                wire = msgspec.json.decode(await response.content(), type=OperationWire)
-                return Success(OperationReply(wire["request_id"], wire["result"]))
-
-    async def _post(self, path: str, body: dict, message: Send, *, stream: bool = False) -> Any:
+            reply(self._failure(message.call.attempt.stage, exc, Outcome.UNKNOWN))
+        except asyncio.CancelledError:
+            await self._drop(client)
+            raise
+        await self._drop(client)
+
+    async def _exchange(self, client: aiosonic.HTTPClient, message: Send) -> Result:
+        call = message.call
+        stream = isinstance(call, GenerateCall)
+        response = await self._post(client, message, stream=stream)
+        try:
+            if response.status_code == REFUSED_STATUS and is_refusal(await response.content()):
+                return Failure(self._refusal(call.attempt.stage))
+            if response.status_code != 200:
+                raise ValueError(f"status {response.status_code}")
+            match call:
+                case GenerateCall():
+                    return Success(await self._read_stream(call, response, message.progress))
+                case PoolCall():
+                    return Success(decode_stage(await response.content()))
+                case OperationCall():
+                    return Success(decode_operation(await response.content()))
+        finally:
+            if stream:
+                await response.aclose()
+
+    async def _post(self, client: aiosonic.HTTPClient, message: Send, *, stream: bool) -> Any:
         timeouts = Timeouts(
             sock_connect=min(CONNECT_TIMEOUT_S, message.timeout),
             sock_read=message.progress,
             request_timeout=None if stream else message.timeout,
         )
-        url = f"http://{self.target.address}{path}"
-        return await self._http().request(url, "POST", json=body, timeouts=timeouts, stream=stream)
+        url = f"http://{self.target.address}{path_of(message.call)}"
+        body = body_of(message.call)
+        return await client.request(url, "POST", json=body, timeouts=timeouts, stream=stream)
 
-    def _http(self) -> aiosonic.HTTPClient:
-        if self._client is None:
-            self._client = aiosonic.HTTPClient()
-        return self._client
+    async def _operate(self, call: OperationCall, message: Send, reply: Reply) -> None:
+        """Send an operation over a connection of its own.
+
+        A pooled connection that the target has closed would make a failure ambiguous.
+        """
+
+        def check() -> None:
+            if self.clock.monotonic() >= call.until:
+                raise NotSentError("deadline passed before the request was sent")
+
+        connector = OneCallConnector(check)
+        client = aiosonic.HTTPClient(connector)
+        try:
+            async with asyncio.timeout(message.timeout):
+                reply(await self._exchange(client, message))
+        except (NotSentError, TimeoutError, *_BROKEN) as exc:
+            outcome = Outcome.UNKNOWN if connector.sent else Outcome.NOT_RUN
+            reply(self._failure(call.attempt.stage, exc, outcome))
+        finally:
+            await client.aclose()
 
     async def _read_stream(self, call: GenerateCall, response: Any, progress: float) -> StreamEnd:
         buffer = b""
@@ -112,78 +170,89 @@
                 data = await anext(chunks, None)
             if data is None:
                 raise EOFError("stream closed before its end")
-            buffer += data
-            *lines, buffer = buffer.split(b"\n")
+            *lines, buffer = (buffer + data).split(b"\n")
+            if len(buffer) > LONGEST_LINE_BYTES:
+                raise ValueError(f"stream line longer than {LONGEST_LINE_BYTES} bytes")
             for line in lines:
-                end = await _accept_line(call, line)
-                if end is not None:
-                    return end
+                match decode_line(line):
+                    case Chunk() as chunk:
+                        await call.sink(chunk)
+                    case StreamEnd() as end:
+                        return end
 
-    async def _read_load(self, reply: Reply) -> None:
-        timeouts = Timeouts(CONNECT_TIMEOUT_S, LOAD_TIMEOUT_S, LOAD_TIMEOUT_S, LOAD_TIMEOUT_S)
+    async def _read_record(self, message: ReadRecord, reply: Reply) -> None:
+        client = aiosonic.HTTPClient()
+        url = f"http://{self.target.address}/operations/by-key/{quote(message.key, safe='')}"
         try:
-            url = f"http://{self.target.address}/load"
-            response = await self._http().request(url, "GET", timeouts=timeouts)
-            reply(Success(msgspec.json.decode(await response.content(), type=LoadWire)))
+            response = await client.request(url, "GET", timeouts=_timeouts(message.timeout))
+            if response.status_code == NO_RECORD_STATUS:
+                text = "target keeps no record of keys"
+                error = StepError("record", self.name, Outcome.UNKNOWN, ErrorCode.NOT_FOUND, text)
+                reply(Failure(error))
+                return
+            if response.status_code != 200:
+                raise ValueError(f"status {response.status_code}")
+            reply(Success(decode_record(await response.content())))
         except (TimeoutError, *_BROKEN) as exc:
-            text = f"{type(exc).__name__} {exc}".rstrip()
-            reply(
-                Failure(
-                    StepError("load", self.target.name, Outcome.NOT_RUN, ErrorCode.CONNECTION, text)
-                )
-            )
-
-    def _failure(
-        self, call: TargetCall, exc: Exception, outcome: Outcome
-    ) -> Result[Any, StepError]:
-        text = f"{type(exc).__name__} {exc}".rstrip()
-        code = ErrorCode.CONNECTION if outcome is Outcome.NOT_RUN else ErrorCode.TARGET_FAILED
-        return Failure(StepError(call.attempt.stage, self.target.name, outcome, code, text))
-
-    def _refusal(self, call: TargetCall) -> StepError:
-        return StepError(
-            call.attempt.stage,
-            self.target.name,
-            Outcome.NOT_RUN,
-            ErrorCode.UNAVAILABLE,
-            "target refused new work",
-        )
+            reply(self._failure("record", exc, Outcome.UNKNOWN))
+        finally:
+            await client.aclose()
 
+    def _cancel(self, attempt: Attempt) -> None:
+        task = self._calls.get(attempt)
+        if task is not None:
+            task.cancel()
+        self.start(self._post_cancel(attempt))
 
-async def _accept_line(call: GenerateCall, line: bytes) -> StreamEnd | None:
-    wire = msgspec.json.decode(line, type=ChunkWire)
-    attempt = Attempt(wire["request_id"], wire["stage"], wire["attempt"])
-    if wire.get("end"):
-        return StreamEnd(attempt, wire["length"], wire["digest"])
-    await call.sink(Chunk(attempt, wire["offset"], tuple(wire["tokens"])))
-    return None
+    async def _post_cancel(self, attempt: Attempt) -> None:
+        client = aiosonic.HTTPClient()
+        url = f"http://{self.target.address}/cancel"
+        timeouts = _timeouts(CANCEL_TIMEOUT_S)
+        try:
+            await client.request(url, "POST", json=attempt._asdict(), timeouts=timeouts)
+        except (TimeoutError, *_BROKEN) as exc:
+            log_event("cancel_failed", peer=self.target.name, error=type(exc).__name__)
+        finally:
+            await client.aclose()
 
+    async def _read_load(self, reply: Reply) -> None:
+        client = self._pool()
+        url = f"http://{self.target.address}/load"
+        try:
+            response = await client.request(url, "GET", timeouts=_timeouts(LOAD_TIMEOUT_S))
+            reply(Success(msgspec.json.decode(await response.content(), type=LoadWire)))
+        except (TimeoutError, *_BROKEN) as exc:
+            reply(self._failure("load", exc, Outcome.NOT_RUN))
+            await self._drop(client)
+        except asyncio.CancelledError:
+            await self._drop(client)
+            raise
 
-def _pool_body(call: PoolCall) -> dict[str, Any]:
-    return {**call.attempt._asdict(), "input": call.text, "deadline_ms": call.deadline_ms}
+    def _pool(self) -> aiosonic.HTTPClient:
+        if self._client is None:
+            self._client = open_pool()
+        return self._client
 
+    async def _drop(self, client: aiosonic.HTTPClient) -> None:
+        """Stop using the connections of ``client`` for new calls.
 
-def _generate_body(call: GenerateCall) -> dict[str, Any]:
-    return {
-        **call.attempt._asdict(),
-        "input": call.text,
-        "max_tokens": call.max_tokens,
-        "offset": call.offset,
-        "priority": call.priority,
-        "deadline_ms": call.deadline_ms,
-    }
+        After a timeout, aiosonic returns a connection to the pool with its answer still due, so
+        that a later request could read the answer of an earlier one.
+        """
+        if self._client is client:
+            self._client = None
+        await client.aclose()
 
+    def _failure(self, step: str, exc: Exception, outcome: Outcome) -> Result[Any, StepError]:
+        text = f"{type(exc).__name__} {exc}".rstrip()
+        code = ErrorCode.CONNECTION if outcome is Outcome.NOT_RUN else ErrorCode.TARGET_FAILED
+        return Failure(StepError(step, self.target.name, outcome, code, text))
 
-def _operation_body(call: OperationCall) -> dict[str, Any]:
-    return {
-        "request_id": call.attempt.request_id,
-        "attempt": call.attempt.attempt,
-        "key": call.key,
-        "args": call.args,
-    }
+    def _refusal(self, step: str) -> StepError:
+        text = "target refused new work"
+        peer = self.target.name
+        return StepError(step, peer, Outcome.NOT_RUN, ErrorCode.UNAVAILABLE, text)
 
 
-def _stage_reply(content: bytes) -> StageReply:
-    wire = msgspec.json.decode(content, type=StageWire)
-    attempt = Attempt(wire["request_id"], wire["stage"], wire["attempt"])
-    return StageReply(attempt, wire["output"], wire["digest"])
+def _timeouts(seconds: float) -> Timeouts:
+    return Timeouts(min(CONNECT_TIMEOUT_S, seconds), seconds, seconds, seconds)
--- /dev/null
+++ b/greengagehoist/targets/_wire.py
@@ -0,0 +1,113 @@
+"""JSON bodies of calls to targets and their decoding."""
+
+from typing import Any
+
+import msgspec
+
+from greengagehoist.targets._calls import (
+    Attempt,
+    Chunk,
+    ChunkWire,
+    GenerateCall,
+    OperationCall,
+    OperationReply,
+    OperationWire,
+    PoolCall,
+    RecordWire,
+    RefusalWire,
+    StageReply,
+    StageWire,
+    StreamEnd,
+    TargetCall,
+)
+
+REFUSALS = ("leaving", "overloaded", "down")
+
+
+def path_of(call: TargetCall) -> str:
+    """Return the path that a call is posted to."""
+    match call:
+        case PoolCall():
+            return "/run"
+        case GenerateCall():
+            return "/generate"
+        case OperationCall():
+            return f"/operations/{call.operation}"
+
+
+def body_of(call: TargetCall) -> dict[str, Any]:
+    """Return the JSON body of a call."""
+    match call:
+        case PoolCall():
+            return {**call.attempt._asdict(), "input": call.text, "deadline_ms": call.deadline_ms}
+        case GenerateCall():
+            return {
+                **call.attempt._asdict(),
+                "input": call.text,
+                "max_tokens": call.max_tokens,
+                "offset": call.offset,
+                "priority": call.priority,
+                "deadline_ms": call.deadline_ms,
+            }
+        case OperationCall():
+            return {
+                "request_id": call.attempt.request_id,
+                "attempt": call.attempt.attempt,
+                "key": call.key,
+                "args": call.args,
+            }
+
+
+def decode_stage(content: bytes) -> StageReply:
+    """Decode a pool's reply.
+
+    :raises msgspec.MsgspecError: if it is malformed.
+    """
+    wire = msgspec.json.decode(content, type=StageWire)
+    attempt = Attempt(wire["request_id"], wire["stage"], wire["attempt"])
+    return StageReply(attempt, wire["output"], wire["digest"])
+
+
+def decode_operation(content: bytes) -> OperationReply:
+    """Decode a service's reply.
+
+    :raises msgspec.MsgspecError: if it is malformed.
+    """
+    wire = msgspec.json.decode(content, type=OperationWire)
+    return OperationReply(wire["request_id"], wire["result"])
+
+
+def decode_record(content: bytes) -> OperationReply | None:
+    """Decode a service's record of a key; None if the operation has not run.
+
+    :raises msgspec.MsgspecError: if it is malformed.
+    """
+    wire = msgspec.json.decode(content, type=RecordWire)
+    answer = wire.get("answer")
+    if not wire["ran"] or answer is None:
+        return None
+    return OperationReply(answer["request_id"], answer["result"])
+
+
+def decode_line(line: bytes) -> Chunk | StreamEnd:
+    """Decode one line of an engine's stream.
+
+    :raises msgspec.MsgspecError: if it is malformed.
+    :raises KeyError: if a field is missing.
+    """
+    wire = msgspec.json.decode(line, type=ChunkWire)
+    attempt = Attempt(wire["request_id"], wire["stage"], wire["attempt"])
+    if wire.get("end"):
+        return StreamEnd(attempt, wire["length"], wire["digest"])
+    return Chunk(attempt, wire["offset"], tuple(wire["tokens"]))
+
+
+def is_refusal(content: bytes) -> bool:
+    """Return True if the body of a 503 states that the target did not take the work.
+
+    A 503 without such a body may come from a part that failed after the work had run.
+    """
+    try:
+        return msgspec.json.decode(content, type=RefusalWire)["error"] in REFUSALS
+    except msgspec.MsgspecError:
+        return False
