--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -1,5 +1,12 @@
 """Tasks that own state and talk by messages."""
 
+from greengagehoist.controllers._claims import (
+    ClaimController,
+    CloseClaim,
+    GetPendingClaims,
+    OpenClaim,
+    ReadClaim,
+)
 from greengagehoist.controllers._config import (
     ConfigController,
     ConfigStatus,
@@ -32,6 +39,7 @@
 from greengagehoist.controllers._targets import (
     Assignment,
     Completed,
+    FindTarget,
     GetLinks,
     Reported,
     Route,
@@ -41,7 +49,9 @@
 
 __all__ = [
     "Assignment",
+    "ClaimController",
     "ClockChecked",
+    "CloseClaim",
     "CollectTrace",
     "Completed",
     "ConfigController",
@@ -50,10 +60,12 @@
     "Drain",
     "DrainController",
     "Enter",
+    "FindTarget",
     "GetConfig",
     "GetConfigStatus",
     "GetHistory",
     "GetLinks",
+    "GetPendingClaims",
     "GetReadiness",
     "GetRoster",
     "GetState",
@@ -61,7 +73,9 @@
     "HistoryLine",
     "Leave",
     "OnDrain",
+    "OpenClaim",
     "Propose",
+    "ReadClaim",
     "Readiness",
     "Record",
     "Rejection",
--- a/greengagehoist/controllers/_targets.py
+++ b/greengagehoist/controllers/_targets.py
@@ -52,6 +52,12 @@
     link: TargetLink
 
 
+class FindTarget(NamedTuple):
+    """Ask for a listed target by name; replied by ``Assignment | None``, without reserving it."""
+
+    name: str
+
+
 class Completed(NamedTuple):
     """Tell the end of a call.
 
@@ -124,6 +130,9 @@
         match message:
             case Route():
                 reply(self._route(message))
+            case FindTarget(name):
+                replica = self._replicas.get(name)
+                reply(Assignment(replica.target, replica.link) if replica else None)
             case Completed(target):
                 self._complete(target)
             case Tick():
@@ -156,7 +165,7 @@
         if not self._roster.is_routable(vm.vm, vm.incarnation):
             return
         target = Target(vm.vm, vm.address, vm.data_centre, vm.role, vm.incarnation)
-        link = TargetLink(target, self)
+        link = TargetLink(target, self.clock, self)
         self._replicas[vm.vm] = _Replica(target, link, self.start(link.run()))
         log_event("target_added", target=vm.vm, role=vm.role, address=vm.address)
 
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -6,6 +6,7 @@
 
 from greengagehoist.base import Proceed, compose
 from greengagehoist.controllers import (
+    ClaimController,
     ConfigController,
     DrainController,
     GetReadiness,
@@ -16,7 +17,15 @@
     WaitStopped,
 )
 from greengagehoist.daemon._settings import Settings
-from greengagehoist.filters import DeadlineFilter, DispatchFilter, IdentifyFilter, PlanFilter
+from greengagehoist.filters import (
+    AttemptLimit,
+    ClaimFilter,
+    DeadlineFilter,
+    DispatchFilter,
+    IdentifyFilter,
+    PlanFilter,
+    Sender,
+)
 from greengagehoist.membership import Member
 from greengagehoist.peers import PeerController
 from greengagehoist.platform_client import PlatformController
@@ -41,6 +50,9 @@
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
         followers = (self.targets, self.drains)
         self.roster = RosterController(self.platform, self.peers, followers, clock)
+        self.claims = ClaimController(self.platform, clock, rng)
+        self.retries = AttemptLimit()
+        self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
         )
@@ -49,12 +61,14 @@
 
     def build_chain(self) -> Proceed:
         """Return the entry of the filter chain."""
+        sender = Sender(self.targets, self.traces, self.clock, self.rng, self.settings.vm)
         return compose(
             [
                 IdentifyFilter(self.configs),
                 PlanFilter(),
                 DeadlineFilter(self.clock),
-                DispatchFilter(self.targets, self.traces, self.clock, self.rng, self.settings.vm),
+                self.claim_filter,
+                DispatchFilter(sender, self.retries, self.metrics),
             ]
         )
 
@@ -67,6 +81,7 @@
             self.targets,
             self.drains,
             self.roster,
+            self.claims,
         ]
 
     async def start(self) -> None:
@@ -120,6 +135,7 @@
         await self.wait_stopped()
         for listener in self.listeners:
             await listener.stop()
+        await self.claim_filter.finish()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
