Add the decisions of routing, deadlines, admission, retries and scaling

Requests were sent to the target with the least in flight, without limits, retries or scaling. The decision packages are pure: the caller passes in the time and the source of randomness.

--- a/greengagehoist/admission/__init__.py
+++ b/greengagehoist/admission/__init__.py
@@ -1,3 +1,16 @@
-"""Admission and fairness."""
+"""Admission of requests: adaptive limits, fair queueing and load shedding."""
 
-__all__: list[str] = []
+from greengagehoist.admission._gate import Admitted, Entry, Gate, Queued, Refused, Verdict
+from greengagehoist.admission._limit import AdaptiveLimit
+from greengagehoist.admission._queue import FairQueue
+
+__all__ = [
+    "AdaptiveLimit",
+    "Admitted",
+    "Entry",
+    "FairQueue",
+    "Gate",
+    "Queued",
+    "Refused",
+    "Verdict",
+]
--- a/greengagehoist/deadlines/__init__.py
+++ b/greengagehoist/deadlines/__init__.py
@@ -1,3 +1,13 @@
-"""Division of a deadline over stages."""
+"""Division of the remaining deadline over the stages."""
 
-__all__: list[str] = []
+from greengagehoist.deadlines._division import Division, can_finish, divide
+from greengagehoist.deadlines._estimator import QuantileEstimator, StageEstimates, StageTimes
+
+__all__ = [
+    "Division",
+    "QuantileEstimator",
+    "StageEstimates",
+    "StageTimes",
+    "can_finish",
+    "divide",
+]
--- /dev/null
+++ b/greengagehoist/retries/_budget.py
@@ -0,0 +1,39 @@
+"""Limits on the number of retries."""
+
+from typing import NamedTuple
+
+PER_REQUEST = 3
+RATIO = 0.1
+LARGEST_RESERVE = 10.0
+
+
+class Budget(NamedTuple):
+    """Retries and hedges that one request may still make, over all its stages."""
+
+    left: int = PER_REQUEST
+
+    def spend(self) -> "Budget":
+        """Return the budget after one retry."""
+        return Budget(self.left - 1)
+
+
+class RetryRatio:
+    """Keeps the retries and hedges of a daemon at a ratio of its first attempts.
+
+    :param ratio: retries earned by each first attempt.
+    """
+
+    def __init__(self, ratio: float = RATIO):
+        self.ratio = ratio
+        self._reserve = 0.0
+
+    def observe_first(self) -> None:
+        """Take note of a first attempt."""
+        self._reserve = min(LARGEST_RESERVE, self._reserve + self.ratio)
+
+    def take(self) -> bool:
+        """Spend one retry; returns False if the ratio is used up."""
+        if self._reserve < 1.0:
+            return False
+        self._reserve -= 1.0
+        return True
--- a/greengagehoist/routing/__init__.py
+++ b/greengagehoist/routing/__init__.py
@@ -1,3 +1,34 @@
 """Choice of targets."""
 
-__all__: list[str] = []
+from greengagehoist.routing._cache import CacheEvents, CacheIndex
+from greengagehoist.routing._health import Ejected, Health, Healthy, Probing, SlowStart
+from greengagehoist.routing._policy import (
+    ExpectedTime,
+    LeastReported,
+    Policy,
+    PowerOfTwo,
+    RandomChoice,
+    RoundRobin,
+)
+from greengagehoist.routing._roster import Roster
+from greengagehoist.routing._types import Demand, LoadReport, Member
+
+__all__ = [
+    "CacheEvents",
+    "CacheIndex",
+    "Demand",
+    "Ejected",
+    "ExpectedTime",
+    "Health",
+    "Healthy",
+    "LeastReported",
+    "LoadReport",
+    "Member",
+    "Policy",
+    "PowerOfTwo",
+    "Probing",
+    "RandomChoice",
+    "Roster",
+    "RoundRobin",
+    "SlowStart",
+]
--- a/greengagehoist/scaling/__init__.py
+++ b/greengagehoist/scaling/__init__.py
@@ -1,3 +1,15 @@
-"""Growth and shrinkage of stages."""
+"""Scale-out and scale-in of each stage."""
 
-__all__: list[str] = []
+from greengagehoist.scaling._drain import Replica, choose_drain
+from greengagehoist.scaling._scaler import Grow, Hold, Scaling, Shrink, Signal, StageScaler
+
+__all__ = [
+    "Grow",
+    "Hold",
+    "Replica",
+    "Scaling",
+    "Shrink",
+    "Signal",
+    "StageScaler",
+    "choose_drain",
+]
