--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -17,9 +17,13 @@
     Process,
     ProcessGroup,
 )
+from greengagehoist.standins._quota_simulation import Faults as SimulatedFaults
+from greengagehoist.standins._quota_simulation import Simulation
 from greengagehoist.standins._targets import build_pool, build_service
 
 __all__ = [
+    "SimulatedFaults",
+    "Simulation",
     "OPERATOR_CREDENTIAL",
     "PEER_CREDENTIAL",
     "Process",
--- /dev/null
+++ b/greengagehoist/standins/_quota_simulation.py
@@ -0,0 +1,317 @@
+"""In-memory table, network and daemons for the simulation of plan limits in stepped time."""
+
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from greengagehoist.config import Config
+from greengagehoist.quota import (
+    Coordinator,
+    Decide,
+    Drawn,
+    Instant,
+    Key,
+    LeaseBook,
+    Output,
+    Request,
+    Reservation,
+    Seen,
+    Send,
+    SlotWrite,
+    Wake,
+)
+
+TICK_S = 1.0
+READ_PERIOD_S = 5.0
+CALL_TIMEOUT_S = 1.0
+PATIENCE_S = 0.15
+WINDOW_SLACK_S = 2.0
+
+
+class Faults(NamedTuple):
+    """Faults of the network.
+
+    :param loss: probability that a message is lost.
+    :param duplication: probability that a message is delivered twice.
+    :param delay: longest delay in seconds; differing delays reorder messages.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay: float = 0.002
+
+
+class Node:
+    """One simulated daemon.
+
+    :param skew: error of its wall clock in seconds.
+    """
+
+    def __init__(self, vm: str, data_centre: str, skew: float, cfg: Config):
+        self.vm = vm
+        self.data_centre = data_centre
+        self.skew = skew
+        self.incarnation = 0
+        self.paused_until = 0.0
+        self.restart(cfg, 0.0)
+
+    def restart(self, cfg: Config, now: float) -> None:
+        """Replace the process by a new one with empty memory."""
+        self.incarnation += 1
+        self.paused_until = 0.0
+        self.started = now
+        self.read_at = -READ_PERIOD_S
+        leases = LeaseBook(self.vm, self.data_centre, self.incarnation)
+        self.coordinator = Coordinator(leases, cfg)
+
+
+class Simulation:
+    """Daemons joined by a simulated table and network; each grant is set against the plan.
+
+    :param start: true time at the start, seconds since the Unix epoch.
+    :raises AssertionError: from any step in which the grants exceed the plan.
+    """
+
+    def __init__(
+        self, cfg: Config, members: Iterable[tuple[str, str, float]], start: float, seed: int
+    ):
+        self.now = start
+        self.rng = random.Random(seed)
+        self.faults = Faults()
+        self.cfgs: list[list] = [[cfg, start, None]]
+        self.rows: dict[int, Seen] = {}
+        self.table_up = True
+        self.cut_links: set[frozenset[str]] = set()
+        self.cut_from_table: set[str] = set()
+        self.granted: Counter[Key] = Counter()
+        self.active: dict[tuple[str, str], dict[str, float]] = defaultdict(dict)
+        self.open: dict[str, tuple[Node, int, Reservation]] = {}
+        self.decided: Counter[str] = Counter()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._deadlines: dict[str, float] = {}
+        self.nodes = [Node(vm, data_centre, skew, cfg) for vm, data_centre, skew in members]
+        for index, node in enumerate(self.nodes):
+            self._at(start + 0.1 * index, lambda node=node: self._tick(node))
+
+    def instant(self, node: Node) -> Instant:
+        """Return the clocks of a node."""
+        return Instant(self.now + node.skew, self.now)
+
+    def _at(self, when: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._sequence), action))
+
+    def advance(self, seconds: float) -> None:
+        """Run all events of the next ``seconds``."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            when, _, action = heapq.heappop(self._events)
+            self.now = max(self.now, when)
+            action()
+        self.now = until
+
+    def _on(self, node: Node, delay: float, action: Callable[[], None]) -> None:
+        """Run an action on a node's process; it waits while the node is paused."""
+        incarnation = node.incarnation
+
+        def run() -> None:
+            if node.incarnation != incarnation:
+                return
+            if self.now < node.paused_until:
+                self._at(node.paused_until, run)
+            else:
+                action()
+
+        self._at(self.now + delay, run)
+
+    def _delay(self) -> float:
+        return self.rng.uniform(0.0005, max(0.0005, self.faults.delay))
+
+    def _lost(self) -> bool:
+        return self.rng.random() < self.faults.loss
+
+    def linked(self, one: Node, other: Node) -> bool:
+        """Return whether two nodes can reach each other."""
+        return frozenset((one.data_centre, other.data_centre)) not in self.cut_links
+
+    def _table_reachable(self, node: Node) -> bool:
+        return self.table_up and node.data_centre not in self.cut_from_table
+
+    def _tick(self, node: Node) -> None:
+        self._at(self.now + TICK_S, lambda: self._tick(node))
+        self._on(node, 0.0, lambda: self._run_tick(node))
+
+    def _run_tick(self, node: Node) -> None:
+        now = self.instant(node)
+        peers = {
+            other.vm: other.data_centre
+            for other in self.nodes
+            if other is not node and self.linked(node, other) and self.now >= other.paused_until
+        }
+        node.coordinator.observe_peers(peers)
+        node.coordinator.tidy(now)
+        early = self.now - node.started < 2 * READ_PERIOD_S
+        if early or self.now - node.read_at >= READ_PERIOD_S:
+            node.read_at = self.now
+            self._read(node)
+        for write in node.coordinator.lease_writes(now):
+            self._write(node, write)
+
+    def _read(self, node: Node) -> None:
+        sent = self.instant(node)
+
+        def serve() -> None:
+            if not self._table_reachable(node) or self._lost():
+                return
+            rows, table_now = list(self.rows.values()), self.now
+            self._on(node, self._delay(), lambda: receive(rows, table_now))
+
+        def receive(rows: list[Seen], table_now: float) -> None:
+            leases = node.coordinator.leases
+            leases.observe_rows(rows, table_now, sent, self.instant(node))
+
+        self._at(self.now + self._delay(), serve)
+
+    def _write(self, node: Node, write: SlotWrite) -> None:
+        sent, incarnation, answered = self.instant(node), node.incarnation, []
+
+        def serve() -> None:
+            if not self._table_reachable(node) or self._lost():
+                return
+            known = self.rows.get(write.slot)
+            accepted = (known.version if known else 0) == write.expect
+            if accepted:
+                row = Seen(write.slot, write.expect + 1, write.row, self.now)
+                self.rows[write.slot] = row
+            table_now = self.now
+            if not self._lost() and node.incarnation == incarnation:
+                self._on(node, self._delay(), lambda: receive(accepted, table_now))
+
+        def receive(accepted: bool, table_now: float) -> None:
+            if answered:
+                return
+            answered.append(True)
+            leases, now = node.coordinator.leases, self.instant(node)
+            if accepted:
+                leases.observe_written(write, write.expect + 1, table_now, sent, now)
+            else:
+                leases.observe_failed(write, now)
+
+        def expire() -> None:
+            if not answered:
+                answered.append(True)
+                node.coordinator.leases.observe_failed(write, self.instant(node))
+
+        self._at(self.now + self._delay(), serve)
+        self._on(node, CALL_TIMEOUT_S, expire)
+
+    def _send(self, sender: Node, vm: str, message) -> None:
+        target = next(node for node in self.nodes if node.vm == vm)
+        copies = 2 if self.rng.random() < self.faults.duplication else 1
+        for _ in range(copies):
+            if self._lost() or not self.linked(sender, target):
+                continue
+
+            def deliver() -> None:
+                outputs = target.coordinator.receive(sender.vm, message, self.instant(target))
+                self.carry_out(target, outputs)
+
+            self._on(target, self._delay(), deliver)
+
+    def reserve(self, node: Node, request: Request) -> None:
+        """Send a request to a node."""
+        self._deadlines[request.id] = self.now + request.lasting
+        now = self.instant(node)
+        self.carry_out(node, node.coordinator.reserve(request, now, PATIENCE_S))
+
+    def settle(self, request_id: str, used: int) -> None:
+        """End an admitted request, unless its process was replaced."""
+        node, incarnation, reservation = self.open.pop(request_id)
+        if node.incarnation == incarnation and self.now >= node.paused_until:
+            for unit in reservation.units:
+                self.active[reservation.customer, unit.resource].pop(request_id, None)
+            now = self.instant(node)
+            self.carry_out(node, node.coordinator.settle(request_id, used, now))
+
+    def settle_some(self, keep: int) -> None:
+        """End all admitted requests but the oldest ``keep``."""
+        for request_id in list(self.open)[keep:]:
+            self.settle(request_id, 0)
+
+    def pause(self, node: Node, seconds: float, on_resume: Callable[[], None]) -> None:
+        """Pause a node's process; ``on_resume`` runs before anything that has waited."""
+        node.paused_until = max(node.paused_until, self.now + seconds)
+        self._at(node.paused_until, on_resume)
+
+    def carry_out(self, node: Node, outputs: Iterable[Output]) -> None:
+        """Carry out the outputs of a node's coordinator."""
+        for output in outputs:
+            match output:
+                case Send(vm, message):
+                    self._send(node, vm, message)
+                case Wake(request_id, number, delay):
+
+                    def wake(request_id=request_id, number=number) -> None:
+                        done = node.coordinator.wake(request_id, number, self.instant(node))
+                        self.carry_out(node, done)
+
+                    self._on(node, delay, wake)
+                case Drawn(draws):
+                    for draw in draws:
+                        self.granted[draw.key] += draw.amount
+                        self._check_amount(draw.key)
+                case Decide(request_id, Reservation() as reservation):
+                    self.decided["granted"] += 1
+                    self.open[request_id] = (node, node.incarnation, reservation)
+                    self._use_units(request_id, reservation)
+                case Decide():
+                    self.decided["refused"] += 1
+
+    def _use_units(self, request_id: str, reservation: Reservation) -> None:
+        for unit in reservation.units:
+            uses = self.active[reservation.customer, unit.resource]
+            for key in [key for key, until in uses.items() if until <= self.now]:
+                del uses[key]
+            if self._deadlines[request_id] > self.now:
+                uses[request_id] = self._deadlines[request_id]
+            limit = self._largest_units(reservation.customer, unit.resource)
+            assert len(uses) <= limit, f"{unit.resource}: {len(uses)} in use, plan {limit}"
+
+    def change_config(self, cfg: Config, delays: Iterable[float]) -> None:
+        """Put a configuration in force at each node after a delay."""
+        self.cfgs.append([cfg, self.now, None])
+        for node, delay in zip(self.nodes, delays, strict=False):
+            self._at(self.now + delay, lambda node=node: self._apply(node, cfg))
+
+    def _apply(self, node: Node, cfg: Config) -> None:
+        node.coordinator.apply_config(cfg)
+        oldest = min(item.coordinator.ledger.cfg.version for item in self.nodes)
+        for entry in self.cfgs:
+            if entry[0].version < oldest and entry[2] is None:
+                entry[2] = self.now
+
+    def _in_force(self, low: float, high: float) -> list[Config]:
+        return [c for c, start, end in self.cfgs if start <= high and (end is None or end >= low)]
+
+    def _check_amount(self, key: Key) -> None:
+        cfgs = self._in_force(key.window - 700.0, key.latest_end + WINDOW_SLACK_S)
+        limit = max(_limit(cfg, key) or 0 for cfg in cfgs)
+        assert self.granted[key] <= limit, f"{key}: granted {self.granted[key]}, plan {limit}"
+
+    def _largest_units(self, customer: str, resource: str) -> int:
+        found = []
+        for cfg in self._in_force(self.now - 60.0, self.now):
+            usage = cfg.usage[cfg.holdings[customer].plan]
+            if resource == "concurrency":
+                found.append(usage.limits.concurrency)
+            elif usage.quiet is not None:
+                found.append(usage.quiet.limits.concurrency)
+        return max(found, default=0)
+
+
+def _limit(cfg: Config, key: Key) -> int | None:
+    node = Coordinator(LeaseBook("", "", 0), cfg)
+    return node.ledger.limit_of(key)
