--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -1,6 +1,20 @@
 """Tasks that own state and talk by messages."""
 
-from greengagehoist.controllers._config import ConfigController, GetConfig, Propose
+from greengagehoist.controllers._claims import (
+    ClaimController,
+    CloseClaim,
+    GetPendingClaims,
+    OpenClaim,
+    ReadClaim,
+)
+from greengagehoist.controllers._config import (
+    ConfigController,
+    ConfigStatus,
+    GetConfig,
+    GetConfigStatus,
+    GetHistory,
+    HistoryLine,
+)
 from greengagehoist.controllers._drain import (
     DaemonState,
     Drain,
@@ -15,6 +29,7 @@
     WaitStopped,
 )
 from greengagehoist.controllers._orders import GetOrderStates, OrderController, Want
+from greengagehoist.controllers._proposals import Propose, Rejection
 from greengagehoist.controllers._roster import (
     ClockChecked,
     GetRoster,
@@ -25,6 +40,7 @@
 from greengagehoist.controllers._targets import (
     Assignment,
     Completed,
+    FindTarget,
     GetLink,
     Reported,
     Route,
@@ -34,27 +50,38 @@
 
 __all__ = [
     "Assignment",
+    "ClaimController",
     "ClockChecked",
+    "CloseClaim",
     "CollectTrace",
     "Completed",
     "ConfigController",
+    "ConfigStatus",
     "DaemonState",
     "Drain",
     "DrainController",
     "Enter",
+    "FindTarget",
     "GetConfig",
     "GetLink",
     "GetOrderStates",
+    "GetConfigStatus",
+    "GetHistory",
+    "GetPendingClaims",
     "GetReadiness",
     "GetRoster",
     "GetState",
     "GetTrace",
+    "HistoryLine",
     "Leave",
     "OnDrain",
     "OrderController",
+    "OpenClaim",
     "Propose",
+    "ReadClaim",
     "Readiness",
     "Record",
+    "Rejection",
     "Reported",
     "Roster",
     "RosterController",
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import random
+from typing import Any
 
 from greengagehoist.base import Proceed, compose
 from greengagehoist.controllers import (
+    ClaimController,
     ConfigController,
     DrainController,
+    GetReadiness,
     OrderController,
     RosterController,
     StartDrain,
@@ -15,11 +18,19 @@
     WaitStopped,
 )
 from greengagehoist.daemon._settings import Settings
-from greengagehoist.filters import DeadlineFilter, DispatchFilter, IdentifyFilter, PlanFilter
+from greengagehoist.filters import (
+    AttemptLimit,
+    ClaimFilter,
+    DeadlineFilter,
+    DispatchFilter,
+    IdentifyFilter,
+    PlanFilter,
+    Sender,
+)
 from greengagehoist.membership import Member
 from greengagehoist.peers import PeerController
 from greengagehoist.platform_client import PlatformController
-from greengagehoist.server import AdminApp, CallerApp, DrainGate, Listener, serve
+from greengagehoist.server import AdminApp, AdminParts, CallerApp, DrainGate, Listener, serve
 from greengagehoist.utils import Clock, Controller, check_address, connect_metrics, log_event
 
 
@@ -34,7 +45,7 @@
         self.platform = PlatformController(settings.platform)
         own = Member(settings.vm, settings.data_centre, settings.peers, self.incarnation)
         self.peers = PeerController(own, settings.seeds, settings.peer_credential, clock, rng)
-        self.configs = ConfigController(self.platform, clock)
+        self.configs = ConfigController(self.platform, clock, rng, self.peers)
         self.traces = TraceController(self.peers, settings.data_centre)
         self.targets = TargetController(self.platform, clock, rng, settings.data_centre, self.peers)
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
@@ -43,6 +54,9 @@
         self.orders = OrderController(
             self.platform, self.targets, clock, rng, settings.vm, self.incarnation
         )
+        self.claims = ClaimController(self.platform, clock, rng)
+        self.retries = AttemptLimit()
+        self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
         )
@@ -51,12 +65,14 @@
 
     def build_chain(self) -> Proceed:
         """Return the entry of the filter chain."""
+        sender = Sender(self.targets, self.traces, self.clock, self.rng, self.settings.vm)
         return compose(
             [
                 IdentifyFilter(self.configs),
                 PlanFilter(),
                 DeadlineFilter(self.clock),
-                DispatchFilter(self.targets, self.traces, self.clock, self.rng, self.settings.vm),
+                self.claim_filter,
+                DispatchFilter(sender, self.retries, self.metrics),
             ]
         )
 
@@ -69,6 +85,7 @@
             self.targets,
             self.drains,
             self.roster,
+            self.claims,
         ]
 
     async def start(self) -> None:
@@ -82,9 +99,8 @@
         callers = CallerApp(
             self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
         )
-        admin = AdminApp(
-            self.configs, self.traces, self.drains, self.rng, self.settings.operator_credential
-        )
+        credential = self.settings.operator_credential
+        admin = AdminApp(self.configs, self.traces, self.rng, credential, self._admin_parts())
         gate = DrainGate(callers.build(), self.drains)
         for app, field in ((gate, "callers"), (admin.build(), "operators")):
             host, port = check_address(f"--{field}", getattr(self.settings, field))
@@ -92,6 +108,27 @@
             self.listeners.append(listener)
             log_event("listening", interface=field, address=listener.address)
 
+    def _admin_parts(self) -> AdminParts:
+        return AdminParts(
+            vm=self.settings.vm,
+            data_centre=self.settings.data_centre,
+            drain=self._start_drain,
+            status={"daemon": self._daemon_status},
+            ready={"daemon": self._reasons_not_ready},
+        )
+
+    async def _start_drain(self) -> dict[str, Any]:
+        await self.drains.ask(StartDrain())
+        return {"draining": True}
+
+    async def _daemon_status(self) -> dict[str, Any]:
+        readiness = await self.drains.ask(GetReadiness())
+        return {"state": readiness.state, "in_flight": readiness.in_flight}
+
+    async def _reasons_not_ready(self) -> str:
+        readiness = await self.drains.ask(GetReadiness())
+        return ", ".join(readiness.reasons)
+
     async def wait_stopped(self) -> None:
         """Wait until a graceful stop, asked for by an operator, has handed everything over."""
         await self.drains.ask(WaitStopped())
@@ -102,6 +139,7 @@
         await self.wait_stopped()
         for listener in self.listeners:
             await listener.stop()
+        await self.claim_filter.finish()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
