--- a/greengagehoist/membership/_marks.py
+++ b/greengagehoist/membership/_marks.py
@@ -91,6 +91,8 @@
             return ()
         new = []
         for item in listed.values():
+            if self._is_unchanged(item):
+                continue
             self._observe(item, now)
             mark = Mark(item.target, item.incarnation)
             if item.leaving and self.apply_mark(mark, now):
@@ -130,6 +132,17 @@
         """Return what is known of a target, or None if it was never listed."""
         return self._standings.get(target)
 
+    def _is_unchanged(self, item: Listing) -> bool:
+        """Return whether a live target is listed as before; most targets of most lists are."""
+        standing = self._standings.get(item.target)
+        return (
+            standing is not None
+            and standing.state is TargetState.LIVE
+            and standing.incarnation == item.incarnation
+            and standing.missing == 0
+            and not item.leaving
+        )
+
     def _observe(self, item: Listing, now: float) -> None:
         standing = self._standings.get(item.target)
         if standing is None or item.incarnation > standing.incarnation:
