--- a/greengagehoist/controllers/_traces.py
+++ b/greengagehoist/controllers/_traces.py
@@ -40,16 +40,30 @@
     trace_id: str
 
 
+class _Begin(NamedTuple):
+    """Collect spans from peers; ``reply`` receives them after at most ``timeout`` seconds."""
+
+    trace_id: str
+    names: frozenset[str]
+    timeout: float
+    reply: Reply
+
+
 class _Collection:
     """Spans of one trace that arrive from peers.
 
     :param missing: peers that have not answered.
     """
 
-    def __init__(self, missing: set[str]):
+    def __init__(self, trace_id: str, missing: set[str], reply: Reply):
+        self.trace_id = trace_id
         self.missing = missing
+        self.reply = reply
         self.spans: list[Span] = []
-        self.complete = asyncio.Event()
+
+
+class _Expired(NamedTuple):
+    collection: _Collection
 
 
 class TraceController(Controller):
@@ -66,7 +80,7 @@
         self.peers = peers
         self.data_centre = data_centre
         self._traces: OrderedDict[str, list[Span]] = OrderedDict()
-        self._collections: dict[str, list[_Collection]] = {}
+        self._collections: list[_Collection] = []
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -88,6 +102,10 @@
                 self.start(self._answer(vm, data_centre, trace_id))
             case FromPeer(vm, _, _, TraceSpans(trace_id, spans)):
                 self._accept(vm, trace_id, spans)
+            case _Begin():
+                self._begin(message)
+            case _Expired(collection):
+                self._finish_collection(collection)
 
     def _keep(self, span: Span) -> None:
         kept = self._traces.setdefault(span.trace_id, [])
@@ -98,45 +116,48 @@
 
     async def _collect(self, trace_id: str, reply: Reply) -> None:
         peers = () if self.peers is None else await self.peers.ask(GetPeers())
-        names = {peer.vm for peer in peers}
-        reply(await self._gather(trace_id, names, COLLECT_TIMEOUT_S))
+        names = frozenset(peer.vm for peer in peers)
+        self.tell(_Begin(trace_id, names, COLLECT_TIMEOUT_S, reply))
 
     async def _answer(self, vm: str, data_centre: str, trace_id: str) -> None:
-        names = set()
+        def reply(spans: tuple[Span, ...]) -> None:
+            self.peers.tell(SendTo(vm, TraceSpans(trace_id, tuple(map(tuple, spans)))))
+
+        names = frozenset()
         if data_centre != self.data_centre:
             peers = await self.peers.ask(GetPeers())
-            names = {peer.vm for peer in peers if peer.data_centre == self.data_centre}
-        spans = await self._gather(trace_id, names, RELAY_TIMEOUT_S)
-        await self.peers.ask(SendTo(vm, TraceSpans(trace_id, tuple(map(tuple, spans)))))
-
-    async def _gather(self, trace_id: str, names: set[str], timeout: float) -> tuple[Span, ...]:
-        collection = _Collection(set(names))
-        waiting = self._collections.setdefault(trace_id, [])
-        waiting.append(collection)
-        try:
-            for vm in names:
-                if not await self.peers.ask(SendTo(vm, TraceWant(trace_id))):
-                    collection.missing.discard(vm)
-            if collection.missing:
-                async with asyncio.timeout(timeout):
-                    await collection.complete.wait()
-        except TimeoutError:
-            pass
-        finally:
-            waiting.remove(collection)
-            if not waiting:
-                self._collections.pop(trace_id, None)
-        own = self._traces.get(trace_id, ())
-        return tuple(dict.fromkeys((*own, *collection.spans)))
+            names = frozenset(p.vm for p in peers if p.data_centre == self.data_centre)
+        self.tell(_Begin(trace_id, names, RELAY_TIMEOUT_S, reply))
+
+    def _begin(self, message: _Begin) -> None:
+        collection = _Collection(message.trace_id, set(message.names), message.reply)
+        self._collections.append(collection)
+        for vm in message.names:
+            self.peers.tell(SendTo(vm, TraceWant(message.trace_id)))
+        if message.names:
+            self.start(self._expire(collection, message.timeout))
+        else:
+            self._finish_collection(collection)
+
+    async def _expire(self, collection: _Collection, timeout: float) -> None:
+        await asyncio.sleep(timeout)
+        self.tell(_Expired(collection))
 
     def _accept(self, vm: str, trace_id: str, spans: tuple[tuple, ...]) -> None:
-        for collection in self._collections.get(trace_id, ()):
-            if vm not in collection.missing:
+        for collection in list(self._collections):
+            if collection.trace_id != trace_id or vm not in collection.missing:
                 continue
             collection.missing.discard(vm)
             collection.spans.extend(Span(*fields) for fields in spans if is_span(fields))
             if not collection.missing:
-                collection.complete.set()
+                self._finish_collection(collection)
+
+    def _finish_collection(self, collection: _Collection) -> None:
+        if collection not in self._collections:
+            return
+        self._collections.remove(collection)
+        own = self._traces.get(collection.trace_id, ())
+        collection.reply(tuple(dict.fromkeys((*own, *collection.spans))))
 
 
 def is_span(fields: tuple) -> bool:
