Judge real processes under faults by an oracle

Cause: the guarantees have to hold for the assembled daemon under kills, pauses, platform and target faults and racing operators, together.

Change: add `make chaos` (benchmarks/chaos.py): seven daemons in four data centres, two customers, seeded traffic and faults, and an oracle over the targets' own records of runs, the expected outputs, the plan and the sampled versions.

A first run reported versions that went back; the cause was the harness, whose pooled HTTP connections delivered the late answer of an earlier call after a timeout. The harness now uses a fresh client for each call.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,6 @@
 
 lock:
 	$(BIN)/pip-compile --quiet --strip-extras --extra dev --no-emit-index-url --no-emit-find-links --no-header --output-file requirements.txt pyproject.toml
+
+chaos: $(SETUP)
+	$(BIN)/python -m benchmarks.chaos --seconds 300 --seed $${SEED:-1}
--- /dev/null
+++ b/benchmarks/_chaos_deployment.py
@@ -0,0 +1,162 @@
+"""Processes of the chaos run: four data centres, seven daemons, their targets."""
+
+import random
+import signal
+from typing import Any
+
+import aiosonic
+from aiosonic.exceptions import AiosonicError
+from aiosonic.timeout import Timeouts
+
+from greengagehoist.standins import OPERATOR_CREDENTIAL, STAGES, Process, ProcessGroup
+
+DATA_CENTRES = ("dc1", "dc2", "dc3", "dc4")
+DAEMONS = 7
+CALL_FAILURES = (AiosonicError, OSError, ValueError, EOFError, TimeoutError)
+CALL_TIMEOUTS = Timeouts(sock_connect=1, sock_read=3, request_timeout=3)
+
+
+def fresh_client() -> aiosonic.HTTPClient:
+    """Return a client of its own for one call.
+
+    After a timeout aiosonic keeps a connection whose answer is still due, and a later call could
+    read the answer of an earlier one.
+    """
+    return aiosonic.HTTPClient()
+
+
+class Deployment:
+    """Starts, replaces and disturbs the processes.
+
+    :param step_s: seconds between two tokens of an engine.
+    """
+
+    def __init__(self, group: ProcessGroup, rng: random.Random, step_s: float = 0.01):
+        self.group = group
+        self.rng = rng
+        self.step_s = step_s
+        self.platform = ""
+        self.vms: dict[str, dict[str, Any]] = {}
+        self.incarnations: dict[str, int] = {}
+
+    async def start(self) -> None:
+        """Start the platform, the targets of all data centres and the daemons."""
+        args = ("platform", "--vm-lag-s", "1.0")
+        self.platform = self.group.start_standin("platform", *args).addresses["listening"]
+        for data_centre in DATA_CENTRES:
+            for role, model in STAGES:
+                self.start_target(role, model, data_centre)
+            self.start_target("service:job-desk", "", data_centre)
+        await self.publish_vms()
+        for index in range(DAEMONS):
+            self.start_daemon(f"entry-{index}")
+        await self.publish_vms()
+
+    def start_target(self, role: str, model: str, data_centre: str) -> None:
+        """Start one replica as a new incarnation."""
+        name = f"{role.replace(':', '-')}-{data_centre}"
+        incarnation = self._next_incarnation(name)
+        if model:
+            args = ("engine", model, "--step-s", str(self.step_s))
+        elif role.startswith("service:"):
+            args = ("service", role.removeprefix("service:"))
+        else:
+            args = ("pool", role)
+        process = self.group.start_standin(name, *args, "--incarnation", str(incarnation))
+        self._list(name, process.addresses["listening"], data_centre, role, incarnation)
+
+    def start_daemon(self, name: str) -> Process:
+        """Start a daemon as a new incarnation on new addresses."""
+        data_centre = DATA_CENTRES[int(name.removeprefix("entry-")) % len(DATA_CENTRES)]
+        seeds = []
+        for other in list(self.daemons())[:2]:
+            seeds += ["--seed", self.group.processes[other].addresses["peers"]]
+        process = self.group.start_daemon(name, data_centre, self.platform, *seeds)
+        incarnation = self._next_incarnation(name)
+        self._list(name, process.addresses["peers"], data_centre, "entry", incarnation)
+        return process
+
+    def _next_incarnation(self, name: str) -> int:
+        self.incarnations[name] = self.incarnations.get(name, 0) + 1
+        return self.incarnations[name]
+
+    def _list(self, name: str, address: str, data_centre: str, role: str, number: int) -> None:
+        self.vms[name] = {
+            "vm": name,
+            "address": address,
+            "data_centre": data_centre,
+            "role": role,
+            "state": "live",
+            "incarnation": number,
+        }
+
+    def daemons(self) -> tuple[str, ...]:
+        """Return the names of the daemons that run."""
+        return tuple(name for name in self.group.processes if name.startswith("entry-"))
+
+    def targets(self) -> tuple[str, ...]:
+        """Return the names of the targets that run."""
+        return tuple(n for n in self.group.processes if not n.startswith(("entry-", "platform")))
+
+    def address(self, name: str, interface: str) -> str:
+        """Return the ``ip:port`` of a process's interface, empty if it does not run."""
+        process = self.group.processes.get(name)
+        return process.addresses[interface] if process else ""
+
+    async def publish_vms(self) -> None:
+        """Give the platform the current VM list."""
+        await self.put(f"{self.platform}/control/vms", list(self.vms.values()))
+
+    async def put(self, url: str, body: Any) -> None:
+        """Send a control request to a stand-in; a failure is ignored."""
+        try:
+            await fresh_client().request(f"http://{url}", "PUT", json=body, timeouts=CALL_TIMEOUTS)
+        except CALL_FAILURES:
+            return
+
+    async def get(self, url: str) -> Any:
+        """Return the JSON answer of an operators' or control request, None on failure."""
+        headers = {"Authorization": f"Bearer {OPERATOR_CREDENTIAL}"}
+        try:
+            response = await fresh_client().request(
+                f"http://{url}", "GET", headers=headers, timeouts=CALL_TIMEOUTS
+            )
+            return await response.json()
+        except CALL_FAILURES:
+            return None
+
+    async def propose(self, daemon: str, base: int, changes: list[dict], author: str) -> Any:
+        """Propose changes at a daemon and return its JSON answer, None on failure."""
+        body = {"base": base, "changes": changes, "author": author}
+        headers = {"Authorization": f"Bearer {OPERATOR_CREDENTIAL}"}
+        url = f"http://{self.address(daemon, 'operators')}/admin/config"
+        try:
+            response = await fresh_client().request(
+                url, "POST", headers=headers, json=body, timeouts=CALL_TIMEOUTS
+            )
+            return await response.json()
+        except CALL_FAILURES:
+            return None
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        process = self.group.processes.pop(name)
+        process.popen.send_signal(signal.SIGKILL)
+        process.popen.wait()
+
+    async def service_runs(self) -> dict[str, int]:
+        """Return the number of runs by idempotency key over all service replicas.
+
+        Callers of the chaos run use keys that differ between customers, so the customer's name
+        that daemons put before a key is cut off.
+        """
+        runs: dict[str, int] = {}
+        for name in self.targets():
+            if not name.startswith("service-"):
+                continue
+            url = f"{self.address(name, 'listening')}/control/records"
+            for record in await self.get(url) or []:
+                if record.get("operation") == "book":
+                    key = record["key"].rpartition("/")[2]
+                    runs[key] = runs.get(key, 0) + 1
+        return runs
