--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -28,6 +28,7 @@
     StartDrain,
     WaitStopped,
 )
+from greengagehoist.controllers._orders import GetOrderStates, OrderController, Want
 from greengagehoist.controllers._proposals import Propose, Rejection
 from greengagehoist.controllers._roster import (
     ClockChecked,
@@ -40,7 +41,7 @@
     Assignment,
     Completed,
     FindTarget,
-    GetLinks,
+    GetLink,
     Reported,
     Route,
     TargetController,
@@ -62,9 +63,10 @@
     "Enter",
     "FindTarget",
     "GetConfig",
+    "GetLink",
+    "GetOrderStates",
     "GetConfigStatus",
     "GetHistory",
-    "GetLinks",
     "GetPendingClaims",
     "GetReadiness",
     "GetRoster",
@@ -73,6 +75,7 @@
     "HistoryLine",
     "Leave",
     "OnDrain",
+    "OrderController",
     "OpenClaim",
     "Propose",
     "ReadClaim",
@@ -88,4 +91,5 @@
     "TraceController",
     "VmsListed",
     "WaitStopped",
+    "Want",
 ]
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -10,6 +10,7 @@
     ConfigController,
     DrainController,
     GetReadiness,
+    OrderController,
     RosterController,
     StartDrain,
     TargetController,
@@ -50,6 +51,9 @@
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
         followers = (self.targets, self.drains)
         self.roster = RosterController(self.platform, self.peers, followers, clock)
+        self.orders = OrderController(
+            self.platform, self.targets, clock, rng, settings.vm, self.incarnation
+        )
         self.claims = ClaimController(self.platform, clock, rng)
         self.retries = AttemptLimit()
         self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
@@ -81,6 +85,7 @@
             self.targets,
             self.drains,
             self.roster,
+            self.orders,
             self.claims,
         ]
 
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -1,6 +1,7 @@
 """Task that owns the connections to one target."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
@@ -56,11 +57,13 @@
 
     :param fence: fencing number of the issuer's lease.
     :param timeout: seconds for the whole call.
+    :param allowed: asked immediately before the call is sent; False means that it is not sent.
     """
 
     order: dict[str, Any]
     fence: int
     timeout: float
+    allowed: Callable[[], bool]
 
 
 class RefusedWork(NamedTuple):
@@ -259,6 +262,9 @@
         limit = message.timeout
         timeouts = Timeouts(min(CONNECT_TIMEOUT_S, limit), limit, limit, limit)
         body = {"order": message.order, "fence": message.fence}
+        if not message.allowed():
+            reply(Failure(self._order_error(Outcome.NOT_RUN, "the issuer's lease is ending")))
+            return
         client = self._pool()
         try:
             async with asyncio.timeout(limit):
@@ -273,7 +279,10 @@
         except (TimeoutError, *_BROKEN) as exc:
             outcome, text = Outcome.UNKNOWN, type(exc).__name__
             await self._drop(client)
-        reply(Failure(StepError("order", self.target.name, outcome, ErrorCode.TARGET_FAILED, text)))
+        reply(Failure(self._order_error(outcome, text)))
+
+    def _order_error(self, outcome: Outcome, text: str) -> StepError:
+        return StepError("order", self.target.name, outcome, ErrorCode.TARGET_FAILED, text)
 
     def _pool(self) -> aiosonic.HTTPClient:
         if self._client is None:
