--- a/greengagehoist/filters/_claim.py
+++ b/greengagehoist/filters/_claim.py
@@ -137,7 +137,8 @@
             error = result.failure()
             if error.outcome is not Outcome.NOT_RUN:
                 return await self._determine(assignment, error)
-            if not self.owner.retries.allow_retry(error, number, self._left()):
+            final = error.code is ErrorCode.KEY_REUSED
+            if final or not self.owner.retries.allow_retry(error, number, self._left()):
                 self._close(ClaimEvent.REFUSED)
                 return result
             tried += (assignment.target.name,)
--- a/greengagehoist/standins/_targets.py
+++ b/greengagehoist/standins/_targets.py
@@ -81,6 +81,8 @@
             return JSONResponse({"error": "leaving", "incarnation": incarnation}, 503)
         key = body["key"]
         if keeps_keys and key and key in results:
+            if results[key]["result"] != {"done": operation, **body["args"]}:
+                return JSONResponse({"error": "key used for another request"}, 422)
             return JSONResponse(results[key])
         load.running += 1
         await asyncio.sleep(work_s)
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -39,6 +39,7 @@
 CANCEL_TIMEOUT_S = 1.0
 REFUSED_STATUS = 503
 NO_RECORD_STATUS = 404
+KEY_REUSED_STATUS = 422
 LONGEST_LINE_BYTES = 1024 * 1024
 
 # Raised before any byte of the request could be sent.
@@ -118,6 +119,8 @@
         try:
             if response.status_code == REFUSED_STATUS and is_refusal(await response.content()):
                 return Failure(self._refusal(call.attempt.stage))
+            if response.status_code == KEY_REUSED_STATUS and isinstance(call, OperationCall):
+                return Failure(self._key_reused(call.attempt.stage))
             if response.status_code != 200:
                 raise ValueError(f"status {response.status_code}")
             match call:
@@ -253,6 +256,10 @@
         peer = self.target.name
         return StepError(step, peer, Outcome.NOT_RUN, ErrorCode.UNAVAILABLE, text)
 
+    def _key_reused(self, step: str) -> StepError:
+        text = "the key was used for another request"
+        return StepError(step, self.target.name, Outcome.NOT_RUN, ErrorCode.KEY_REUSED, text)
+
 
 def _timeouts(seconds: float) -> Timeouts:
     return Timeouts(min(CONNECT_TIMEOUT_S, seconds), seconds, seconds, seconds)
