--- a/greengagehoist/controllers/_claims.py
+++ b/greengagehoist/controllers/_claims.py
@@ -16,7 +16,7 @@
     choose_final,
     choose_step,
 )
-from greengagehoist.platform_client import ReadRow, Refused, Row, WriteRow, Written
+from greengagehoist.platform_client import ReadRow, Refused, Row, WriteRow, Written, full_jitter
 from greengagehoist.utils import Clock, Controller, Reply, log_event
 
 PREFIX = "claim/"
@@ -128,12 +128,13 @@
         reply(await self._read(key))
 
     async def _close(self, message: CloseClaim, reply: Reply) -> None:
-        version, delay = message.version, RETRY_FIRST_S
+        version, failed = message.version, 0
         while not await self._close_once(message, version):
             reply(False)
             version = None
-            await self.clock.sleep(self.rng.uniform(0, delay))
-            delay = min(2 * delay, RETRY_LONGEST_S)
+            delay = full_jitter(self.rng, failed, RETRY_FIRST_S, RETRY_LONGEST_S)
+            await self.clock.sleep(delay)
+            failed += 1
         reply(True)
         self.tell(_Pending(-1))
 
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -32,7 +32,7 @@
         self.settings = settings
         self.clock = clock
         self.rng = rng
-        self.platform = PlatformController(settings.platform)
+        self.platform = PlatformController(settings.platform, clock, rng)
         self.configs = ConfigController(self.platform, clock)
         self.traces = TraceController()
         self.targets = TargetController(self.platform, clock, rng, settings.data_centre)
--- a/greengagehoist/platform_client/__init__.py
+++ b/greengagehoist/platform_client/__init__.py
@@ -1,9 +1,11 @@
 """Client of the platform's table, object store, VM list and weight store."""
 
+from greengagehoist.platform_client._breaker import full_jitter
 from greengagehoist.platform_client._controller import PlatformController
 from greengagehoist.platform_client._types import (
     FetchWeights,
     GetObject,
+    GetStoreState,
     ListObjects,
     ListVms,
     PutObject,
@@ -12,6 +14,8 @@
     Refused,
     Row,
     Rows,
+    SetShare,
+    StoreState,
     Vm,
     WriteRow,
     Written,
@@ -20,6 +24,7 @@
 __all__ = [
     "FetchWeights",
     "GetObject",
+    "GetStoreState",
     "ListObjects",
     "ListVms",
     "PlatformController",
@@ -29,7 +34,10 @@
     "Refused",
     "Row",
     "Rows",
+    "SetShare",
+    "StoreState",
     "Vm",
     "WriteRow",
     "Written",
+    "full_jitter",
 ]
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -1,103 +1,158 @@
 """Controller that owns the connections to the platform."""
 
-from typing import Any
-from urllib.parse import quote
+import asyncio
+import random
+from typing import Any, NamedTuple
 
 import aiosonic
+from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import AiosonicError
+from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 from returns.result import Failure, Result, Success
 
-from greengagehoist.base import ErrorCode, Outcome, StepError
-from greengagehoist.platform_client._types import (
-    FetchWeights,
-    GetObject,
-    ListObjects,
-    ListVms,
-    PutObject,
-    ReadRange,
-    ReadRow,
-    Refused,
-    Row,
-    Rows,
-    Vm,
-    WriteRow,
-    Written,
+from greengagehoist.base import ErrorCode, Outcome, StepError, not_run
+from greengagehoist.platform_client._breaker import Breaker, BreakerState, admit, observe
+from greengagehoist.platform_client._rates import (
+    READS_PER_S,
+    WRITES_PER_S,
+    Bucket,
+    change_rate,
+    draw,
+    share,
 )
-from greengagehoist.utils import Controller, Reply
+from greengagehoist.platform_client._types import GetStoreState, SetShare, StoreState
+from greengagehoist.platform_client._wire import decode, encode, is_write
+from greengagehoist.utils import Clock, Controller, Reply, log_event
 
 CALL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+POOL_SIZE = 64
+MOST_WAITING = 256
+# A call that the rate would hold back for longer is refused at once.
+LONGEST_WAIT_S = 2.0
+
+_BROKEN = (AiosonicError, OSError, EOFError, ValueError, LookupError, TypeError)
+
+
+class _Waited(NamedTuple):
+    message: Any
+    reply: Reply
+
+
+class _Ended(NamedTuple):
+    ok: bool
+    client: aiosonic.HTTPClient
 
 
 class PlatformController(Controller):
-    """Sends calls to the platform and replies with results.
+    """Sends calls to the platform within this daemon's share of its rates.
 
     :param address: ``ip:port`` of the platform.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, clock: Clock, rng: random.Random):
         super().__init__("platform")
         self.address = address
+        self.clock = clock
+        self.rng = rng
         self._client: aiosonic.HTTPClient | None = None
+        self._breaker = Breaker()
+        self._buckets = {
+            True: Bucket(WRITES_PER_S, WRITES_PER_S, clock.monotonic()),
+            False: Bucket(READS_PER_S, READS_PER_S, clock.monotonic()),
+        }
+        self._waiting = 0
+        self._last_ok: float | None = None
 
     def handle(self, message: Any, reply: Reply) -> None:
-        """Start the call of ``message``."""
-        self.start(self._call(message, reply))
-
-    async def _call(self, message: Any, reply: Reply) -> None:
-        try:
-            reply(Success(await self._send(message)))
-        except (AiosonicError, OSError, ValueError, KeyError, EOFError) as exc:
-            reply(self._failure(message, exc))
-
-    async def _send(self, message: Any) -> Any:
+        """Start a call, or apply the end of one."""
         match message:
-            case ReadRow(key):
-                body = await self._json("GET", f"/table/row?key={quote(key, safe='')}")
-                rows = (body["row"],) if body["row"] else ()
-                return Rows(tuple(Row(**row) for row in rows), body["now"])
-            case ReadRange(prefix, after, limit):
-                query = f"prefix={quote(prefix, safe='')}&after={quote(after, safe='')}"
-                body = await self._json("GET", f"/table/range?{query}&limit={limit}")
-                return Rows(tuple(Row(**row) for row in body["rows"]), body["now"])
-            case WriteRow(key, value, expect):
-                sent = {"key": key, "value": value, "expect": expect}
-                return _write_reply(await self._json("POST", "/table/write", sent, (200, 409)))
-            case PutObject(name, data):
-                await self._request("PUT", f"/objects/{quote(name)}", data, (200,))
-                return None
-            case GetObject(name):
-                response = await self._request("GET", f"/objects/{quote(name)}", None, (200, 404))
-                return await response.content() if response.status_code == 200 else None
-            case ListObjects(prefix):
-                body = await self._json("GET", f"/objects?prefix={quote(prefix, safe='')}")
-                return tuple(body["names"])
-            case ListVms():
-                return tuple(Vm(**vm) for vm in await self._json("GET", "/vms"))
-            case FetchWeights(model):
-                sent = {"model": model}
-                body = await self._json("POST", "/weights/fetch", sent, (200, 429))
-                return bool(body.get("granted"))
+            case _Ended():
+                self._observe(message)
+            case _Waited():
+                self._waiting -= 1
+                self._admit(message.message, message.reply)
+            case SetShare(vms):
+                self._set_share(vms)
+            case GetStoreState():
+                reply(self._state())
             case _:
-                raise ValueError(f"unknown platform call {message!r}")
+                self._admit(message, reply)
+
+    def _admit(self, message: Any, reply: Reply) -> None:
+        now = self.clock.monotonic()
+        if self._breaker.state is not BreakerState.CLOSED and now < self._breaker.until:
+            reply(self._refused(message, "circuit breaker is open"))
+            return
+        write = is_write(message)
+        self._buckets[write], wait = draw(self._buckets[write], now)
+        if wait > 0:
+            if self._waiting >= MOST_WAITING or wait > LONGEST_WAIT_S:
+                reply(self._refused(message, "over this daemon's share of the rate"))
+                return
+            self._waiting += 1
+            self.start(self._wait(message, reply, wait))
+            return
+        self._breaker, admitted = admit(self._breaker, now)
+        if not admitted:
+            reply(self._refused(message, "circuit breaker is probing"))
+            return
+        if self._client is None:
+            self._client = _open_client()
+        self.start(self._call(self._client, message, reply))
 
-    async def _json(self, method: str, path: str, body: Any = None, accept=(200,)) -> Any:
-        response = await self._request(method, path, body, accept)
-        return await response.json()
+    async def _wait(self, message: Any, reply: Reply, wait: float) -> None:
+        await self.clock.sleep(wait)
+        self.tell(_Waited(message, reply))
 
-    async def _request(self, method: str, path: str, body: Any, accept: tuple[int, ...]) -> Any:
-        if self._client is None:
-            self._client = aiosonic.HTTPClient()
-        timeouts = Timeouts(
-            sock_connect=CALL_TIMEOUT_S, sock_read=CALL_TIMEOUT_S, request_timeout=CALL_TIMEOUT_S
-        )
-        content = {"data": body} if isinstance(body, bytes) else {"json": body}
-        response = await self._client.request(
-            f"http://{self.address}{path}", method, timeouts=timeouts, **content
-        )
-        if response.status_code not in accept:
+    async def _call(self, client: aiosonic.HTTPClient, message: Any, reply: Reply) -> None:
+        ok = False
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                result = Success(await self._send(client, message))
+            ok = True
+        except (TimeoutError, *_BROKEN) as exc:
+            result = self._failure(message, exc)
+        finally:
+            self.tell(_Ended(ok, client))
+        reply(result)
+        if not ok:
+            await client.aclose()
+
+    async def _send(self, client: aiosonic.HTTPClient, message: Any) -> Any:
+        call = encode(message)
+        content = {"json": call.json} if call.json is not None else {"data": call.data}
+        timeouts = Timeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
+        url = f"http://{self.address}{call.path}"
+        response = await client.request(url, call.method, timeouts=timeouts, **content)
+        if response.status_code not in call.accept:
             raise ValueError(f"status {response.status_code}")
-        return response
+        return decode(message, response.status_code, await response.content())
+
+    def _observe(self, message: _Ended) -> None:
+        now, before = self.clock.monotonic(), self._breaker.state
+        self._breaker = observe(self._breaker, message.ok, now, self.rng)
+        if message.ok:
+            self._last_ok = now
+        elif self._client is message.client:
+            self._client = None
+        if self._breaker.state is not before:
+            log_event("platform_breaker", state=self._breaker.state)
+
+    def _set_share(self, vms: int) -> None:
+        now = self.clock.monotonic()
+        for write, total in ((True, WRITES_PER_S), (False, READS_PER_S)):
+            self._buckets[write] = change_rate(self._buckets[write], share(total, vms), now)
+
+    def _state(self) -> StoreState:
+        age = None if self._last_ok is None else self.clock.monotonic() - self._last_ok
+        writes, reads = self._buckets[True].rate, self._buckets[False].rate
+        return StoreState(str(self._breaker.state), age, self._waiting, writes, reads)
+
+    def _refused(self, message: Any, reason: str) -> Result[Any, StepError]:
+        text = f"{type(message).__name__} not sent: {reason}"
+        return Failure(not_run("platform", ErrorCode.PLATFORM, text, peer=self.address))
 
     def _failure(self, message: Any, exc: Exception) -> Result[Any, StepError]:
         kind = type(message).__name__
@@ -107,8 +162,5 @@
         )
 
 
-def _write_reply(body: dict[str, Any]) -> Written | Refused:
-    if "version" in body:
-        return Written(body["version"], body["now"])
-    row = body["row"]
-    return Refused(Row(**row) if row else None, body["now"])
+def _open_client() -> aiosonic.HTTPClient:
+    return aiosonic.HTTPClient(TCPConnector(pool_configs={":default": PoolConfig(size=POOL_SIZE)}))
--- a/greengagehoist/platform_client/_types.py
+++ b/greengagehoist/platform_client/_types.py
@@ -112,3 +112,30 @@
     """Ask for permission to load weights; replied by ``Result[bool, StepError]``."""
 
     model: str
+
+
+class SetShare(NamedTuple):
+    """Tell the size of the VM roster, by which the platform's rates are divided."""
+
+    vms: int
+
+
+class GetStoreState(NamedTuple):
+    """Ask for the state of the connection to the platform; replied by :class:`StoreState`."""
+
+
+class StoreState(NamedTuple):
+    """State of the connection to the platform.
+
+    :param breaker: ``closed``, ``open`` or ``probing``.
+    :param age: seconds since the last call that succeeded, None if none did.
+    :param waiting: calls that wait for the rate.
+    :param writes_per_s: this daemon's share of the write rate.
+    :param reads_per_s: this daemon's share of the read rate.
+    """
+
+    breaker: str
+    age: float | None
+    waiting: int
+    writes_per_s: float
+    reads_per_s: float
--- /dev/null
+++ b/greengagehoist/platform_client/_wire.py
@@ -0,0 +1,103 @@
+"""HTTP requests of platform calls and the decoding of their answers."""
+
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+import msgspec
+
+from greengagehoist.platform_client._types import (
+    FetchWeights,
+    GetObject,
+    ListObjects,
+    ListVms,
+    PutObject,
+    ReadRange,
+    ReadRow,
+    Refused,
+    Row,
+    Rows,
+    Vm,
+    WriteRow,
+    Written,
+)
+
+
+class HttpCall(NamedTuple):
+    """A request of the platform's HTTP interface.
+
+    :param accept: status codes that carry an answer; all others are failures.
+    """
+
+    method: str
+    path: str
+    json: Any = None
+    data: bytes | None = None
+    accept: tuple[int, ...] = (200,)
+
+
+def is_write(message: Any) -> bool:
+    """Return True if the call counts against the write rate."""
+    return isinstance(message, WriteRow | PutObject)
+
+
+def encode(message: Any) -> HttpCall:
+    """Return the request of a message.
+
+    :raises ValueError: if the message is unknown.
+    """
+    match message:
+        case ReadRow(key):
+            return HttpCall("GET", f"/table/row?key={quote(key, safe='')}")
+        case ReadRange(prefix, after, limit):
+            query = f"prefix={quote(prefix, safe='')}&after={quote(after, safe='')}"
+            return HttpCall("GET", f"/table/range?{query}&limit={limit}")
+        case WriteRow(key, value, expect):
+            sent = {"key": key, "value": value, "expect": expect}
+            return HttpCall("POST", "/table/write", json=sent, accept=(200, 409))
+        case PutObject(name, data):
+            return HttpCall("PUT", f"/objects/{quote(name)}", data=data)
+        case GetObject(name):
+            return HttpCall("GET", f"/objects/{quote(name)}", accept=(200, 404))
+        case ListObjects(prefix):
+            return HttpCall("GET", f"/objects?prefix={quote(prefix, safe='')}")
+        case ListVms():
+            return HttpCall("GET", "/vms")
+        case FetchWeights(model):
+            sent = {"model": model}
+            return HttpCall("POST", "/weights/fetch", json=sent, accept=(200, 429))
+        case _:
+            raise ValueError(f"unknown platform call {message!r}")
+
+
+def decode(message: Any, status: int, content: bytes) -> Any:
+    """Return the reply to a message.
+
+    :raises ValueError: if the content is malformed.
+    :raises KeyError: if a field is missing.
+    """
+    match message:
+        case GetObject():
+            return content if status == 200 else None
+        case PutObject():
+            return None
+    body = msgspec.json.decode(content)
+    match message:
+        case ReadRow():
+            return Rows((Row(**body["row"]),) if body["row"] else (), body["now"])
+        case ReadRange():
+            return Rows(tuple(Row(**row) for row in body["rows"]), body["now"])
+        case WriteRow():
+            return _write_reply(body)
+        case ListObjects():
+            return tuple(body["names"])
+        case ListVms():
+            return tuple(Vm(**vm) for vm in body)
+        case FetchWeights():
+            return bool(body.get("granted"))
+
+
+def _write_reply(body: dict[str, Any]) -> Written | Refused:
+    if "version" in body:
+        return Written(body["version"], body["now"])
+    row = body["row"]
+    return Refused(Row(**row) if row else None, body["now"])
