--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -7,31 +7,85 @@
     OpenClaim,
     ReadClaim,
 )
-from greengagehoist.controllers._config import ConfigController, GetConfig, Propose
+from greengagehoist.controllers._config import (
+    ConfigController,
+    ConfigStatus,
+    GetConfig,
+    GetConfigStatus,
+    GetHistory,
+    HistoryLine,
+)
+from greengagehoist.controllers._drain import (
+    DaemonState,
+    Drain,
+    DrainController,
+    Enter,
+    GetReadiness,
+    GetState,
+    Leave,
+    OnDrain,
+    Readiness,
+    StartDrain,
+    WaitStopped,
+)
+from greengagehoist.controllers._proposals import Propose, Rejection
+from greengagehoist.controllers._roster import (
+    ClockChecked,
+    GetRoster,
+    Roster,
+    RosterController,
+    VmsListed,
+)
 from greengagehoist.controllers._targets import (
     Assignment,
     Completed,
     FindTarget,
+    GetLinks,
+    Reported,
     Route,
     TargetController,
 )
-from greengagehoist.controllers._traces import GetTrace, Record, TraceController
+from greengagehoist.controllers._traces import CollectTrace, GetTrace, Record, TraceController
 
 __all__ = [
     "Assignment",
     "ClaimController",
+    "ClockChecked",
     "CloseClaim",
+    "CollectTrace",
     "Completed",
     "ConfigController",
+    "ConfigStatus",
+    "DaemonState",
+    "Drain",
+    "DrainController",
+    "Enter",
     "FindTarget",
     "GetConfig",
+    "GetConfigStatus",
+    "GetHistory",
+    "GetLinks",
     "GetPendingClaims",
+    "GetReadiness",
+    "GetRoster",
+    "GetState",
     "GetTrace",
+    "HistoryLine",
+    "Leave",
+    "OnDrain",
     "OpenClaim",
     "Propose",
     "ReadClaim",
+    "Readiness",
     "Record",
+    "Rejection",
+    "Reported",
+    "Roster",
+    "RosterController",
     "Route",
+    "StartDrain",
     "TargetController",
     "TraceController",
+    "VmsListed",
+    "WaitStopped",
 ]
--- a/greengagehoist/targets/__init__.py
+++ b/greengagehoist/targets/__init__.py
@@ -14,7 +14,14 @@
     Target,
     TargetCall,
 )
-from greengagehoist.targets._link import Cancel, ReadLoad, ReadRecord, TargetLink
+from greengagehoist.targets._link import (
+    Cancel,
+    ReadLoad,
+    ReadRecord,
+    RefusedWork,
+    SendOrder,
+    TargetLink,
+)
 
 __all__ = [
     "Attempt",
@@ -27,7 +34,9 @@
     "PoolCall",
     "ReadLoad",
     "ReadRecord",
+    "RefusedWork",
     "Send",
+    "SendOrder",
     "StageReply",
     "StreamEnd",
     "Target",
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -24,13 +24,14 @@
 )
 from greengagehoist.targets._connector import NotSentError, OneCallConnector, open_pool
 from greengagehoist.targets._wire import (
+    LEAVING,
     body_of,
     decode_line,
     decode_operation,
     decode_record,
     decode_stage,
-    is_refusal,
     path_of,
+    refusal_reason,
 )
 from greengagehoist.utils import Clock, Controller, Reply, log_event
 
@@ -51,6 +52,24 @@
     """Ask a target link for the target's load report."""
 
 
+class SendOrder(NamedTuple):
+    """Ask a target link to send an order; replied by ``Result[None, StepError]``.
+
+    :param fence: fencing number of the issuer's lease.
+    :param timeout: seconds for the whole call.
+    """
+
+    order: dict[str, Any]
+    fence: int
+    timeout: float
+
+
+class RefusedWork(NamedTuple):
+    """Tell the link's owner that the target is leaving and refused a call."""
+
+    target: Target
+
+
 class ReadRecord(NamedTuple):
     """Ask for the target's own record of a key.
 
@@ -71,12 +90,16 @@
 
 
 class TargetLink(Controller):
-    """Sends calls to one target over its own connections."""
+    """Sends calls to one target over its own connections.
 
-    def __init__(self, target: Target, clock: Clock):
+    :param owner: receives :class:`RefusedWork`, or None.
+    """
+
+    def __init__(self, target: Target, clock: Clock, owner: Controller | None = None):
         super().__init__(f"target:{target.name}")
         self.target = target
         self.clock = clock
+        self.owner = owner
         self._client: aiosonic.HTTPClient | None = None
         self._calls: dict[Attempt, asyncio.Task] = {}
 
@@ -96,6 +119,8 @@
                 self._cancel(attempt)
             case ReadLoad():
                 self.start(self._read_load(reply))
+            case SendOrder():
+                self.start(self._send_order(message, reply))
 
     async def _send(self, message: Send, reply: Reply) -> None:
         client = self._pool()
@@ -117,8 +142,10 @@
         stream = isinstance(call, GenerateCall)
         response = await self._post(client, message, stream=stream)
         try:
-            if response.status_code == REFUSED_STATUS and is_refusal(await response.content()):
-                return Failure(self._refusal(call.attempt.stage))
+            if response.status_code == REFUSED_STATUS:
+                reason = refusal_reason(await response.content())
+                if reason:
+                    return Failure(self._refusal(call.attempt.stage, reason))
             if response.status_code == KEY_REUSED_STATUS and isinstance(call, OperationCall):
                 return Failure(self._key_reused(call.attempt.stage))
             if response.status_code != 200:
@@ -231,6 +258,26 @@
             await self._drop(client)
             raise
 
+    async def _send_order(self, message: SendOrder, reply: Reply) -> None:
+        limit = message.timeout
+        timeouts = Timeouts(min(CONNECT_TIMEOUT_S, limit), limit, limit, limit)
+        body = {"order": message.order, "fence": message.fence}
+        client = self._pool()
+        try:
+            async with asyncio.timeout(limit):
+                url = f"http://{self.target.address}/orders"
+                response = await client.request(url, "POST", json=body, timeouts=timeouts)
+            if response.status_code == 200:
+                reply(Success(None))
+                return
+            outcome, text = Outcome.NOT_RUN, f"status {response.status_code}"
+        except _NOT_SENT as exc:
+            outcome, text = Outcome.NOT_RUN, type(exc).__name__
+        except (TimeoutError, *_BROKEN) as exc:
+            outcome, text = Outcome.UNKNOWN, type(exc).__name__
+            await self._drop(client)
+        reply(Failure(StepError("order", self.target.name, outcome, ErrorCode.TARGET_FAILED, text)))
+
     def _pool(self) -> aiosonic.HTTPClient:
         if self._client is None:
             self._client = open_pool()
@@ -251,8 +298,10 @@
         code = ErrorCode.CONNECTION if outcome is Outcome.NOT_RUN else ErrorCode.TARGET_FAILED
         return Failure(StepError(step, self.target.name, outcome, code, text))
 
-    def _refusal(self, step: str) -> StepError:
-        text = "target refused new work"
+    def _refusal(self, step: str, reason: str) -> StepError:
+        if reason == LEAVING and self.owner is not None:
+            self.owner.tell(RefusedWork(self.target))
+        text = f"target refused new work: {reason}"
         peer = self.target.name
         return StepError(step, peer, Outcome.NOT_RUN, ErrorCode.UNAVAILABLE, text)
 
--- a/greengagehoist/targets/_wire.py
+++ b/greengagehoist/targets/_wire.py
@@ -21,7 +21,8 @@
     TargetCall,
 )
 
-REFUSALS = ("leaving", "overloaded", "down")
+LEAVING = "leaving"
+REFUSALS = (LEAVING, "overloaded", "down")
 
 
 def path_of(call: TargetCall) -> str:
@@ -102,12 +103,13 @@
     return Chunk(attempt, wire["offset"], tuple(wire["tokens"]))
 
 
-def is_refusal(content: bytes) -> bool:
-    """Return True if the body of a 503 states that the target did not take the work.
+def refusal_reason(content: bytes) -> str:
+    """Return why a target did not take the work, from the body of a 503, empty if it may have.
 
     A 503 without such a body may come from a part that failed after the work had run.
     """
     try:
-        return msgspec.json.decode(content, type=RefusalWire)["error"] in REFUSALS
+        reason = msgspec.json.decode(content, type=RefusalWire)["error"]
     except msgspec.MsgspecError:
-        return False
+        return ""
+    return reason if reason in REFUSALS else ""
