--- /dev/null
+++ b/greengagehoist/answers/tests/test_accept.py
@@ -0,0 +1,113 @@
+"""Guards against answers that are called whole but are not the function of their input."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagehoist.answers import (
+    Appended,
+    AttemptEvent,
+    AttemptState,
+    Closed,
+    Dropped,
+    Stream,
+    accept_chunk,
+    accept_end,
+    accept_output,
+    digest_text,
+    digest_tokens,
+    end_attempt,
+    open_attempt,
+)
+
+WHOLE = tuple(f"t{index}" for index in range(12))
+MOST = 16
+
+chunks = st.tuples(st.just("chunk"), st.integers(0, 12), st.integers(1, 5))
+ends = st.tuples(st.just("end"), st.just(0), st.just(0))
+foreign = st.tuples(st.sampled_from(["foreign", "old"]), st.integers(0, 12), st.integers(1, 5))
+corrupt = st.tuples(st.just("corrupt"), st.integers(0, 14), st.integers(1, 3))
+losses = st.tuples(st.just("lose"), st.just(0), st.just(0))
+in_order = st.tuples(st.just("next"), st.just(0), st.integers(1, 5))
+wrong_ends = st.tuples(st.just("short_end"), st.integers(0, 12), st.just(0))
+steps = st.lists(
+    st.one_of(in_order, in_order, in_order, chunks, ends, foreign, corrupt, losses, wrong_ends),
+    max_size=60,
+)
+
+
+def apply_step(stream, number, step):
+    """Return the verdict on what an engine sent in attempt ``number``."""
+    kind, offset, length = step
+    own, tokens = ("r1", "engine", number), WHOLE[offset : offset + length]
+    match kind:
+        case "next":
+            at = len(stream.tokens)
+            return accept_chunk(stream, own, at, WHOLE[at : at + length], MOST)
+        case "chunk":
+            return accept_chunk(stream, own, offset, tokens, MOST)
+        case "foreign":
+            return accept_chunk(stream, ("r2", "engine", number), offset, ("x",) * length, MOST)
+        case "old":
+            return accept_chunk(stream, ("r1", "engine", number - 1), offset, ("x",), MOST)
+        case "corrupt":
+            return accept_chunk(stream, own, offset, ("bad",) * length, MOST)
+        case "end":
+            return accept_end(stream, own, len(WHOLE), digest_tokens(WHOLE))
+        case "short_end":
+            return accept_end(stream, own, offset, digest_tokens(WHOLE[:offset]) + "0")
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=1500)
+@given(steps=steps)
+def test_what_is_called_whole_is_the_function_of_the_input(steps):
+    number = 1
+    stream = open_attempt(Stream(), ("r1", "engine", number))
+    for step in [*steps, *[("next", 0, 5)] * 3, ("end", 0, 0)]:
+        if step[0] == "lose":
+            stream = end_attempt(stream, AttemptEvent.FAIL)
+            verdict = None
+        else:
+            verdict = apply_step(stream, number, step)
+        match verdict:
+            case Appended(stream=stream) if stream.state is AttemptState.ANSWERED:
+                assert stream.tokens == WHOLE
+                return
+            case Appended(stream=stream, tokens=tokens, offset=offset):
+                assert stream.tokens[offset:] == tokens
+            case Closed(stream=stream, resume=resume):
+                assert resume in (0, len(stream.tokens))
+                stream = stream if resume else stream._replace(tokens=())
+            case Dropped():
+                assert step[0] in ("foreign", "old")
+                continue
+        if stream.state is not AttemptState.OPEN:
+            number += 1
+            stream = open_attempt(stream, ("r1", "engine", number))
+
+
+@settings(derandomize=True, deadline=None, database=None)
+@given(cuts=st.lists(st.tuples(st.integers(0, 12), st.integers(1, 12)), max_size=20))
+def test_overlaps_are_trimmed_and_gaps_close(cuts):
+    stream = open_attempt(Stream(), "a1")
+    for offset, length in cuts:
+        have = len(stream.tokens)
+        verdict = accept_chunk(stream, "a1", offset, WHOLE[offset : offset + length], MOST)
+        assert isinstance(verdict, Closed) == (offset > have)
+        if isinstance(verdict, Closed):
+            assert verdict.resume == have
+            return
+        stream = verdict.stream
+        assert stream.tokens == WHOLE[: len(stream.tokens)]
+
+
+def test_output_needs_its_digest_and_its_attempt():
+    stream = open_attempt(Stream(), "a1")
+    assert isinstance(accept_output(stream, "a2", "x", digest_text("x")), Dropped)
+    assert isinstance(accept_output(stream, "a1", "x", digest_text("y")), Closed)
+    answered = accept_output(stream, "a1", "x", digest_text("x")).stream
+    assert isinstance(accept_output(answered, "a1", "x", digest_text("x")), Dropped)
+
+
+def test_more_tokens_than_asked_for_close_the_attempt():
+    verdict = accept_chunk(open_attempt(Stream(), "a1"), "a1", 0, WHOLE, len(WHOLE) - 1)
+    assert isinstance(verdict, Closed)
