--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -42,7 +42,7 @@
         self.clock = clock
         self.rng = rng
         self.incarnation = int(clock.now().timestamp() * 1000)
-        self.platform = PlatformController(settings.platform)
+        self.platform = PlatformController(settings.platform, clock, rng)
         own = Member(settings.vm, settings.data_centre, settings.peers, self.incarnation)
         self.peers = PeerController(own, settings.seeds, settings.peer_credential, clock, rng)
         self.configs = ConfigController(self.platform, clock, rng, self.peers)
