--- a/greengagehoist/targets/__init__.py
+++ b/greengagehoist/targets/__init__.py
@@ -14,10 +14,18 @@
     Target,
     TargetCall,
 )
-from greengagehoist.targets._link import ReadLoad, TargetLink
+from greengagehoist.targets._link import (
+    Cancel,
+    ReadLoad,
+    ReadRecord,
+    RefusedWork,
+    SendOrder,
+    TargetLink,
+)
 
 __all__ = [
     "Attempt",
+    "Cancel",
     "Chunk",
     "GenerateCall",
     "LoadWire",
@@ -25,7 +33,10 @@
     "OperationReply",
     "PoolCall",
     "ReadLoad",
+    "ReadRecord",
+    "RefusedWork",
     "Send",
+    "SendOrder",
     "StageReply",
     "StreamEnd",
     "Target",
