--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -1,5 +1,12 @@
 """Tasks that own state and talk by messages."""
 
+from greengagehoist.controllers._admission import (
+    AdmissionController,
+    Admit,
+    Finish,
+    GetOverload,
+    Grant,
+)
 from greengagehoist.controllers._claims import (
     ClaimController,
     CloseClaim,
@@ -43,11 +50,18 @@
     GetLinks,
     Reported,
     Route,
+    SetWeight,
     TargetController,
 )
 from greengagehoist.controllers._traces import CollectTrace, GetTrace, Record, TraceController
 
 __all__ = [
+    "AdmissionController",
+    "Admit",
+    "Finish",
+    "GetOverload",
+    "Grant",
+    "SetWeight",
     "Assignment",
     "ClaimController",
     "ClockChecked",
--- /dev/null
+++ b/greengagehoist/controllers/_admission.py
@@ -0,0 +1,142 @@
+"""Controller that queues requests and grants entries."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Success
+
+from greengagehoist.admission import Admitted, Entry, Gate, Queued, Refused, Verdict
+from greengagehoist.base import ErrorCode, not_run
+from greengagehoist.deadlines import StageEstimates, can_finish
+from greengagehoist.utils import Clock, Controller, Reply, Tick, tick
+
+RELEASE_PERIOD_S = 0.05
+STEP = "admission"
+
+
+class Admit(NamedTuple):
+    """Ask for an entry; replied by ``Result[Grant, StepError]``, perhaps after a wait.
+
+    :param route: pipeline or service; each has its own gate.
+    :param weight: share of the customer in the fair queue.
+    :param cost: expected work relative to an ordinary request of the route.
+    :param deadline: monotonic instant in seconds.
+    """
+
+    route: str
+    customer: str
+    weight: float
+    cost: float
+    deadline: float
+
+
+class Grant(NamedTuple):
+    """An entry that :class:`Finish` returns.
+
+    :param at: monotonic instant of the grant in seconds.
+    """
+
+    route: str
+    cost: float
+    at: float
+
+
+class Finish(NamedTuple):
+    """Tell the end of a granted entry.
+
+    :param ok: False if its latency says nothing about the load.
+    """
+
+    grant: Grant
+    ok: bool
+
+
+class GetOverload(NamedTuple):
+    """Ask whether requests of a route wait for an entry; replied by bool."""
+
+    route: str
+
+
+class _Waiting(NamedTuple):
+    message: Admit
+    reply: Callable[[Any], None]
+
+
+class AdmissionController(Controller):
+    """Keeps one gate for each pipeline and service.
+
+    :param on_overload: called with True or False when any gate starts or stops queueing.
+    """
+
+    def __init__(self, clock: Clock, on_overload: Callable[[bool], None] | None = None):
+        super().__init__("admission")
+        self.clock = clock
+        self.on_overload = on_overload
+        self._gates: dict[str, Gate] = {}
+        self._estimates = StageEstimates()
+        self._is_overloaded = False
+
+    async def run(self) -> None:
+        """Release entries until cancelled."""
+        self.start(tick(self, self.clock, RELEASE_PERIOD_S))
+        await super().run()
+
+    def handle(self, message: Any, reply: Reply) -> None:
+        """Process one message."""
+        match message:
+            case Admit():
+                self._admit(message, reply)
+            case Finish(grant, ok):
+                self._finish(grant, ok)
+            case GetOverload(route):
+                gate = self._gates.get(route)
+                reply(gate is not None and gate.is_overloaded)
+            case Tick():
+                self._release_all()
+        self._tell_overload()
+
+    def _admit(self, message: Admit, reply: Reply) -> None:
+        now = self.clock.monotonic()
+        times = self._estimates.snapshot(message.route)
+        left = message.deadline - now
+        if not can_finish(left, [times]):
+            text = f"needs at least {times.p10:.3f} s, {max(0.0, left):.3f} s are left"
+            reply(Failure(not_run(STEP, ErrorCode.DEADLINE, text)))
+            return
+        gate = self._gates.setdefault(message.route, Gate())
+        latest_start = max(now, message.deadline - times.p50)
+        item = _Waiting(message, reply)
+        entry = Entry(message.customer, message.weight, message.cost, latest_start, item)
+        self._answer(gate.apply(entry, now), now)
+
+    def _finish(self, grant: Grant, ok: bool) -> None:
+        now = self.clock.monotonic()
+        if ok:
+            self._estimates.observe(grant.route, now - grant.at)
+        verdicts = self._gates[grant.route].finish((now - grant.at) / grant.cost, ok, now)
+        self._answer(verdicts, now)
+
+    def _release_all(self) -> None:
+        now = self.clock.monotonic()
+        for gate in self._gates.values():
+            self._answer(gate.release(now), now)
+
+    def _answer(self, verdicts: list[Verdict], now: float) -> None:
+        for verdict in verdicts:
+            match verdict:
+                case Admitted(Entry(item=_Waiting(message, reply))):
+                    reply(Success(Grant(message.route, message.cost, now)))
+                case Refused(Entry(item=_Waiting(message, reply)), retry_after):
+                    text = f"too many requests wait for {message.route}"
+                    after = timedelta(seconds=retry_after)
+                    reply(Failure(not_run(STEP, ErrorCode.OVERLOADED, text, after=after)))
+                case Queued():
+                    pass
+
+    def _tell_overload(self) -> None:
+        overloaded = any(gate.is_overloaded for gate in self._gates.values())
+        if overloaded != self._is_overloaded:
+            self._is_overloaded = overloaded
+            if self.on_overload is not None:
+                self.on_overload(overloaded)
--- a/greengagehoist/controllers/_targets.py
+++ b/greengagehoist/controllers/_targets.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from greengagehoist.base import ErrorCode, not_run
+from greengagehoist.controllers._balancer import Balancer
 from greengagehoist.controllers._roster import ENTRY_ROLE, VmsListed
 from greengagehoist.membership import Listing, Mark, TargetRoster, TargetState
 from greengagehoist.peers import (
@@ -20,10 +21,13 @@
     UpdateHeartbeat,
 )
 from greengagehoist.platform_client import Vm
-from greengagehoist.targets import LoadWire, RefusedWork, Target, TargetLink
+from greengagehoist.targets import LoadWire, ReadLoad, RefusedWork, Target, TargetLink
 from greengagehoist.utils import Clock, Controller, Reply, Tick, log_event, tick
 
 UPKEEP_PERIOD_S = 0.5
+# Load reports are read in turn at this rate, whatever the number of targets.
+LOAD_POLLS_PER_S = 10.0
+POLL = "poll"
 # Calls to a link that end without a reply, such as load polls, have ended after this time.
 LINK_LINGER_S = 5.0
 MISSING_LINGER_S = 30.0
@@ -36,6 +40,7 @@
 
     :param model: model that the target must have loaded, empty if none.
     :param exclude: names of targets that this request has tried.
+    :param prefix: hashes of the prompt's leading blocks, see :func:`~..routing.hash_prefix`.
     """
 
     request_id: str
@@ -43,13 +48,18 @@
     role: str
     model: str = ""
     exclude: tuple[str, ...] = ()
+    prefix: tuple[int, ...] = ()
 
 
 class Assignment(NamedTuple):
-    """A chosen target and the link that sends to it."""
+    """A chosen target and the link that sends to it.
+
+    :param ticket: identifies the call when it ends.
+    """
 
     target: Target
     link: TargetLink
+    ticket: str = ""
 
 
 class FindTarget(NamedTuple):
@@ -63,11 +73,20 @@
 
     :param latency: seconds from the dispatch to the end.
     :param ok: False if the target failed.
+    :param cancelled: whether the daemon ended the call before the target answered.
     """
 
     target: Target
     latency: float
     ok: bool
+    ticket: str = ""
+    cancelled: bool = False
+
+
+class SetWeight(NamedTuple):
+    """Apply the operator's weight of attainment against cost, from 0 to 1."""
+
+    attainment_weight: float
 
 
 class GetLinks(NamedTuple):
@@ -98,6 +117,7 @@
     """Keeps the roster of targets in line with the VM list and chooses among them.
 
     :param peers: peer controller, or None if there are no peers.
+    :param vm: name of this daemon's VM.
     """
 
     def __init__(
@@ -107,6 +127,7 @@
         rng: random.Random,
         data_centre: str,
         peers: Controller | None = None,
+        vm: str = "",
     ):
         super().__init__("targets")
         self.platform = platform
@@ -117,12 +138,15 @@
         self._replicas: dict[str, _Replica] = {}
         self._retired: list[_Replica] = []
         self._roster = TargetRoster()
+        self._is_listed = False
+        self._balancer = Balancer(vm, data_centre, rng)
 
     async def run(self) -> None:
         """Keep the roster until cancelled."""
         if self.peers is not None:
             self.peers.tell(Subscribe((Hello, Heartbeat, LeaveMark), self))
         self.start(tick(self, self.clock, UPKEEP_PERIOD_S))
+        self.start(tick(self, self.clock, 1.0 / LOAD_POLLS_PER_S, POLL))
         await super().run()
 
     def handle(self, message: Any, reply: Reply) -> None:
@@ -133,8 +157,12 @@
             case FindTarget(name):
                 replica = self._replicas.get(name)
                 reply(Assignment(replica.target, replica.link) if replica else None)
-            case Completed(target):
-                self._complete(target)
+            case Completed():
+                self._complete(message)
+            case SetWeight(attainment_weight):
+                self._balancer.set_weight(attainment_weight)
+            case Tick("poll"):
+                self._poll_load()
             case Tick():
                 self._drop_idle_links()
                 self._show_marks()
@@ -158,6 +186,14 @@
             replica = self._replicas.get(vm.vm)
             if replica is None or vm.incarnation > replica.target.incarnation:
                 self._add(vm)
+            elif not self._balancer.has(replica.target) and self._takes_work(replica.target):
+                self._balance(replica.target)
+        self._is_listed = True
+
+    def _balance(self, target: Target) -> None:
+        """Take a target into service; one that joins later gets its share gradually."""
+        now = self.clock.monotonic()
+        self._balancer.add(target, now, slow_start=self._is_listed)
 
     def _add(self, vm: Vm) -> None:
         if vm.vm in self._replicas:
@@ -167,15 +203,34 @@
         target = Target(vm.vm, vm.address, vm.data_centre, vm.role, vm.incarnation)
         link = TargetLink(target, self.clock, self)
         self._replicas[vm.vm] = _Replica(target, link, self.start(link.run()))
+        self._balance(target)
         log_event("target_added", target=vm.vm, role=vm.role, address=vm.address)
 
-    def _complete(self, target: Target) -> None:
+    def _complete(self, message: Completed) -> None:
+        target, latency, ok, ticket, cancelled = message
         for replica in (self._replicas.get(target.name), *self._retired):
             if replica is not None and replica.target == target:
                 replica.in_flight -= 1
-                return
+                break
+        now = self.clock.monotonic()
+        if cancelled:
+            self._balancer.cancel(target, ticket, now)
+        else:
+            self._balancer.complete(target, ticket, latency, ok, now)
+
+    def _poll_load(self) -> None:
+        for name in self._balancer.next_to_poll(1):
+            replica = self._replicas.get(name)
+            if replica is not None:
+                self.start(self._read_load(replica))
+
+    async def _read_load(self, replica: _Replica) -> None:
+        match await replica.link.ask(ReadLoad()):
+            case Success(load):
+                self.tell(Reported(replica.target, load))
 
     def _apply_report(self, target: Target, load: LoadWire) -> None:
+        self._balancer.apply_report(target, load, self.clock.monotonic())
         if load.get("state") == "leaving":
             self._mark(Mark(target.name, load.get("incarnation", target.incarnation)), "load")
 
@@ -240,16 +295,12 @@
         return self._roster.is_routable(target.name, target.incarnation)
 
     def _route(self, message: Route) -> Any:
-        candidates = [
-            replica
-            for replica in self._replicas.values()
-            if replica.target.role == message.role
-            and self._takes_work(replica.target)
-            and replica.target.name not in message.exclude
-        ]
-        if not candidates:
-            text = f"no target with role {message.role}"
-            return Failure(not_run(message.stage, ErrorCode.UNAVAILABLE, text))
-        chosen = min(candidates, key=lambda item: (item.in_flight, self.rng.random()))
-        chosen.in_flight += 1
-        return Success(Assignment(chosen.target, chosen.link))
+        exclude, now = message.exclude, self.clock.monotonic()
+        while pick := self._balancer.choose(message.role, message.prefix, exclude, now):
+            chosen = self._replicas.get(pick.name)
+            if chosen is not None and self._takes_work(chosen.target):
+                chosen.in_flight += 1
+                return Success(Assignment(chosen.target, chosen.link, pick.ticket))
+            self._balancer.remove(message.role, pick.name)
+        text = f"no target with role {message.role}"
+        return Failure(not_run(message.stage, ErrorCode.UNAVAILABLE, text))
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -6,6 +6,7 @@
 
 from greengagehoist.base import Proceed, compose
 from greengagehoist.controllers import (
+    AdmissionController,
     ClaimController,
     ConfigController,
     DrainController,
@@ -18,12 +19,13 @@
 )
 from greengagehoist.daemon._settings import Settings
 from greengagehoist.filters import (
-    AttemptLimit,
+    AdmissionFilter,
     ClaimFilter,
     DeadlineFilter,
     DispatchFilter,
     IdentifyFilter,
     PlanFilter,
+    RatioRetries,
     Sender,
 )
 from greengagehoist.membership import Member
@@ -46,12 +48,15 @@
         self.peers = PeerController(own, settings.seeds, settings.peer_credential, clock, rng)
         self.configs = ConfigController(self.platform, clock, rng, self.peers)
         self.traces = TraceController(self.peers, settings.data_centre)
-        self.targets = TargetController(self.platform, clock, rng, settings.data_centre, self.peers)
+        self.targets = TargetController(
+            self.platform, clock, rng, settings.data_centre, self.peers, settings.vm
+        )
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
         followers = (self.targets, self.drains)
         self.roster = RosterController(self.platform, self.peers, followers, clock)
         self.claims = ClaimController(self.platform, clock, rng)
-        self.retries = AttemptLimit()
+        self.retries = RatioRetries()
+        self.admission = AdmissionController(clock, self.retries.set_overloaded)
         self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
@@ -67,6 +72,7 @@
                 IdentifyFilter(self.configs),
                 PlanFilter(),
                 DeadlineFilter(self.clock),
+                AdmissionFilter(self.admission, self.targets, self.retries),
                 self.claim_filter,
                 DispatchFilter(sender, self.retries, self.metrics),
             ]
@@ -82,6 +88,7 @@
             self.drains,
             self.roster,
             self.claims,
+            self.admission,
         ]
 
     async def start(self) -> None:
--- a/greengagehoist/filters/__init__.py
+++ b/greengagehoist/filters/__init__.py
@@ -1,12 +1,15 @@
 """Filters that a request passes in order."""
 
+from greengagehoist.filters._admission import AdmissionFilter
 from greengagehoist.filters._claim import ClaimFilter
 from greengagehoist.filters._dispatch import DispatchFilter
 from greengagehoist.filters._identify import DeadlineFilter, IdentifyFilter, PlanFilter
-from greengagehoist.filters._retry import AttemptLimit, RetryPolicy
+from greengagehoist.filters._retry import AttemptLimit, RatioRetries, RetryPolicy
 from greengagehoist.filters._sender import Sender
 
 __all__ = [
+    "AdmissionFilter",
+    "RatioRetries",
     "AttemptLimit",
     "ClaimFilter",
     "DeadlineFilter",
--- /dev/null
+++ b/greengagehoist/filters/_admission.py
@@ -0,0 +1,79 @@
+"""Filter that admits requests within the adaptive limits."""
+
+import asyncio
+
+from returns.result import Failure, Success
+
+from greengagehoist.base import Exchange, Outcomes, PipelineCall, Proceed, ServiceCall
+from greengagehoist.controllers import Admit, Finish, Grant, SetWeight
+from greengagehoist.filters._retry import RatioRetries
+from greengagehoist.utils import Controller
+
+# Tokens that count as much as the fixed part of a generation.
+TOKENS_PER_UNIT = 64
+
+
+class AdmissionFilter:
+    """Waits for an entry, and returns it at the end of the request.
+
+    :param targets: target controller, which is told of a changed attainment weight.
+    :param retries: earns retries with each admitted request.
+    """
+
+    def __init__(self, admission: Controller, targets: Controller, retries: RatioRetries):
+        self.admission = admission
+        self.targets = targets
+        self.retries = retries
+        self._weight: float | None = None
+
+    async def __call__(self, exchange: Exchange, proceed: Proceed) -> Outcomes:
+        """Proceed with an entry, or return the refusal."""
+        self._apply_weight(exchange.cfg.attainment_weight)
+        customer, weight = exchange.holding.customer, exchange.usage.weight
+        route, cost, stages = _describe(exchange)
+        wait = self.admission.ask(Admit(route, customer, weight, cost, exchange.deadline))
+        match await _ask_or_return(self.admission, wait):
+            case Success(Grant() as grant):
+                self.retries.observe_first(stages)
+                return await self._proceed(exchange, proceed, grant)
+            case refusal:
+                return refusal
+
+    async def _proceed(self, exchange: Exchange, proceed: Proceed, grant: Grant) -> Outcomes:
+        ok = False
+        try:
+            outcome = await proceed(exchange)
+            ok = not isinstance(outcome, Failure)
+            return outcome
+        finally:
+            self.admission.tell(Finish(grant, ok))
+
+    def _apply_weight(self, weight: float) -> None:
+        if weight != self._weight:
+            self._weight = weight
+            self.targets.tell(SetWeight(weight))
+
+
+async def _ask_or_return(admission: Controller, wait):
+    """Wait for the reply; an entry granted to a caller that has gone is returned."""
+    task = asyncio.ensure_future(wait)
+    try:
+        return await asyncio.shield(task)
+    except asyncio.CancelledError:
+        task.add_done_callback(lambda done: _return_entry(admission, done))
+        raise
+
+
+def _return_entry(admission: Controller, task: asyncio.Future) -> None:
+    if not task.cancelled() and isinstance(task.result(), Success):
+        admission.tell(Finish(task.result().unwrap(), False))
+
+
+def _describe(exchange: Exchange) -> tuple[str, float, int]:
+    """Return the route, the relative cost and the number of stages of a request."""
+    match exchange.call:
+        case PipelineCall(pipeline, _, max_tokens):
+            stages = len(exchange.cfg.pipelines[pipeline].stages)
+            return f"pipeline:{pipeline}", 1.0 + max_tokens / TOKENS_PER_UNIT, stages
+        case ServiceCall(service):
+            return f"service:{service}", 1.0, 1
--- a/greengagehoist/filters/_claim.py
+++ b/greengagehoist/filters/_claim.py
@@ -128,7 +128,9 @@
             assignment = assigned.unwrap()
             opened = await self._open(assignment)
             if opened is not None:
-                self.owner.targets.tell(Completed(assignment.target, 0.0, True))
+                self.owner.targets.tell(
+                    Completed(assignment.target, 0.0, True, assignment.ticket, True)
+                )
                 return opened
             result = await self._send(assignment, number)
             if isinstance(result, Success):
--- a/greengagehoist/filters/_dispatch.py
+++ b/greengagehoist/filters/_dispatch.py
@@ -23,6 +23,7 @@
 from greengagehoist.filters._retry import RetryPolicy
 from greengagehoist.filters._sender import Sender
 from greengagehoist.filters._stages import Output, StageRun, StageRunner
+from greengagehoist.routing import hash_prefix
 from greengagehoist.targets import Attempt, GenerateCall, OperationCall, PoolCall
 from greengagehoist.utils import Metrics, NullMetrics
 
@@ -88,7 +89,8 @@
                         run.accept,
                     )
 
-                route = Route(exchange.request_id, name, role, model)
+                prefix = hash_prefix(text)
+                route = Route(exchange.request_id, name, role, model, prefix=prefix)
                 return await self.runner.run(exchange, route, make_generate, call.max_tokens)
 
     async def _run_operation(self, exchange: Exchange, call: ServiceCall) -> Outcomes:
--- a/greengagehoist/filters/_retry.py
+++ b/greengagehoist/filters/_retry.py
@@ -2,7 +2,8 @@
 
 from typing import Protocol
 
-from greengagehoist.base import StepError
+from greengagehoist.base import ErrorCode, Outcome, StepError
+from greengagehoist.retries import RetryRatio
 
 MOST_ATTEMPTS = 3
 
@@ -27,3 +28,31 @@
     def allow_retry(self, error: StepError, attempt: int, left_s: float) -> bool:
         """Return True if fewer than ``most`` attempts were made before the deadline."""
         return attempt < self.most and left_s > 0
+
+
+class RatioRetries:
+    """Allows retries up to a ratio of the first attempts of this daemon.
+
+    Under overload only attempts that a target refused are repeated, on another target.
+    """
+
+    def __init__(self, most: int = MOST_ATTEMPTS):
+        self.limit = AttemptLimit(most)
+        self.is_overloaded = False
+        self._ratio = RetryRatio()
+
+    def observe_first(self, stages: int) -> None:
+        """Take note of the first attempts that a request makes."""
+        for _ in range(stages):
+            self._ratio.observe_first()
+
+    def set_overloaded(self, overloaded: bool) -> None:
+        """Allow fewer or more retries."""
+        self.is_overloaded = overloaded
+
+    def allow_retry(self, error: StepError, attempt: int, left_s: float) -> bool:
+        """Return True if the attempt limit, the ratio and the load allow a retry."""
+        if not self.limit.allow_retry(error, attempt, left_s):
+            return False
+        refused = error.outcome is Outcome.NOT_RUN and error.code is not ErrorCode.OVERLOADED
+        return (refused or not self.is_overloaded) and self._ratio.take()
--- a/greengagehoist/filters/_sender.py
+++ b/greengagehoist/filters/_sender.py
@@ -52,8 +52,15 @@
             raise
         finally:
             latency = self.clock.monotonic() - start
-            ok = status in ("ok", "cancelled")
-            self.targets.tell(Completed(assignment.target, latency, ok))
+            self.targets.tell(
+                Completed(
+                    assignment.target,
+                    latency,
+                    status == "ok",
+                    assignment.ticket,
+                    status == "cancelled",
+                )
+            )
             self._record(exchange, assignment, call, wall, latency, status)
         if status != "ok":
             _cancel(assignment, call)
--- a/greengagehoist/routing/__init__.py
+++ b/greengagehoist/routing/__init__.py
@@ -10,6 +10,7 @@
     RandomChoice,
     RoundRobin,
 )
+from greengagehoist.routing._prefix import hash_prefix
 from greengagehoist.routing._roster import Roster
 from greengagehoist.routing._types import Demand, LoadReport, Member
 
@@ -31,4 +32,5 @@
     "Roster",
     "RoundRobin",
     "SlowStart",
+    "hash_prefix",
 ]
--- a/greengagehoist/routing/_roster.py
+++ b/greengagehoist/routing/_roster.py
@@ -32,7 +32,8 @@
 MOST_NEAR = 48
 REVIEW_PERIOD_S = 0.25
 STALE_S = 5.0
-UNKNOWN_DISTANCE_S = 0.05
+LONGEST_IN_FLIGHT_S = 300.0
+UNKNOWN_DISTANCE_S = 0.0012
 UNKNOWN_CAPACITY = 16
 LEAST_WORK_S = 0.001
 PREFIX_HOLDERS = 2
@@ -119,6 +120,10 @@
         self.cache.remove(name)
         self._subset = None
 
+    def has(self, name: str) -> bool:
+        """Return whether a target is in the roster."""
+        return name in self._states
+
     def candidates(self) -> tuple[str, ...]:
         """Return the names of the subset, for which load should be polled."""
         return tuple(state.member.name for state in self._candidates())
@@ -325,6 +330,7 @@
         self._usual_load = median(r.queue + r.running for r in reports) if reports else 0.0
         ejected = len(states) - len(serving)
         for state in states:
+            _forget_lost(state, now)
             record = state.record
             match record.health:
                 case Ejected(until) if now >= until:
@@ -337,6 +343,15 @@
                         ejected += 1
 
 
+def _forget_lost(state: _State, now: float) -> None:
+    """Drop requests in flight whose end was never told, so that they do not count for ever."""
+    while state.in_flight:
+        request_id, (sent_at, _) = next(iter(state.in_flight.items()))
+        if now - sent_at < LONGEST_IN_FLIGHT_S:
+            return
+        del state.in_flight[request_id]
+
+
 def _usable(state: _State, demand: Demand, now: float) -> bool:
     if demand.exclude and state.name in demand.exclude:
         return False
