--- a/benchmarks/_daemon.py
+++ b/benchmarks/_daemon.py
@@ -69,7 +69,7 @@
         self.gates = {"pipeline": Gate(), "service": Gate()}
         self.estimates = StageEstimates()
         self.first_token = QuantileEstimator(0.95)
-        self.ratio = RetryRatio()
+        self.ratios = {spec.role: RetryRatio() for spec in world.specs}
         distances = dict.fromkeys(world.data_centres, REMOTE_S)
         self.rosters: dict[str, Roster] = {
             spec.role: Roster(name, data_centre, distances, policy, weight) for spec in world.specs
@@ -115,8 +115,9 @@
         if not can_finish(left, self._times(run.request, run.stage)):
             self._close(run, False)
             return
-        self.ratio.observe_first()
-        self.world.count_first(role_of(run.request.stages[run.stage]))
+        role = role_of(run.request.stages[run.stage])
+        self.ratios[role].observe_first()
+        self.world.count_first(role)
         self._send(run)
 
     def _send(self, run: Run) -> None:
@@ -178,6 +179,7 @@
         produced, waited = job.progress(self.loop.now)
         usual = max(PROGRESS_PERIOD_S, FIRST_TOKEN_RATIO * self.first_token.value)
         silent = produced == job.offset and waited > usual
+        silent = silent or not self.world.reaches(self.data_centre, job.target)
         streamed = waited - PROGRESS_PERIOD_S
         slow = produced > job.offset and produced - job.offset < SLOW_RATE * streamed / STEP_S
         if (silent or slow) and self._may_retry(run):
@@ -190,13 +192,15 @@
 
     def _may_retry(self, run: Run) -> bool:
         overloaded = self._gate(run.request).is_overloaded
-        return run.budget.left > 0 and not overloaded and self.ratio.take()
+        role = role_of(run.request.stages[run.stage])
+        return run.budget.left > 0 and not overloaded and self.ratios[role].take()
 
     def _refused(self, run: Run, index: int, job: Job, sent_at: float) -> None:
         if job.ended:
             return
         job.ended = True
-        self._observe(job, sent_at, False)
+        roster = self.rosters[job.target.spec.role]
+        roster.observe_unreachable(job.target.name, job.key, self.loop.now)
         if not run.done and run.stage == index:
             error = not_run(job.target.spec.role, ErrorCode.CONNECTION, "no connection")
             self._fail(run, error)
@@ -243,7 +247,10 @@
         live = [job for job in run.jobs if not job.ended]
         if live:
             return
-        if not isinstance(decision, Retry) or run.budget.left <= 0 or not self.ratio.take():
+        if not isinstance(decision, Retry) or run.budget.left <= 0:
+            self._close(run, False)
+            return
+        if decision.counted and not self.ratios[role_of(stage)].take():
             self._close(run, False)
             return
         delay = backoff(run.attempts - 1, self.rng) if decision.delayed else 0.0
@@ -272,4 +279,5 @@
         self.world.finish(run.request, whole and now <= run.request.deadline)
         work = 1.0 + run.request.tokens / MEAN_TOKENS
         gate = self._gate(run.request)
-        self._apply(gate.finish((now - run.admitted) / work, whole, now))
+        counts = whole or now >= run.request.deadline
+        self._apply(gate.finish((now - run.admitted) / work, counts, now))
--- a/benchmarks/_experiments.py
+++ b/benchmarks/_experiments.py
@@ -155,9 +155,9 @@
     failing = results.get("failing stage")
     amplified = failing.sent["retriever"] / failing.first["retriever"]
     rows.append(Row("failing-stage-amplification", amplified, "<= 1.1", "ratio"))
-    once = results.get("overload 1x").answered.total()
+    once = results.get("overload 1x").pipelines
     for times in (2, 4):
-        share = 100.0 * results.get(f"overload {times}x").answered.total() / once
+        share = 100.0 * results.get(f"overload {times}x").pipelines / once
         rows.append(Row(f"goodput-{times}x", share, ">= 95", "% of 1x"))
     bursting = results.get("customer bursts 10x")
     others = [name for name in bursting.offered if name != "c2"]
--- a/benchmarks/_world.py
+++ b/benchmarks/_world.py
@@ -50,6 +50,7 @@
 
     :param answered: requests answered whole and in time, by customer.
     :param offered: arrivals by customer.
+    :param pipelines: pipeline requests answered whole and in time.
     :param busy: busy seconds by role, without wasted work.
     :param wasted: busy seconds by role of attempts that no answer used.
     :param first: first attempts by role.
@@ -58,6 +59,7 @@
 
     answered: Counter
     offered: Counter
+    pipelines: int
     refused: int
     busy: dict[str, float]
     wasted: Counter
@@ -104,6 +106,7 @@
         self._sides: dict[str, list[int]] = {name: [0, 0] for name in DATA_CENTRES}
         self._daemon_of: dict[int, Daemon] = {}
         self._refused = 0
+        self._pipelines = 0
         self._retired_busy: Counter = Counter()
         self._wasted: Counter = Counter()
         self._first: Counter = Counter()
@@ -184,6 +187,7 @@
             return
         self._answered[request.customer.name] += 1
         self._sides[daemon.data_centre][1] += 1
+        self._pipelines += len(request.stages) > 1
         self._histograms[0].record_value(int((self.loop.now - request.arrived) * 1e6) + 1)
 
     def observe_stream(self, request: Request, job: Job) -> None:
@@ -220,6 +224,7 @@
         return Figures(
             self._answered,
             self._offered,
+            self._pipelines,
             self._refused,
             {role: busy[role] - self._wasted[role] for role in busy},
             self._wasted,
--- a/greengagehoist/controllers/_balancer.py
+++ b/greengagehoist/controllers/_balancer.py
@@ -90,7 +90,7 @@
         if roster is None:
             return
         roster.observe_done(target.name, ticket, latency, ok, now)
-        if ok:
+        if ok and ticket:
             self._times[target.role].observe(target.role, latency)
 
     def cancel(self, target: Target, ticket: str, now: float) -> None:
@@ -99,6 +99,12 @@
         if roster is not None:
             roster.observe_cancelled(target.name, ticket, now)
 
+    def note_unreachable(self, target: Target, ticket: str, now: float) -> None:
+        """Take note of a call that did not reach its target."""
+        roster = self._rosters.get(target.role)
+        if roster is not None:
+            roster.observe_unreachable(target.name, ticket, now)
+
     def apply_report(self, target: Target, load: LoadWire, now: float) -> None:
         """Take a load report that has just been read."""
         roster = self._rosters.get(target.role)
--- a/greengagehoist/controllers/_targets.py
+++ b/greengagehoist/controllers/_targets.py
@@ -74,6 +74,7 @@
     :param latency: seconds from the dispatch to the end.
     :param ok: False if the target failed.
     :param cancelled: whether the daemon ended the call before the target answered.
+    :param unreachable: whether the target could not be connected.
     """
 
     target: Target
@@ -81,6 +82,7 @@
     ok: bool
     ticket: str = ""
     cancelled: bool = False
+    unreachable: bool = False
 
 
 class SetWeight(NamedTuple):
@@ -207,13 +209,15 @@
         log_event("target_added", target=vm.vm, role=vm.role, address=vm.address)
 
     def _complete(self, message: Completed) -> None:
-        target, latency, ok, ticket, cancelled = message
+        target, latency, ok, ticket, cancelled, unreachable = message
         for replica in (self._replicas.get(target.name), *self._retired):
             if replica is not None and replica.target == target:
                 replica.in_flight -= 1
                 break
         now = self.clock.monotonic()
-        if cancelled:
+        if unreachable:
+            self._balancer.note_unreachable(target, ticket, now)
+        elif cancelled:
             self._balancer.cancel(target, ticket, now)
         else:
             self._balancer.complete(target, ticket, latency, ok, now)
--- a/greengagehoist/filters/_admission.py
+++ b/greengagehoist/filters/_admission.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Success
 
-from greengagehoist.base import Exchange, Outcomes, PipelineCall, Proceed, ServiceCall
+from greengagehoist.base import ErrorCode, Exchange, Outcomes, PipelineCall, Proceed, ServiceCall
 from greengagehoist.controllers import Admit, Finish, Grant, SetWeight
 from greengagehoist.filters._retry import RatioRetries
 from greengagehoist.utils import Controller
@@ -43,7 +43,7 @@
         ok = False
         try:
             outcome = await proceed(exchange)
-            ok = not isinstance(outcome, Failure)
+            ok = not isinstance(outcome, Failure) or outcome.failure().code is ErrorCode.DEADLINE
             return outcome
         finally:
             self.admission.tell(Finish(grant, ok))
@@ -69,11 +69,11 @@
         admission.tell(Finish(task.result().unwrap(), False))
 
 
-def _describe(exchange: Exchange) -> tuple[str, float, int]:
-    """Return the route, the relative cost and the number of stages of a request."""
+def _describe(exchange: Exchange) -> tuple[str, float, tuple[str, ...]]:
+    """Return the route, the relative cost and the stages of a request."""
     match exchange.call:
         case PipelineCall(pipeline, _, max_tokens):
-            stages = len(exchange.cfg.pipelines[pipeline].stages)
+            stages = tuple(stage.name for stage in exchange.cfg.pipelines[pipeline].stages)
             return f"pipeline:{pipeline}", 1.0 + max_tokens / TOKENS_PER_UNIT, stages
         case ServiceCall(service):
-            return f"service:{service}", 1.0, 1
+            return f"service:{service}", 1.0, (service,)
--- a/greengagehoist/filters/_retry.py
+++ b/greengagehoist/filters/_retry.py
@@ -1,5 +1,6 @@
 """Interface of the policy that allows another attempt of a stage."""
 
+from collections import defaultdict
 from typing import Protocol
 
 from greengagehoist.base import ErrorCode, Outcome, StepError
@@ -31,20 +32,20 @@
 
 
 class RatioRetries:
-    """Allows retries up to a ratio of the first attempts of this daemon.
+    """Allows retries up to a ratio of the first attempts of each stage at this daemon.
 
-    Under overload only attempts that a target refused are repeated, on another target.
+    An attempt that could not connect put no load on a target and does not count. Under overload only attempts that a target refused are repeated, on another target.
     """
 
     def __init__(self, most: int = MOST_ATTEMPTS):
         self.limit = AttemptLimit(most)
         self.is_overloaded = False
-        self._ratio = RetryRatio()
+        self._ratios: defaultdict[str, RetryRatio] = defaultdict(RetryRatio)
 
-    def observe_first(self, stages: int) -> None:
+    def observe_first(self, stages: tuple[str, ...]) -> None:
         """Take note of the first attempts that a request makes."""
-        for _ in range(stages):
-            self._ratio.observe_first()
+        for stage in stages:
+            self._ratios[stage].observe_first()
 
     def set_overloaded(self, overloaded: bool) -> None:
         """Allow fewer or more retries."""
@@ -54,5 +55,7 @@
         """Return True if the attempt limit, the ratio and the load allow a retry."""
         if not self.limit.allow_retry(error, attempt, left_s):
             return False
+        if error.outcome is Outcome.NOT_RUN and error.code is ErrorCode.CONNECTION:
+            return True
         refused = error.outcome is Outcome.NOT_RUN and error.code is not ErrorCode.OVERLOADED
-        return (refused or not self.is_overloaded) and self._ratio.take()
+        return (refused or not self.is_overloaded) and self._ratios[error.step].take()
--- a/greengagehoist/filters/_sender.py
+++ b/greengagehoist/filters/_sender.py
@@ -6,7 +6,7 @@
 
 from returns.result import Result, Success
 
-from greengagehoist.base import Exchange, StepError
+from greengagehoist.base import ErrorCode, Exchange, StepError
 from greengagehoist.controllers import Assignment, Completed, Record
 from greengagehoist.targets import Cancel, GenerateCall, OperationCall, PoolCall, Send, TargetCall
 from greengagehoist.tracing import Span
@@ -59,6 +59,7 @@
                     status == "ok",
                     assignment.ticket,
                     status == "cancelled",
+                    status == str(ErrorCode.CONNECTION),
                 )
             )
             self._record(exchange, assignment, call, wall, latency, status)
--- a/greengagehoist/retries/_budget.py
+++ b/greengagehoist/retries/_budget.py
@@ -4,7 +4,8 @@
 
 PER_REQUEST = 3
 RATIO = 0.1
-LARGEST_RESERVE = 10.0
+FIRST_RESERVE = 2.0
+LARGEST_RESERVE = 5.0
 
 
 class Budget(NamedTuple):
@@ -18,14 +19,17 @@
 
 
 class RetryRatio:
-    """Keeps the retries and hedges of a daemon at a ratio of its first attempts.
+    """Keeps the retries and hedges of one stage at a daemon at a ratio of its first attempts.
+
+    Each stage has its own, because retries that are earned by the attempts of healthy stages would
+    multiply the load of a failing one.
 
     :param ratio: retries earned by each first attempt.
     """
 
     def __init__(self, ratio: float = RATIO):
         self.ratio = ratio
-        self._reserve = 0.0
+        self._reserve = FIRST_RESERVE
 
     def observe_first(self) -> None:
         """Take note of a first attempt."""
--- a/greengagehoist/retries/_classify.py
+++ b/greengagehoist/retries/_classify.py
@@ -26,9 +26,12 @@
     """Attempt again on another target.
 
     :param delayed: whether to wait for the backoff first.
+    :param counted: whether it counts towards the ratio; an attempt that could not connect put no
+        load on a target.
     """
 
     delayed: bool
+    counted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +61,8 @@
     if error.code in _PERMANENT:
         return Never()
     match work, error.outcome:
+        case _, Outcome.NOT_RUN if error.code is ErrorCode.CONNECTION:
+            return Retry(False, counted=False)
         case _, Outcome.NOT_RUN:
             return Never() if overloaded and error.code is ErrorCode.OVERLOADED else Retry(False)
         case NonIdempotent(), _:
--- a/greengagehoist/retries/tests/test_retries.py
+++ b/greengagehoist/retries/tests/test_retries.py
@@ -26,7 +26,7 @@
 
 
 def test_run_that_was_refused_moves_to_another_target_at_once():
-    assert classify(REFUSED, NonIdempotent("book"), False) == Retry(False)
+    assert classify(REFUSED, NonIdempotent("book"), False) == Retry(False, counted=False)
 
 
 def test_unknown_idempotent_run_is_repeated_unless_overloaded():
@@ -45,14 +45,14 @@
     for _ in range(1000):
         ratio.observe_first()
         taken += ratio.take()
-    assert taken <= 100
+    assert 95 <= taken <= 102
 
 
 def test_reserve_is_bounded():
     ratio = RetryRatio(0.1)
     for _ in range(10_000):
         ratio.observe_first()
-    assert sum(ratio.take() for _ in range(100)) == 10
+    assert sum(ratio.take() for _ in range(100)) == 5
 
 
 def test_budget_decreases():
--- a/greengagehoist/routing/__init__.py
+++ b/greengagehoist/routing/__init__.py
@@ -1,7 +1,7 @@
 """Choice of targets."""
 
 from greengagehoist.routing._cache import CacheEvents, CacheIndex
-from greengagehoist.routing._health import Ejected, Health, Healthy, Probing, SlowStart
+from greengagehoist.routing._health import Ejected, Health, Healthy, Probing, SlowStart, Unreachable
 from greengagehoist.routing._policy import (
     ExpectedTime,
     LeastReported,
@@ -32,5 +32,6 @@
     "Roster",
     "RoundRobin",
     "SlowStart",
+    "Unreachable",
     "hash_prefix",
 ]
--- a/greengagehoist/routing/_health.py
+++ b/greengagehoist/routing/_health.py
@@ -7,6 +7,8 @@
 MOST_EJECTED = 0.3
 FIRST_EJECTION_S = 5.0
 LONGEST_EJECTION_S = 60.0
+FIRST_UNREACHABLE_S = 1.0
+LONGEST_UNREACHABLE_S = 30.0
 SLOW_START_S = 10.0
 CONSECUTIVE_ERRORS = 5
 ERROR_RATE = 0.5
@@ -39,7 +41,14 @@
     since: float
 
 
-Health = Healthy | Ejected | Probing | SlowStart
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """Could not be connected; takes no requests before ``until`` or a load report."""
+
+    until: float
+
+
+Health = Healthy | Ejected | Probing | SlowStart | Unreachable
 
 
 class Record:
@@ -48,7 +57,15 @@
     Slowness is the latency divided by the expected latency; siblings share its scale.
     """
 
-    __slots__ = ("consecutive", "ejections", "error_rate", "health", "samples", "slowness")
+    __slots__ = (
+        "consecutive",
+        "ejections",
+        "error_rate",
+        "health",
+        "samples",
+        "slowness",
+        "unreachable",
+    )
 
     def __init__(self, health: Health):
         self.health = health
@@ -57,6 +74,7 @@
         self.slowness = 1.0
         self.samples = 0
         self.ejections = 0
+        self.unreachable = 0
 
     def observe(self, ok: bool, slowness: float) -> None:
         """Take the end of one request."""
@@ -81,6 +99,18 @@
         self.ejections += 1
         self.health = Ejected(now + length)
 
+    def observe_unreachable(self, now: float) -> None:
+        """Skip the target for a time that doubles with each failed connection."""
+        length = min(LONGEST_UNREACHABLE_S, FIRST_UNREACHABLE_S * 2**self.unreachable)
+        self.unreachable = min(10, self.unreachable + 1)
+        self.health = Unreachable(now + length)
+
+    def observe_reachable(self) -> None:
+        """Return a target to service that can be connected again."""
+        self.unreachable = 0
+        if isinstance(self.health, Unreachable):
+            self.health = Healthy()
+
     def finish_probe(self, ok: bool, normal: bool, now: float) -> None:
         """Return to service after a good probe, or eject again."""
         if ok and normal:
--- a/greengagehoist/routing/_roster.py
+++ b/greengagehoist/routing/_roster.py
@@ -15,6 +15,7 @@
     Probing,
     Record,
     SlowStart,
+    Unreachable,
     may_eject,
     typical,
 )
@@ -44,6 +45,7 @@
 SLOW_START_FACTOR = 3.0
 LEAST_TIME_WEIGHT = 0.2
 COST_FACTOR = 4.0
+_AWAY = (Ejected, Probing, Unreachable)
 
 
 class _State:
@@ -138,6 +140,8 @@
         state = self._states.get(name)
         if state is None or (state.report is not None and report.at < state.report.at):
             return
+        if state.report is not None:
+            state.record.observe_reachable()
         state.report = report
         state.sent = sum(1 for at, _ in state.in_flight.values() if at > report.at)
         state.done = 0
@@ -166,10 +170,7 @@
         if flight is None:
             return
         sent_at, expected = flight
-        if state.report is None or sent_at <= state.report.at:
-            state.done += 1
-        else:
-            state.sent -= 1
+        _count_end(state, sent_at)
         slowness = latency / expected
         state.record.observe(ok, slowness)
         if isinstance(state.record.health, Probing):
@@ -183,10 +184,7 @@
         if flight is None:
             return
         sent_at, expected = flight
-        if state.report is None or sent_at <= state.report.at:
-            state.done += 1
-        else:
-            state.sent -= 1
+        _count_end(state, sent_at)
         slowness = (now - sent_at) / expected
         if slowness > state.record.slowness:
             state.record.observe(True, slowness)
@@ -194,6 +192,14 @@
             state.record.finish_probe(True, slowness < SLOWNESS_RATIO * self._typical[0], now)
         self._review(now)
 
+    def observe_unreachable(self, name: str, request_id: str, now: float) -> None:
+        """Take note of a request that did not reach its target."""
+        state = self._states.get(name)
+        flight = None if state is None else state.in_flight.pop(request_id, None)
+        if flight is not None:
+            _count_end(state, flight[0])
+            state.record.observe_unreachable(now)
+
     def observe_cache_events(self, name: str, events: CacheEvents, now: float) -> None:
         """Take a run of cache events."""
         if name in self._states:
@@ -324,15 +330,17 @@
             return
         self._reviewed = now
         states = self._candidates()
-        serving = [s for s in states if not isinstance(s.record.health, Ejected | Probing)]
+        serving = [s for s in states if not isinstance(s.record.health, _AWAY)]
         self._typical = typical([s.record for s in serving if s.record.samples])
         reports = [s.report for s in states if s.report and now - s.report.at < STALE_S]
         self._usual_load = median(r.queue + r.running for r in reports) if reports else 0.0
-        ejected = len(states) - len(serving)
+        ejected = sum(isinstance(s.record.health, Ejected | Probing) for s in states)
         for state in states:
             _forget_lost(state, now)
             record = state.record
             match record.health:
+                case Unreachable(until) if now >= until:
+                    record.health = Probing()
                 case Ejected(until) if now >= until:
                     record.health = Probing()
                 case SlowStart(since) if now - since >= SLOW_START_S:
@@ -343,6 +351,13 @@
                         ejected += 1
 
 
+def _count_end(state: _State, sent_at: float) -> None:
+    if state.report is None or sent_at <= state.report.at:
+        state.done += 1
+    else:
+        state.sent -= 1
+
+
 def _forget_lost(state: _State, now: float) -> None:
     """Drop requests in flight whose end was never told, so that they do not count for ever."""
     while state.in_flight:
@@ -358,7 +373,10 @@
     health = state.record.health
     if type(health) is Healthy:
         return True
-    return not (isinstance(health, Ejected) or (isinstance(health, Probing) and state.in_flight))
+    return not (
+        isinstance(health, Ejected | Unreachable)
+        or (isinstance(health, Probing) and state.in_flight)
+    )
 
 
 def _allowed(states: list[_State], demand: Demand) -> list[_State]:
