--- a/greengagehoist/routing/_roster.py
+++ b/greengagehoist/routing/_roster.py
@@ -15,6 +15,7 @@
     Probing,
     Record,
     SlowStart,
+    Unreachable,
     may_eject,
     typical,
 )
@@ -32,17 +33,19 @@
 MOST_NEAR = 48
 REVIEW_PERIOD_S = 0.25
 STALE_S = 5.0
-UNKNOWN_DISTANCE_S = 0.05
+LONGEST_IN_FLIGHT_S = 300.0
+UNKNOWN_DISTANCE_S = 0.0012
 UNKNOWN_CAPACITY = 16
 LEAST_WORK_S = 0.001
 PREFIX_HOLDERS = 2
 # Own sends count this often: the other daemons act on the same lagged report.
-SENT_FACTOR = 1.5
+SENT_FACTOR = 4.0
 # The oldest request in flight makes its target look slow after this multiple of the expected time.
 OVERDUE_RATIO = 2.0
 SLOW_START_FACTOR = 3.0
 LEAST_TIME_WEIGHT = 0.2
 COST_FACTOR = 4.0
+_AWAY = (Ejected, Probing, Unreachable)
 
 
 class _State:
@@ -119,6 +122,10 @@
         self.cache.remove(name)
         self._subset = None
 
+    def has(self, name: str) -> bool:
+        """Return whether a target is in the roster."""
+        return name in self._states
+
     def candidates(self) -> tuple[str, ...]:
         """Return the names of the subset, for which load should be polled."""
         return tuple(state.member.name for state in self._candidates())
@@ -133,6 +140,8 @@
         state = self._states.get(name)
         if state is None or (state.report is not None and report.at < state.report.at):
             return
+        if state.report is not None:
+            state.record.observe_reachable()
         state.report = report
         state.sent = sum(1 for at, _ in state.in_flight.values() if at > report.at)
         state.done = 0
@@ -161,16 +170,36 @@
         if flight is None:
             return
         sent_at, expected = flight
-        if state.report is None or sent_at <= state.report.at:
-            state.done += 1
-        else:
-            state.sent -= 1
+        _count_end(state, sent_at)
         slowness = latency / expected
         state.record.observe(ok, slowness)
         if isinstance(state.record.health, Probing):
             state.record.finish_probe(ok, slowness < SLOWNESS_RATIO * self._typical[0], now)
         self._review(now)
 
+    def observe_cancelled(self, name: str, request_id: str, now: float) -> None:
+        """Take note of a request that was cancelled; its time so far bounds the latency below."""
+        state = self._states.get(name)
+        flight = None if state is None else state.in_flight.pop(request_id, None)
+        if flight is None:
+            return
+        sent_at, expected = flight
+        _count_end(state, sent_at)
+        slowness = (now - sent_at) / expected
+        if slowness > state.record.slowness:
+            state.record.observe(True, slowness)
+        if isinstance(state.record.health, Probing):
+            state.record.finish_probe(True, slowness < SLOWNESS_RATIO * self._typical[0], now)
+        self._review(now)
+
+    def observe_unreachable(self, name: str, request_id: str, now: float) -> None:
+        """Take note of a request that did not reach its target."""
+        state = self._states.get(name)
+        flight = None if state is None else state.in_flight.pop(request_id, None)
+        if flight is not None:
+            _count_end(state, flight[0])
+            state.record.observe_unreachable(now)
+
     def observe_cache_events(self, name: str, events: CacheEvents, now: float) -> None:
         """Take a run of cache events."""
         if name in self._states:
@@ -301,14 +330,17 @@
             return
         self._reviewed = now
         states = self._candidates()
-        serving = [s for s in states if not isinstance(s.record.health, Ejected | Probing)]
+        serving = [s for s in states if not isinstance(s.record.health, _AWAY)]
         self._typical = typical([s.record for s in serving if s.record.samples])
         reports = [s.report for s in states if s.report and now - s.report.at < STALE_S]
         self._usual_load = median(r.queue + r.running for r in reports) if reports else 0.0
-        ejected = len(states) - len(serving)
+        ejected = sum(isinstance(s.record.health, Ejected | Probing) for s in states)
         for state in states:
+            _forget_lost(state, now)
             record = state.record
             match record.health:
+                case Unreachable(until) if now >= until:
+                    record.health = Probing()
                 case Ejected(until) if now >= until:
                     record.health = Probing()
                 case SlowStart(since) if now - since >= SLOW_START_S:
@@ -319,13 +351,32 @@
                         ejected += 1
 
 
+def _count_end(state: _State, sent_at: float) -> None:
+    if state.report is None or sent_at <= state.report.at:
+        state.done += 1
+    else:
+        state.sent -= 1
+
+
+def _forget_lost(state: _State, now: float) -> None:
+    """Drop requests in flight whose end was never told, so that they do not count for ever."""
+    while state.in_flight:
+        request_id, (sent_at, _) = next(iter(state.in_flight.items()))
+        if now - sent_at < LONGEST_IN_FLIGHT_S:
+            return
+        del state.in_flight[request_id]
+
+
 def _usable(state: _State, demand: Demand, now: float) -> bool:
     if demand.exclude and state.name in demand.exclude:
         return False
     health = state.record.health
     if type(health) is Healthy:
         return True
-    return not (isinstance(health, Ejected) or (isinstance(health, Probing) and state.in_flight))
+    return not (
+        isinstance(health, Ejected | Unreachable)
+        or (isinstance(health, Probing) and state.in_flight)
+    )
 
 
 def _allowed(states: list[_State], demand: Demand) -> list[_State]:
