Enforce plan limits and quiet hours in the filter chain

Requests passed without a check of their plan. The quota filter reserves requests, tokens and a unit of concurrency, and quiet-hour amounts where the request may touch quiet hours, and settles with the tokens that were generated. A request that failed after it may have run is charged in full, because an engine may have generated tokens that did not arrive. Draws in quiet hours go to the hash-chained record.

--- a/greengagehoist/base/_exchange.py
+++ b/greengagehoist/base/_exchange.py
@@ -47,6 +47,9 @@
 class Exchange(NamedTuple):
     """A request on its way through the filters; filters replace fields and never mutate it.
 
+    :param meter: receives the number of tokens that any attempt has generated.
+    :param reserve_tokens: reserves the tokens of a further generation; its failure means that the
+        attempt must not be made.
     :param deadline: instant on the daemon's monotonic clock, in seconds.
     :param arrived: arrival on the daemon's monotonic clock, in seconds.
     :param shortened: deadline asked for by the caller, or None.
@@ -65,6 +68,8 @@
     usage: PlanUsage | None = None
     deadline: float = 0.0
     emit: Callable[[int, tuple[str, ...]], Awaitable[None]] | None = None
+    meter: Callable[[int], None] | None = None
+    reserve_tokens: Callable[[int], Awaitable[Result[Any, StepError]]] | None = None
 
 
 class Answer(NamedTuple):
--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -14,6 +14,19 @@
     StartDrain,
     WaitStopped,
 )
+from greengagehoist.controllers._quota import (
+    Abandon,
+    GetHeld,
+    QuotaController,
+    Reserve,
+    Settle,
+)
+from greengagehoist.controllers._records import (
+    GetReport,
+    RecordController,
+    RecordDraws,
+    Report,
+)
 from greengagehoist.controllers._roster import (
     ClockChecked,
     GetRoster,
@@ -32,6 +45,15 @@
 from greengagehoist.controllers._traces import CollectTrace, GetTrace, Record, TraceController
 
 __all__ = [
+    "Abandon",
+    "GetHeld",
+    "GetReport",
+    "QuotaController",
+    "RecordController",
+    "RecordDraws",
+    "Report",
+    "Reserve",
+    "Settle",
     "Assignment",
     "ClockChecked",
     "CollectTrace",
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -7,6 +7,9 @@
 from greengagehoist.controllers import (
     ConfigController,
     DrainController,
+    OnDrain,
+    QuotaController,
+    RecordController,
     RosterController,
     StartDrain,
     TargetController,
@@ -14,7 +17,13 @@
     WaitStopped,
 )
 from greengagehoist.daemon._settings import Settings
-from greengagehoist.filters import DeadlineFilter, DispatchFilter, IdentifyFilter, PlanFilter
+from greengagehoist.filters import (
+    DeadlineFilter,
+    DispatchFilter,
+    IdentifyFilter,
+    PlanFilter,
+    QuotaFilter,
+)
 from greengagehoist.membership import Member
 from greengagehoist.peers import PeerController
 from greengagehoist.platform_client import PlatformController
@@ -37,6 +46,17 @@
         self.traces = TraceController(self.peers, settings.data_centre)
         self.targets = TargetController(self.platform, clock, rng, settings.data_centre, self.peers)
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
+        self.records = RecordController(self.platform, clock, settings.vm, self.incarnation)
+        self.quotas = QuotaController(
+            self.platform,
+            self.configs,
+            self.peers,
+            self.records,
+            clock,
+            settings.vm,
+            settings.data_centre,
+            self.incarnation,
+        )
         followers = (self.targets, self.drains)
         self.roster = RosterController(self.platform, self.peers, followers, clock)
         self.metrics = connect_metrics(
@@ -52,6 +72,7 @@
                 IdentifyFilter(self.configs),
                 PlanFilter(),
                 DeadlineFilter(self.clock),
+                QuotaFilter(self.quotas, self.clock),
                 DispatchFilter(self.targets, self.traces, self.clock, self.rng, self.settings.vm),
             ]
         )
@@ -63,6 +84,8 @@
             self.configs,
             self.traces,
             self.targets,
+            self.records,
+            self.quotas,
             self.drains,
             self.roster,
         ]
@@ -75,6 +98,8 @@
         loop = asyncio.get_running_loop()
         log_event("listening", interface="peers", address=self.peers.listen())
         self._tasks = [loop.create_task(item.run()) for item in self._controllers()]
+        for controller in (self.quotas, self.records):
+            self.drains.tell(OnDrain(controller))
         callers = CallerApp(
             self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
         )
--- a/greengagehoist/filters/_dispatch.py
+++ b/greengagehoist/filters/_dispatch.py
@@ -160,6 +160,8 @@
 
     async def accept(self, chunk: Chunk) -> None:
         """Append a chunk that belongs to the open attempt and starts at the next offset."""
+        if self.exchange.meter is not None:
+            self.exchange.meter(len(chunk.tokens))
         if chunk.attempt != self.attempt or chunk.offset != len(self.stream.tokens):
             return
         self.stream = Stream(self.stream.tokens + chunk.tokens)
--- a/greengagehoist/quota/__init__.py
+++ b/greengagehoist/quota/__init__.py
@@ -1,6 +1,6 @@
 """Plan limits shared between daemons."""
 
-from greengagehoist.quota._balances import Balances, Key
+from greengagehoist.quota._balances import RESOURCES, Balances, Key
 from greengagehoist.quota._coordinator import (
     AskAmount,
     AskUnit,
@@ -17,6 +17,7 @@
 )
 from greengagehoist.quota._leases import LeaseBook, Seen, SlotRow, SlotWrite
 from greengagehoist.quota._ledger import (
+    CONCURRENCY,
     Draw,
     Ledger,
     Refusal,
@@ -39,6 +40,8 @@
 from greengagehoist.quota._units import Units
 
 __all__ = [
+    "CONCURRENCY",
+    "RESOURCES",
     "AskAmount",
     "AskUnit",
     "Coordinator",
--- a/greengagehoist/quota/_balances.py
+++ b/greengagehoist/quota/_balances.py
@@ -5,6 +5,7 @@
 from greengagehoist.quota._leases import LeaseBook
 from greengagehoist.quota._slots import apportion
 
+RESOURCES = ("requests", "tokens", "quiet_requests", "quiet_tokens")
 MINUTE_S = 60
 HOUR_S = 3600
 # Balances are kept for this long after the end of their window, then never opened again.
@@ -59,9 +60,11 @@
         """Open a window for all slots that allow it and return the balance.
 
         :param limit: limit in force; None leaves the last known one in force.
-        :returns: the balance, 0 if the window is too far ahead or was closed.
+        :returns: the balance, 0 if there is no such window, or it is too far ahead or was closed.
         """
         ahead = QUIET_LOOK_AHEAD_S if key.quiet else MINUTE_LOOK_AHEAD_S
+        if not key.quiet and key.window % MINUTE_S:
+            return 0
         if key.latest_end <= self._closed_until or key.window > wall + ahead:
             return 0
         balance = self._balances.get(key)
--- a/greengagehoist/quota/_coordinator.py
+++ b/greengagehoist/quota/_coordinator.py
@@ -1,7 +1,7 @@
 """Waiting requests and the exchange of amounts and units with peers."""
 
 import itertools
-from collections.abc import Hashable, Iterable, Mapping
+from collections.abc import Container, Hashable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -134,6 +134,7 @@
         self.leases = leases
         self.ledger = Ledger(leases, cfg)
         self.peers: dict[str, str] = {}
+        self._serving: dict[str, str] = {}
         self.draining = False
         self._no_stock = NoStock()
         self._numbers = itertools.count()
@@ -146,13 +147,17 @@
         if cfg.version > self.ledger.cfg.version:
             self.ledger.cfg = cfg
 
-    def observe_peers(self, peers: Mapping[str, str]) -> None:
-        """Take in the data centre of each linked peer."""
+    def observe_peers(self, peers: Mapping[str, str], ready: Container[str]) -> None:
+        """Take in the data centre of each linked peer.
+
+        :param ready: peers that serve requests; the others are left out of the division of slots.
+        """
         self.peers = dict(peers)
+        self._serving = {vm: centre for vm, centre in peers.items() if vm in ready}
 
     def lease_writes(self, now: Instant) -> list[SlotWrite]:
         """Return the lease writes that are due."""
-        members = self.leases.members(now, self.peers)
+        members = self.leases.members(now, self._serving)
         longest = self.ledger.units.longest_left(now)
         return self.leases.plan_writes(now, members, draining=self.draining, longest=longest)
 
--- a/greengagehoist/quota/_ledger.py
+++ b/greengagehoist/quota/_ledger.py
@@ -136,15 +136,15 @@
             return Refusal(f"customer {request.customer} holds no plan", False, None)
         quiet = quiet_windows(usage.quiet, now.wall, now.wall + request.lasting)
         draws = self._draws(request, now, quiet)
-        for draw in draws:
-            limit = self.limit_of(draw.key)
+        limits = [self.limit_of(draw.key) for draw in draws]
+        for draw, limit in zip(draws, limits, strict=True):
             if limit is not None and draw.amount > limit:
                 after = max(0.0, draw.end + CLOCK_MARGIN_S - now.wall) if draw.key.quiet else None
                 text = f"{draw.key.resource}: {draw.amount} exceeds the limit {limit}"
                 return Refusal(text, draw.key.quiet, after)
         missing = []
-        for draw in draws:
-            balance = self.balances.open(draw.key, self.limit_of(draw.key), now.wall)
+        for draw, limit in zip(draws, limits, strict=True):
+            balance = self.balances.open(draw.key, limit, now.wall)
             if balance < draw.amount:
                 missing.append(draw._replace(amount=draw.amount - balance))
         held, absent = self._take_units(request, usage, now, bool(quiet), tuple(borrowed))
