--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -1,5 +1,12 @@
 """Tasks that own state and talk by messages."""
 
+from greengagehoist.controllers._admission import (
+    AdmissionController,
+    Admit,
+    Finish,
+    GetOverload,
+    Grant,
+)
 from greengagehoist.controllers._claims import (
     ClaimController,
     CloseClaim,
@@ -30,6 +37,19 @@
 )
 from greengagehoist.controllers._orders import GetOrderStates, OrderController, Want
 from greengagehoist.controllers._proposals import Propose, Rejection
+from greengagehoist.controllers._quota import (
+    Abandon,
+    GetHeld,
+    QuotaController,
+    Reserve,
+    Settle,
+)
+from greengagehoist.controllers._records import (
+    GetReport,
+    RecordController,
+    RecordDraws,
+    Report,
+)
 from greengagehoist.controllers._roster import (
     ClockChecked,
     GetRoster,
@@ -44,11 +64,15 @@
     GetLink,
     Reported,
     Route,
+    SetWeight,
     TargetController,
 )
 from greengagehoist.controllers._traces import CollectTrace, GetTrace, Record, TraceController
 
 __all__ = [
+    "Abandon",
+    "AdmissionController",
+    "Admit",
     "Assignment",
     "ClaimController",
     "ClockChecked",
@@ -62,30 +86,42 @@
     "DrainController",
     "Enter",
     "FindTarget",
+    "Finish",
     "GetConfig",
-    "GetLink",
-    "GetOrderStates",
     "GetConfigStatus",
+    "GetHeld",
     "GetHistory",
+    "GetLink",
+    "GetOrderStates",
+    "GetOverload",
     "GetPendingClaims",
     "GetReadiness",
+    "GetReport",
     "GetRoster",
     "GetState",
     "GetTrace",
+    "Grant",
     "HistoryLine",
     "Leave",
     "OnDrain",
-    "OrderController",
     "OpenClaim",
+    "OrderController",
     "Propose",
+    "QuotaController",
     "ReadClaim",
     "Readiness",
     "Record",
+    "RecordController",
+    "RecordDraws",
     "Rejection",
+    "Report",
     "Reported",
+    "Reserve",
     "Roster",
     "RosterController",
     "Route",
+    "SetWeight",
+    "Settle",
     "StartDrain",
     "TargetController",
     "TraceController",
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -6,11 +6,15 @@
 
 from greengagehoist.base import Proceed, compose
 from greengagehoist.controllers import (
+    AdmissionController,
     ClaimController,
     ConfigController,
     DrainController,
     GetReadiness,
+    OnDrain,
     OrderController,
+    QuotaController,
+    RecordController,
     RosterController,
     StartDrain,
     TargetController,
@@ -19,12 +23,14 @@
 )
 from greengagehoist.daemon._settings import Settings
 from greengagehoist.filters import (
-    AttemptLimit,
+    AdmissionFilter,
     ClaimFilter,
     DeadlineFilter,
     DispatchFilter,
     IdentifyFilter,
     PlanFilter,
+    QuotaFilter,
+    RatioRetries,
     Sender,
 )
 from greengagehoist.membership import Member
@@ -42,20 +48,34 @@
         self.clock = clock
         self.rng = rng
         self.incarnation = int(clock.now().timestamp() * 1000)
-        self.platform = PlatformController(settings.platform)
+        self.platform = PlatformController(settings.platform, clock, rng)
         own = Member(settings.vm, settings.data_centre, settings.peers, self.incarnation)
         self.peers = PeerController(own, settings.seeds, settings.peer_credential, clock, rng)
         self.configs = ConfigController(self.platform, clock, rng, self.peers)
         self.traces = TraceController(self.peers, settings.data_centre)
-        self.targets = TargetController(self.platform, clock, rng, settings.data_centre, self.peers)
+        self.targets = TargetController(
+            self.platform, clock, rng, settings.data_centre, self.peers, settings.vm
+        )
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
+        self.records = RecordController(self.platform, clock, settings.vm, self.incarnation)
+        self.quotas = QuotaController(
+            self.platform,
+            self.configs,
+            self.peers,
+            self.records,
+            clock,
+            settings.vm,
+            settings.data_centre,
+            self.incarnation,
+        )
         followers = (self.targets, self.drains)
         self.roster = RosterController(self.platform, self.peers, followers, clock)
         self.orders = OrderController(
             self.platform, self.targets, clock, rng, settings.vm, self.incarnation
         )
         self.claims = ClaimController(self.platform, clock, rng)
-        self.retries = AttemptLimit()
+        self.retries = RatioRetries()
+        self.admission = AdmissionController(clock, self.retries.set_overloaded)
         self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
@@ -71,6 +91,8 @@
                 IdentifyFilter(self.configs),
                 PlanFilter(),
                 DeadlineFilter(self.clock),
+                QuotaFilter(self.quotas, self.clock),
+                AdmissionFilter(self.admission, self.targets, self.retries),
                 self.claim_filter,
                 DispatchFilter(sender, self.retries, self.metrics),
             ]
@@ -83,10 +105,13 @@
             self.configs,
             self.traces,
             self.targets,
+            self.records,
+            self.quotas,
             self.drains,
             self.roster,
             self.orders,
             self.claims,
+            self.admission,
         ]
 
     async def start(self) -> None:
@@ -97,6 +122,8 @@
         loop = asyncio.get_running_loop()
         log_event("listening", interface="peers", address=self.peers.listen())
         self._tasks = [loop.create_task(item.run()) for item in self._controllers()]
+        for controller in (self.quotas, self.records):
+            self.drains.tell(OnDrain(controller))
         callers = CallerApp(
             self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
         )
--- a/greengagehoist/filters/_sender.py
+++ b/greengagehoist/filters/_sender.py
@@ -6,7 +6,7 @@
 
 from returns.result import Result, Success
 
-from greengagehoist.base import Exchange, StepError
+from greengagehoist.base import ErrorCode, Exchange, StepError
 from greengagehoist.controllers import Assignment, Completed, Record
 from greengagehoist.targets import Cancel, GenerateCall, OperationCall, PoolCall, Send, TargetCall
 from greengagehoist.tracing import Span
@@ -52,8 +52,16 @@
             raise
         finally:
             latency = self.clock.monotonic() - start
-            ok = status in ("ok", "cancelled")
-            self.targets.tell(Completed(assignment.target, latency, ok))
+            self.targets.tell(
+                Completed(
+                    assignment.target,
+                    latency,
+                    status == "ok",
+                    assignment.ticket,
+                    status == "cancelled",
+                    status == str(ErrorCode.CONNECTION),
+                )
+            )
             self._record(exchange, assignment, call, wall, latency, status)
         if status != "ok":
             _cancel(assignment, call)
--- a/greengagehoist/routing/__init__.py
+++ b/greengagehoist/routing/__init__.py
@@ -1,7 +1,7 @@
 """Choice of targets."""
 
 from greengagehoist.routing._cache import CacheEvents, CacheIndex
-from greengagehoist.routing._health import Ejected, Health, Healthy, Probing, SlowStart
+from greengagehoist.routing._health import Ejected, Health, Healthy, Probing, SlowStart, Unreachable
 from greengagehoist.routing._policy import (
     ExpectedTime,
     LeastReported,
@@ -10,6 +10,7 @@
     RandomChoice,
     RoundRobin,
 )
+from greengagehoist.routing._prefix import hash_prefix
 from greengagehoist.routing._roster import Roster
 from greengagehoist.routing._types import Demand, LoadReport, Member
 
@@ -31,4 +32,6 @@
     "Roster",
     "RoundRobin",
     "SlowStart",
+    "Unreachable",
+    "hash_prefix",
 ]
