Follow the platform client's interface in the test of orders

The client takes a clock and a source of randomness and hands its pool to each call. The lost answer is replied as a failure after the whole call, as before.

--- a/greengagehoist/controllers/tests/test_orders.py
+++ b/greengagehoist/controllers/tests/test_orders.py
@@ -7,7 +7,9 @@
 
 import aiosonic
 import pytest
+from returns.result import Failure
 
+from greengagehoist.base import ErrorCode, Outcome, StepError
 from greengagehoist.controllers import (
     GetOrderStates,
     OrderController,
@@ -42,13 +44,15 @@
 
     lose = 0
 
-    async def _call(self, message, reply):
+    async def _call(self, client, message, reply):
         if not isinstance(message, WriteRow) or self.lose == 0:
-            await super()._call(message, reply)
+            await super()._call(client, message, reply)
             return
         self.lose -= 1
-        await self._send(message)
-        reply(self._failure(message, ConnectionResetError()))
+        await super()._call(client, message, lambda result: None)
+        text = "answer lost after the effect"
+        error = StepError("platform", self.address, Outcome.UNKNOWN, ErrorCode.PLATFORM, text)
+        reply(Failure(error))
 
 
 class Issuers:
@@ -79,7 +83,8 @@
         clocks = [ShiftedClock(), ShiftedClock()]
         clients, controllers, running = [], [], []
         for index, clock in enumerate(clocks):
-            client, rng = LosingClient(platform.address), random.Random(index)
+            rng = random.Random(index)
+            client = LosingClient(platform.address, clock, rng)
             targets = TargetController(client, clock, rng, "dc1")
             orders = OrderController(client, targets, clock, rng, f"vm{index}", 1)
             clients.append(client)
