Refuse bad callers early and cancel work that nobody waits for

Unknown credentials, announced oversized bodies and encoded bodies are refused before the body is read; refused requests are limited by source in bounded memory; slow and oversized headers close the connection; texts that cannot be encoded in UTF-8 and NaN are rejected. A caller that disconnects cancels its pipeline; operations are shielded by the claim filter.

--- a/greengagehoist/answers/tests/test_accept.py
+++ b/greengagehoist/answers/tests/test_accept.py
@@ -68,6 +68,9 @@
             verdict = None
         else:
             verdict = apply_step(stream, number, step)
+            assert isinstance(verdict, Dropped) == (step[0] in ("foreign", "old"))
+            if step[0] == "corrupt" and "bad" not in stream.tokens[step[1] :] != ():
+                assert isinstance(verdict, Closed)
         match verdict:
             case Appended(stream=stream) if stream.state is AttemptState.ANSWERED:
                 assert stream.tokens == WHOLE
@@ -78,7 +81,6 @@
                 assert resume in (0, len(stream.tokens))
                 stream = stream if resume else stream._replace(tokens=())
             case Dropped():
-                assert step[0] in ("foreign", "old")
                 continue
         if stream.state is not AttemptState.OPEN:
             number += 1
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -61,6 +61,7 @@
         self.claims = ClaimController(self.platform, clock, rng)
         self.retries = RatioRetries()
         self.admission = AdmissionController(clock, self.retries.set_overloaded)
+        self.identify = IdentifyFilter(self.configs)
         self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
@@ -73,7 +74,7 @@
         sender = Sender(self.targets, self.traces, self.clock, self.rng, self.settings.vm)
         return compose(
             [
-                IdentifyFilter(self.configs),
+                self.identify,
                 PlanFilter(),
                 DeadlineFilter(self.clock),
                 AdmissionFilter(self.admission, self.targets, self.retries),
@@ -105,7 +106,13 @@
         log_event("listening", interface="peers", address=self.peers.listen())
         self._tasks = [loop.create_task(item.run()) for item in self._controllers()]
         callers = CallerApp(
-            self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
+            self.build_chain(),
+            self.traces,
+            self.clock,
+            self.rng,
+            self.metrics,
+            self.settings.vm,
+            self.identify.knows,
         )
         credential = self.settings.operator_credential
         admin = AdminApp(self.configs, self.traces, self.rng, credential, self._admin_parts())
--- a/greengagehoist/filters/_identify.py
+++ b/greengagehoist/filters/_identify.py
@@ -38,6 +38,10 @@
             return Failure(not_run("identify", ErrorCode.UNAUTHENTICATED, "unknown credential"))
         return await proceed(exchange._replace(cfg=cfg, holding=holding))
 
+    async def knows(self, credential: str) -> bool:
+        """Return True if the credential belongs to a customer."""
+        return self._find(await self.configs.ask(GetConfig()), credential) is not None
+
     def _find(self, cfg: Config, credential: str) -> Holding | None:
         if cfg.version != self._version:
             self._by_digest = {item.credential_sha256: item for item in cfg.holdings.values()}
--- /dev/null
+++ b/greengagehoist/server/_bodies.py
@@ -0,0 +1,69 @@
+"""Reading of callers' request bodies within limits of size and time."""
+
+import asyncio
+import json
+from typing import Any
+
+from starlette.requests import ClientDisconnect, Request
+
+from greengagehoist.utils import ValidationError
+
+LARGEST_BODY_BYTES = 256 * 1024
+BODY_TIMEOUT_S = 5.0
+
+
+def check_headers(request: Request) -> None:
+    """Check what the headers announce before any byte of the body is read.
+
+    :raises ValidationError: if the body is announced as too large or as encoded.
+    """
+    encoding = request.headers.get("content-encoding", "identity")
+    if encoding.lower() != "identity":
+        raise ValidationError("Content-Encoding", encoding[:80], "identity")
+    length = request.headers.get("content-length", "0")
+    accepted = f"0 to {LARGEST_BODY_BYTES}"
+    if not (length.isascii() and length.isdecimal() and len(length) <= 12):
+        raise ValidationError("Content-Length", length[:80], accepted)
+    if int(length) > LARGEST_BODY_BYTES:
+        raise ValidationError("Content-Length", length, accepted)
+
+
+async def read_body(request: Request) -> dict[str, Any]:
+    """Read and parse a body.
+
+    :raises ValidationError: if it is too large, too slow or not a JSON object in UTF-8.
+    """
+    check_headers(request)
+    chunks, size = [], 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for chunk in request.stream():
+                size += len(chunk)
+                if size > LARGEST_BODY_BYTES:
+                    accepted = f"at most {LARGEST_BODY_BYTES} bytes"
+                    raise ValidationError("body", f"{size} bytes or more", accepted)
+                chunks.append(chunk)
+    except (TimeoutError, ClientDisconnect) as exc:
+        accepted = f"a whole body within {BODY_TIMEOUT_S} s"
+        raise ValidationError("body", f"{size} bytes", accepted) from exc
+    return parse_object(b"".join(chunks))
+
+
+def parse_object(content: bytes) -> dict[str, Any]:
+    """Parse a JSON object whose texts can all be encoded in UTF-8.
+
+    :raises ValidationError: otherwise.
+    """
+    accepted = "a JSON object in UTF-8"
+    try:
+        body = json.loads(content.decode("utf-8"), parse_constant=_refuse_constant)
+        json.dumps(body, ensure_ascii=False).encode("utf-8")
+    except (ValueError, RecursionError) as exc:
+        raise ValidationError("body", str(exc)[:200], accepted) from exc
+    if not isinstance(body, dict):
+        raise ValidationError("body", type(body).__name__, accepted)
+    return body
+
+
+def _refuse_constant(name: str) -> Any:
+    raise ValueError(f"{name} is not JSON")
--- a/greengagehoist/server/_callers.py
+++ b/greengagehoist/server/_callers.py
@@ -1,15 +1,16 @@
 """HTTP interface for callers."""
 
 import asyncio
+import contextlib
 import json
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
 from returns.result import Failure, Result, Success
 from starlette.applications import Starlette
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
@@ -26,6 +27,8 @@
     not_run,
 )
 from greengagehoist.controllers import Record
+from greengagehoist.server._bodies import read_body
+from greengagehoist.server._sources import SourceLimit
 from greengagehoist.tracing import Span, parse_traceparent
 from greengagehoist.utils import (
     Clock,
@@ -38,13 +41,12 @@
     new_id,
 )
 
-LARGEST_BODY_BYTES = 256 * 1024
-BODY_TIMEOUT_S = 5.0
 LONGEST_TEXT = 100_000
 MOST_TOKENS = 32_768
 LONGEST_KEY = 128
 LONGEST_DEADLINE_MS = 600_000
 KEEP_ALIVE_EVENT_S = 1.0
+CLIENT_GONE_STATUS = 499
 
 STATUS = {
     ErrorCode.INVALID: 400,
@@ -69,6 +71,7 @@
     """Turns HTTP requests into exchanges and answers into HTTP responses.
 
     :param proceed: entry of the filter chain.
+    :param knows: tells whether a credential is known, or None to read every body first.
     """
 
     def __init__(
@@ -79,7 +82,10 @@
         rng: random.Random,
         metrics: Metrics,
         vm: str,
+        knows: Callable[[str], Awaitable[bool]] | None = None,
     ):
+        self.knows = knows
+        self.sources = SourceLimit()
         self.proceed = proceed
         self.traces = traces
         self.clock = clock
@@ -106,21 +112,54 @@
 
     async def _answer(self, request: Request, parse: Any) -> Response:
         request_id, arrived = new_id(self.rng), self.clock.monotonic()
+        refused = await self._refuse_early(request)
+        if refused is not None:
+            return _failure_response(refused, request_id, close=True)
         try:
-            body = await _read_body(request)
+            body = await read_body(request)
             exchange = self._exchange(request, request_id, arrived, parse(request, body), body)
         except ValidationError as exc:
             error = not_run("read", ErrorCode.INVALID, str(exc))
-            return _failure_response(error, request_id)
+            return _failure_response(error, request_id, close=True)
         if isinstance(exchange.call, PipelineCall) and exchange.call.stream:
             return StreamingResponse(self._events(exchange), media_type="text/event-stream")
-        result = await self._run(exchange)
+        result = await self._run_while_connected(request, exchange)
         match result:
+            case None:
+                return Response(status_code=CLIENT_GONE_STATUS)
             case Success(answer):
                 return JSONResponse(_answer_body(answer, exchange))
             case Failure(error):
                 return _failure_response(error, request_id)
 
+    async def _refuse_early(self, request: Request) -> StepError | None:
+        """Refuse an unknown credential before the body is read."""
+        if self.knows is None or await self.knows(_credential(request)):
+            return None
+        source = request.client.host if request.client else ""
+        if not self.sources.allow(source, self.clock.monotonic()):
+            text = "too many unauthenticated requests from this address"
+            return not_run("identify", ErrorCode.OVERLOADED, text)
+        return not_run("identify", ErrorCode.UNAUTHENTICATED, "unknown credential")
+
+    async def _run_while_connected(
+        self, request: Request, exchange: Exchange
+    ) -> Result[Answer, StepError] | None:
+        """Run the chain; cancel it and return None if the caller disconnects first.
+
+        The claim filter shields operations that must not be interrupted.
+        """
+        run = asyncio.ensure_future(self._run(exchange))
+        gone = asyncio.ensure_future(_disconnected(request))
+        try:
+            await asyncio.wait((run, gone), return_when=asyncio.FIRST_COMPLETED)
+            return await run if run.done() else None
+        finally:
+            for task in (run, gone):
+                task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(run, gone, return_exceptions=True)
+
     def _exchange(
         self, request: Request, request_id: str, arrived: float, call: Call, body: dict
     ) -> Exchange:
@@ -131,12 +170,13 @@
         key = request.headers.get("idempotency-key", "")
         if key:
             check_text("Idempotency-Key", key, LONGEST_KEY)
-        scheme, _, credential = request.headers.get("authorization", "").partition(" ")
+            if not (key.isascii() and key.isprintable()):
+                raise ValidationError("Idempotency-Key", key, "printable ASCII characters")
         parent = parse_traceparent(request.headers.get("traceparent", ""))
         trace_id = parent[0] if parent else new_id(self.rng)
         return Exchange(
             request_id=request_id,
-            credential=credential if scheme.lower() == "bearer" else "",
+            credential=_credential(request),
             call=call,
             arrived=arrived,
             trace=TraceContext(trace_id, new_id(self.rng, 64)),
@@ -202,26 +242,15 @@
             task.cancel()
 
 
-async def _read_body(request: Request) -> dict[str, Any]:
-    chunks, size = [], 0
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            async for chunk in request.stream():
-                size += len(chunk)
-                if size > LARGEST_BODY_BYTES:
-                    accepted = f"at most {LARGEST_BODY_BYTES} bytes"
-                    raise ValidationError("body", f"{size} bytes or more", accepted)
-                chunks.append(chunk)
-    except (TimeoutError, ClientDisconnect) as exc:
-        accepted = f"a whole body within {BODY_TIMEOUT_S} s"
-        raise ValidationError("body", f"{size} bytes", accepted) from exc
-    try:
-        body = json.loads(b"".join(chunks))
-    except (ValueError, RecursionError) as exc:
-        raise ValidationError("body", str(exc), "a JSON object in UTF-8") from exc
-    if not isinstance(body, dict):
-        raise ValidationError("body", type(body).__name__, "a JSON object in UTF-8")
-    return body
+def _credential(request: Request) -> str:
+    scheme, _, credential = request.headers.get("authorization", "").partition(" ")
+    return credential if scheme.lower() == "bearer" else ""
+
+
+async def _disconnected(request: Request) -> None:
+    """Return when the caller has closed the connection; the body must have been read."""
+    while (await request.receive())["type"] != "http.disconnect":
+        pass
 
 
 def _pipeline_call(request: Request, body: dict[str, Any]) -> PipelineCall:
@@ -271,8 +300,9 @@
     }
 
 
-def _failure_response(error: StepError, request_id: str) -> JSONResponse:
-    return JSONResponse(failure_body(error, request_id), STATUS[error.code])
+def _failure_response(error: StepError, request_id: str, *, close: bool = False) -> JSONResponse:
+    headers = {"Connection": "close"} if close else None
+    return JSONResponse(failure_body(error, request_id), STATUS[error.code], headers)
 
 
 def _event(name: str, data: dict[str, Any]) -> str:
--- a/greengagehoist/server/_serve.py
+++ b/greengagehoist/server/_serve.py
@@ -6,6 +6,8 @@
 
 import uvicorn
 
+from greengagehoist.server._protocol import GuardedProtocol
+
 # Idle caller connections are closed after this many seconds.
 KEEP_ALIVE_S = 30
 BACKLOG = 1024
@@ -55,7 +57,7 @@
         log_level="critical",
         access_log=False,
         lifespan="off",
-        http="httptools",
+        http=GuardedProtocol,
         loop="asyncio",
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=shutdown_s,
