--- a/greengagehoist/server/tests/test_callers.py
+++ b/greengagehoist/server/tests/test_callers.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from returns.result import Success
 
-from greengagehoist.base import Answer
+from greengagehoist.base import Answer, PipelineCall
 from greengagehoist.server import CallerApp, serve
 from greengagehoist.server import _protocol as protocol
 from greengagehoist.server._bodies import LARGEST_BODY_BYTES
@@ -21,6 +21,8 @@
 
 
 async def answer(exchange):
+    if isinstance(exchange.call, PipelineCall):
+        exchange.call.text.encode()
     return Success(Answer(exchange.request_id, "done"))
 
 
