Derive progress timeouts from observed waits

Waits that timed out count as observed; without them the timeout could not grow when a target becomes slower.

--- a/greengagehoist/filters/_sender.py
+++ b/greengagehoist/filters/_sender.py
@@ -12,8 +12,6 @@
 from greengagehoist.tracing import Span
 from greengagehoist.utils import Clock, Controller, new_id
 
-# Upper bound of the progress timeout; links shorten it to what they observe.
-PROGRESS_S = 2.0
 SHORTEST_TIMEOUT_S = 0.001
 
 
@@ -45,7 +43,7 @@
         left = max(SHORTEST_TIMEOUT_S, exchange.deadline - start)
         status = "cancelled"
         try:
-            result = await assignment.link.ask(Send(call, left, min(left, PROGRESS_S)))
+            result = await assignment.link.ask(Send(call, left, left))
             status = "ok" if isinstance(result, Success) else str(result.failure().code)
         except asyncio.CancelledError:
             _cancel(assignment, call)
--- a/greengagehoist/targets/_calls.py
+++ b/greengagehoist/targets/_calls.py
@@ -120,7 +120,8 @@
     Replied by ``Result[StageReply | StreamEnd | OperationReply, StepError]``.
 
     :param timeout: seconds for the whole call.
-    :param progress: seconds without a byte after which the connection counts as silent.
+    :param progress: seconds without a byte after which the connection counts as silent; the link
+        applies the shorter limit that follows from the waits that it observed.
     """
 
     call: TargetCall
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -1,7 +1,8 @@
 """Task that owns the connections to one target."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
@@ -24,6 +25,7 @@
     Target,
 )
 from greengagehoist.targets._connector import NotSentError, OneCallConnector, open_pool
+from greengagehoist.targets._progress import ProgressTimes
 from greengagehoist.targets._wire import (
     LEAVING,
     body_of,
@@ -105,6 +107,8 @@
         self.owner = owner
         self._client: aiosonic.HTTPClient | None = None
         self._calls: dict[Attempt, asyncio.Task] = {}
+        self._first_waits = ProgressTimes()
+        self._next_waits = ProgressTimes()
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Start the call of ``message``."""
@@ -143,7 +147,8 @@
     async def _exchange(self, client: aiosonic.HTTPClient, message: Send) -> Result:
         call = message.call
         stream = isinstance(call, GenerateCall)
-        response = await self._post(client, message, stream=stream)
+        with self._observed(self._first_waits):
+            response = await self._post(client, message, stream=stream)
         try:
             if response.status_code == REFUSED_STATUS:
                 reason = refusal_reason(await response.content())
@@ -167,13 +172,21 @@
     async def _post(self, client: aiosonic.HTTPClient, message: Send, *, stream: bool) -> Any:
         timeouts = Timeouts(
             sock_connect=min(CONNECT_TIMEOUT_S, message.timeout),
-            sock_read=message.progress,
+            sock_read=min(message.progress, self._first_waits.timeout()),
             request_timeout=None if stream else message.timeout,
         )
         url = f"http://{self.target.address}{path_of(message.call)}"
         body = body_of(message.call)
         return await client.request(url, "POST", json=body, timeouts=timeouts, stream=stream)
 
+    @contextlib.contextmanager
+    def _observed(self, waits: ProgressTimes) -> Iterator[None]:
+        start = self.clock.monotonic()
+        try:
+            yield
+        finally:
+            waits.observe(self.clock.monotonic() - start)
+
     async def _operate(self, call: OperationCall, message: Send, reply: Reply) -> None:
         """Send an operation over a connection of its own.
 
@@ -199,8 +212,10 @@
         buffer = b""
         chunks = response.read_chunks()
         while True:
-            async with asyncio.timeout(progress):
-                data = await anext(chunks, None)
+            limit = min(progress, self._next_waits.timeout())
+            with self._observed(self._next_waits):
+                async with asyncio.timeout(limit):
+                    data = await anext(chunks, None)
             if data is None:
                 raise EOFError("stream closed before its end")
             *lines, buffer = (buffer + data).split(b"\n")
