--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -11,7 +11,10 @@
     ConfigController,
     DrainController,
     GetReadiness,
+    OnDrain,
     OrderController,
+    QuotaController,
+    RecordController,
     RosterController,
     StartDrain,
     TargetController,
@@ -26,6 +29,7 @@
     DispatchFilter,
     IdentifyFilter,
     PlanFilter,
+    QuotaFilter,
     RatioRetries,
     Sender,
 )
@@ -53,6 +57,17 @@
             self.platform, clock, rng, settings.data_centre, self.peers, settings.vm
         )
         self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
+        self.records = RecordController(self.platform, clock, settings.vm, self.incarnation)
+        self.quotas = QuotaController(
+            self.platform,
+            self.configs,
+            self.peers,
+            self.records,
+            clock,
+            settings.vm,
+            settings.data_centre,
+            self.incarnation,
+        )
         followers = (self.targets, self.drains)
         self.roster = RosterController(self.platform, self.peers, followers, clock)
         self.orders = OrderController(
@@ -77,6 +92,7 @@
                 self.identify,
                 PlanFilter(),
                 DeadlineFilter(self.clock),
+                QuotaFilter(self.quotas, self.clock),
                 AdmissionFilter(self.admission, self.targets, self.retries),
                 self.claim_filter,
                 DispatchFilter(sender, self.retries, self.metrics),
@@ -90,6 +106,8 @@
             self.configs,
             self.traces,
             self.targets,
+            self.records,
+            self.quotas,
             self.drains,
             self.roster,
             self.orders,
@@ -105,6 +123,8 @@
         loop = asyncio.get_running_loop()
         log_event("listening", interface="peers", address=self.peers.listen())
         self._tasks = [loop.create_task(item.run()) for item in self._controllers()]
+        for controller in (self.quotas, self.records):
+            self.drains.tell(OnDrain(controller))
         callers = CallerApp(
             self.build_chain(),
             self.traces,
--- a/greengagehoist/filters/_stages.py
+++ b/greengagehoist/filters/_stages.py
@@ -70,6 +70,8 @@
 
         :raises ValueError: if the chunk closes the attempt.
         """
+        if self.exchange.meter is not None:
+            self.exchange.meter(len(chunk.tokens))
         verdict = accept_chunk(self.stream, chunk.attempt, chunk.offset, chunk.tokens, self.most)
         self._apply(verdict)
         match verdict:
@@ -125,6 +127,10 @@
         tried: tuple[str, ...] = ()
         sent = False
         for number in itertools.count(1):
+            if number > 1 and sent:
+                reserved = await _reserve_again(run)
+                if isinstance(reserved, Failure):
+                    return _with_history(reserved, sent)
             assigned = await self._assign(route, tried)
             if isinstance(assigned, Failure):
                 return _with_history(assigned, sent)
@@ -162,6 +168,18 @@
         )
 
 
+async def _reserve_again(run: StageRun) -> Result[Any, StepError]:
+    """Reserve the tokens that a further generation may draw.
+
+    An earlier attempt may have generated tokens that did not arrive, so its reservation is not
+    used again.
+    """
+    tokens = run.most - run.offset
+    if tokens <= 0 or run.exchange.reserve_tokens is None:
+        return Success(None)
+    return await run.exchange.reserve_tokens(tokens)
+
+
 def _at_deadline(error: StepError, left: float) -> Result[Any, StepError]:
     if left > 0:
         return Failure(error)
