--- a/greengagehoist/standins/_engine.py
+++ b/greengagehoist/standins/_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -10,10 +11,13 @@
 from starlette.responses import JSONResponse, StreamingResponse
 from starlette.routing import Route
 
+from greengagehoist.standins._cache import PrefixCache
 from greengagehoist.standins._faults import Faults, control_routes
 from greengagehoist.standins._functions import generate_tokens, token_digest
 from greengagehoist.standins._targets import LoadReport
 
+CACHE_BLOCKS = 4096
+
 
 class Sequence:
     """One generation in the engine's batch."""
@@ -22,6 +26,7 @@
         self.body = body
         self.tokens = tokens
         self.position = body["offset"]
+        self.prefill_steps = 0
         self.produced: asyncio.Queue[str | None] = asyncio.Queue()
 
 
@@ -43,6 +48,7 @@
         self.models = [model]
         self.adapters: list[str] = []
         self.serves_as = ""
+        self.cache = PrefixCache(CACHE_BLOCKS)
         self._waiting: list[Sequence] = []
         self._running: list[Sequence] = []
         self._stepper: asyncio.Task | None = None
@@ -54,6 +60,7 @@
             return JSONResponse({"error": "leaving", "incarnation": self.load.incarnation}, 503)
         tokens = generate_tokens(self.model, body["input"], body["max_tokens"])
         sequence = Sequence(body, tokens)
+        sequence.prefill_steps = self.cache.use(body["input"], time.monotonic())
         self._waiting.append(sequence)
         self._waiting.sort(key=lambda item: -item.body["priority"])
         if self._stepper is None or self._stepper.done():
@@ -72,6 +79,8 @@
                 offset += len(tokens)
                 if offset == len(sequence.tokens):
                     break
+            if offset < len(sequence.tokens):
+                return
             end = {"length": len(sequence.tokens), "digest": token_digest(sequence.tokens)}
             yield json.dumps({**identity, "end": True, **end}) + "\n"
         finally:
@@ -92,6 +101,9 @@
                 self._advance(sequence)
 
     def _advance(self, sequence: Sequence) -> None:
+        if sequence.prefill_steps > 0:
+            sequence.prefill_steps -= 1
+            return
         if sequence.position < len(sequence.tokens):
             sequence.produced.put_nowait(sequence.tokens[sequence.position])
             sequence.position += 1
@@ -102,11 +114,17 @@
     async def cancel(self, request: Request) -> JSONResponse:
         """Stop the generation of a request."""
         body = await request.json()
-        found = [s for s in self._waiting + self._running if _matches(s, body["request_id"])]
+        found = [s for s in self._waiting + self._running if _matches(s, body)]
         for sequence in found:
             self._remove(sequence)
+            sequence.produced.put_nowait(None)
         return JSONResponse({"cancelled": len(found)})
 
+    async def cache_events(self, request: Request) -> JSONResponse:
+        """Return the cache events that are published after a sequence number."""
+        after = int(request.query_params.get("after", "0"))
+        return JSONResponse({"events": self.cache.events(after, time.monotonic())})
+
     async def report(self, request: Request) -> JSONResponse:
         """Return the load report."""
         self.load.queue, self.load.running = len(self._waiting), len(self._running)
@@ -145,8 +163,11 @@
         return JSONResponse(self.load.as_json())
 
 
-def _matches(sequence: Sequence, request_id: str) -> bool:
-    return sequence.body["request_id"] == request_id
+def _matches(sequence: Sequence, body: dict[str, Any]) -> bool:
+    """Match the request and, if named, the attempt; a newer attempt is not cancelled."""
+    return all(
+        sequence.body[name] == body[name] for name in ("request_id", "attempt") if name in body
+    )
 
 
 def build_engine(
@@ -168,6 +189,7 @@
             Route("/cancel", engine.cancel, methods=["POST"]),
             Route("/orders", engine.order, methods=["POST"]),
             Route("/load", engine.report),
+            Route("/cache/events", engine.cache_events),
             Route("/control/leave", engine.leave, methods=["PUT"]),
             *control_routes(faults, engine.records),
         ]
