--- a/greengagehoist/controllers/tests/test_orders.py
+++ b/greengagehoist/controllers/tests/test_orders.py
@@ -42,12 +42,12 @@
 
     lose = 0
 
-    async def _call(self, message, reply):
+    async def _call(self, client, message, reply):
         if not isinstance(message, WriteRow) or self.lose == 0:
-            await super()._call(message, reply)
+            await super()._call(client, message, reply)
             return
         self.lose -= 1
-        await self._send(message)
+        await self._send(client, message)
         reply(self._failure(message, ConnectionResetError()))
 
 
@@ -79,7 +79,8 @@
         clocks = [ShiftedClock(), ShiftedClock()]
         clients, controllers, running = [], [], []
         for index, clock in enumerate(clocks):
-            client, rng = LosingClient(platform.address), random.Random(index)
+            rng = random.Random(index)
+            client = LosingClient(platform.address, clock, rng)
             targets = TargetController(client, clock, rng, "dc1")
             orders = OrderController(client, targets, clock, rng, f"vm{index}", 1)
             clients.append(client)
