Write the ends of operations before the daemon stops

A stopping daemon waits up to 5 s for final states of claims that are not yet in the table; without it a finished operation stayed in state sending.

--- a/greengagehoist/filters/_claim.py
+++ b/greengagehoist/filters/_claim.py
@@ -39,6 +39,7 @@
     CloseClaim,
     Completed,
     FindTarget,
+    GetPendingClaims,
     OpenClaim,
     ReadClaim,
     Route,
@@ -50,6 +51,8 @@
 RECORD_TIMEOUT_S = 1.0
 RECORD_FIRST_DELAY_S = 0.05
 RECORD_ROUNDS = 6
+FLUSH_TIMEOUT_S = 5.0
+FLUSH_PERIOD_S = 0.05
 
 
 class ClaimFilter:
@@ -87,9 +90,12 @@
         return await proceed(exchange)
 
     async def finish(self) -> None:
-        """Wait until no operation is being sent any more."""
+        """Wait until no operation is being sent and, for a bounded time, until ends are written."""
         while self._tasks:
             await asyncio.wait(self._tasks)
+        until = self.clock.monotonic() + FLUSH_TIMEOUT_S
+        while await self.claims.ask(GetPendingClaims()) and self.clock.monotonic() < until:
+            await self.clock.sleep(FLUSH_PERIOD_S)
 
     def _finish(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
