--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -76,6 +76,7 @@
         self.claims = ClaimController(self.platform, clock, rng)
         self.retries = RatioRetries()
         self.admission = AdmissionController(clock, self.retries.set_overloaded)
+        self.identify = IdentifyFilter(self.configs)
         self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
@@ -88,7 +89,7 @@
         sender = Sender(self.targets, self.traces, self.clock, self.rng, self.settings.vm)
         return compose(
             [
-                IdentifyFilter(self.configs),
+                self.identify,
                 PlanFilter(),
                 DeadlineFilter(self.clock),
                 QuotaFilter(self.quotas, self.clock),
@@ -125,7 +126,13 @@
         for controller in (self.quotas, self.records):
             self.drains.tell(OnDrain(controller))
         callers = CallerApp(
-            self.build_chain(), self.traces, self.clock, self.rng, self.metrics, self.settings.vm
+            self.build_chain(),
+            self.traces,
+            self.clock,
+            self.rng,
+            self.metrics,
+            self.settings.vm,
+            self.identify.knows,
         )
         credential = self.settings.operator_credential
         admin = AdminApp(self.configs, self.traces, self.rng, credential, self._admin_parts())
