--- a/greengagehoist/quota/tests/test_stateful.py
+++ b/greengagehoist/quota/tests/test_stateful.py
@@ -61,6 +61,7 @@
         members = [(f"entry-{n}", f"dc{n % 3}", skew) for n, skew in enumerate(skews)]
         self.simulation = Simulation(make_config(1, requests, units, False), members, START, seed)
         self.version, self.numbers, self.units = 1, 0, units
+        self.kept = 2 if units > 3 else 8
         self.simulation.advance(65.0)
 
     def burst(self, number: int, count: int, tokens: int, lasting: float) -> None:
@@ -71,7 +72,7 @@
                 customer = CUSTOMERS[n % 2]
                 request = Request(f"r{self.numbers}", customer, tokens, lasting)
                 self.simulation.reserve(node, request)
-                self.simulation.settle_some(2)
+                self.simulation.settle_some(self.kept)
 
     @rule(
         number=index,
@@ -101,8 +102,12 @@
         for request_id in list(self.simulation.open)[:10]:
             self.simulation.settle(request_id, used)
 
-    @rule(number=index, seconds=st.sampled_from([2.0, 59.0, 70.0, 130.0]))
-    def pause_then_burst(self, number, seconds):
+    @rule(number=index, seconds=st.sampled_from([2.0, 59.0, 70.0, 130.0]), at_start=st.booleans())
+    def pause_then_burst(self, number, seconds, at_start):
+        if at_start:
+            self.advance_to_boundary(0.3)
+        self.burst(number, 10, 0, 0.5)
+
         def resume():
             self.burst(number, 60, 0, 0.5)
             for other in range(NODES):
@@ -113,13 +118,14 @@
 
     @rule(number=index)
     def restart(self, number):
-        node = self.simulation.nodes[number]
-        node.restart(node.coordinator.ledger.cfg, self.simulation.now)
+        self.simulation.restart(self.simulation.nodes[number])
 
     @rule(number=index)
-    def drain(self, number):
+    def drain_and_replace(self, number):
         node = self.simulation.nodes[number]
         self.simulation.carry_out(node, node.coordinator.drain())
+        self.simulation.advance(6.0)
+        self.simulation.restart(node)
 
     @rule(one=st.integers(0, 2), other=st.integers(0, 2))
     def partition(self, one, other):
--- a/greengagehoist/standins/_quota_simulation.py
+++ b/greengagehoist/standins/_quota_simulation.py
@@ -95,10 +95,41 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._deadlines: dict[str, float] = {}
+        self._openers: dict[tuple[int, int], tuple[str, int]] = {}
+        self._credited: set[str] = set()
         self.nodes = [Node(vm, data_centre, skew, cfg) for vm, data_centre, skew in members]
+        for node in self.nodes:
+            self._observe_node(node)
         for index, node in enumerate(self.nodes):
             self._at(start + 0.1 * index, lambda node=node: self._tick(node))
 
+    def restart(self, node: Node) -> None:
+        """Replace a node's process."""
+        node.restart(node.coordinator.ledger.cfg, self.now)
+        self._observe_node(node)
+
+    def _observe_node(self, node: Node) -> None:
+        """Check that a window of a slot has one opener and that a transfer is credited once."""
+        leases, balances = node.coordinator.leases, node.coordinator.ledger.balances
+        open_slots, credit = leases.open_slots, balances.credit
+        opener = (node.vm, node.incarnation)
+
+        def checked_open(start: int) -> tuple[int, ...]:
+            found = open_slots(start)
+            for slot in found:
+                first = self._openers.setdefault((slot, start), opener)
+                assert first == opener, f"slot {slot} window {start}: {first} and {opener}"
+            return found
+
+        def checked_credit(key: Key, transfer_id: str, *args) -> bool:
+            added = credit(key, transfer_id, *args)
+            if added:
+                assert transfer_id not in self._credited, f"{transfer_id} was credited twice"
+                self._credited.add(transfer_id)
+            return added
+
+        leases.open_slots, balances.credit = checked_open, checked_credit
+
     def instant(self, node: Node) -> Instant:
         """Return the clocks of a node."""
         return Instant(self.now + node.skew, self.now)
@@ -239,7 +270,10 @@
             self.carry_out(node, node.coordinator.settle(request_id, used, now))
 
     def settle_some(self, keep: int) -> None:
-        """End all admitted requests but the oldest ``keep``."""
+        """End the requests past their deadline and all others but the oldest ``keep``."""
+        for request_id in list(self.open):
+            if self._deadlines[request_id] <= self.now:
+                self.settle(request_id, 0)
         for request_id in list(self.open)[keep:]:
             self.settle(request_id, 0)
 
