--- a/benchmarks/_quota.py
+++ b/benchmarks/_quota.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
+from benchmarks._rows import Row
 from greengagehoist.config import Config, Holding, Limits, PlanUsage
 from greengagehoist.quota import Request
 from greengagehoist.standins import Simulation
@@ -21,18 +21,7 @@
 HOUR_S = 3600.0
 
 
-class Row(NamedTuple):
-    """A measured value.
-
-    :param bound: what it must reach, empty if it is only reported.
-    """
-
-    name: str
-    value: float
-    bound: str
-
-
-def run_quota(*, quick: bool = False) -> list[Row]:
+def make_rows(quick: bool) -> list[Row]:
     """Return the usable shares of a plan.
 
     :param quick: leave out the hours without the table.
@@ -41,7 +30,7 @@
     for limit in (6400, 60):
         for name, choose in (("one VM", lambda rng: 0), ("random VMs", _any_vm)):
             share = _use_minute(_start(limit), limit, choose)
-            rows.append(Row(f"healthy, {limit}/min, demand at {name}", share, ">= 0.95"))
+            rows.append(Row(f"healthy, {limit}/min, demand at {name}", share, ">= 0.95", "of plan"))
     rows.extend(_cut_off())
     rows.extend(_table_down((0.5,) if quick else (0.5, 3.5, 4.5)))
     return rows
@@ -92,7 +81,7 @@
         simulation.cut_from_table.add("dc0")
         simulation.advance(3 * MINUTE_S)
         share = _use_minute(simulation, limit, lambda rng, vms=vms: rng.choice(vms))
-        rows.append(Row(f"data centre cut off, demand {name}", share, ""))
+        rows.append(Row(f"data centre cut off, demand {name}", share, "", "of plan"))
     return rows
 
 
@@ -104,5 +93,5 @@
     for count in hours:
         simulation.advance(down + count * HOUR_S - simulation.now)
         share = _use_minute(simulation, limit, lambda rng: 0)
-        rows.append(Row(f"table down for {count} h, demand at one VM", share, ""))
+        rows.append(Row(f"table down for {count} h, demand at one VM", share, "", "of plan"))
     return rows
--- a/greengagehoist/targets/__init__.py
+++ b/greengagehoist/targets/__init__.py
@@ -14,10 +14,18 @@
     Target,
     TargetCall,
 )
-from greengagehoist.targets._link import ReadLoad, RefusedWork, SendOrder, TargetLink
+from greengagehoist.targets._link import (
+    Cancel,
+    ReadLoad,
+    ReadRecord,
+    RefusedWork,
+    SendOrder,
+    TargetLink,
+)
 
 __all__ = [
     "Attempt",
+    "Cancel",
     "Chunk",
     "GenerateCall",
     "LoadWire",
@@ -25,6 +33,7 @@
     "OperationReply",
     "PoolCall",
     "ReadLoad",
+    "ReadRecord",
     "RefusedWork",
     "Send",
     "SendOrder",
