Serve the quiet-hour report and the held slots to operators

GET /admin/report had no source. It now returns the draws per customer and quiet hour with the state of each daemon's chain; the status shows the held slots.

--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -49,6 +49,7 @@
     RecordController,
     RecordDraws,
     Report,
+    report_body,
 )
 from greengagehoist.controllers._roster import (
     ClockChecked,
@@ -70,6 +71,7 @@
 from greengagehoist.controllers._traces import CollectTrace, GetTrace, Record, TraceController
 
 __all__ = [
+    "report_body",
     "Abandon",
     "AdmissionController",
     "Admit",
--- a/greengagehoist/controllers/_records.py
+++ b/greengagehoist/controllers/_records.py
@@ -169,6 +169,22 @@
         return Success(Report(date, entries, chains, tuple(unreadable)))
 
 
+def report_body(report: Report, customer: str) -> dict[str, Any]:
+    """Return a report as plain values.
+
+    :param customer: restricts the draws, empty for all customers.
+    """
+    usage = [entry._asdict() for entry in report.entries if customer in ("", entry.customer)]
+    chains = [{**chain._asdict(), "intact": chain.intact} for chain in report.chains]
+    return {
+        "date": report.date,
+        "usage": usage,
+        "intact": all(chain.intact for chain in report.chains) and not report.unreadable,
+        "chains": chains,
+        "unreadable": list(report.unreadable),
+    }
+
+
 def segment_name(segment: Segment) -> str:
     """Return the object name of a segment; names sort in order within a chain."""
     return f"record/{segment.date}/{segment.vm}-{segment.incarnation}-{segment.n:06d}"
--- a/greengagehoist/controllers/tests/test_quota.py
+++ b/greengagehoist/controllers/tests/test_quota.py
@@ -33,6 +33,7 @@
     GetReport,
     QuotaController,
     RecordController,
+    report_body,
 )
 from greengagehoist.filters import QuotaFilter
 from greengagehoist.peers import FromPeer, GetPeers, Peer, SendTo, Subscribe
@@ -246,6 +247,7 @@
         await world.clock.advance(15.0)
         report = (await world.records[0].ask(GetReport("2026-01-01"))).unwrap()
         assert [(e.customer, e.requests, e.tokens) for e in report.entries] == [("depot", 3, 12)]
-        assert all(chain.intact for chain in report.chains) and not report.unreadable
+        body = report_body(report, "depot")
+        assert body["intact"] and body["usage"] and not report_body(report, "clerks")["usage"]
 
     run(scenario, quiet)
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -4,13 +4,17 @@
 import random
 from typing import Any
 
+from returns.result import Success
+
 from greengagehoist.base import Proceed, compose
 from greengagehoist.controllers import (
     AdmissionController,
     ClaimController,
     ConfigController,
     DrainController,
+    GetHeld,
     GetReadiness,
+    GetReport,
     OnDrain,
     OrderController,
     QuotaController,
@@ -20,6 +24,7 @@
     TargetController,
     TraceController,
     WaitStopped,
+    report_body,
 )
 from greengagehoist.daemon._settings import Settings
 from greengagehoist.filters import (
@@ -141,7 +146,8 @@
             vm=self.settings.vm,
             data_centre=self.settings.data_centre,
             drain=self._start_drain,
-            status={"daemon": self._daemon_status},
+            status={"daemon": self._daemon_status, "quota": self._quota_status},
+            report=self._report,
             ready={"daemon": self._reasons_not_ready},
         )
 
@@ -153,6 +159,17 @@
         readiness = await self.drains.ask(GetReadiness())
         return {"state": readiness.state, "in_flight": readiness.in_flight}
 
+    async def _quota_status(self) -> dict[str, Any]:
+        return {"slots": len(await self.quotas.ask(GetHeld()))}
+
+    async def _report(self, customer: str, date: str) -> dict[str, Any]:
+        result = await self.records.ask(GetReport(date))
+        match result:
+            case Success(report):
+                return report_body(report, customer)
+            case _:
+                return {"date": date, "error": result.failure().message}
+
     async def _reasons_not_ready(self) -> str:
         readiness = await self.drains.ask(GetReadiness())
         return ", ".join(readiness.reasons)
