--- a/greengagehoist/controllers/tests/test_quota.py
+++ b/greengagehoist/controllers/tests/test_quota.py
@@ -251,3 +251,37 @@
         assert body["intact"] and body["usage"] and not report_body(report, "clerks")["usage"]
 
     run(scenario, quiet)
+
+
+def test_units_are_borrowed_and_returned(run):
+    async def scenario(world):
+        gate = asyncio.Event()
+
+        async def proceed(exchange):
+            await gate.wait()
+            return ANSWER
+
+        async def fill(daemon, numbers):
+            chain = QuotaFilter(world.quotas[daemon], world.clock)
+            made = [make_exchange(world.cfg, world.clock, n, 1) for n in numbers]
+            tasks = [asyncio.create_task(chain(item, proceed)) for item in made]
+            await world.clock.advance(0.5)
+            return tasks
+
+        await world.clock.advance(52.0)
+        tasks = await fill(0, range(64)) + await fill(1, range(64, 66))
+        refused = [task.result().failure() for task in tasks if task.done()]
+        assert [error.code for error in refused] == [ErrorCode.OVER_PLAN] * 2
+        cancelled, rest = tasks[0], tasks[1:64]
+        cancelled.cancel()
+        gate.set()
+        await asyncio.gather(*rest)
+        gate.clear()
+        # The next minute has begun, and no lent unit has expired yet.
+        await world.clock.advance(3.0)
+        tasks = await fill(1, range(100, 164))
+        assert sum(not task.done() for task in tasks) == 64
+        gate.set()
+        await asyncio.gather(*tasks)
+
+    run(scenario)
