Bound admission by the measured rate and shed by recent demand

Shedding by queue length hit customers within their share; it now goes by recent demand relative to weight.

--- a/benchmarks/_daemon.py
+++ b/benchmarks/_daemon.py
@@ -5,7 +5,7 @@
 
 from benchmarks._targets import Job, Target
 from benchmarks._traffic import BLOCK_COST_S, MEAN_TOKENS, STEP_S, Request
-from greengagehoist.admission import Admitted, Entry, Gate, Refused
+from greengagehoist.admission import Admitted, Ending, Entry, Gate, Refused
 from greengagehoist.base import ErrorCode, not_run, unknown
 from greengagehoist.config import EngineStage, PoolStage
 from greengagehoist.deadlines import QuantileEstimator, StageEstimates, can_finish
@@ -277,7 +277,7 @@
         self._cancel_jobs(run)
         now = self.loop.now
         self.world.finish(run.request, whole and now <= run.request.deadline)
-        work = 1.0 + run.request.tokens / MEAN_TOKENS
+        late = now >= run.request.deadline
+        ending = Ending.WHOLE if whole else Ending.MISSED if late else Ending.FAILED
         gate = self._gate(run.request)
-        counts = whole or now >= run.request.deadline
-        self._apply(gate.finish((now - run.admitted) / work, counts, now))
+        self._apply(gate.finish(now - run.admitted, ending, now))
--- a/greengagehoist/admission/_gate.py
+++ b/greengagehoist/admission/_gate.py
@@ -1,5 +1,6 @@
 """Gate in front of one stage: a limit, a fair queue behind it and shedding."""
 
+import enum
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -7,11 +8,19 @@
 from greengagehoist.admission._queue import FairQueue
 
 LONGEST_WAIT_SHARE = 0.5
-FEWEST_QUEUED = 8
+FEWEST_QUEUED = 12
 LEAST_RETRY_AFTER_S = 0.05
 LONGEST_RETRY_AFTER_S = 5.0
 
 
+class Ending(enum.Enum):
+    """How an admitted entry ended; the latency of a failed one says nothing about the load."""
+
+    WHOLE = "whole"
+    MISSED = "missed"
+    FAILED = "failed"
+
+
 class Entry(NamedTuple):
     """A request at the gate.
 
@@ -85,6 +94,7 @@
         """Take an entry; returns its verdict, and those of the entries that it displaces."""
         if entry.latest_start < now:
             return [Refused(entry, self._retry_after())]
+        self._queue.observe_demand(entry.customer, entry.weight, entry.cost, now)
         if not self._queue and self.in_flight < self.limit.limit:
             self.in_flight += 1
             self._queue.charge(entry.customer, entry.weight, entry.cost)
@@ -92,18 +102,19 @@
         self._queue.push(entry.customer, entry.weight, entry.cost, entry)
         if len(self._queue) <= self._longest_queue(entry, now):
             return [Queued(entry)]
-        shed = self._queue.pop_least_valuable()
+        shed = self._queue.pop_least_valuable(now)
         verdicts: list[Verdict] = [Refused(shed, self._retry_after())]
         if shed is not entry:
             verdicts.append(Queued(entry))
         return verdicts
 
-    def finish(self, latency: float, ok: bool, now: float) -> list[Verdict]:
+    def finish(self, latency: float, ending: Ending, now: float) -> list[Verdict]:
         """Take the end of an admitted entry; returns verdicts of entries that waited.
 
-        :param latency: seconds divided by the expected work.
+        :param latency: seconds since the entry was admitted.
         """
-        self.limit.observe(latency, self.in_flight, ok)
+        if ending is not Ending.FAILED:
+            self.limit.observe(latency, self.in_flight, ending is Ending.MISSED, now)
         self.in_flight -= 1
         self._count(now)
         return self.release(now)
--- a/greengagehoist/admission/_limit.py
+++ b/greengagehoist/admission/_limit.py
@@ -1,56 +1,77 @@
 """Concurrency limit that follows the latency gradient."""
 
-import math
-
-FIRST_LIMIT = 32.0
+FIRST_LIMIT = 24.0
 LEAST_LIMIT = 4.0
 LARGEST_LIMIT = 4096.0
-SHORT_WEIGHT = 0.05
-BASE_RISE = 0.0005
-TOLERANCE = 1.6
-LEAST_GRADIENT = 0.5
-SMOOTHING = 0.1
+WINDOW_S = 1.0
+CONGESTED = 1.5
+GAIN = 1.4
+HEADROOM = 1.5
+GROWTH = 1.1
+PEAK_DECAY = 0.98
+RATE_DECAY = 0.95
+BASE_RISE = 0.01
+MISS_STEP = 0.99
+# A window of a daemon with few requests is noisy, and the least of noisy means is too low.
+SMOOTHING = 0.25
 
 
 class AdaptiveLimit:
     """Limit of requests in flight at one stage.
 
-    The limit shrinks while latency is above ``tolerance`` times its baseline (a slowly rising
-    minimum of the smoothed latency), and grows by its square root while it is in full use.
-
-    :param tolerance: latency relative to the baseline at which the limit stops growing.
+    While the mean latency of a window is above ``CONGESTED`` times its baseline, the limit is the
+    number in flight that the measured rate needs at ``GAIN`` times the baseline (Little's law), so
+    it does not depend on how far it had grown before. Otherwise it grows while it is in use, but
+    not beyond ``HEADROOM`` times the recent peak. The baseline is the least mean latency; it rises
+    slowly, and falls with each missed deadline.
     """
 
-    def __init__(self, first: float = FIRST_LIMIT, tolerance: float = TOLERANCE):
-        self.tolerance = tolerance
+    def __init__(self, first: float = FIRST_LIMIT):
+        self.first = first
         self.limit = first
-        self._short = 0.0
         self._base = 0.0
+        self._smooth = 0.0
+        self._rate = 0.0
+        self._peak = 0.0
+        self._start: float | None = None
+        self._count = 0
+        self._sum = 0.0
+        self._misses = 0
 
-    @property
-    def is_overloaded(self) -> bool:
-        """True while the latency is above the tolerated multiple of its baseline."""
-        return self._base > 0.0 and self._short > self.tolerance * self._base
-
-    def observe(self, latency: float, in_flight: int, ok: bool = True) -> None:
+    def observe(self, latency: float, in_flight: int, missed: bool, now: float) -> None:
         """Take the end of one run.
 
-        :param latency: seconds, divided by the expected work if runs differ in size.
+        :param latency: seconds.
         :param in_flight: runs in flight before this one ended.
-        :param ok: False if the run failed; its latency then says nothing.
+        :param missed: whether the run was given up at its deadline.
         """
-        if not ok or latency <= 0.0:
-            return
+        if self._start is None:
+            self._start = now
+        self._peak = max(self._peak, in_flight)
+        self._count += not missed
+        self._misses += missed
+        self._sum += latency
+        if now - self._start >= WINDOW_S:
+            self._close_window(now)
+
+    def _close_window(self, now: float) -> None:
+        ended = self._count + self._misses
+        mean, rate = self._sum / ended, self._count / (now - self._start)
+        self._start, self._count, self._sum = now, 0, 0.0
         if self._base == 0.0:
-            self._short = self._base = latency
-        self._short += SHORT_WEIGHT * (latency - self._short)
-        if self._short < self._base:
-            self._base = self._short
+            self._base = self._smooth = mean
+        self._smooth += SMOOTHING * (mean - self._smooth)
+        if self._smooth < self._base:
+            self._base = self._smooth
+        else:
+            self._base += BASE_RISE * (self._smooth - self._base)
+        self._base *= MISS_STEP**self._misses
+        self._misses = 0
+        self._rate = max(rate, self._rate * RATE_DECAY)
+        if self._smooth > CONGESTED * self._base:
+            limit = GAIN * self._rate * self._base
         else:
-            self._base += BASE_RISE * (self._short - self._base)
-        gradient = min(1.0, max(LEAST_GRADIENT, self.tolerance * self._base / self._short))
-        if gradient == 1.0 and in_flight < self.limit / 2:
-            return
-        wanted = self.limit * gradient + math.sqrt(self.limit)
-        limit = self.limit + SMOOTHING * (wanted - self.limit)
+            most = max(self.first, HEADROOM * self._peak)
+            limit = min(most, self.limit * GROWTH)
+        self._peak *= PEAK_DECAY
         self.limit = min(LARGEST_LIMIT, max(LEAST_LIMIT, limit))
--- a/greengagehoist/controllers/_admission.py
+++ b/greengagehoist/controllers/_admission.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Success
 
-from greengagehoist.admission import Admitted, Entry, Gate, Queued, Refused, Verdict
+from greengagehoist.admission import Admitted, Ending, Entry, Gate, Queued, Refused, Verdict
 from greengagehoist.base import ErrorCode, not_run
 from greengagehoist.deadlines import StageEstimates, can_finish
 from greengagehoist.utils import Clock, Controller, Reply, Tick, tick
@@ -38,18 +38,14 @@
     """
 
     route: str
-    cost: float
     at: float
 
 
 class Finish(NamedTuple):
-    """Tell the end of a granted entry.
-
-    :param ok: False if its latency says nothing about the load.
-    """
+    """Tell the end of a granted entry."""
 
     grant: Grant
-    ok: bool
+    ending: Ending
 
 
 class GetOverload(NamedTuple):
@@ -87,8 +83,8 @@
         match message:
             case Admit():
                 self._admit(message, reply)
-            case Finish(grant, ok):
-                self._finish(grant, ok)
+            case Finish(grant, ending):
+                self._finish(grant, ending)
             case GetOverload(route):
                 gate = self._gates.get(route)
                 reply(gate is not None and gate.is_overloaded)
@@ -110,11 +106,11 @@
         entry = Entry(message.customer, message.weight, message.cost, latest_start, item)
         self._answer(gate.apply(entry, now), now)
 
-    def _finish(self, grant: Grant, ok: bool) -> None:
+    def _finish(self, grant: Grant, ending: Ending) -> None:
         now = self.clock.monotonic()
-        if ok:
+        if ending is Ending.WHOLE:
             self._estimates.observe(grant.route, now - grant.at)
-        verdicts = self._gates[grant.route].finish((now - grant.at) / grant.cost, ok, now)
+        verdicts = self._gates[grant.route].finish(now - grant.at, ending, now)
         self._answer(verdicts, now)
 
     def _release_all(self) -> None:
@@ -126,7 +122,7 @@
         for verdict in verdicts:
             match verdict:
                 case Admitted(Entry(item=_Waiting(message, reply))):
-                    reply(Success(Grant(message.route, message.cost, now)))
+                    reply(Success(Grant(message.route, now)))
                 case Refused(Entry(item=_Waiting(message, reply)), retry_after):
                     text = f"too many requests wait for {message.route}"
                     after = timedelta(seconds=retry_after)
--- a/greengagehoist/filters/_admission.py
+++ b/greengagehoist/filters/_admission.py
@@ -4,7 +4,16 @@
 
 from returns.result import Failure, Success
 
-from greengagehoist.base import ErrorCode, Exchange, Outcomes, PipelineCall, Proceed, ServiceCall
+from greengagehoist.admission import Ending
+from greengagehoist.base import (
+    ErrorCode,
+    Exchange,
+    Outcomes,
+    PipelineCall,
+    Proceed,
+    ServiceCall,
+    StepError,
+)
 from greengagehoist.controllers import Admit, Finish, Grant, SetWeight
 from greengagehoist.filters._retry import RatioRetries
 from greengagehoist.utils import Controller
@@ -40,13 +49,13 @@
                 return refusal
 
     async def _proceed(self, exchange: Exchange, proceed: Proceed, grant: Grant) -> Outcomes:
-        ok = False
+        ending = Ending.FAILED
         try:
             outcome = await proceed(exchange)
-            ok = not isinstance(outcome, Failure) or outcome.failure().code is ErrorCode.DEADLINE
+            ending = _classify_ending(outcome)
             return outcome
         finally:
-            self.admission.tell(Finish(grant, ok))
+            self.admission.tell(Finish(grant, ending))
 
     def _apply_weight(self, weight: float) -> None:
         if weight != self._weight:
@@ -66,7 +75,17 @@
 
 def _return_entry(admission: Controller, task: asyncio.Future) -> None:
     if not task.cancelled() and isinstance(task.result(), Success):
-        admission.tell(Finish(task.result().unwrap(), False))
+        admission.tell(Finish(task.result().unwrap(), Ending.FAILED))
+
+
+def _classify_ending(outcome: Outcomes) -> Ending:
+    match outcome:
+        case Success():
+            return Ending.WHOLE
+        case Failure(StepError(code=ErrorCode.DEADLINE)):
+            return Ending.MISSED
+        case _:
+            return Ending.FAILED
 
 
 def _describe(exchange: Exchange) -> tuple[str, float, tuple[str, ...]]:
