Weigh busy seconds in the choice of a target at any attainment weight

Under load, requests left the target that held their prefix for a slightly shorter queue, and cached tokens fell from 85 % to 63 %, which cost all requests capacity.

--- a/greengagehoist/routing/_roster.py
+++ b/greengagehoist/routing/_roster.py
@@ -43,8 +43,9 @@
 # The oldest request in flight makes its target look slow after this multiple of the expected time.
 OVERDUE_RATIO = 2.0
 SLOW_START_FACTOR = 3.0
-LEAST_TIME_WEIGHT = 0.2
-COST_FACTOR = 4.0
+# Busy seconds delay the requests behind, so they count even where attainment alone matters.
+SHARED_COST = 3.0
+COST_FACTOR = 5.0
 _AWAY = (Ejected, Probing, Unreachable)
 
 
@@ -70,7 +71,7 @@
     :param daemon: name of the daemon, which selects its subset of targets.
     :param data_centre: data centre of the daemon.
     :param distances: one-way seconds to the other data centres.
-    :param attainment_weight: 1.0 weighs time only, 0.0 mostly cost.
+    :param attainment_weight: 1.0 weighs time most, 0.0 cost most.
     """
 
     def __init__(
@@ -321,8 +322,8 @@
         if isinstance(health, SlowStart):
             ramp = min(1.0, (now - health.since) / SLOW_START_S)
             time *= SLOW_START_FACTOR - (SLOW_START_FACTOR - 1.0) * ramp
-        weight = LEAST_TIME_WEIGHT + (1.0 - LEAST_TIME_WEIGHT) * self.attainment_weight
-        return weight * time + COST_FACTOR * (1.0 - weight) * state.member.price * work
+        factor = SHARED_COST + COST_FACTOR * (1.0 - self.attainment_weight)
+        return time + factor * state.member.price * work
 
     def _review(self, now: float) -> None:
         """Recompute what is typical of the siblings, and eject outliers."""
