--- a/greengagehoist/filters/__init__.py
+++ b/greengagehoist/filters/__init__.py
@@ -4,6 +4,7 @@
 from greengagehoist.filters._claim import ClaimFilter
 from greengagehoist.filters._dispatch import DispatchFilter
 from greengagehoist.filters._identify import DeadlineFilter, IdentifyFilter, PlanFilter
+from greengagehoist.filters._quota import QuotaFilter
 from greengagehoist.filters._retry import AttemptLimit, RatioRetries, RetryPolicy
 from greengagehoist.filters._sender import Sender
 
@@ -16,6 +17,7 @@
     "DispatchFilter",
     "IdentifyFilter",
     "PlanFilter",
+    "QuotaFilter",
     "RetryPolicy",
     "Sender",
 ]
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -1,6 +1,7 @@
 """Task that owns the connections to one target."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
@@ -40,6 +41,7 @@
 CANCEL_TIMEOUT_S = 1.0
 REFUSED_STATUS = 503
 NO_RECORD_STATUS = 404
+KEY_REUSED_STATUS = 422
 LONGEST_LINE_BYTES = 1024 * 1024
 
 # Raised before any byte of the request could be sent.
@@ -56,11 +58,13 @@
 
     :param fence: fencing number of the issuer's lease.
     :param timeout: seconds for the whole call.
+    :param allowed: asked immediately before the call is sent; False means that it is not sent.
     """
 
     order: dict[str, Any]
     fence: int
     timeout: float
+    allowed: Callable[[], bool]
 
 
 class RefusedWork(NamedTuple):
@@ -145,6 +149,8 @@
                 reason = refusal_reason(await response.content())
                 if reason:
                     return Failure(self._refusal(call.attempt.stage, reason))
+            if response.status_code == KEY_REUSED_STATUS and isinstance(call, OperationCall):
+                return Failure(self._key_reused(call.attempt.stage))
             if response.status_code != 200:
                 raise ValueError(f"status {response.status_code}")
             match call:
@@ -259,6 +265,9 @@
         limit = message.timeout
         timeouts = Timeouts(min(CONNECT_TIMEOUT_S, limit), limit, limit, limit)
         body = {"order": message.order, "fence": message.fence}
+        if not message.allowed():
+            reply(Failure(self._order_error(Outcome.NOT_RUN, "the issuer's lease is ending")))
+            return
         client = self._pool()
         try:
             async with asyncio.timeout(limit):
@@ -273,7 +282,10 @@
         except (TimeoutError, *_BROKEN) as exc:
             outcome, text = Outcome.UNKNOWN, type(exc).__name__
             await self._drop(client)
-        reply(Failure(StepError("order", self.target.name, outcome, ErrorCode.TARGET_FAILED, text)))
+        reply(Failure(self._order_error(outcome, text)))
+
+    def _order_error(self, outcome: Outcome, text: str) -> StepError:
+        return StepError("order", self.target.name, outcome, ErrorCode.TARGET_FAILED, text)
 
     def _pool(self) -> aiosonic.HTTPClient:
         if self._client is None:
@@ -302,6 +314,10 @@
         peer = self.target.name
         return StepError(step, peer, Outcome.NOT_RUN, ErrorCode.UNAVAILABLE, text)
 
+    def _key_reused(self, step: str) -> StepError:
+        text = "the key was used for another request"
+        return StepError(step, self.target.name, Outcome.NOT_RUN, ErrorCode.KEY_REUSED, text)
+
 
 def _timeouts(seconds: float) -> Timeouts:
     return Timeouts(min(CONNECT_TIMEOUT_S, seconds), seconds, seconds, seconds)
