--- a/greengagehoist/admission/tests/test_admission.py
+++ b/greengagehoist/admission/tests/test_admission.py
@@ -136,6 +136,12 @@
     assert decided == Counter(range(100))
 
 
+def test_refused_entry_is_not_queued_as_well(gate):
+    for index in range(100):
+        verdicts = gate.apply(entry(index), 0.0)
+        assert len({verdict.entry.item for verdict in verdicts}) == len(verdicts)
+
+
 def test_useless_entry_is_refused(gate):
     assert isinstance(gate.apply(entry(0, latest=1.0), 2.0)[0], Refused)
     for index in range(5):
--- a/greengagehoist/controllers/tests/test_admission.py
+++ b/greengagehoist/controllers/tests/test_admission.py
@@ -39,7 +39,7 @@
     async def body(controller):
         asked = [asyncio.create_task(controller.ask(admit(n))) for n in range(REQUESTS)]
         replies = []
-        while asked:
+        for _ in range(200):
             await clock.advance(0.1)
             done = [task for task in asked if task.done()]
             asked = [task for task in asked if not task.done()]
--- a/greengagehoist/routing/tests/test_roster.py
+++ b/greengagehoist/routing/tests/test_roster.py
@@ -89,6 +89,12 @@
     assert found["t3"] <= 25
 
 
+def test_own_sends_correct_the_lagged_report(roster, rng):
+    for index in range(10):
+        roster.observe_report(f"t{index}", LoadReport(0, 10 if index == 3 else 18, 16, 0.1))
+    assert spread(roster, 0.2, rng, 100)["t3"] <= 14
+
+
 def test_least_reported_herds(rng):
     roster = build(10, LeastReported())
     roster.observe_report("t3", LoadReport(0, 0, 16, 0.1))
