--- a/benchmarks/_chaos_faults.py
+++ b/benchmarks/_chaos_faults.py
@@ -4,7 +4,7 @@
 import random
 import signal
 
-from benchmarks._chaos_deployment import Deployment
+from greengagehoist.standins import Deployment
 
 HOLD_S = (0.5, 4.0)
 
--- a/benchmarks/_chaos_traffic.py
+++ b/benchmarks/_chaos_traffic.py
@@ -9,9 +9,15 @@
 import aiosonic
 from aiosonic.timeout import Timeouts
 
-from benchmarks._chaos_deployment import CALL_FAILURES, Deployment
 from benchmarks._chaos_oracle import Booking, Summary
-from greengagehoist.standins import STAGES, credential_of, run_pipeline, token_digest
+from greengagehoist.standins import (
+    CALL_FAILURES,
+    STAGES,
+    Deployment,
+    credential_of,
+    run_pipeline,
+    token_digest,
+)
 
 TRIES = 6
 MAX_TOKENS = 24
--- a/benchmarks/chaos.py
+++ b/benchmarks/chaos.py
@@ -10,7 +10,6 @@
 
 import click
 
-from benchmarks._chaos_deployment import DAEMONS, Deployment
 from benchmarks._chaos_faults import FaultInjector
 from benchmarks._chaos_oracle import (
     Finding,
@@ -21,7 +20,7 @@
     check_versions,
 )
 from benchmarks._chaos_traffic import Traffic
-from greengagehoist.standins import ProcessGroup, example_changes
+from greengagehoist.standins import Deployment, ProcessGroup, example_changes
 
 CUSTOMERS = ("depot", "clerks")
 CALLERS_PER_CUSTOMER = 6
@@ -79,8 +78,7 @@
 
 async def run(group: ProcessGroup, seconds: float, seed: int) -> list[Finding]:
     """Run the deployment under traffic and faults and return the broken guarantees."""
-    rng = random.Random(seed)
-    deployment = Deployment(group, rng)
+    deployment = Deployment(group)
     await deployment.start()
     limits = {"requests_per_minute": 1200, "tokens_per_minute": 30_000, "concurrency": 64}
     await _apply(deployment, example_changes(CUSTOMERS), limits)
@@ -110,21 +108,14 @@
         if change["section"] == "usage":
             change["value"]["limits"] = limits
     await deployment.propose("entry-0", 0, changes, "chaos")
-    until = time.monotonic() + 20
-    while time.monotonic() < until:
-        urls = [f"{deployment.address(n, 'operators')}/readyz" for n in deployment.daemons()]
-        answers = [await deployment.get(url) for url in urls]
-        if all(answer and answer.get("ready") for answer in answers):
-            return
-        await asyncio.sleep(0.2)
-    raise RuntimeError("the daemons did not become ready")
+    await deployment.wait_ready()
 
 
 async def _judge(deployment, traffic, faults, operators, limits) -> list[Finding]:
     runs = await deployment.service_runs()
     rows = await deployment.get(f"{deployment.platform}/table/range?prefix=config/")
     accepted = max(int(row["key"].removeprefix("config/")) for row in rows["rows"])
-    print(f"daemons: {DAEMONS}, faults: {faults.applied}")
+    print(f"daemons: {deployment.entry_vms}, faults: {faults.applied}")
     print(f"bookings: {dict(Counter(item.outcome for item in traffic.bookings))}")
     print(f"pipelines: {dict(Counter(item.outcome for item in traffic.summaries))}")
     print(f"operators: {dict(operators.answers)}, versions accepted: {accepted}")
--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins for outside systems in tests and demos."""
 
+from greengagehoist.standins._deployment import CALL_FAILURES, Deployment
 from greengagehoist.standins._engine import build_engine
 from greengagehoist.standins._functions import (
     digest,
@@ -22,6 +23,8 @@
 from greengagehoist.standins._targets import build_pool, build_service
 
 __all__ = [
+    "CALL_FAILURES",
+    "Deployment",
     "SimulatedFaults",
     "Simulation",
     "OPERATOR_CREDENTIAL",
--- a/benchmarks/_chaos_deployment.py
+++ b/greengagehoist/standins/_deployment.py
@@ -1,18 +1,19 @@
-"""Processes of the chaos run: four data centres, seven daemons, their targets."""
+"""A deployment of separate processes: platform, daemons and targets in some data centres."""
 
-import random
+import asyncio
 import signal
+import time
 from typing import Any
 
 import aiosonic
 from aiosonic.exceptions import AiosonicError
 from aiosonic.timeout import Timeouts
 
-from greengagehoist.standins import OPERATOR_CREDENTIAL, STAGES, Process, ProcessGroup
+from greengagehoist.standins._lists import STAGES
+from greengagehoist.standins._processes import OPERATOR_CREDENTIAL, Process, ProcessGroup
 
-DATA_CENTRES = ("dc1", "dc2", "dc3", "dc4")
-DAEMONS = 7
 CALL_FAILURES = (AiosonicError, OSError, ValueError, EOFError, TimeoutError)
+READY_TIMEOUT_S = 20.0
 CALL_TIMEOUTS = Timeouts(sock_connect=1, sock_read=3, request_timeout=3)
 
 
@@ -28,27 +29,39 @@
 class Deployment:
     """Starts, replaces and disturbs the processes.
 
+    :param data_centres: names; each gets one replica of every target.
+    :param entry_vms: number of daemons, spread over the data centres.
     :param step_s: seconds between two tokens of an engine.
+    :param vm_lag_s: seconds by which the platform's VM list lags.
     """
 
-    def __init__(self, group: ProcessGroup, rng: random.Random, step_s: float = 0.01):
+    def __init__(
+        self,
+        group: ProcessGroup,
+        data_centres: tuple[str, ...] = ("dc1", "dc2", "dc3", "dc4"),
+        entry_vms: int = 7,
+        step_s: float = 0.01,
+        vm_lag_s: float = 1.0,
+    ):
         self.group = group
-        self.rng = rng
+        self.data_centres = data_centres
+        self.entry_vms = entry_vms
         self.step_s = step_s
+        self.vm_lag_s = vm_lag_s
         self.platform = ""
         self.vms: dict[str, dict[str, Any]] = {}
         self.incarnations: dict[str, int] = {}
 
     async def start(self) -> None:
         """Start the platform, the targets of all data centres and the daemons."""
-        args = ("platform", "--vm-lag-s", "1.0")
+        args = ("platform", "--vm-lag-s", str(self.vm_lag_s))
         self.platform = self.group.start_standin("platform", *args).addresses["listening"]
-        for data_centre in DATA_CENTRES:
+        for data_centre in self.data_centres:
             for role, model in STAGES:
                 self.start_target(role, model, data_centre)
             self.start_target("service:job-desk", "", data_centre)
         await self.publish_vms()
-        for index in range(DAEMONS):
+        for index in range(self.entry_vms):
             self.start_daemon(f"entry-{index}")
         await self.publish_vms()
 
@@ -67,7 +80,8 @@
 
     def start_daemon(self, name: str) -> Process:
         """Start a daemon as a new incarnation on new addresses."""
-        data_centre = DATA_CENTRES[int(name.removeprefix("entry-")) % len(DATA_CENTRES)]
+        number = int(name.removeprefix("entry-"))
+        data_centre = self.data_centres[number % len(self.data_centres)]
         seeds = []
         for other in list(self.daemons())[:2]:
             seeds += ["--seed", self.group.processes[other].addresses["peers"]]
@@ -138,6 +152,20 @@
         except CALL_FAILURES:
             return None
 
+    async def wait_ready(self) -> None:
+        """Wait until every daemon is ready.
+
+        :raises RuntimeError: if one is not ready in time.
+        """
+        until = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < until:
+            urls = [f"{self.address(name, 'operators')}/readyz" for name in self.daemons()]
+            answers = [await self.get(url) for url in urls]
+            if all(answer and answer.get("ready") for answer in answers):
+                return
+            await asyncio.sleep(0.2)
+        raise RuntimeError(f"daemons not ready: {answers}")
+
     def kill(self, name: str) -> None:
         """Kill a process at once."""
         process = self.group.processes.pop(name)
