Serve callers, operators and peers over TLS

Cause: the peer credential and customers' credentials crossed the network in clear text, and no setting changed that.

--- a/greengagehoist/cli/_client.py
+++ b/greengagehoist/cli/_client.py
@@ -11,6 +11,7 @@
 from aiosonic.timeout import Timeouts
 
 from greengagehoist.config import Change
+from greengagehoist.utils import TlsFiles, client_context
 
 CONNECT_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 5.0
@@ -45,10 +46,12 @@
     """Daemons to contact and the operators' credential.
 
     :param operators: ``ip:port`` of the operators' interfaces.
+    :param authority: path of the authority's certificate, plain HTTP if empty.
     """
 
     operators: tuple[str, ...]
     credential: str
+    authority: str = ""
 
     def __repr__(self) -> str:
         return f"Connection(operators={self.operators!r})"
@@ -77,10 +80,12 @@
     """
     timeouts = Timeouts(sock_connect=CONNECT_TIMEOUT_S, sock_read=timeout, request_timeout=timeout)
     headers = {"Authorization": f"Bearer {connection.credential}"}
+    context = client_context(TlsFiles(authority=connection.authority))
+    url = f"{'https' if context else 'http'}://{address}{path}"
     try:
         async with aiosonic.HTTPClient() as client:
             response = await client.request(
-                f"http://{address}{path}", method, headers=headers, json=body, timeouts=timeouts
+                url, method, headers=headers, json=body, timeouts=timeouts, ssl=context
             )
             content = json.loads(await asyncio.wait_for(response.content(), timeout))
     except (ConnectionRefusedError, ConnectTimeout) as exc:
--- a/greengagehoist/cli/_options.py
+++ b/greengagehoist/cli/_options.py
@@ -66,9 +66,19 @@
         callback=_check_credential,
         help="Operators' credential; prefer the environment, flags show in process lists.",
     )
+    @click.option(
+        "--tls-authority",
+        default="",
+        envvar="GREENGAGEHOIST_TLS_AUTHORITY",
+        show_envvar=True,
+        type=click.Path(exists=True, dir_okay=False),
+        help="PEM file of the daemons' authority; plain HTTP without it.",
+    )
     @functools.wraps(command)
-    def wrapped(operators: tuple[str, ...], credential: str, **options: Any) -> Any:
-        return command(Connection(operators, credential), **options)
+    def wrapped(
+        operators: tuple[str, ...], credential: str, tls_authority: str, **options: Any
+    ) -> Any:
+        return command(Connection(operators, credential, tls_authority), **options)
 
     return wrapped
 
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -55,7 +55,9 @@
         self.incarnation = int(clock.now().timestamp() * 1000)
         self.platform = PlatformController(settings.platform, clock, rng)
         own = Member(settings.vm, settings.data_centre, settings.peers, self.incarnation)
-        self.peers = PeerController(own, settings.seeds, settings.peer_credential, clock, rng)
+        self.peers = PeerController(
+            own, settings.seeds, settings.peer_credential, clock, rng, tls=settings.tls
+        )
         self.configs = ConfigController(self.platform, clock, rng, self.peers)
         self.traces = TraceController(self.peers, settings.data_centre)
         self.targets = TargetController(
@@ -144,7 +146,7 @@
         gate = DrainGate(callers.build(), self.drains)
         for app, field in ((gate, "callers"), (admin.build(), "operators")):
             host, port = check_address(f"--{field}", getattr(self.settings, field))
-            listener = await serve(app, host, port)
+            listener = await serve(app, host, port, tls=self.settings.tls)
             self.listeners.append(listener)
             log_event("listening", interface=field, address=listener.address)
 
--- a/greengagehoist/daemon/_main.py
+++ b/greengagehoist/daemon/_main.py
@@ -33,7 +33,15 @@
     show_default=True,
     help="Seconds from the end of readiness to the refusal of requests; covers the load balancer.",
 )
-@click.option("--log-level", default="INFO", show_default=True)
+@click.option("--tls-certificate", default="", help="PEM file; plain connections if empty.")
+@click.option("--tls-key", default="", help="PEM file of the certificate's key.")
+@click.option("--tls-authority", default="", help="PEM file of the authority of all daemons.")
+@click.option(
+    "--log-level",
+    default="INFO",
+    show_default=True,
+    type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
+)
 def main(**options) -> None:
     """Run the entry daemon of this VM."""
     try:
@@ -42,7 +50,11 @@
         click.echo(f"greengagehoistd: {exc}", err=True)
         sys.exit(BAD_SETTINGS)
     setup_logging(settings.log_level, vm=settings.vm)
-    asyncio.run(_run(settings))
+    try:
+        asyncio.run(_run(settings))
+    except OSError as exc:
+        click.echo(f"greengagehoistd: cannot listen: {exc}", err=True)
+        sys.exit(BAD_SETTINGS)
 
 
 async def _run(settings: Settings) -> None:
--- a/greengagehoist/daemon/_settings.py
+++ b/greengagehoist/daemon/_settings.py
@@ -2,7 +2,15 @@
 
 from typing import NamedTuple
 
-from greengagehoist.utils import ValidationError, check_address, check_float, check_name, check_text
+from greengagehoist.utils import (
+    TlsFiles,
+    ValidationError,
+    check_address,
+    check_float,
+    check_name,
+    check_text,
+    check_tls,
+)
 
 SHORTEST_CREDENTIAL = 16
 LONGEST_DRAIN_DELAY_S = 300.0
@@ -11,6 +19,7 @@
 class Settings(NamedTuple):
     """Settings of one daemon; addresses are ``ip:port``.
 
+    :param tls_certificate: path of this daemon's certificate; the three TLS files go together.
     :param drain_delay: seconds between the end of readiness and the refusal of new requests.
     """
 
@@ -26,6 +35,14 @@
     statsd: str
     log_level: str
     drain_delay: float = 2.0
+    tls_certificate: str = ""
+    tls_key: str = ""
+    tls_authority: str = ""
+
+    @property
+    def tls(self) -> TlsFiles:
+        """The TLS files of all listeners and of the links between daemons."""
+        return TlsFiles(self.tls_certificate, self.tls_key, self.tls_authority)
 
 
 def check_settings(settings: Settings) -> Settings:
@@ -46,4 +63,5 @@
         if len(check_text(name, getattr(settings, flag), 512)) < SHORTEST_CREDENTIAL:
             raise ValidationError(name, "(hidden)", f"at least {SHORTEST_CREDENTIAL} characters")
     check_float("--drain-delay", settings.drain_delay, 0.0, LONGEST_DRAIN_DELAY_S)
+    check_tls(settings.tls)
     return settings
--- a/greengagehoist/peers/_controller.py
+++ b/greengagehoist/peers/_controller.py
@@ -33,7 +33,17 @@
     UpdateHeartbeat,
 )
 from greengagehoist.peers._wire import PEER_CODEC
-from greengagehoist.utils import Clock, Controller, Reply, Tick, log_event, tick
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Reply,
+    Tick,
+    TlsFiles,
+    client_context,
+    log_event,
+    server_context,
+    tick,
+)
 
 HEARTBEAT_PERIOD_S = 1.0
 DIAL_PERIOD_S = 0.1
@@ -41,6 +51,7 @@
 SHORTEST_BACKOFF_S = 0.2
 LONGEST_BACKOFF_S = 5.0
 BACKLOG = 1024
+NO_TLS = TlsFiles()
 
 _SOCKET_OPTIONS = {
     "compression": None,
@@ -94,6 +105,7 @@
         clock: Clock,
         rng: random.Random,
         dead_after: float = DEAD_AFTER_S,
+        tls: TlsFiles = NO_TLS,
     ):
         super().__init__("peers")
         self.own = own
@@ -102,6 +114,7 @@
         self.clock = clock
         self.rng = rng
         self.dead_after = dead_after
+        self.tls = tls
         self._socket: socket.socket | None = None
         self._open: dict[str, _Open] = {}
         self._dials: dict[str, _Dial] = {}
@@ -135,6 +148,7 @@
             sock=self._socket,
             backlog=BACKLOG,
             process_request=self._check_credential,
+            ssl=server_context(self.tls, require_client=True),
             **_SOCKET_OPTIONS,
         )
         self.start(tick(self, self.clock, DIAL_PERIOD_S, "dial"))
@@ -213,8 +227,10 @@
 
     async def _dial(self, address: str) -> None:
         try:
+            context = client_context(self.tls)
             connection = await connect(
-                f"ws://{address}/",
+                f"{'wss' if context else 'ws'}://{address}/",
+                ssl=context,
                 additional_headers={"Authorization": f"Bearer {self.credential}"},
                 proxy=None,
                 **_SOCKET_OPTIONS,
--- a/greengagehoist/server/_serve.py
+++ b/greengagehoist/server/_serve.py
@@ -1,13 +1,16 @@
 """Serving of ASGI applications inside the running event loop."""
 
 import asyncio
+import contextlib
 import socket
 from typing import Any, NamedTuple
 
 import uvicorn
 
 from greengagehoist.server._protocol import GuardedProtocol
+from greengagehoist.utils import TlsFiles
 
+NO_TLS = TlsFiles()
 # Idle caller connections are closed after this many seconds.
 KEEP_ALIVE_S = 30
 BACKLOG = 1024
@@ -44,10 +47,18 @@
     return sock
 
 
-async def serve(app: Any, host: str, port: int, *, shutdown_s: float | None = None) -> Listener:
+async def serve(
+    app: Any,
+    host: str,
+    port: int,
+    *,
+    shutdown_s: float | None = None,
+    tls: TlsFiles = NO_TLS,
+) -> Listener:
     """Serve ``app`` on ``host:port``.
 
     :param shutdown_s: seconds that running requests get at the stop, None for no limit.
+    :param tls: certificate and key of the listener; plain HTTP if empty.
     :raises OSError: if the address is not available.
     """
     sock = bind(host, port)
@@ -62,6 +73,8 @@
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=shutdown_s,
     )
+    if any(tls):
+        cfg.ssl_certfile, cfg.ssl_keyfile = tls.certificate, tls.key
     server = _EmbeddedServer(cfg)
     task = asyncio.get_running_loop().create_task(server.serve(sockets=[sock]))
     return Listener(address, server, task)
@@ -72,6 +85,4 @@
 
     def capture_signals(self):
         """Return a context that installs no handlers."""
-        import contextlib
-
         return contextlib.nullcontext()
--- a/greengagehoist/utils/__init__.py
+++ b/greengagehoist/utils/__init__.py
@@ -5,6 +5,7 @@
 from greengagehoist.utils._ids import new_id
 from greengagehoist.utils._logging import log_event, setup_logging
 from greengagehoist.utils._metrics import Metrics, NullMetrics, connect_metrics
+from greengagehoist.utils._tls import TlsFiles, check_tls, client_context, server_context
 from greengagehoist.utils._validation import (
     ValidationError,
     check_address,
@@ -24,15 +25,19 @@
     "SteppedClock",
     "SystemClock",
     "Tick",
+    "TlsFiles",
     "ValidationError",
     "check_address",
     "check_float",
     "check_int",
     "check_name",
     "check_text",
+    "check_tls",
+    "client_context",
     "connect_metrics",
     "log_event",
     "new_id",
+    "server_context",
     "setup_logging",
     "show_value",
     "tick",
