Route generations only to engines that have the model

Cause: Route.model was ignored, so with more than one model in service a generation could run on an engine that has another one and return a wrong answer with a valid digest.

Change: the balancer keeps a roster for each model, filled from the engines' load reports; a new target's load is read as soon as it is listed.

Result: test_generation_goes_only_to_engines_that_report_the_model fails on the code before this change.

--- a/greengagehoist/controllers/_balancer.py
+++ b/greengagehoist/controllers/_balancer.py
@@ -1,4 +1,4 @@
-"""Rosters of all roles as seen by this daemon, and the polling order of load reports."""
+"""Rosters of all roles and models as seen by this daemon, and the polling order of reports."""
 
 import random
 from collections import deque
@@ -27,6 +27,9 @@
 class Balancer:
     """Chooses among the targets of each role; owned by the target controller.
 
+    An engine is in the roster of its role, which decides on polling, and in one roster for each
+    model that its last load report names, which decides on generations.
+
     :param daemon: name that selects this daemon's subset of targets.
     """
 
@@ -36,6 +39,8 @@
         self.rng = rng
         self._rosters: dict[str, Roster] = {}
         self._times: dict[str, StageEstimates] = {}
+        self._roles: set[str] = set()
+        self._keys: dict[str, str] = {}
         self._to_poll: deque[str] = deque()
         self._sequence = 0
         self._weight: float | None = None
@@ -46,20 +51,25 @@
 
     def add(self, target: Target, now: float, *, slow_start: bool) -> None:
         """Take a target into service."""
-        roster = self._rosters.get(target.role)
+        self._roles.add(target.role)
+        self._join(target.role, target, now, slow_start)
+
+    def _join(self, key: str, target: Target, now: float, slow_start: bool) -> None:
+        roster = self._rosters.get(key)
         if roster is None:
             roster = Roster(self.daemon, self.data_centre, {})
             if self._weight is not None:
                 roster.attainment_weight = self._weight
-            self._rosters[target.role] = roster
+            self._rosters[key] = roster
             initial = StageTimes(INITIAL_WORK_S, INITIAL_WORK_S, INITIAL_WORK_S)
-            self._times[target.role] = StageEstimates(initial)
+            self._times[key] = StageEstimates(initial)
         roster.add(Member(target.name, target.data_centre), now, slow_start=slow_start)
 
     def remove(self, role: str, name: str) -> None:
         """Take a target out of service."""
-        if role in self._rosters:
-            self._rosters[role].remove(name)
+        for key, roster in self._rosters.items():
+            if _role_of(key) == role and roster.has(name):
+                roster.remove(name)
 
     def set_weight(self, attainment_weight: float) -> None:
         """Apply the operator's weight of attainment against cost."""
@@ -68,13 +78,22 @@
             roster.attainment_weight = attainment_weight
 
     def choose(
-        self, role: str, prefix: tuple[int, ...], exclude: tuple[str, ...], now: float
+        self,
+        role: str,
+        prefix: tuple[int, ...],
+        exclude: tuple[str, ...],
+        now: float,
+        model: str = "",
     ) -> Pick | None:
-        """Choose a target and count the call as sent, or return None if there is no target."""
-        roster = self._rosters.get(role)
+        """Choose a target and count the call as sent, or return None if there is no target.
+
+        :param model: model that the target must have loaded, empty if none.
+        """
+        key = _key(role, model)
+        roster = self._rosters.get(key)
         if roster is None:
             return None
-        work = self._times[role].snapshot(role).p50
+        work = self._times[key].snapshot(key).p50
         block_cost = PREFIX_SHARE * work / len(prefix) if prefix else 0.0
         self._sequence += 1
         demand = Demand(f"{self._sequence}", work, prefix, block_cost, exclude)
@@ -82,40 +101,63 @@
         if name is None:
             return None
         roster.observe_sent(name, demand, now)
+        self._keys[demand.request_id] = key
         return Pick(name, demand.request_id)
 
     def complete(self, target: Target, ticket: str, latency: float, ok: bool, now: float) -> None:
         """Take note of the end of a call."""
-        roster = self._rosters.get(target.role)
-        if roster is None:
+        key = self._keys.pop(ticket, target.role)
+        if key not in self._rosters:
             return
-        roster.observe_done(target.name, ticket, latency, ok, now)
+        self._rosters[key].observe_done(target.name, ticket, latency, ok, now)
         if ok and ticket:
-            self._times[target.role].observe(target.role, latency)
+            self._times[key].observe(key, latency)
 
     def cancel(self, target: Target, ticket: str, now: float) -> None:
         """Take note of a call that was cancelled."""
-        roster = self._rosters.get(target.role)
+        roster = self._rosters.get(self._keys.pop(ticket, target.role))
         if roster is not None:
             roster.observe_cancelled(target.name, ticket, now)
 
     def note_unreachable(self, target: Target, ticket: str, now: float) -> None:
         """Take note of a call that did not reach its target."""
-        roster = self._rosters.get(target.role)
+        roster = self._rosters.get(self._keys.pop(ticket, target.role))
         if roster is not None:
             roster.observe_unreachable(target.name, ticket, now)
 
     def apply_report(self, target: Target, load: LoadWire, now: float) -> None:
         """Take a load report that has just been read."""
-        roster = self._rosters.get(target.role)
-        if roster is not None:
-            capacity = max(1, load.get("capacity", 1))
-            report = LoadReport(load.get("queue", 0), load.get("running", 0), capacity, now)
-            roster.observe_report(target.name, report)
+        if not self.has(target):
+            return
+        if "models" in load:
+            self._apply_models(target, {_key(target.role, name) for name in load["models"]}, now)
+        capacity = max(1, load.get("capacity", 1))
+        report = LoadReport(load.get("queue", 0), load.get("running", 0), capacity, now)
+        for key, roster in self._rosters.items():
+            if _role_of(key) == target.role and roster.has(target.name):
+                roster.observe_report(target.name, report)
+
+    def _apply_models(self, target: Target, keys: set[str], now: float) -> None:
+        for key in keys:
+            if key not in self._rosters or not self._rosters[key].has(target.name):
+                self._join(key, target, now, slow_start=False)
+        for key, roster in self._rosters.items():
+            known = key == target.role or key in keys or _role_of(key) != target.role
+            if not known and roster.has(target.name):
+                roster.remove(target.name)
 
     def next_to_poll(self, count: int) -> list[str]:
         """Return the names of up to ``count`` targets whose load is to be read now, in turn."""
         if not self._to_poll:
-            for roster in self._rosters.values():
-                self._to_poll.extend(roster.candidates())
+            for role in sorted(self._roles):
+                self._to_poll.extend(self._rosters[role].candidates())
         return [self._to_poll.popleft() for _ in range(min(count, len(self._to_poll)))]
+
+
+def _key(role: str, model: str) -> str:
+    """Return the key of a roster; names contain no slash."""
+    return f"{role}/{model}" if model else role
+
+
+def _role_of(key: str) -> str:
+    return key.partition("/")[0]
--- a/greengagehoist/controllers/_targets.py
+++ b/greengagehoist/controllers/_targets.py
@@ -206,6 +206,7 @@
         link = TargetLink(target, self.clock, self)
         self._replicas[vm.vm] = _Replica(target, link, self.start(link.run()))
         self._balance(target)
+        self.start(self._read_load(self._replicas[vm.vm]))
         log_event("target_added", target=vm.vm, role=vm.role, address=vm.address)
 
     def _complete(self, message: Completed) -> None:
@@ -299,11 +300,13 @@
 
     def _route(self, message: Route) -> Any:
         exclude, now = message.exclude, self.clock.monotonic()
-        while pick := self._balancer.choose(message.role, message.prefix, exclude, now):
+        while pick := self._balancer.choose(
+            message.role, message.prefix, exclude, now, message.model
+        ):
             chosen = self._replicas.get(pick.name)
             if chosen is not None and self._takes_work(chosen.target):
                 chosen.in_flight += 1
                 return Success(Assignment(chosen.target, chosen.link, pick.ticket))
             self._balancer.remove(message.role, pick.name)
-        text = f"no target with role {message.role}"
+        text = f"no target with role {message.role} {message.model}".rstrip()
         return Failure(not_run(message.stage, ErrorCode.UNAVAILABLE, text))
--- a/greengagehoist/controllers/tests/test_balancer.py
+++ b/greengagehoist/controllers/tests/test_balancer.py
@@ -42,3 +42,18 @@
 def test_every_target_is_polled_in_turn(balancer):
     polled = [name for _ in range(6) for name in balancer.next_to_poll(1)]
     assert sorted(polled) == ["t0", "t0", "t1", "t1", "t2", "t2"]
+
+
+def test_generation_goes_only_to_engines_that_report_the_model(rng):
+    balancer = Balancer("entry-0", "dc0", rng)
+    engines = [target(index)._replace(role="engine") for index in range(2)]
+    for engine, model in zip(engines, ("summary", "letters"), strict=True):
+        balancer.add(engine, 0.0, slow_start=False)
+        assert balancer.choose("engine", (), (), 0.1, model) is None
+        balancer.apply_report(engine, {"capacity": 4, "models": [model]}, 0.1)
+    chosen = {balancer.choose("engine", (), (), 0.2, "letters").name for _ in range(20)}
+    assert chosen == {"t1"}
+    balancer.apply_report(engines[1], {"capacity": 4, "models": ["summary"]}, 0.3)
+    assert balancer.choose("engine", (), (), 0.4, "letters") is None
+    chosen = {balancer.choose("engine", (), (), 0.4, "summary").name for _ in range(40)}
+    assert chosen == {"t0", "t1"}
