--- a/greengagehoist/cli/_files.py
+++ b/greengagehoist/cli/_files.py
@@ -1,5 +1,6 @@
 """Reading and writing of the two list files."""
 
+import re
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,8 @@
 PLANS_FILE = "plans.yaml"
 USAGE_FILE = "usage.yaml"
 
+_HEADER = re.compile(rb"\A# greengagehoist version ([0-9]{1,12})\r?$", re.MULTILINE)
+
 
 def read_list_files(plans: Path, usage: Path) -> Lists:
     """Return the valid lists of both files.
@@ -22,8 +25,42 @@
     )
 
 
-def write_list_files(directory: Path, lists: Lists) -> tuple[str, ...]:
-    """Write both list files and return their names.
+def read_base(plans: Path, usage: Path) -> int | None:
+    """Return the version that both files name on their first line, None if neither names one.
+
+    :raises ValueError: if the files do not name the same version.
+    """
+    plans_base, usage_base = (_read_header(path) for path in (plans, usage))
+    if plans_base != usage_base:
+        raise ValueError(
+            f"{plans} names version {_show(plans_base)}, {usage} names {_show(usage_base)}"
+        )
+    return plans_base
+
+
+def _read_header(path: Path) -> int | None:
+    found = _HEADER.match(path.read_bytes())
+    return int(found[1]) if found else None
+
+
+def _show(base: int | None) -> str:
+    return "none" if base is None else str(base)
+
+
+def update_base(version: int, *paths: Path) -> None:
+    """Name another version on the first line of the files that name one.
+
+    :raises OSError: if a file cannot be written.
+    """
+    for path in paths:
+        content = path.read_bytes()
+        found = _HEADER.match(content)
+        if found:
+            path.write_bytes(content[: found.start(1)] + b"%d" % version + content[found.end(1) :])
+
+
+def write_list_files(directory: Path, lists: Lists, version: int) -> tuple[str, ...]:
+    """Write both list files, which name ``version`` on their first line, and return their names.
 
     :raises OSError: if a file cannot be written.
     """
@@ -31,7 +68,7 @@
     sections = dict(lists)
     parts = {PLANS_FILE: {"holdings": sections.pop("holdings")}, USAGE_FILE: sections}
     for name, part in parts.items():
-        (directory / name).write_text(_dump(part))
+        (directory / name).write_text(f"# greengagehoist version {version}\n{_dump(part)}")
     return tuple(str(directory / name) for name in parts)
 
 
--- a/greengagehoist/cli/_main.py
+++ b/greengagehoist/cli/_main.py
@@ -23,7 +23,7 @@
     may_have_run,
     propose,
 )
-from greengagehoist.cli._files import read_list_files, write_list_files
+from greengagehoist.cli._files import read_base, read_list_files, update_base, write_list_files
 from greengagehoist.cli._options import (
     BAD_INPUT,
     CONFLICT,
@@ -100,21 +100,25 @@
 @click.option(
     "--base",
     type=click.IntRange(min=0),
-    help="Version that the files were edited from; a newer one in force is a conflict.",
+    help="Version that the files were edited from, 0 for an empty configuration; a newer one in "
+    "force is a conflict.  [default: the version on the files' first line]",
 )
 def apply(connection: Connection, plans: Path, usage: Path, author: str, base: int | None) -> Any:
     """Bring the lists in force to the content of both list files.
 
-    Without --base, the files replace whatever version is in force.
+    The files written by "get" name the version that they were read from. Changes that other
+    operators made since then are a conflict; they are shown and not overwritten. After a
+    successful apply, files that name a version name the new one.
 
     \b
     Example:
       greengagehoistctl get --directory lists --operators 10.0.0.1:8081
-      greengagehoistctl apply lists/plans.yaml lists/usage.yaml --base 41 \\
+      greengagehoistctl apply lists/plans.yaml lists/usage.yaml \\
           --operators 10.0.0.1:8081 --operators 10.0.0.2:8081
     """
+    base = _find_base(plans, usage) if base is None else base
     cfg, changes = _compare(connection, plans, usage)
-    if base is not None and base != cfg.version:
+    if base != cfg.version:
         changes_since = _changes_since(connection, base, cfg.version)
         text = f"version {cfg.version} is in force, the files are based on {base}"
         raise CommandError(f"{text}\n{format_conflict(changes_since)}".rstrip(), CONFLICT)
@@ -122,13 +126,28 @@
         return {"version": cfg.version, "changes": []}, f"no changes to {cfg.version}", OK
     click.echo(format_changes(changes, dict(plain_lists(cfg))), err=True)
     op_id = new_id(random.SystemRandom())
-    proposal = ProposalBody(cfg.version, changes, author, op_id)
+    proposal = ProposalBody(base, changes, author, op_id)
     response, uncertain = asyncio.run(propose(connection, proposal))
     version = _accepted_version(response, uncertain, op_id)
+    update_base(version, plans, usage)
     value = {"version": version, "changes": [change._asdict() for change in changes]}
     return value, f"version {version} accepted", OK
 
 
+def _find_base(plans: Path, usage: Path) -> int:
+    try:
+        base = read_base(plans, usage)
+    except ValueError as exc:
+        raise CommandError(f"{exc}; state the right one with --base", BAD_INPUT) from exc
+    if base is None:
+        text = (
+            'the files name no version that they are based on; read the lists with "get '
+            '--directory", or state --base (0 for an empty configuration)'
+        )
+        raise CommandError(text, BAD_INPUT)
+    return base
+
+
 def _compare(connection: Connection, plans: Path, usage: Path) -> tuple[Config, tuple[Change, ...]]:
     wanted = build_config(read_list_files(plans, usage))
     cfg = _get_config(connection)
@@ -196,7 +215,7 @@
     lists = plain_lists(cfg)
     value = {"version": cfg.version, "digest": cfg.digest, "lists": lists}
     if directory is not None:
-        names = write_list_files(directory, lists)
+        names = write_list_files(directory, lists, cfg.version)
         return value, f"version {cfg.version} written to {', '.join(names)}", OK
     changes = [
         Change(section, key, item) for section in lists for key, item in lists[section].items()
