--- a/greengagehoist/cli/_tables.py
+++ b/greengagehoist/cli/_tables.py
@@ -75,7 +75,7 @@
                 body.get("config_version"),
                 body.get("config_age_s"),
                 body.get("ready"),
-                _summary(body.get("targets")),
+                _target_counts(body.get("targets")),
                 _summary(body.get("store")),
                 note or body.get("config_blocked"),
             )
@@ -86,6 +86,17 @@
     return (address, *[None] * 7, note)
 
 
+def _target_counts(value: Any) -> str | None:
+    """Return the numbers of targets by state, summed over the roles, on one line."""
+    if not isinstance(value, dict):
+        return None
+    sums: dict[str, int] = {}
+    for states in value.values():
+        for state, number in states.items():
+            sums[state] = sums.get(state, 0) + number
+    return " ".join(f"{state}={number}" for state, number in sorted(sums.items()))
+
+
 def _summary(value: Any) -> Any:
     """Return the state of a part of the status on one line."""
     match value:
--- a/greengagehoist/controllers/_targets.py
+++ b/greengagehoist/controllers/_targets.py
@@ -97,6 +97,10 @@
     name: str
 
 
+class GetTargetCounts(NamedTuple):
+    """Ask for the number of targets; replied by ``dict``, role to state to number."""
+
+
 class Reported(NamedTuple):
     """Tell a target's load report."""
 
@@ -178,6 +182,9 @@
                 self._apply_peer(message)
             case GetLink(name):
                 reply(self._link(name))
+            case GetTargetCounts():
+                roles = {name: item.target.role for name, item in self._replicas.items()}
+                reply(self._roster.count_states(roles))
 
     def _update(self, vms: tuple[Vm, ...]) -> None:
         targets = [vm for vm in vms if vm.role != ENTRY_ROLE]
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -15,6 +15,7 @@
     GetHeld,
     GetReadiness,
     GetReport,
+    GetTargetCounts,
     OnDrain,
     OrderController,
     QuotaController,
@@ -153,7 +154,11 @@
             vm=self.settings.vm,
             data_centre=self.settings.data_centre,
             drain=self._start_drain,
-            status={"daemon": self._daemon_status, "quota": self._quota_status},
+            status={
+                "daemon": self._daemon_status,
+                "quota": self._quota_status,
+                "targets": self._target_status,
+            },
             report=self._report,
             ready={"daemon": self._reasons_not_ready},
         )
@@ -169,6 +174,9 @@
     async def _quota_status(self) -> dict[str, Any]:
         return {"slots": len(await self.quotas.ask(GetHeld()))}
 
+    async def _target_status(self) -> dict[str, dict[str, int]]:
+        return await self.targets.ask(GetTargetCounts())
+
     async def _report(self, customer: str, date: str) -> dict[str, Any]:
         result = await self.records.ask(GetReport(date))
         match result:
--- a/greengagehoist/membership/_marks.py
+++ b/greengagehoist/membership/_marks.py
@@ -1,6 +1,6 @@
 """Leave marks and the roster of targets that one daemon keeps."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from greengagehoist.membership._lifecycle import TARGET_LIFE, TargetState
@@ -132,6 +132,19 @@
         """Return what is known of a target, or None if it was never listed."""
         return self._standings.get(target)
 
+    def count_states(self, roles: Mapping[str, str]) -> dict[str, dict[str, int]]:
+        """Return the number of targets by role and state.
+
+        :param roles: role by target; other targets are not counted.
+        """
+        counts: dict[str, dict[str, int]] = {}
+        for target, role in sorted(roles.items(), key=lambda item: item[1]):
+            standing = self._standings.get(target)
+            if standing is not None:
+                states = counts.setdefault(role, {})
+                states[str(standing.state)] = states.get(str(standing.state), 0) + 1
+        return counts
+
     def _is_unchanged(self, item: Listing) -> bool:
         """Return whether a live target is listed as before; most targets of most lists are."""
         standing = self._standings.get(item.target)
--- a/greengagehoist/membership/tests/test_marks.py
+++ b/greengagehoist/membership/tests/test_marks.py
@@ -182,3 +182,10 @@
     recent = roster.marks.recent(100.0)
     assert recent[0] == Mark("t99", 1) and len(recent) == 30
     assert len(roster.marks.recent(100.0, within=1000.0)) == 64
+
+
+def test_targets_are_counted_by_role_and_state():
+    roster = TargetRoster()
+    roster.apply_list([Listing("a", 1, False), Listing("b", 1, True), Listing("c", 1, False)], 0.0)
+    counts = roster.count_states({"a": "encoder", "b": "encoder", "c": "engine", "unknown": "x"})
+    assert counts == {"encoder": {"live": 1, "leaving": 1}, "engine": {"live": 1}}
