Require each list field in the prose of the operations page, not only in an example

A second test now requires each field in backticks in the section of the lists; it fails with the row of weight altered.

--- a/greengagehoist/tests/test_operations_page.py
+++ b/greengagehoist/tests/test_operations_page.py
@@ -125,6 +125,12 @@
     assert not missing
 
 
+def test_section_of_the_lists_names_each_field():
+    """An example alone does not explain a field."""
+    section = PAGE.partition("## The two lists")[2].partition("\n## ")[0]
+    assert list_fields() <= set(re.findall(r"`([^`\n]+)`", section))
+
+
 def test_page_names_no_event_that_is_gone():
     table = PAGE.partition("## Log events")[2].partition("\n## ")[0]
     assert set(re.findall(r"^\| `([a-z_]+)` \|", table, re.MULTILINE)) == set(log_events().values())
