--- a/greengagehoist/config/tests/test_convergence.py
+++ b/greengagehoist/config/tests/test_convergence.py
@@ -7,7 +7,13 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
 
 from greengagehoist.config import (
     EMPTY_CONFIG,
@@ -26,6 +32,7 @@
     ReadBack,
     Snapshot,
     Undetermined,
+    _versions,
     apply_changes,
     begin_proposal,
     digest_lists,
@@ -39,6 +46,8 @@
 )
 
 DAEMONS = 3
+# Versions and operations that daemons keep; few, so that the runs go past them.
+KEPT = 2
 LIMITS = {"requests_per_minute": 1, "tokens_per_minute": 1, "concurrency": 1}
 CHANGES = tuple(
     (Change("usage", f"plan-{index}", {"deadline_ms": 1 + amount, "limits": LIMITS}),)
@@ -73,6 +82,7 @@
         self.floor = [0] * DAEMONS
         self.open: list[Attempt] = []
         self.finished: list[Attempt] = []
+        self.stored: list[Snapshot] = []
 
     # Proposals
 
@@ -89,6 +99,14 @@
         again = attempts[pick % len(attempts)]
         self.begin(daemon, again.op_id, again.base, again.changes)
 
+    @rule(daemon=daemons, pick=picks)
+    def accept(self, daemon, pick):
+        """Carry a proposal to its end without a fault, so that versions accumulate."""
+        before = len(self.open)
+        self.propose(daemon, pick, 0)
+        while len(self.open) > before:
+            self.advance(len(self.open) - 1, "none", True)
+
     def begin(self, daemon, op_id, base, changes):
         log = self.logs[daemon]
         proposal, step = begin_proposal(log, op_id, f"author-{daemon}", base, changes)
@@ -198,6 +216,20 @@
         if from_peer and snapshot.version:
             self.logs[daemon] = learn_snapshot(Log(), snapshot).log
 
+    @rule(daemon=daemons)
+    def store_snapshot(self, daemon):
+        """Write the object of the snapshot, which a daemon that is behind may overwrite."""
+        snapshot = take_snapshot(self.logs[daemon])
+        if snapshot.version:
+            self.stored.append(snapshot)
+
+    @precondition(lambda self: self.stored)
+    @rule(daemon=daemons, pick=picks)
+    def load_snapshot(self, daemon, pick):
+        """Take in a snapshot that was read from the object store at any earlier time."""
+        snapshot = self.stored[pick % len(self.stored)]
+        self.logs[daemon] = learn_snapshot(self.logs[daemon], snapshot).log
+
     # Oracle
 
     @invariant()
@@ -211,6 +243,7 @@
             self.floor[index] = log.cfg.version
             assert log.cfg == oracle[log.cfg.version]
             assert log.cfg.digest == digest_lists(log.cfg)
+            assert all(item.version > log.cfg.version for item in log.pending)
 
     @invariant()
     def operations_are_accepted_once(self):
@@ -254,7 +287,16 @@
         assert {log.cfg.version for log in self.logs} == {len(self.table)}
 
 
-TestConvergence = ConfigMachine.TestCase
-TestConvergence.settings = settings(
-    max_examples=200, stateful_step_count=40, derandomize=True, database=None, deadline=None
-)
+def test_convergence(monkeypatch):
+    monkeypatch.setattr(_versions, "RECENT_VERSIONS", KEPT)
+    monkeypatch.setattr(_versions, "RECENT_OPERATIONS", KEPT)
+    run_state_machine_as_test(
+        ConfigMachine,
+        settings=settings(
+            max_examples=200,
+            stateful_step_count=40,
+            derandomize=True,
+            database=None,
+            deadline=None,
+        ),
+    )
