--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 
 chaos: $(SETUP)
 	$(BIN)/python -m benchmarks.chaos --seconds 300 --seed $${SEED:-1}
+
+capacity: $(SETUP)
+	$(BIN)/python -m benchmarks.capacity
