Let customers within their share pass a limit that another one fills

Cause: each daemon lowers its limit on its own while a customer bursts, down to 8 in flight, which is less than the customers within their share need, so they waited behind the burst or were shed. Work queued at the engines made their long answers miss the deadline as well.

Change: the recent work that was let through is divided by weight; customers who ask for less than their share go first and pass the limit, up to three times. The others fill four fifths of it. A congested limit gets a constant step, so that a limit below the others' catches up, and congestion is seen earlier (1.4 instead of 1.5 times the baseline, gain 1.2 instead of 1.4).

--- a/greengagehoist/admission/_gate.py
+++ b/greengagehoist/admission/_gate.py
@@ -9,6 +9,10 @@
 
 LONGEST_WAIT_SHARE = 0.5
 FEWEST_QUEUED = 12
+# Customers within their share may use up to this multiple of a limit that another one fills.
+RESERVE = 3.0
+# The part of the limit for customers beyond their share leaves room for the others' long requests.
+CONTENDED_ROOM = 0.8
 LEAST_RETRY_AFTER_S = 0.05
 LONGEST_RETRY_AFTER_S = 5.0
 
@@ -95,10 +99,9 @@
         if entry.latest_start < now:
             return [Refused(entry, self._retry_after())]
         self._queue.observe_demand(entry.customer, entry.weight, entry.cost, now)
-        if not self._queue and self.in_flight < self.limit.limit:
-            self.in_flight += 1
+        if self._may_start(entry, now):
             self._queue.charge(entry.customer, entry.weight, entry.cost)
-            return [Admitted(entry)]
+            return [self._start(entry, now)]
         self._queue.push(entry.customer, entry.weight, entry.cost, entry)
         if len(self._queue) <= self._longest_queue(entry, now):
             return [Queued(entry)]
@@ -122,15 +125,43 @@
     def release(self, now: float) -> list[Verdict]:
         """Return verdicts for waiting entries that may start or have become useless."""
         verdicts: list[Verdict] = []
-        while self._queue and self.in_flight < self.limit.limit:
-            entry = self._queue.pop()
+        while (entry := self._pop(now)) is not None:
             if entry.latest_start < now:
                 verdicts.append(Refused(entry, self._retry_after()))
             else:
-                self.in_flight += 1
-                verdicts.append(Admitted(entry))
+                verdicts.append(self._start(entry, now))
         return verdicts
 
+    def _pop(self, now: float) -> Entry | None:
+        if not self._queue or self.in_flight >= RESERVE * self.limit.limit:
+            return None
+        entry = self._queue.pop_within_share(now)
+        if entry is None and self.in_flight < self._room(now):
+            entry = self._queue.pop()
+        return entry
+
+    def _room(self, now: float) -> float:
+        """Return how many may be in flight while the next entry is beyond its share."""
+        contended = self._queue.is_any_beyond_share(now)
+        return self.limit.limit * (CONTENDED_ROOM if contended else 1.0)
+
+    def _may_start(self, entry: Entry, now: float) -> bool:
+        """Return whether an entry starts without waiting.
+
+        A limit that is lowered while one customer bursts would stop the others as well, so those
+        within their share pass it, up to ``RESERVE`` times the limit.
+        """
+        if not self._queue and self.in_flight < self._room(now):
+            return True
+        if self.in_flight >= RESERVE * self.limit.limit:
+            return False
+        return self._queue.is_within_share(entry.customer, now)
+
+    def _start(self, entry: Entry, now: float) -> Admitted:
+        self.in_flight += 1
+        self._queue.observe_served(entry.customer, entry.cost, now)
+        return Admitted(entry)
+
     def _count(self, now: float) -> None:
         self._finished += 1
         elapsed = now - self._window_start
--- a/greengagehoist/admission/_limit.py
+++ b/greengagehoist/admission/_limit.py
@@ -4,8 +4,10 @@
 LEAST_LIMIT = 4.0
 LARGEST_LIMIT = 4096.0
 WINDOW_S = 1.0
-CONGESTED = 1.5
-GAIN = 1.4
+CONGESTED = 1.4
+GAIN = 1.2
+# Lets a limit that has fallen below the others' catch up with them under a common congestion.
+STEP = 3.0
 HEADROOM = 1.5
 GROWTH = 1.1
 PEAK_DECAY = 0.98
@@ -21,9 +23,9 @@
 
     While the mean latency of a window is above ``CONGESTED`` times its baseline, the limit is the
     number in flight that the measured rate needs at ``GAIN`` times the baseline (Little's law), so
-    it does not depend on how far it had grown before. Otherwise it grows while it is in use, but
-    not beyond ``HEADROOM`` times the recent peak. The baseline is the least mean latency; it rises
-    slowly, and falls with each missed deadline.
+    it does not depend on how far it had grown before, and ``STEP`` more. Otherwise it grows while
+    it is in use, but not beyond ``HEADROOM`` times the recent peak. The baseline is the least mean
+    latency; it rises slowly, and falls with each missed deadline.
     """
 
     def __init__(self, first: float = FIRST_LIMIT):
@@ -69,7 +71,7 @@
         self._misses = 0
         self._rate = max(rate, self._rate * RATE_DECAY)
         if self._smooth > CONGESTED * self._base:
-            limit = GAIN * self._rate * self._base
+            limit = GAIN * self._rate * self._base + STEP
         else:
             most = max(self.first, HEADROOM * self._peak)
             limit = min(most, self.limit * GROWTH)
--- a/greengagehoist/admission/tests/test_admission.py
+++ b/greengagehoist/admission/tests/test_admission.py
@@ -15,6 +15,7 @@
     Gate,
     Refused,
 )
+from greengagehoist.admission._gate import RESERVE
 
 
 def entry(item, customer="depot", weight=1.0, latest=100.0):
@@ -155,3 +156,81 @@
     refused = [v for i in range(100) for v in gate.apply(entry(i), 0.0) if isinstance(v, Refused)]
     assert refused
     assert all(v.retry_after > 0.0 for v in refused)
+
+
+def observe_rates(queue, rates, served):
+    """Let customers of weight one ask at rates per second for ten seconds and get a part of it."""
+    for tick in range(100):
+        for customer, rate in rates.items():
+            queue.observe_demand(customer, 1.0, rate / 10, tick / 10)
+            queue.observe_served(customer, min(rate, served) / 10, tick / 10)
+
+
+def test_customer_that_bursts_does_not_raise_the_share_of_others():
+    """Guards against a share that counts a customer as beyond it because another one bursts."""
+    queue = FairQueue()
+    observe_rates(queue, {"burst": 100.0, "calm": 5.0, "small": 1.0}, served=6.0)
+    assert queue.is_within_share("calm", 10.0)
+    assert queue.is_within_share("small", 10.0)
+    assert not queue.is_within_share("burst", 10.0)
+
+
+def test_no_customer_is_within_its_share_when_all_ask_for_too_much():
+    """Guards against a share that lets a common overload pass the limit."""
+    queue = FairQueue()
+    observe_rates(queue, dict.fromkeys("abc", 10.0), served=5.0)
+    assert not any(queue.is_within_share(name, 10.0) for name in "abc")
+
+
+def test_single_customer_is_never_within_its_share():
+    """Guards against a gate without a limit while one customer has it for itself."""
+    queue = FairQueue()
+    observe_rates(queue, {"a": 10.0}, served=10.0)
+    assert not queue.is_within_share("a", 10.0)
+
+
+@pytest.fixture
+def filled_gate():
+    """Return a gate with a limit of four that one customer has filled, with others of 1/s."""
+    gate = Gate(AdaptiveLimit(4.0))
+    for tick in range(100):
+        now = tick / 10
+        customers = ["burst"] * 10 + ["calm"] * (tick % 10 == 0) + ["small"] * (tick % 10 == 5)
+        for number, customer in enumerate(customers):
+            gate.apply(entry((tick, number), customer), now)
+        if tick % 2 and gate.in_flight:
+            gate.finish(1.0, Ending.FAILED, now)
+    return gate
+
+
+def test_customer_within_its_share_passes_a_limit_that_another_fills(filled_gate):
+    """Guards against waiting behind a burst, and against shedding, while a limit is lowered."""
+    assert filled_gate.queued > 0
+    assert filled_gate.in_flight >= 4
+    assert filled_gate.apply(entry("mine", "calm"), 10.0) == [Admitted(entry("mine", "calm"))]
+
+
+def test_customers_within_their_share_pass_a_limit_up_to_a_bound(filled_gate):
+    """Guards against work in flight that no limit bounds."""
+    for index in range(100):
+        filled_gate.apply(entry(index, "calm"), 10.0)
+    assert filled_gate.in_flight <= RESERVE * 4
+
+
+def test_small_limit_recovers_under_a_congestion_that_lowers_a_large_one():
+    """Guards against a limit that stays at a fraction of the others' for good."""
+    limits = [AdaptiveLimit(8.0), AdaptiveLimit(64.0)]
+    for limit in limits:
+        run_limit(limit, 0.0, 2, rate=limit.first, latency=1.0)
+        for second in range(2, 22):
+            run_limit(limit, float(second), 1, rate=limit.limit / 1.6, latency=1.6)
+    ratio = limits[1].limit / limits[0].limit
+    assert ratio < 4.0
+
+
+def test_waiting_customer_within_its_share_goes_first(filled_gate):
+    """Guards against a customer within its share that waits for a lowered limit to clear."""
+    for index in range(12):
+        filled_gate.apply(entry(index, "calm"), 10.0)
+    started = filled_gate.finish(1.0, Ending.FAILED, 10.0)
+    assert [v.entry.customer for v in started if isinstance(v, Admitted)] == ["calm"]
