--- a/greengagehoist/cli/_options.py
+++ b/greengagehoist/cli/_options.py
@@ -68,7 +68,7 @@
     )
     @click.option(
         "--tls-authority",
-        default="",
+        default=None,
         envvar="GREENGAGEHOIST_TLS_AUTHORITY",
         show_envvar=True,
         type=click.Path(exists=True, dir_okay=False),
@@ -76,9 +76,9 @@
     )
     @functools.wraps(command)
     def wrapped(
-        operators: tuple[str, ...], credential: str, tls_authority: str, **options: Any
+        operators: tuple[str, ...], credential: str, tls_authority: str | None, **options: Any
     ) -> Any:
-        return command(Connection(operators, credential, tls_authority), **options)
+        return command(Connection(operators, credential, tls_authority or ""), **options)
 
     return wrapped
 
