Select fixed or fresh seeds of generated tests by a Hypothesis profile

The generated tests set derandomize themselves, so they could not run with fresh seeds, and 'make fuzz' did not exist.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SETUP := $(VENV)/.ready
+FUZZ_FACTOR ?= 5
+FUZZ_PROCESSES ?= 5
+FUZZ_PACKAGES := $(patsubst %,greengagehoist/%/tests,config quota quiet_hours filters answers membership orders codec server)
 
 .PHONY: demo test bench bench-quick capacity fuzz chaos lint format setup lock
 
@@ -38,3 +41,13 @@
 
 chaos: $(SETUP)
 	$(BIN)/python -m benchmarks.chaos --seconds 300 --seed $${SEED:-1}
+
+# Each package runs with a fresh seed; a failing one prints its seed and its output.
+fuzz: $(SETUP)
+	@printf '%s\n' $(FUZZ_PACKAGES) | HYPOTHESIS_PROFILE=fuzz FUZZ_FACTOR=$(FUZZ_FACTOR) \
+	xargs -P $(FUZZ_PROCESSES) -I{} sh -c '\
+	seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d " "); \
+	if out=$$($(BIN)/python -m pytest {} --hypothesis-seed=$$seed --hypothesis-show-statistics 2>&1); \
+	then result=passed; else result=FAILED; echo "$$out"; fi; \
+	count=$$(echo "$$out" | sed -n "s/.* \([0-9]*\) passing examples.*/\1/p" | paste -sd+ | sed "s/^$$/0/" | bc); \
+	echo "$$result {} factor=$$FUZZ_FACTOR seed=$$seed examples=$$count"; test $$result = passed'
--- a/conftest.py
+++ b/conftest.py
@@ -1,9 +1,13 @@
-"""Shared fixtures and the handling of tests listed in KNOWN-RED.txt."""
+"""Shared fixtures, profiles of generated tests and the tests listed in KNOWN-RED.txt."""
 
 from pathlib import Path
 
 import pytest
 
+from greengagehoist.standins._profiles import load_profile
+
+load_profile()
+
 KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 
 
--- a/greengagehoist/admission/tests/test_admission.py
+++ b/greengagehoist/admission/tests/test_admission.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from greengagehoist.admission import (
@@ -15,6 +15,7 @@
     Gate,
     Refused,
 )
+from greengagehoist.standins._profiles import generated
 
 
 def entry(item, customer="depot", weight=1.0, latest=100.0):
@@ -67,7 +68,7 @@
     assert queue.pop_least_valuable(0.0) == "calm 2"
 
 
-@settings(derandomize=True, max_examples=50)
+@generated(50)
 @given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(["push", "pop", "shed"]))))
 def test_queue_returns_each_item_once(steps):
     queue, pushed, found = FairQueue(), [], []
--- a/greengagehoist/answers/tests/test_accept.py
+++ b/greengagehoist/answers/tests/test_accept.py
@@ -1,6 +1,6 @@
 """Guards against answers that are called whole but are not the function of their input."""
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from greengagehoist.answers import (
@@ -18,6 +18,7 @@
     end_attempt,
     open_attempt,
 )
+from greengagehoist.standins._profiles import generated
 
 WHOLE = tuple(f"t{index}" for index in range(12))
 MOST = 16
@@ -57,7 +58,7 @@
             return accept_end(stream, own, offset, digest_tokens(WHOLE[:offset]) + "0")
 
 
-@settings(derandomize=True, deadline=None, database=None, max_examples=1500)
+@generated(1500)
 @given(steps=steps)
 def test_what_is_called_whole_is_the_function_of_the_input(steps):
     number = 1
@@ -87,7 +88,7 @@
             stream = open_attempt(stream, ("r1", "engine", number))
 
 
-@settings(derandomize=True, deadline=None, database=None)
+@generated()
 @given(cuts=st.lists(st.tuples(st.integers(0, 12), st.integers(1, 12)), max_size=20))
 def test_overlaps_are_trimmed_and_gaps_close(cuts):
     stream = open_attempt(Stream(), "a1")
--- a/greengagehoist/codec/tests/test_lists.py
+++ b/greengagehoist/codec/tests/test_lists.py
@@ -3,14 +3,15 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from greengagehoist.codec import ListFile, ListFilesError, parse_list_files
 from greengagehoist.config import Problem, validate_lists
+from greengagehoist.standins._profiles import generated
 
 EXAMPLES = Path(__file__).parents[3] / "examples" / "lists"
-FUZZ = settings(max_examples=200, derandomize=True, database=None, deadline=None)
+FUZZ = generated(200)
 LEAVES = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
 NAMES = st.sampled_from(
     ["holdings", "usage", "pipelines", "services", "settings", "limits", "quiet", "spans", "days"]
--- a/greengagehoist/codec/tests/test_peer.py
+++ b/greengagehoist/codec/tests/test_peer.py
@@ -6,20 +6,15 @@
 import cbor2
 import msgspec
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, given
 from hypothesis import strategies as st
 
 from greengagehoist.codec import LARGEST_FRAME_BYTES, FrameError
 from greengagehoist.peers import Goodbye, Heartbeat, LeaveMark, PeerMessage
 from greengagehoist.peers._wire import PEER_CODEC
+from greengagehoist.standins._profiles import generated
 
-FIXED = settings(
-    derandomize=True,
-    deadline=None,
-    database=None,
-    max_examples=200,
-    suppress_health_check=[HealthCheck.too_slow],
-)
+FIXED = generated(200, suppress_health_check=[HealthCheck.too_slow])
 INT64 = st.integers(-(2**63), 2**63 - 1)
 PLAIN = st.recursive(
     st.none() | st.booleans() | INT64 | st.text() | st.floats(allow_nan=False),
--- a/greengagehoist/config/tests/test_convergence.py
+++ b/greengagehoist/config/tests/test_convergence.py
@@ -5,7 +5,6 @@
 
 from typing import Any, NamedTuple
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -37,6 +36,7 @@
     take_snapshot,
     versions_after,
 )
+from greengagehoist.standins._profiles import generated
 
 DAEMONS = 3
 LIMITS = {"requests_per_minute": 1, "tokens_per_minute": 1, "concurrency": 1}
@@ -255,6 +255,4 @@
 
 
 TestConvergence = ConfigMachine.TestCase
-TestConvergence.settings = settings(
-    max_examples=200, stateful_step_count=40, derandomize=True, database=None, deadline=None
-)
+TestConvergence.settings = generated(200, stateful_step_count=40)
--- a/greengagehoist/filters/tests/test_claim.py
+++ b/greengagehoist/filters/tests/test_claim.py
@@ -4,7 +4,6 @@
 import random
 from collections import Counter, defaultdict
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from returns.result import Failure, Success
@@ -23,6 +22,7 @@
 from greengagehoist.controllers import Assignment, ClaimController, FindTarget, Route
 from greengagehoist.filters import AttemptLimit, ClaimFilter, DispatchFilter, Sender
 from greengagehoist.platform_client import ReadRow, Refused, Row, Rows, WriteRow, Written
+from greengagehoist.standins._profiles import generated
 from greengagehoist.targets import OperationReply, ReadRecord, Send, Target
 from greengagehoist.utils import SteppedClock
 
@@ -288,9 +288,7 @@
 
 
 TestClaims = ClaimWorld.TestCase
-TestClaims.settings = settings(
-    derandomize=True, deadline=None, max_examples=100, stateful_step_count=25, database=None
-)
+TestClaims.settings = generated(100, stateful_step_count=25)
 
 
 def test_repeated_key_replays_the_first_answer():
--- a/greengagehoist/membership/tests/test_marks.py
+++ b/greengagehoist/membership/tests/test_marks.py
@@ -3,11 +3,11 @@
 import random
 
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from greengagehoist.membership import Listing, Mark, TargetRoster, TargetState
+from greengagehoist.standins._profiles import generated
 
 DAEMONS = 3
 TARGETS = ("t0", "t1", "t2")
@@ -117,9 +117,7 @@
                         assert incarnation == highest[target]
 
 
-LeaveMarkMachine.TestCase.settings = settings(
-    max_examples=200, stateful_step_count=40, derandomize=True, deadline=None, database=None
-)
+LeaveMarkMachine.TestCase.settings = generated(200, stateful_step_count=40)
 test_leave_marks = LeaveMarkMachine.TestCase
 
 
--- a/greengagehoist/orders/tests/test_fencing.py
+++ b/greengagehoist/orders/tests/test_fencing.py
@@ -1,6 +1,5 @@
 """Guards against an older issuer's order that takes effect after a newer issuer's."""
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -17,6 +16,7 @@
     covers_send,
     decide_lease,
 )
+from greengagehoist.standins._profiles import generated
 
 ISSUERS = ("vm0", "vm1")
 ROLES = ("prefill", "decode", "both")
@@ -162,9 +162,7 @@
         assert not self.prompt or applied == sorted(applied)
 
 
-FencingMachine.TestCase.settings = settings(
-    max_examples=300, stateful_step_count=40, derandomize=True, deadline=None, database=None
-)
+FencingMachine.TestCase.settings = generated(300, stateful_step_count=40)
 test_fencing = FencingMachine.TestCase
 
 
--- a/greengagehoist/quiet_hours/tests/test_spans.py
+++ b/greengagehoist/quiet_hours/tests/test_spans.py
@@ -7,9 +7,12 @@
 from zoneinfo import ZoneInfo
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from greengagehoist.config import QuietHours, QuietLimits, QuietSpan
 from greengagehoist.quiet_hours import CLOCK_MARGIN_S, quiet_windows, resolve_spans
+from greengagehoist.standins._profiles import generated
 
 LIMITS = QuietLimits(10, 100, 1)
 ALL = tuple(range(7))
@@ -22,6 +25,14 @@
     "overlapping": (QuietSpan(ALL, time(20, 0), time(2, 0)), QuietSpan((1, 6), time(1), time(9))),
 }
 
+CLOCK_TIMES = st.builds(time, st.integers(0, 23), st.integers(0, 59))
+GENERATED_SPANS = st.builds(
+    lambda days, start, end: QuietSpan(tuple(sorted(days)), start, end),
+    st.sets(st.sampled_from(ALL), min_size=1),
+    CLOCK_TIMES,
+    CLOCK_TIMES,
+)
+
 
 @functools.lru_cache
 def walls_of_2026(timezone: str) -> tuple[dict[datetime, int], dict[datetime, int]]:
@@ -57,10 +68,8 @@
     return marked
 
 
-@pytest.mark.parametrize("timezone", ["Europe/Sofia", "Asia/Tokyo"])
-@pytest.mark.parametrize("spans", SPANS)
-def test_every_minute_of_a_year_agrees_with_the_oracle(timezone, spans):
-    quiet = QuietHours(timezone, SPANS[spans], LIMITS)
+def check_year(quiet: QuietHours) -> None:
+    """Compare each minute of 2026 with the oracle."""
     expected = oracle(quiet)
     base = int(datetime(2025, 12, 30, tzinfo=UTC).timestamp())
     found = bytearray(len(expected))
@@ -71,6 +80,21 @@
     assert found[inner] == expected[inner]
 
 
+@pytest.mark.parametrize("timezone", ["Europe/Sofia", "Asia/Tokyo"])
+@pytest.mark.parametrize("spans", SPANS)
+def test_every_minute_of_a_year_agrees_with_the_oracle(timezone, spans):
+    check_year(QuietHours(timezone, SPANS[spans], LIMITS))
+
+
+@generated(10)
+@given(
+    timezone=st.sampled_from(["Europe/Sofia", "Asia/Tokyo"]),
+    spans=st.lists(GENERATED_SPANS, min_size=1, max_size=3).map(tuple),
+)
+def test_every_minute_of_a_year_agrees_for_generated_spans(timezone, spans):
+    check_year(QuietHours(timezone, spans, LIMITS))
+
+
 @pytest.mark.parametrize("timezone", ["Europe/Sofia", "Asia/Tokyo"])
 def test_every_minute_is_in_a_window_exactly_when_it_is_quiet(timezone):
     quiet = QuietHours(timezone, SPANS["past_midnight"], LIMITS)
--- a/greengagehoist/quota/tests/test_stateful.py
+++ b/greengagehoist/quota/tests/test_stateful.py
@@ -2,7 +2,7 @@
 
 from datetime import UTC, datetime, time, timedelta
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
@@ -17,6 +17,7 @@
 )
 from greengagehoist.quota import Request
 from greengagehoist.standins import SimulatedFaults, Simulation
+from greengagehoist.standins._profiles import generated
 
 # 20 minutes before the quiet hours of the second plan.
 START = datetime(2026, 5, 1, 12, 40, tzinfo=UTC).timestamp()
@@ -160,12 +161,7 @@
         self.simulation.change_config(cfg, delays)
 
 
-PlanLimits.TestCase.settings = settings(
-    max_examples=20,
-    stateful_step_count=20,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    suppress_health_check=list(HealthCheck),
+PlanLimits.TestCase.settings = generated(
+    20, stateful_step_count=20, suppress_health_check=list(HealthCheck)
 )
 TestPlanLimits = PlanLimits.TestCase
--- a/greengagehoist/server/tests/test_admin.py
+++ b/greengagehoist/server/tests/test_admin.py
@@ -6,15 +6,16 @@
 import re
 from importlib.resources import files
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from greengagehoist.controllers import Propose
 from greengagehoist.server import AdminApp
 from greengagehoist.server._admin_bodies import parse_proposal
+from greengagehoist.standins._profiles import generated
 from greengagehoist.utils import ValidationError
 
-FUZZ = settings(max_examples=300, derandomize=True, database=None, deadline=None)
+FUZZ = generated(300)
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
     lambda inner: st.lists(inner, max_size=3)
