Do not answer with another request's result from a service's record

A service that keeps keys may run a request without a claim row while the table is down. A second request with the same key and another body, whose answer was lost, then took the first request's result from the service's record as its own. A record now counts only if it names the request that owns the claim; otherwise the end is unknown.

The convergence machine's end assumed that no daemon holds back a later version until an earlier one arrives, and failed (factor 13): versions {1, 2} where {1} was expected, because a restarted daemon held version 2 back and became the newest on receiving version 1.

--- a/greengagehoist/config/tests/test_convergence.py
+++ b/greengagehoist/config/tests/test_convergence.py
@@ -236,13 +236,17 @@
 
     def teardown(self):
         """Check that daemons converge through peers alone, then through the table."""
-        highest = max(log.cfg.version for log in self.logs)
-        source = max(range(DAEMONS), key=lambda index: self.logs[index].cfg.version)
-        self.pushes = []
-        for daemon in range(DAEMONS):
-            self.answer(daemon, self.logs[daemon].cfg.version, source)
-        while self.pushes:
-            self.deliver(len(self.pushes) - 1, False)
+        before, highest = -1, max(log.cfg.version for log in self.logs)
+        # A daemon that held a later version back until an earlier one came becomes the source.
+        while before < highest:
+            before = highest
+            source = max(range(DAEMONS), key=lambda index: self.logs[index].cfg.version)
+            self.pushes = []
+            for daemon in range(DAEMONS):
+                self.answer(daemon, self.logs[daemon].cfg.version, source)
+            while self.pushes:
+                self.deliver(len(self.pushes) - 1, False)
+            highest = max(log.cfg.version for log in self.logs)
         assert {log.cfg.version for log in self.logs} == {highest}
         while self.delayed:
             self.land(0)
--- a/greengagehoist/filters/_claim.py
+++ b/greengagehoist/filters/_claim.py
@@ -213,7 +213,7 @@
         assignment = await self.owner.targets.ask(FindTarget(kept.claim.target))
         if assignment is None:
             return Failure(error)
-        found = await self._read_record(assignment)
+        found = await self._read_record(assignment, kept.claim.owner)
         if found is None:
             return Failure(error)
         final = apply_event(kept.claim, ClaimEvent.FOUND, found.result)
@@ -222,15 +222,15 @@
 
     async def _determine(self, assignment: Assignment, error: StepError) -> Outcomes:
         """Determine from the target's record whether this operation ran."""
-        found = await self._read_record(assignment)
+        found = await self._read_record(assignment, self.claim.owner)
         if found is None:
             self._close(event_of(Outcome.UNKNOWN))
             return Failure(error._replace(outcome=Outcome.UNKNOWN))
         self._close(ClaimEvent.FOUND, found.result)
         return Success(Answer(self.exchange.request_id, found.result))
 
-    async def _read_record(self, assignment: Assignment) -> Any:
-        """Read the target's record until it shows the operation or the deadline has passed."""
+    async def _read_record(self, assignment: Assignment, owner: str) -> Any:
+        """Read the target's record until it shows the owner's operation or the deadline passes."""
         delay = RECORD_FIRST_DELAY_S
         for _ in range(RECORD_ROUNDS):
             left = self._left()
@@ -239,7 +239,9 @@
             message = ReadRecord(self.key, min(left, RECORD_TIMEOUT_S))
             match await assignment.link.ask(message):
                 case Success(found) if found is not None:
-                    return found
+                    # A service that keeps keys may have run another request with this key while
+                    # the table was down; its result is no answer to this one.
+                    return found if found.request_id == owner else None
                 case Failure(error) if error.code is ErrorCode.NOT_FOUND:
                     return None
             await self.owner.clock.sleep(self.owner.rng.uniform(delay / 2, delay))
--- a/greengagehoist/filters/tests/test_claim.py
+++ b/greengagehoist/filters/tests/test_claim.py
@@ -325,3 +325,17 @@
     assert world.answers == {"desk:k1": [{"run": 1, "body": 0}]}
     assert world.runs == {"depot/desk:k1": 1}
     world.teardown()
+
+
+def test_record_of_another_request_is_no_answer():
+    """Guards against the result of another body under a key that the service alone keeps."""
+    world = ClaimWorld()
+    world.submit(1, "ledger", "1", 1, 0.0)
+    world.set_table("down")
+    world.set_target("a", "lose_before")
+    world.set_target("b", "lose_before")
+    world.kill(0)
+    world.submit(0, "ledger", "1", 0, 12.0)
+    world.answers_equal_the_first()
+    assert world.targets["a"].results or world.targets["b"].results
+    world.teardown()
