--- a/greengagehoist/daemon/tests/test_drain.py
+++ b/greengagehoist/daemon/tests/test_drain.py
@@ -6,42 +6,24 @@
 
 import pytest
 
+from greengagehoist.daemon.tests.deployment import (
+    WAIT_S,
+    generate,
+    http,
+    is_whole,
+    list_vms,
+    until,
+    until_serving,
+)
 from greengagehoist.standins import (
-    OPERATOR_CREDENTIAL,
     STAGES,
-    credential_of,
     example_changes,
-    run_pipeline,
 )
 
-WAIT_S = 30.0
 WORKERS = 8
 MOST_REQUESTS_PER_WORKER = 2000
 
 
-async def http(address, method, path, body=None, credential=OPERATOR_CREDENTIAL):
-    """Send one request on its own connection and return status and body as text."""
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    data = b"" if body is None else json.dumps(body).encode()
-    head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {credential}\r\n"
-    head += f"Connection: close\r\nContent-Length: {len(data)}\r\n\r\n"
-    writer.write(head.encode() + data)
-    async with asyncio.timeout(WAIT_S):
-        raw = await reader.read()
-    writer.close()
-    head, _, text = raw.decode().partition("\r\n\r\n")
-    return int(head.split()[1]), text
-
-
-async def until(check):
-    """Wait until the coroutine function ``check`` returns something true, and return it."""
-    async with asyncio.timeout(WAIT_S):
-        while not (found := await check()):
-            await asyncio.sleep(0.05)
-        return found
-
-
 @pytest.fixture
 def deployment(group):
     """Return the operators', callers' and peers' addresses of two linked daemons."""
@@ -55,41 +37,19 @@
     seed = ("--seed", first.addresses["peers"])
     second = group.start_daemon("entry-1", "dc2", platform, "--drain-delay", "0.3", *seed)
     vms.extend([item.name, item.addresses["peers"], "entry"] for item in (first, second))
-    names = ("vm", "address", "role", "data_centre", "state", "incarnation")
-    listed = [dict(zip(names, (*vm, "dc1", "live", 1), strict=True)) for vm in vms]
+    listed = list_vms(vms)
     sent = {"base": 0, "changes": example_changes(), "author": "test"}
 
     async def prepare():
         await http(platform, "PUT", "/control/vms", listed)
         await http(first.addresses["operators"], "POST", "/admin/config", sent)
         for daemon in (first, second):
-
-            async def ready(daemon=daemon):
-                return (await http(daemon.addresses["operators"], "GET", "/readyz"))[0] == 200
-
-            async def answers(daemon=daemon):
-                return (await generate(daemon.addresses["callers"], False))[0] == 200
-
-            await until(ready)
-            await until(answers)
+            await until_serving(daemon)
 
     asyncio.run(prepare())
     return first, second
 
 
-async def generate(address, stream):
-    body = {"input": "gully 9", "max_tokens": 40, "stream": stream}
-    path = "/v1/pipelines/round-summary"
-    return await http(address, "POST", path, body, credential_of("depot"))
-
-
-def is_whole(text, stream):
-    expected = run_pipeline(list(STAGES), "gully 9", 40)
-    if not stream:
-        return json.loads(text).get("output") == expected
-    return "event: end" in text and expected.split()[-1] in text
-
-
 async def work(address, stream, counts):
     """Send requests until one is refused as draining; count whole, cut and refused ones."""
     for _ in range(MOST_REQUESTS_PER_WORKER):
--- a/greengagehoist/standins/_faults.py
+++ b/greengagehoist/standins/_faults.py
@@ -1,7 +1,7 @@
 """Faults that every stand-in can be told to show, and its record of runs."""
 
 import asyncio
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from typing import Any
 
 from starlette.requests import Request
@@ -16,7 +16,8 @@
 class Faults:
     """ASGI middleware that applies the faults set through ``/control/faults``.
 
-    The faults are ``down`` (refuse with 503), ``delay_s`` (answer later), ``freeze`` (do not start
+    The faults are ``down`` (refuse with 503), ``delay_s`` (read the request, run it later even if
+    the caller has gone), ``freeze`` (do not start
     requests until cleared), ``lose_answers`` (number of next answers whose connection is closed
     after the effect), ``drop_before`` (number of next requests whose connection is closed without
     an effect) and ``silence`` (connections that are established when the fault is set get no
@@ -28,6 +29,7 @@
         self.active: dict[str, Any] = {}
         self._connections: OrderedDict[tuple, None] = OrderedDict()
         self._silent: set[tuple] = set()
+        self._delayed: list[str] = []
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         if scope["type"] != "http" or scope["path"].startswith("/control/"):
@@ -47,9 +49,23 @@
             _abort(send)
             return
         if delay := self.active.get("delay_s"):
-            await asyncio.sleep(delay)
+            receive = await self._delay(scope["path"], delay, receive)
         await self.app(scope, receive, self._sender(client, send))
 
+    async def _delay(self, path: str, delay: float, receive: Any) -> Any:
+        """Read the whole request, wait, and return a function that gives the request again."""
+        messages = deque([await receive()])
+        while messages[-1].get("more_body"):
+            messages.append(await receive())
+        self._delayed.append(path)
+        await asyncio.sleep(delay)
+        self._delayed.remove(path)
+
+        async def replay() -> dict:
+            return messages.popleft() if messages else await receive()
+
+        return replay
+
     async def _hold(self) -> None:
         waited = 0.0
         while self.active.get("freeze") and waited < LONGEST_HOLD_S:
@@ -77,6 +93,10 @@
 
         return forward
 
+    async def show(self, request: Request) -> JSONResponse:
+        """Return the active faults and the paths of the requests that are being delayed."""
+        return JSONResponse({"active": self.active, "delayed": self._delayed})
+
     async def set_faults(self, request: Request) -> JSONResponse:
         """Replace the active faults by the request's JSON object."""
         self.active = await request.json()
@@ -96,6 +116,7 @@
         return JSONResponse(records)
 
     return [
+        Route("/control/faults", faults.show, methods=["GET"]),
         Route("/control/faults", faults.set_faults, methods=["PUT"]),
         Route("/control/records", list_records),
     ]
--- a/greengagehoist/standins/_platform.py
+++ b/greengagehoist/standins/_platform.py
@@ -81,8 +81,9 @@
         return JSONResponse(visible[-1] if visible else [])
 
     async def set_vms(self, request: Request) -> JSONResponse:
-        """Replace the VM list."""
-        self.vm_versions.append((time.monotonic(), await request.json()))
+        """Replace the VM list; with ``?at_once=1`` readers see it without the lag."""
+        lag = self.vm_lag_s if "at_once" in request.query_params else 0.0
+        self.vm_versions.append((time.monotonic() - lag, await request.json()))
         return JSONResponse({"vms": len(self.vm_versions[-1][1])})
 
     async def fetch_weights(self, request: Request) -> JSONResponse:
--- a/greengagehoist/standins/_targets.py
+++ b/greengagehoist/standins/_targets.py
@@ -16,6 +16,8 @@
     """What a target reports as its load.
 
     :param capacity: requests that the target runs at once.
+
+    ``refusals`` holds the requests that the target refused because it is leaving.
     """
 
     def __init__(self, capacity: int, incarnation: int):
@@ -24,6 +26,7 @@
         self.state = "live"
         self.running = 0
         self.queue = 0
+        self.refusals: list[dict[str, Any]] = []
 
     def as_json(self, **more: Any) -> dict[str, Any]:
         """Return the report as a JSON object."""
@@ -50,6 +53,7 @@
     async def run(request: Request) -> JSONResponse:
         body = await request.json()
         if load.state == "leaving":
+            load.refusals.append({name: body[name] for name in ("request_id", "stage", "attempt")})
             return JSONResponse({"error": "leaving", "incarnation": incarnation}, 503)
         load.queue += 1
         async with slots:
@@ -78,6 +82,7 @@
     async def operate(request: Request) -> JSONResponse:
         body, operation = await request.json(), request.path_params["operation"]
         if load.state == "leaving":
+            load.refusals.append({"operation": operation, "key": body["key"]})
             return JSONResponse({"error": "leaving", "incarnation": incarnation}, 503)
         key = body["key"]
         if keeps_keys and key and key in results:
@@ -108,6 +113,9 @@
     async def report(request: Request) -> JSONResponse:
         return JSONResponse(load.as_json())
 
+    async def list_refusals(request: Request) -> JSONResponse:
+        return JSONResponse(load.refusals)
+
     async def leave(request: Request) -> JSONResponse:
         load.state = "leaving"
         return JSONResponse(load.as_json())
@@ -118,6 +126,7 @@
             *routes,
             Route("/load", report),
             Route("/control/leave", leave, methods=["PUT"]),
+            Route("/control/refusals", list_refusals),
             *control_routes(faults, records),
         ]
     )
