Read engine streams in batches and reuse their connections

Every token cost a socket read, two asyncio timeouts and an event, and each generation dropped its connection after the end line. A stream is now read in batches (15 ms for streaming callers, 50 ms for whole answers, first token at once), with one progress timer, contiguous chunks merged before acceptance, and the body read to its end. Caller streams have one keep-alive timer.

Rows for operations are added; bookings go one at a time, since 8 at once were refused by the table's share.

--- a/benchmarks/_daemon_cost.py
+++ b/benchmarks/_daemon_cost.py
@@ -1,6 +1,7 @@
 """Processor time and memory of a daemon for each request, token chunk and idle second."""
 
 import asyncio
+import json
 import tempfile
 import time
 from pathlib import Path
@@ -19,17 +20,21 @@
 )
 
 CONCURRENCY = 8
+# Each booking writes two rows; more at once exceed the table writes that a daemon may use.
+BOOKING_CONCURRENCY = 1
 START_WAIT_S = 2.0
 
 
 class Cost(NamedTuple):
     """Cost of a number of requests at one daemon.
 
+    :param events: token events of streamed answers.
     :param cpu_s: processor seconds of the daemon process.
     """
 
     requests: int
     tokens: int
+    events: int
     cpu_s: float
     wall_s: float
 
@@ -93,12 +98,12 @@
         before, start = _cpu_seconds(process), time.monotonic()
         numbers = iter(range(requests))
         workers = [self._worker(numbers, max_tokens, stream) for _ in range(CONCURRENCY)]
-        tokens = sum(await asyncio.gather(*workers))
+        tokens, events = map(sum, zip(*await asyncio.gather(*workers), strict=True))
         wall = time.monotonic() - start
-        return Cost(requests, tokens, _cpu_seconds(process) - before, wall)
+        return Cost(requests, tokens, events, _cpu_seconds(process) - before, wall)
 
-    async def _worker(self, numbers: Any, max_tokens: int, stream: bool) -> int:
-        tokens = 0
+    async def _worker(self, numbers: Any, max_tokens: int, stream: bool) -> tuple[int, int]:
+        tokens = events = 0
         url = f"{self.daemon.addresses['callers']}/v1/pipelines/round-summary"
         for number in numbers:
             body = {"input": f"street {number}", "max_tokens": max_tokens, "stream": stream}
@@ -109,15 +114,42 @@
             text = await response.text()
             if response.status_code != 200 or "digest" not in text:
                 raise RuntimeError(f"request {number} failed: {text[-300:]}")
-            tokens += text.count("event: tokens") if stream else (await response.json())["tokens"]
-        return tokens
+            events += text.count("event: tokens")
+            last = text.strip().rpartition("data: ")[2] if stream else text
+            tokens += json.loads(last)["tokens"]
+        return tokens, events
+
+    async def measure_service(
+        self, requests: int, operation: str, workers: int = CONCURRENCY
+    ) -> Cost:
+        """Send service operations and return what they cost the daemon.
+
+        :raises RuntimeError: if a request fails.
+        """
+        process = psutil.Process(self.daemon.popen.pid)
+        before, start = _cpu_seconds(process), time.monotonic()
+        numbers = iter(range(requests))
+        await asyncio.gather(*(self._operate(numbers, operation) for _ in range(workers)))
+        wall = time.monotonic() - start
+        return Cost(requests, 0, 0, _cpu_seconds(process) - before, wall)
+
+    async def _operate(self, numbers: Any, operation: str) -> None:
+        url = f"{self.daemon.addresses['callers']}/v1/services/job-desk/{operation}"
+        headers = {"Authorization": f"Bearer {credential_of('depot')}"}
+        for number in numbers:
+            body = {"args": {"number": number}}
+            response = await self.client.request(
+                f"http://{url}", "POST", headers=headers, json=body
+            )
+            if response.status_code != 200:
+                raise RuntimeError(f"operation {number} failed: {await response.text()}")
 
     async def idle(self, seconds: float) -> Cost:
         """Return what the daemon costs without requests."""
         process = psutil.Process(self.daemon.popen.pid)
         before = _cpu_seconds(process)
         await asyncio.sleep(seconds)
-        return Cost(0, 0, _cpu_seconds(process) - before, seconds)
+        return Cost(0, 0, 0, _cpu_seconds(process) - before, seconds)
 
 
 def _cpu_seconds(process: psutil.Process) -> float:
@@ -144,6 +176,8 @@
             short = await deployment.measure(400, 1)
             whole = await deployment.measure(200, 64)
             streamed = await deployment.measure(200, 64, stream=True)
+            reads = await deployment.measure_service(400, "history")
+            bookings = await deployment.measure_service(100, "book", BOOKING_CONCURRENCY)
             idle = await deployment.idle(5.0)
             resident = psutil.Process(deployment.daemon.popen.pid).memory_info().rss
         finally:
@@ -156,7 +190,10 @@
         ("daemon CPU per four-stage request, whole answer", whole.cpu_s / 200 * 1e3, "ms"),
         ("tokens per whole answer", whole.tokens / 200, "tokens"),
         ("daemon CPU per streamed chunk", per_chunk * 1e6, "us"),
-        ("chunks per streamed answer", chunks / streamed.requests, "chunks"),
+        ("chunks per streamed answer, from the engine", chunks / streamed.requests, "chunks"),
+        ("events per streamed answer, to the caller", streamed.events / 200, "events"),
+        ("daemon CPU per idempotent operation", reads.cpu_s / 400 * 1e3, "ms"),
+        ("daemon CPU per non-idempotent operation", bookings.cpu_s / 100 * 1e3, "ms"),
         ("daemon CPU when idle", idle.cpu_s / idle.wall_s * 100, "% of a core"),
         ("daemon resident memory", resident / 2**20, "MiB"),
     ]
--- a/greengagehoist/filters/_sender.py
+++ b/greengagehoist/filters/_sender.py
@@ -13,6 +13,8 @@
 from greengagehoist.utils import Clock, Controller, new_id
 
 SHORTEST_TIMEOUT_S = 0.001
+GATHER_STREAMED_S = 0.015
+GATHER_WHOLE_S = 0.05
 
 
 class Sender:
@@ -43,7 +45,8 @@
         left = max(SHORTEST_TIMEOUT_S, exchange.deadline - start)
         status = "cancelled"
         try:
-            result = await assignment.link.ask(Send(call, left, left))
+            gather = GATHER_WHOLE_S if exchange.emit is None else GATHER_STREAMED_S
+            result = await assignment.link.ask(Send(call, left, left, gather))
             status = "ok" if isinstance(result, Success) else str(result.failure().code)
         except asyncio.CancelledError:
             _cancel(assignment, call)
--- a/greengagehoist/server/_callers.py
+++ b/greengagehoist/server/_callers.py
@@ -227,18 +227,25 @@
             queue.put_nowait(None)
 
         task = asyncio.create_task(run())
+        loop = asyncio.get_running_loop()
+        last = loop.time()
+
+        def keep_alive() -> None:
+            """Send a keep-alive event after a second without events; one timer for each stream."""
+            nonlocal timer, last
+            now = loop.time()
+            if now >= last + KEEP_ALIVE_EVENT_S:
+                queue.put_nowait(": keep-alive\n\n")
+                last = now
+            timer = loop.call_at(last + KEEP_ALIVE_EVENT_S, keep_alive)
+
+        timer = loop.call_at(last + KEEP_ALIVE_EVENT_S, keep_alive)
         try:
-            while True:
-                try:
-                    async with asyncio.timeout(KEEP_ALIVE_EVENT_S):
-                        event = await queue.get()
-                except TimeoutError:
-                    yield ": keep-alive\n\n"
-                    continue
-                if event is None:
-                    return
+            while (event := await queue.get()) is not None:
+                last = loop.time()
                 yield event
         finally:
+            timer.cancel()
             task.cancel()
 
 
--- a/greengagehoist/targets/_calls.py
+++ b/greengagehoist/targets/_calls.py
@@ -122,11 +122,14 @@
     :param timeout: seconds for the whole call.
     :param progress: seconds without a byte after which the connection counts as silent; the link
         applies the shorter limit that follows from the waits that it observed.
+    :param gather: seconds between two reads of a stream; chunks that arrive meanwhile are passed
+        on as one.
     """
 
     call: TargetCall
     timeout: float
     progress: float
+    gather: float = 0.0
 
 
 class StageWire(TypedDict):
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -26,6 +26,7 @@
 )
 from greengagehoist.targets._connector import NotSentError, OneCallConnector, open_pool
 from greengagehoist.targets._progress import ProgressTimes
+from greengagehoist.targets._stream import StreamReader
 from greengagehoist.targets._wire import (
     LEAVING,
     body_of,
@@ -33,6 +34,7 @@
     decode_operation,
     decode_record,
     decode_stage,
+    merge_chunks,
     path_of,
     refusal_reason,
 )
@@ -44,7 +46,6 @@
 REFUSED_STATUS = 503
 NO_RECORD_STATUS = 404
 KEY_REUSED_STATUS = 422
-LONGEST_LINE_BYTES = 1024 * 1024
 
 # Raised before any byte of the request could be sent.
 _NOT_SENT = (NotSentError, ConnectTimeout, ConnectionRefusedError, ConnectionPoolAcquireTimeout)
@@ -160,7 +161,7 @@
                 raise ValueError(f"status {response.status_code}")
             match call:
                 case GenerateCall():
-                    return Success(await self._read_stream(call, response, message.progress))
+                    return Success(await self._read_stream(call, response, message))
                 case PoolCall():
                     return Success(decode_stage(await response.content()))
                 case OperationCall():
@@ -208,25 +209,21 @@
         finally:
             await client.aclose()
 
-    async def _read_stream(self, call: GenerateCall, response: Any, progress: float) -> StreamEnd:
-        buffer = b""
-        chunks = response.read_chunks()
-        while True:
-            limit = min(progress, self._next_waits.timeout())
-            with self._observed(self._next_waits):
-                async with asyncio.timeout(limit):
-                    data = await anext(chunks, None)
-            if data is None:
-                raise EOFError("stream closed before its end")
-            *lines, buffer = (buffer + data).split(b"\n")
-            if len(buffer) > LONGEST_LINE_BYTES:
-                raise ValueError(f"stream line longer than {LONGEST_LINE_BYTES} bytes")
-            for line in lines:
-                match decode_line(line):
-                    case Chunk() as chunk:
-                        await call.sink(chunk)
-                    case StreamEnd() as end:
-                        return end
+    async def _read_stream(self, call: GenerateCall, response: Any, message: Send) -> StreamEnd:
+        async with StreamReader(response, self._next_waits, message.progress) as reader:
+            while True:
+                lines = await reader.lines()
+                position = 0
+                for item in merge_chunks(map(decode_line, lines)):
+                    match item:
+                        case Chunk(offset=offset, tokens=tokens):
+                            await call.sink(item)
+                            position = offset + len(tokens)
+                        case StreamEnd():
+                            await reader.finish()
+                            return item
+                if message.gather and 0 < position < call.max_tokens:
+                    await reader.pause(message.gather)
 
     async def _read_record(self, message: ReadRecord, reply: Reply) -> None:
         client = aiosonic.HTTPClient()
--- a/greengagehoist/targets/_wire.py
+++ b/greengagehoist/targets/_wire.py
@@ -1,5 +1,7 @@
 """JSON bodies of calls to targets and their decoding."""
 
+import itertools
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import msgspec
@@ -103,6 +105,38 @@
     return Chunk(attempt, wire["offset"], tuple(wire["tokens"]))
 
 
+def merge_chunks(items: Iterable[Chunk | StreamEnd]) -> Iterator[Chunk | StreamEnd]:
+    """Join each run of chunks of one attempt in which every chunk starts where the last one ended.
+
+    Other items are passed on as they are, so that gaps, overlaps and foreign chunks stay visible.
+    """
+    run: list[Chunk] = []
+    for item in items:
+        if run and not _continues(run[-1], item):
+            yield _join(run)
+            run = []
+        if isinstance(item, Chunk):
+            run.append(item)
+        else:
+            yield item
+    if run:
+        yield _join(run)
+
+
+def _continues(chunk: Chunk, item: Chunk | StreamEnd) -> bool:
+    return (
+        isinstance(item, Chunk)
+        and item.attempt == chunk.attempt
+        and item.offset == chunk.offset + len(chunk.tokens)
+    )
+
+
+def _join(run: list[Chunk]) -> Chunk:
+    if len(run) == 1:
+        return run[0]
+    return run[0]._replace(tokens=tuple(itertools.chain.from_iterable(c.tokens for c in run)))
+
+
 def refusal_reason(content: bytes) -> str:
     """Return why a target did not take the work, from the body of a 503, empty if it may have.
 
