Compare the whole product with plain choosers under bursts

Change: separate rows set the whole product against round robin and power of two choices that send at once and queue in the order of arrival. The former rows, their bounds and the traffic stay.

--- a/benchmarks/_daemon.py
+++ b/benchmarks/_daemon.py
@@ -65,6 +65,7 @@
         self.name = name
         self.data_centre = data_centre
         self.weight = weight
+        self.plain = world.setup.plain
         self.rng = random.Random(f"{world.seed}/{name}")
         self.gates = {"pipeline": Gate(), "service": Gate()}
         self.estimates = StageEstimates()
@@ -82,6 +83,9 @@
 
     def receive(self, request: Request) -> None:
         """Take an arrival."""
+        if self.plain:
+            self._start(Run(request))
+            return
         gate = self._gate(request)
         left = request.deadline - self.loop.now
         if not can_finish(left, self._times(request, 0)):
@@ -103,16 +107,19 @@
         for verdict in verdicts:
             match verdict:
                 case Admitted(entry):
-                    entry.item.admitted = self.loop.now
-                    self.loop.at(entry.item.request.deadline, self._expire, entry.item)
-                    self._begin_stage(entry.item)
+                    self._start(entry.item)
                 case Refused(entry, _):
                     self.world.refuse(entry.item.request)
 
+    def _start(self, run: Run) -> None:
+        run.admitted = self.loop.now
+        self.loop.at(run.request.deadline, self._expire, run)
+        self._begin_stage(run)
+
     def _begin_stage(self, run: Run) -> None:
         run.tried, run.attempts = (), 0
         left = run.request.deadline - self.loop.now
-        if not can_finish(left, self._times(run.request, run.stage)):
+        if not self.plain and not can_finish(left, self._times(run.request, run.stage)):
             self._close(run, False)
             return
         role = role_of(run.request.stages[run.stage])
@@ -148,7 +155,8 @@
             self.loop.after(CONNECT_TIMEOUT_S, self._refused, run, index, job, now)
             return
         self.loop.after(self._distance(target), self._arrive, job)
-        self._watch(run, index, stage, role, job)
+        if not self.plain:
+            self._watch(run, index, stage, role, job)
 
     def _arrive(self, job: Job) -> None:
         if not job.ended:
@@ -277,6 +285,8 @@
         self._cancel_jobs(run)
         now = self.loop.now
         self.world.finish(run.request, whole and now <= run.request.deadline)
+        if self.plain:
+            return
         late = now >= run.request.deadline
         ending = Ending.WHOLE if whole else Ending.MISSED if late else Ending.FAILED
         gate = self._gate(run.request)
--- a/benchmarks/_experiments.py
+++ b/benchmarks/_experiments.py
@@ -101,7 +101,20 @@
     for times in (1, 2, 4):
         add(f"overload {times}x", DISPATCH, Shape(times * CAPACITY), policies=ours)
     add("customer bursts 10x", DISPATCH, Shape(0.80 * CAPACITY, bursting="c2"), policies=ours)
-    return plans + _scaling_plans(quick)
+    return plans + _plain_plans(bursts, length) + _scaling_plans(quick)
+
+
+def _plain_plans(shape: Shape, length: float) -> list[Plan]:
+    """Return the runs of whole systems: the choosers without the product's other decisions."""
+    return [
+        Plan(
+            f"{deployment.name} at 95 % with bursts",
+            f"plain {column}",
+            Setup(deployment, POLICIES[column], shape, length, plain=True),
+        )
+        for deployment in (DISPATCH, KIOSK)
+        for column in ("round-robin", "power-of-two")
+    ]
 
 
 def _scaling_plans(quick: bool) -> list[Plan]:
@@ -145,6 +158,9 @@
         over_two = ours - results.get(bursts, "power-of-two").attainment
         rows.append(Row(f"{name}-bursts-over-round-robin", over_turn, ">= 15", "points"))
         rows.append(Row(f"{name}-bursts-over-power-of-two", over_two, ">= 5", "points"))
+        for column, bound in (("round-robin", ">= 15"), ("power-of-two", ">= 5")):
+            over = ours - results.get(bursts, f"plain {column}").attainment
+            rows.append(Row(f"{name}-bursts-system-over-plain-{column}", over, bound, "points"))
     healthy = results.get("dispatch at 80 %").attainment
     slow = healthy - results.get("slow replica").attainment
     rows.append(Row("slow-replica-loss", slow, "< 1", "points"))
--- a/benchmarks/_world.py
+++ b/benchmarks/_world.py
@@ -34,6 +34,8 @@
     """One run of the model.
 
     :param duration: seconds of arrivals; the first ``WARM_UP_S`` are not counted.
+    :param plain: whether requests are sent at once, without admission, deadline checks, hedges and
+        resumption, and wait in the order of arrival at the targets.
     """
 
     deployment: Deployment
@@ -43,6 +45,7 @@
     seed: int = 1
     attainment_weight: float | None = None
     specs: tuple[Spec, ...] = SPECS
+    plain: bool = False
 
 
 class Figures(NamedTuple):
