Name the model in each generation

Cause: load reports lag, so an engine that has just unloaded a model could still be chosen, and it could not tell that it was asked for another one.

Change: send the model with each generation; an engine that has not loaded it refuses, which counts as not run, and another engine is tried.

--- a/greengagehoist/filters/_dispatch.py
+++ b/greengagehoist/filters/_dispatch.py
@@ -87,6 +87,7 @@
                         exchange.usage.priority,
                         self.sender.left_ms(exchange),
                         run.accept,
+                        model,
                     )
 
                 prefix = hash_prefix(text)
--- a/greengagehoist/standins/_engine.py
+++ b/greengagehoist/standins/_engine.py
@@ -58,7 +58,10 @@
         body = await request.json()
         if self.load.state == "leaving":
             return JSONResponse({"error": "leaving", "incarnation": self.load.incarnation}, 503)
-        tokens = generate_tokens(self.model, body["input"], body["max_tokens"])
+        model = body.get("model") or self.model
+        if model not in self.models:
+            return JSONResponse({"error": "model", "model": model}, 503)
+        tokens = generate_tokens(model, body["input"], body["max_tokens"])
         sequence = Sequence(body, tokens)
         sequence.prefill_steps = self.cache.use(body["input"], time.monotonic())
         self._waiting.append(sequence)
--- a/greengagehoist/targets/_calls.py
+++ b/greengagehoist/targets/_calls.py
@@ -47,6 +47,7 @@
     """Generate tokens from ``offset`` on; chunks go to ``sink`` as they arrive.
 
     :param deadline_ms: milliseconds left when the call is sent.
+    :param model: an engine that has not loaded it refuses the call; empty for any model.
     """
 
     attempt: Attempt
@@ -56,6 +57,7 @@
     priority: int
     deadline_ms: int
     sink: Callable[["Chunk"], Awaitable[None]]
+    model: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagehoist/targets/_wire.py
+++ b/greengagehoist/targets/_wire.py
@@ -24,7 +24,7 @@
 )
 
 LEAVING = "leaving"
-REFUSALS = (LEAVING, "overloaded", "down")
+REFUSALS = (LEAVING, "overloaded", "down", "model")
 
 
 def path_of(call: TargetCall) -> str:
@@ -47,6 +47,7 @@
             return {
                 **call.attempt._asdict(),
                 "input": call.text,
+                "model": call.model,
                 "max_tokens": call.max_tokens,
                 "offset": call.offset,
                 "priority": call.priority,
