--- a/benchmarks/_daemon_cost.py
+++ b/benchmarks/_daemon_cost.py
@@ -11,8 +11,7 @@
 import psutil
 
 from greengagehoist.standins import (
-    OPERATOR_CREDENTIAL,
-    STAGES,
+    Deployment,
     Process,
     ProcessGroup,
     credential_of,
@@ -39,56 +38,27 @@
     wall_s: float
 
 
-class Deployment:
-    """A platform, one replica of each target and one daemon, as separate processes."""
+class MeasuredDaemon:
+    """One daemon with one replica of each target, as separate processes."""
 
-    def __init__(self, group: ProcessGroup):
-        self.group = group
+    def __init__(self, group: ProcessGroup, step_s: float):
+        self.deployment = Deployment(group, ("dc1",), 1, step_s, vm_lag_s=0.0)
         self.client = aiosonic.HTTPClient()
-        self.daemon: Process | None = None
-        self.platform = ""
 
-    async def start(self, step_s: float) -> None:
-        """Start all processes and apply the example lists.
+    @property
+    def daemon(self) -> Process:
+        """The measured process."""
+        return self.deployment.group.processes["entry-0"]
 
-        :param step_s: seconds between two tokens of the engine.
-        """
-        platform = self.group.start_standin("platform", "platform").addresses["listening"]
-        self.platform = platform
-        vms = [self._target(role, model, step_s) for role, model in STAGES]
-        vms.append(self._target("service:job-desk", "", step_s))
-        self.daemon = self.group.start_daemon("entry-0", "dc1", platform)
-        await self._json("PUT", f"{platform}/control/vms", vms)
+    async def start(self) -> None:
+        """Start all processes and apply the example lists."""
+        await self.deployment.start()
         changes = example_changes()
         _raise_limits(changes)
-        body = {"base": 0, "changes": changes, "author": "bench"}
-        url = f"{self.daemon.addresses['operators']}/admin/config"
-        await self._json("POST", url, body, OPERATOR_CREDENTIAL)
+        await self.deployment.propose("entry-0", 0, changes, "bench")
+        await self.deployment.wait_ready()
         await asyncio.sleep(START_WAIT_S)
 
-    def _target(self, role: str, model: str, step_s: float) -> dict[str, Any]:
-        if model:
-            args = ("engine", model, "--step-s", str(step_s))
-        elif role.startswith("service:"):
-            args = ("service", role.removeprefix("service:"))
-        else:
-            args = ("pool", role, "--work-s", "0.001")
-        name = role.replace(":", "-")
-        address = self.group.start_standin(name, *args).addresses["listening"]
-        return {
-            "vm": name,
-            "address": address,
-            "data_centre": "dc1",
-            "role": role,
-            "state": "live",
-            "incarnation": 1,
-        }
-
-    async def _json(self, method: str, url: str, body: Any, credential: str = "") -> Any:
-        headers = {"Authorization": f"Bearer {credential}"}
-        response = await self.client.request(f"http://{url}", method, headers=headers, json=body)
-        return await response.json()
-
     async def measure(self, requests: int, max_tokens: int, *, stream: bool = False) -> Cost:
         """Send pipeline requests and return what they cost the daemon.
 
@@ -169,17 +139,17 @@
     """Return rows (name, value, unit) of the daemon's cost."""
     with tempfile.TemporaryDirectory() as folder:
         group = ProcessGroup(Path(folder))
-        deployment = Deployment(group)
+        measured = MeasuredDaemon(group, step_s=0.002)
         try:
-            await deployment.start(step_s=0.002)
-            await deployment.measure(100, 1)
-            short = await deployment.measure(400, 1)
-            whole = await deployment.measure(200, 64)
-            streamed = await deployment.measure(200, 64, stream=True)
-            reads = await deployment.measure_service(400, "history")
-            bookings = await deployment.measure_service(100, "book", BOOKING_CONCURRENCY)
-            idle = await deployment.idle(5.0)
-            resident = psutil.Process(deployment.daemon.popen.pid).memory_info().rss
+            await measured.start()
+            await measured.measure(100, 1)
+            short = await measured.measure(400, 1)
+            whole = await measured.measure(200, 64)
+            streamed = await measured.measure(200, 64, stream=True)
+            reads = await measured.measure_service(400, "history")
+            bookings = await measured.measure_service(100, "book", BOOKING_CONCURRENCY)
+            idle = await measured.idle(5.0)
+            resident = psutil.Process(measured.daemon.popen.pid).memory_info().rss
         finally:
             group.stop_all()
     per_request = short.cpu_s / short.requests
