Remove code that nothing calls

Cause: parse_entry, format_traceparent and the message GetOverload were left over; only their definitions and exports named them.

Change: remove them. No behaviour changes.

--- a/greengagehoist/config/_parse.py
+++ b/greengagehoist/config/_parse.py
@@ -5,7 +5,7 @@
 from typing import Any
 from zoneinfo import ZoneInfo
 
-from greengagehoist.config._problems import ListsError, Path, Problems
+from greengagehoist.config._problems import Path, Problems
 from greengagehoist.config._types import (
     DEFAULT_ATTAINMENT_WEIGHT,
     EngineStage,
@@ -38,18 +38,6 @@
 _ZONE = re.compile(r"[A-Za-z][A-Za-z0-9_+-]*(/[A-Za-z0-9_+-]+){0,2}")
 
 
-def parse_entry(section: str, key: str, value: Any) -> Any:
-    """Return the typed entry of a section.
-
-    :raises ListsError: with all problems of the entry.
-    """
-    problems = Problems()
-    entry = read_entry(problems, section, key, value)
-    if problems.found:
-        raise ListsError(tuple(problems.found))
-    return entry
-
-
 def read_entry(problems: Problems, section: str, key: str, value: Any) -> Any:
     """Return the typed entry of a section; it is usable only if no problem was added."""
     path = (section, key)
--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -4,7 +4,6 @@
     AdmissionController,
     Admit,
     Finish,
-    GetOverload,
     Grant,
 )
 from greengagehoist.controllers._claims import (
@@ -97,7 +96,6 @@
     "GetHistory",
     "GetLink",
     "GetOrderStates",
-    "GetOverload",
     "GetPendingClaims",
     "GetReadiness",
     "GetReport",
--- a/greengagehoist/controllers/_admission.py
+++ b/greengagehoist/controllers/_admission.py
@@ -48,12 +48,6 @@
     ending: Ending
 
 
-class GetOverload(NamedTuple):
-    """Ask whether requests of a route wait for an entry; replied by bool."""
-
-    route: str
-
-
 class _Waiting(NamedTuple):
     message: Admit
     reply: Callable[[Any], None]
@@ -85,9 +79,6 @@
                 self._admit(message, reply)
             case Finish(grant, ending):
                 self._finish(grant, ending)
-            case GetOverload(route):
-                gate = self._gates.get(route)
-                reply(gate is not None and gate.is_overloaded)
             case Tick():
                 self._release_all()
         self._tell_overload()
--- a/greengagehoist/tracing/__init__.py
+++ b/greengagehoist/tracing/__init__.py
@@ -3,9 +3,8 @@
 from greengagehoist.tracing._spans import (
     Line,
     Span,
-    format_traceparent,
     order_spans,
     parse_traceparent,
 )
 
-__all__ = ["Line", "Span", "format_traceparent", "order_spans", "parse_traceparent"]
+__all__ = ["Line", "Span", "order_spans", "parse_traceparent"]
--- a/greengagehoist/tracing/_spans.py
+++ b/greengagehoist/tracing/_spans.py
@@ -48,11 +48,6 @@
     return tuple(lines)
 
 
-def format_traceparent(trace_id: str, span_id: str) -> str:
-    """Return the value of a W3C ``traceparent`` header."""
-    return f"00-{trace_id}-{span_id}-01"
-
-
 def parse_traceparent(value: str) -> tuple[str, str] | None:
     """Return trace id and span id of a ``traceparent`` header, or None if it is malformed."""
     parts = value.split("-")
