Free stage results early, keep calls near their inputs

Ruled out: too little pool time (calls were 85% busy only because of the repeats). Change: the owner of a pool accounts for result memory; results are freed when their readers end; work goes to the zone of its inputs or reader, for a bounded wait; one stage's pieces stay together.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -105,7 +105,7 @@
         chain = compose(
             [
                 RouteFilter(known, clock, bounds.revoke_s, DENY_PART * bounds.apply_s),
-                StageFilter(self.pools, clock),
+                StageFilter(self.pools, self.placement, self.replicas.book, clock),
                 ReplicaFilter(self.placement, self.pools, self.budgets, wire, clock),
             ]
         )
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -83,7 +83,7 @@
     :param final_by: instant at which the client must have a final answer.
     :param deadline: instant at which the client stops waiting.
     :param service: service that runs the request.
-    :param inputs: handles of the stage results that the replica needs.
+    :param inputs: stage results that the replica needs: service and handles of each stage.
     :param home: replica that holds the shared parts of the prompt, or None.
     """
 
@@ -96,7 +96,7 @@
     tenant: Tenant | None = None
     final_by: float = 0.0
     deadline: float = 0.0
-    inputs: tuple[str, ...] = ()
+    inputs: tuple[tuple[str, tuple[str, ...]], ...] = ()
     home: Replica | None = None
 
     @property
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -5,6 +5,7 @@
 from greengagehoist.gateway.controllers._placement import (
     Choose,
     Ended,
+    FindHome,
     LoadReported,
     PlacementController,
 )
@@ -24,6 +25,7 @@
     "Choose",
     "DeploymentController",
     "Ended",
+    "FindHome",
     "FreeResults",
     "GetBacklog",
     "Leave",
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -38,6 +38,14 @@
     model: str = ""
 
 
+class FindHome(NamedTuple):
+    """Ask which replica a request would go to now; replied by ``Replica | None``."""
+
+    service: str
+    affinity: Affinity
+    model: str = ""
+
+
 class Ended(NamedTuple):
     """Tell the end of a request at a replica.
 
@@ -84,6 +92,8 @@
         match message:
             case Choose():
                 reply(self._choose(message))
+            case FindHome(service, affinity, model):
+                reply(self._find(Choose(service, affinity, frozenset(), model)))
             case Ended():
                 self._ended(message)
             case LoadReported(replica_id, load):
@@ -95,20 +105,23 @@
     def _of(self, replica_id: str) -> _Health:
         return self._health.setdefault(replica_id, _Health())
 
-    def _choose(self, wanted: Choose) -> Replica | None:
+    def _find(self, wanted: Choose) -> Replica | None:
         candidates = [
             item
             for item in self.book.value.of_service(wanted.service)
             if not wanted.model or not item.models or wanted.model in item.models
         ]
         fresh = [item for item in candidates if item.replica_id not in wanted.exclude]
-        found = choose(
+        return choose(
             fresh,
             lambda key: self._health[key].seen if key in self._health else Observed(),
             wanted.affinity,
             self.zone,
             self.clock.monotonic(),
         )
+
+    def _choose(self, wanted: Choose) -> Replica | None:
+        found = self._find(wanted)
         if found is not None:
             health = self._of(found.replica_id)
             health.seen = health.seen._replace(
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -12,11 +12,22 @@
     Goodbye,
     SendTo,
     StageCancel,
+    StageFree,
     StageResult,
     StageSubmit,
     Subscribe,
 )
-from greengagehoist.pieces import InputGone, Job, JobKey, Made, Piece, PoolQueue, StageWork, TooLate
+from greengagehoist.pieces import (
+    InputGone,
+    Job,
+    JobKey,
+    Made,
+    Piece,
+    PoolQueue,
+    Room,
+    StageWork,
+    TooLate,
+)
 from greengagehoist.replicas import Book, Replica, rendezvous_rank
 from greengagehoist.retries import RepeatWindow
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, tick
@@ -64,8 +75,9 @@
 
 
 class FreeResults(NamedTuple):
-    """Free results that no request needs any more."""
+    """Free results of a service that no request needs any more."""
 
+    service: str
     handles: tuple[str, ...]
 
 
@@ -110,11 +122,12 @@
     """A replica of a pool as its owner sees it."""
 
     __slots__ = ("avoid_until", "expected_s", "failures", "overdue", "pieces", "replica")
-    __slots__ += ("slow_at", "slowness", "started", "worker")
+    __slots__ += ("room", "slow_at", "slowness", "started", "worker")
 
-    def __init__(self, replica: Replica, worker: PoolWorker):
+    def __init__(self, replica: Replica, worker: PoolWorker, room: Room):
         self.replica = replica
         self.worker = worker
+        self.room = room
         self.pieces: tuple[Piece, ...] | None = None
         self.started = 0.0
         self.expected_s = 0.0
@@ -171,7 +184,9 @@
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        self.peers.tell(Subscribe((StageSubmit, StageResult, StageCancel, Goodbye), self))
+        self.peers.tell(
+            Subscribe((StageSubmit, StageResult, StageFree, StageCancel, Goodbye), self)
+        )
         self.start(tick(self, self.clock, TICK_S))
         try:
             await super().run()
@@ -193,8 +208,8 @@
                 self._batch_ended(message)
             case CancelStages(request_id):
                 self._cancel(request_id)
-            case FreeResults(handles):
-                self._queue_free(handles)
+            case FreeResults(service, handles):
+                self._free_results(service, handles)
             case GetBacklog(services):
                 reply(self._backlog(services))
             case _Peers(alive, linked):
@@ -233,6 +248,7 @@
             work.due - now,
             work.deadline - now,
             work.zone,
+            work.result_bytes,
         )
         self.start(self._send(pending, sent))
 
@@ -283,6 +299,7 @@
                     now + message.due_in_s,
                     now + message.left_s,
                     message.zone,
+                    message.result_bytes,
                 )
                 self._enqueue(work, vm)
             case StageResult():
@@ -290,7 +307,9 @@
                 end = StageEnd(message.handles, message.reason)
                 key = JobKey(message.request_id, message.stage)
                 if not self._resolve(key, end) and message.handles:
-                    self._queue_free(message.handles)
+                    self._free_results(message.service, message.handles)
+            case StageFree(_, handles):
+                self._queue_free(handles)
             case StageCancel(request_id):
                 self._drop(request_id)
             case Goodbye():
@@ -330,15 +349,14 @@
         return pool
 
     def _enqueue(self, work: StageWork, origin: str) -> None:
-        pool = self._pool(work.service)
+        pool, now = self._pool(work.service), self.clock.monotonic()
         if pool is None:
             log_event("stage_without_pool", "WARNING", service=work.service)
-            self._finish_job(work.service, Job(work, origin), "failed")
+            self._finish_job(work.service, Job(work, origin, now), "failed")
             return
-        now = self.clock.monotonic()
         for _ in work.segments:
             pool.repeats.observe_request(now)
-        pool.queue.add(work, origin)
+        pool.queue.add(work, origin, now)
         self._dispatch(work.service, pool)
 
     def _sync_members(self) -> None:
@@ -355,45 +373,33 @@
             member = pool.members.get(key)
             if member is None or member.replica.born_ms != replica.born_ms:
                 worker = PoolWorker(replica, self.wire, self.clock, self)
-                pool.members[key] = _Member(replica, worker)
+                pool.members[key] = _Member(replica, worker, Room(pool.queue.limits.result_bytes))
 
     def _dispatch(self, service: str, pool: _Pool) -> None:
         now = self.clock.monotonic()
         listed = self.book.value.replicas
-        while pool.queue.waiting_pieces():
-            idle = [
-                member
-                for key, member in pool.members.items()
-                if member.pieces is None
-                and member.avoid_until <= now
-                and key in listed
-                and not listed[key].leaving
-            ]
-            member = self._best(pool, idle, now)
-            if member is None:
+        usable = [
+            member
+            for key, member in pool.members.items()
+            if member.avoid_until <= now and key in listed and not listed[key].leaving
+        ]
+        zones = frozenset(member.replica.zone for member in usable)
+        for member in self._idle_by_speed(usable, now):
+            if not pool.queue.waiting_pieces():
                 return
-            batch = pool.queue.take_batch(member.replica.zone, now)
+            room = member.room.left(now)
+            batch = pool.queue.take_batch(member.replica.zone, zones, room, now)
             if not batch:
-                return
+                continue
             member.pieces, member.started, member.overdue = batch, now, False
             member.expected_s = pool.queue.expected_s(len(batch))
             self.start(member.worker.run_batch(batch, member.expected_s))
 
-    def _best(self, pool: _Pool, idle: list[_Member], now: float) -> _Member | None:
-        if not idle:
-            return None
-        wanted = next(
-            (job.work.zone for job in pool.queue.jobs.values() if job.waiting and job.work.zone), ""
-        )
-
-        def cost(member: _Member) -> tuple[float, bool]:
-            return (round(self._slowness(member, now), 1), member.replica.zone != wanted)
-
-        best = min(idle, key=cost)
-        usual = [m for m in pool.members.values() if self._slowness(m, now) < SLOW]
-        if self._slowness(best, now) >= SLOW and usual:
-            return None
-        return best
+    def _idle_by_speed(self, usable: list[_Member], now: float) -> list[_Member]:
+        """Return the idle replicas, fast ones first; slow ones only if all are slow."""
+        fast = [member for member in usable if self._slowness(member, now) < SLOW]
+        idle = [member for member in fast or usable if member.pieces is None]
+        return sorted(idle, key=lambda member: self._slowness(member, now))
 
     def _slowness(self, member: _Member, now: float) -> float:
         faded = 0.5 ** ((now - member.slow_at) / SLOWNESS_HALF_LIFE_S)
@@ -405,7 +411,8 @@
             if member is not None and member.pieces is end.pieces:
                 self._observe(member, end)
                 member.pieces = None
-                self._apply_batch(service, pool, end)
+                self._log_batch(service, pool, end)
+                self._apply_batch(service, pool, member, end)
                 self._sync_pool(service, pool)
                 self._dispatch(service, pool)
                 return
@@ -434,7 +441,21 @@
         member.slowness = current + SLOWNESS_SMOOTHING * (sample - current)
         member.slow_at = now
 
-    def _apply_batch(self, service: str, pool: _Pool, end: BatchEnded) -> None:
+    def _log_batch(self, service: str, pool: _Pool, end: BatchEnded) -> None:
+        reasons = [getattr(item, "reason", type(item).__name__) for item in end.ends or ()]
+        log_event(
+            "stage_call_ended",
+            service=service,
+            replica=end.replica_id,
+            pieces=len(end.pieces),
+            took_ms=round(end.duration_s * 1000),
+            waiting=pool.queue.waiting_pieces(),
+            failure=end.failure,
+            not_made=",".join(item for item in reasons if item != "Made"),
+        )
+
+    def _apply_batch(self, service: str, pool: _Pool, member: _Member, end: BatchEnded) -> None:
+        now = self.clock.monotonic()
         for number, piece in enumerate(end.pieces):
             job = pool.queue.jobs.get(JobKey(piece.request_id, piece.stage))
             outcome = end.ends[number] if end.ends is not None else None
@@ -445,6 +466,7 @@
             match outcome:
                 case Made(handle):
                     job.handles[piece.segment] = handle
+                    member.room.hold(handle, job.work.result_bytes, now)
                     if piece.segment in job.waiting:
                         job.waiting.remove(piece.segment)
                     if job.is_done:
@@ -545,10 +567,21 @@
             if job.sends.get(piece.segment, 0) < MOST_PIECE_SENDS and pool.repeats.take(now):
                 job.waiting.append(piece.segment)
 
+    def _free_results(self, service: str, handles: tuple[str, ...]) -> None:
+        """Free results through the owner of their pool, which keeps account of its replicas."""
+        if not handles:
+            return
+        owner = self._owner_of(service)
+        if owner == self.vm:
+            self._queue_free(handles)
+        else:
+            self.peers.tell(SendTo(owner, StageFree(service, handles)))
+
     def _queue_free(self, handles: tuple[str, ...]) -> None:
         for handle in handles:
             address, _, _ = handle.partition("/")
             self._to_free.setdefault(address, []).append(handle)
+        self._flush_frees()
 
     def _flush_frees(self) -> None:
         for address, handles in list(self._to_free.items()):
@@ -565,9 +598,15 @@
         self.tell(_Freed(address, handles, ok))
 
     def _freed(self, freed: _Freed) -> None:
+        for pool in self._pools.values():
+            for member in pool.members.values():
+                if member.replica.address == freed.address:
+                    for handle in freed.handles if freed.ok else ():
+                        member.room.free(handle)
         if not freed.ok:
             # The replica frees results by itself when their lifetime is over.
             log_event(
                 "results_not_freed", "WARNING", peer=freed.address, results=len(freed.handles)
             )
             self._freers.pop(freed.address, None)
+        self._flush_frees()
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -17,7 +17,10 @@
 )
 from greengagehoist.gateway.controllers import Choose, Ended, FreeResults, LoadReported
 from greengagehoist.gateway.filters._events import EventSplitter
-from greengagehoist.gateway.filters._stage_work import results_needed_after_start
+from greengagehoist.gateway.filters._stage_work import (
+    affinity_of,
+    results_needed_after_start,
+)
 from greengagehoist.http1 import (
     IncompleteError,
     ProtocolError,
@@ -28,7 +31,7 @@
     get_header,
     open_socket,
 )
-from greengagehoist.replicas import Affinity, AnyReplica, NearHome, Replica
+from greengagehoist.replicas import Replica
 from greengagehoist.retries import (
     AbortAnswer,
     Broken,
@@ -126,7 +129,12 @@
             if left <= 0:
                 return self._out_of_time(state, splitter)
             replica = await self.placement.ask(
-                Choose(exchange.service, affinity_of(exchange), state.tried, model_of(exchange))
+                Choose(
+                    exchange.service,
+                    affinity_of(exchange.req.prompt),
+                    state.tried,
+                    model_of(exchange),
+                )
             )
             if replica is None:
                 return self._no_replica(exchange, state, splitter)
@@ -287,6 +295,10 @@
             return Lost()
         return Relayed(head, body)
 
+    def _free_inputs(self, exchange: Exchange) -> None:
+        for service, handles in exchange.inputs:
+            self.pools.tell(FreeResults(service, handles))
+
     async def _pass_stream(
         self,
         exchange: Exchange,
@@ -300,7 +312,7 @@
         except (IncompleteError, ProtocolError):
             return Broken(splitter.started)
         if not resumable:
-            self.pools.tell(FreeResults(exchange.inputs))
+            self._free_inputs(exchange)
         if not splitter.started:
             exchange.sink.start(head)
             splitter.started = True
@@ -320,14 +332,6 @@
         return StreamEnded()
 
 
-def affinity_of(exchange: Exchange) -> Affinity:
-    """Return what the replica of a request should hold."""
-    prompt = exchange.req.prompt
-    if prompt is None or len(prompt.parts) < 2:
-        return AnyReplica()
-    return NearHome(prompt.parts[-2].part_id)
-
-
 def model_of(exchange: Exchange) -> str:
     """Return the model of an engine request, empty for others."""
     return exchange.req.prompt.model if exchange.req.prompt is not None else ""
--- a/greengagehoist/gateway/filters/_stage_work.py
+++ b/greengagehoist/gateway/filters/_stage_work.py
@@ -1,25 +1,28 @@
 """Filter that has the stages of a request done before the request itself."""
 
 import asyncio
+from collections import Counter
 
 from greengagehoist.deployment import Route, Streaming
-from greengagehoist.gateway import Exchange, NotRun, Proceed, Reply
+from greengagehoist.gateway import Exchange, NotRun, Proceed, Prompt, Reply
 from greengagehoist.gateway.controllers import (
     CancelStages,
+    FindHome,
     FreeResults,
     GetBacklog,
     StageEnd,
     SubmitStage,
 )
 from greengagehoist.pieces import StageWork
-from greengagehoist.utils import Clock, Controller, log_event
+from greengagehoist.replicas import Affinity, AnyReplica, Book, NearHome
+from greengagehoist.utils import Clock, Controller, Published, log_event
 
 # Work of the pools above which requests of the least urgent rank are refused at arrival.
 BACKLOG_LIMIT_S = 0.4
 # Rank from which requests count as least urgent.
 LEAST_URGENT_RANK = 2
 RETRY_BACKLOG_S = 0.6
-# Result size from which the replica's zone is chosen by the reader of the result.
+# Bytes moved by a stage from which its replica should be where they come from or go to.
 LARGE_RESULT_BYTES = 500_000
 # A stage whose results are lost is done again this often.
 MOST_ROUNDS = 2
@@ -29,10 +32,20 @@
     """Runs the stages of the route as a graph, independent ones at the same time.
 
     :param pools: controller of the stage pools.
+    :param placement: controller that chooses the replica that reads the results.
+    :param book: the known replicas.
     """
 
-    def __init__(self, pools: Controller, clock: Clock):
+    def __init__(
+        self,
+        pools: Controller,
+        placement: Controller,
+        book: Published[Book],
+        clock: Clock,
+    ):
         self.pools = pools
+        self.book = book
+        self.placement = placement
         self.clock = clock
 
     async def __call__(self, exchange: Exchange, proceed: Proceed) -> Reply:
@@ -43,6 +56,11 @@
         refusal = await self._refuse_overload(exchange)
         if refusal is not None:
             return refusal
+        prompt = exchange.req.prompt
+        home = await self.placement.ask(
+            FindHome(exchange.service, affinity_of(prompt), prompt.model if prompt else "")
+        )
+        exchange = exchange._replace(home=home)
         handles: dict[int, tuple[str, ...]] = {}
         try:
             for _ in range(MOST_ROUNDS):
@@ -59,12 +77,12 @@
                 )
                 return NotRun(f"a stage failed: {reason}", RETRY_BACKLOG_S)
             final = final_stages(route)
-            inputs = tuple(item for number in final for item in handles.get(number, ()))
+            inputs = tuple((route.stages[number].service, handles[number]) for number in final)
             return await proceed(exchange._replace(inputs=inputs))
         finally:
             self.pools.tell(CancelStages(exchange.req.request_id))
-            left = tuple(item for found in handles.values() for item in found)
-            self.pools.tell(FreeResults(left))
+            for number, found in handles.items():
+                self.pools.tell(FreeResults(route.stages[number].service, found))
 
     async def _refuse_overload(self, exchange: Exchange) -> NotRun | None:
         if exchange.rank < LEAST_URGENT_RANK:
@@ -76,23 +94,34 @@
         return NotRun(f"stage pools are {backlog:.2f} s behind", RETRY_BACKLOG_S)
 
     async def _run_stages(self, exchange: Exchange, handles: dict[int, tuple[str, ...]]) -> str:
-        """Run all stages; returns why one failed, or an empty reason."""
+        """Run all stages; returns why one failed, or an empty reason.
+
+        Results are freed as soon as all stages that need them have ended.
+        """
         stages, counts = exchange.route.stages, exchange.req.piece_counts
         ends: dict[int, asyncio.Task] = {}
+        earlier = start_after(exchange.route)
+        readers = {
+            number: {other for other, stage in enumerate(stages) if number in stage.after}
+            for number in range(len(stages))
+        }
 
         async def run(number: int) -> str:
             stage = stages[number]
-            for before in stage.after:
+            for before in earlier[number]:
                 reason = await ends[before]
                 if reason:
                     return reason
             inputs = tuple(item for before in stage.after for item in handles.get(before, ()))
             count = counts[number] if number < len(counts) else 0
-            if count == 0:
-                handles[number] = ()
-                return ""
-            end = await self._submit(exchange, number, count, inputs)
+            end = StageEnd((), "")
+            if count:
+                end = await self._submit(exchange, number, count, inputs)
             handles[number] = end.handles
+            for before in () if end.reason else stage.after:
+                readers[before].discard(number)
+                if not readers[before]:
+                    self.pools.tell(FreeResults(stages[before].service, handles.pop(before, ())))
             return end.reason
 
         async with asyncio.TaskGroup() as group:
@@ -104,8 +133,6 @@
         self, exchange: Exchange, number: int, count: int, inputs: tuple[str, ...]
     ) -> StageEnd:
         stage = exchange.route.stages[number]
-        large = stage.result_bytes >= LARGE_RESULT_BYTES
-        zone = exchange.home.zone if large and exchange.home is not None else ""
         work = StageWork(
             exchange.req.request_id,
             stage.service,
@@ -116,10 +143,31 @@
             exchange.rank,
             exchange.arrived + exchange.route.target_latency_s,
             exchange.final_by,
-            zone,
+            self._zone_of_bytes(exchange, number, count, inputs),
+            stage.result_bytes,
         )
         return await self.pools.ask(SubmitStage(work))
 
+    def _zone_of_bytes(
+        self, exchange: Exchange, number: int, count: int, inputs: tuple[str, ...]
+    ) -> str:
+        """Return the data centre between which and the stage most bytes move, or none.
+
+        Each piece reads all inputs; the replica of the request reads the results of the last
+        stages.
+        """
+        route = exchange.route
+        stage = route.stages[number]
+        read = sum(route.stages[item].result_bytes for item in stage.after)
+        read *= len(inputs) * count / max(1, len(stage.after))
+        if read >= LARGE_RESULT_BYTES:
+            zones = self.book.value.zones_by_address()
+            found = Counter(zones.get(item.partition("/")[0], "") for item in inputs)
+            return found.most_common(1)[0][0]
+        if stage.result_bytes * count >= LARGE_RESULT_BYTES and number in final_stages(route):
+            return exchange.home.zone if exchange.home is not None else ""
+        return ""
+
 
 def final_stages(route: Route) -> tuple[int, ...]:
     """Return the stages that no other stage follows: the request needs their results."""
@@ -127,6 +175,34 @@
     return tuple(number for number in range(len(route.stages)) if number not in followed)
 
 
+def start_after(route: Route) -> tuple[tuple[int, ...], ...]:
+    """Return for each stage the stages at whose end it starts.
+
+    A stage with large results starts as late as the longest chain of stages allows, because its
+    results take up the memory of their replicas until the request reads them.
+    """
+    stages = route.stages
+    left = [1] * len(stages)
+    for number in reversed(range(len(stages))):
+        for before in stages[number].after:
+            left[before] = max(left[before], left[number] + 1)
+    return tuple(
+        (
+            tuple(other for other in range(len(stages)) if left[other] == left[number] + 1)
+            if stage.result_bytes >= LARGE_RESULT_BYTES and not stage.after
+            else stage.after
+        )
+        for number, stage in enumerate(stages)
+    )
+
+
 def results_needed_after_start(route: Route) -> bool:
     """Return whether the stage results are needed after the answer has started."""
     return isinstance(route.kind, Streaming) and route.kind.resumable
+
+
+def affinity_of(prompt: Prompt | None) -> Affinity:
+    """Return what the replica of a request should hold: the deepest shared part of the prompt."""
+    if prompt is None or len(prompt.parts) < 2:
+        return AnyReplica()
+    return NearHome(prompt.parts[-2].part_id)
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -44,6 +44,7 @@
     :param due_in_s: seconds until the request's answer should have begun.
     :param left_s: seconds after which the results are useless.
     :param zone: data centre in which the results are read, empty if that is open.
+    :param result_bytes: approximate size of the result of one piece.
     """
 
     request_id: str
@@ -56,6 +57,7 @@
     due_in_s: float
     left_s: float
     zone: str
+    result_bytes: float
 
 
 class StageResult(NamedTuple):
@@ -74,6 +76,13 @@
     backlog_s: float
 
 
+class StageFree(NamedTuple):
+    """Results of a pool that no request needs any more."""
+
+    service: str
+    handles: tuple[str, ...]
+
+
 class StageCancel(NamedTuple):
     """Drop the waiting work of a request that has ended."""
 
@@ -181,5 +190,6 @@
     | Goodbye
     | StageSubmit
     | StageResult
+    | StageFree
     | StageCancel
 )
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -9,6 +9,7 @@
     Hello,
     LeaveMark,
     StageCancel,
+    StageFree,
     StageResult,
     StageSubmit,
     TraceSpans,
@@ -38,5 +39,6 @@
         StageSubmit: 14,
         StageResult: 15,
         StageCancel: 16,
+        StageFree: 17,
     }
 )
--- a/greengagehoist/pieces/__init__.py
+++ b/greengagehoist/pieces/__init__.py
@@ -1,6 +1,7 @@
 """Stage work in pieces: types, order and batches."""
 
 from greengagehoist.pieces._queue import Job, JobKey, PoolQueue
+from greengagehoist.pieces._room import Room
 from greengagehoist.pieces._types import (
     InputGone,
     Made,
@@ -20,6 +21,7 @@
     "Piece",
     "PieceEnd",
     "PoolQueue",
+    "Room",
     "StageWork",
     "TooLate",
 ]
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -5,6 +5,13 @@
 from greengagehoist.deployment import PoolLimits
 from greengagehoist.pieces._types import Piece, StageWork
 
+# Time for which a piece waits for a replica in the zone where its result is read, in seconds.
+ZONE_WAIT_S = 0.12
+
+
+# Waiting batches from which the work of one stage is split to fill the calls.
+SPLIT_BATCHES = 3
+
 
 class JobKey(NamedTuple):
     """Identity of the work of one stage of one request."""
@@ -17,13 +24,15 @@
     """Stage work in progress.
 
     :param origin: VM of the daemon that waits for the results, empty for the own one.
+    :param since: instant at which the work was queued, in seconds.
     """
 
-    __slots__ = ("handles", "origin", "sends", "waiting", "work")
+    __slots__ = ("handles", "origin", "sends", "since", "waiting", "work")
 
-    def __init__(self, work: StageWork, origin: str):
+    def __init__(self, work: StageWork, origin: str, since: float):
         self.work = work
         self.origin = origin
+        self.since = since
         self.waiting = list(work.segments)
         self.handles: dict[int, str] = {}
         self.sends: dict[int, int] = {}
@@ -53,9 +62,9 @@
         self.limits = limits
         self.jobs: dict[JobKey, Job] = {}
 
-    def add(self, work: StageWork, origin: str) -> Job:
+    def add(self, work: StageWork, origin: str, now: float) -> Job:
         """Queue the pieces of a stage; a repeated submission replaces the first."""
-        job = Job(work, origin)
+        job = Job(work, origin, now)
         self.jobs[job.key] = job
         return job
 
@@ -87,35 +96,47 @@
         late = [key for key, job in self.jobs.items() if job.work.deadline <= now]
         return [self.jobs.pop(key) for key in late]
 
-    def take_batch(self, zone: str, now: float) -> tuple[Piece, ...]:
-        """Take the pieces of the next call: the most urgent requests first, then the earliest due.
+    @property
+    def _is_behind(self) -> bool:
+        return self.waiting_pieces() > SPLIT_BATCHES * self.limits.batch
+
+    def take_batch(
+        self, zone: str, zones: frozenset[str], room_bytes: float, now: float
+    ) -> tuple[Piece, ...]:
+        """Take the pieces of the next call at a replica.
+
+        The most urgent requests go first, then those that are due first. Large results wait for
+        a replica in the zone where they are read, for ``ZONE_WAIT_S`` at most.
 
-        :param zone: data centre of the replica; among equally urgent work, pieces whose results
-            are read there go first.
+        :param zone: data centre of the replica.
+        :param zones: data centres with replicas that take calls.
+        :param room_bytes: memory that the results may take.
         """
-        ready = [job for job in self.jobs.values() if job.waiting]
+        ready = [
+            job
+            for job in self.jobs.values()
+            if job.waiting and not _waits_for_zone(job, zone, zones, now)
+        ]
         ready.sort(key=lambda job: (job.work.rank, job.work.due))
-        if ready:
-            rank = ready[0].work.rank
-            ready.sort(key=lambda job: (job.work.rank, _is_elsewhere(job, rank, zone)))
         taken: list[Piece] = []
         for job in ready:
-            while job.waiting and len(taken) < self.limits.batch:
+            work = job.work
+            if taken and len(taken) + len(job.waiting) > self.limits.batch and not self._is_behind:
+                # Results of one stage at one replica spare the next stage transfers.
+                continue
+            while (
+                job.waiting and len(taken) < self.limits.batch and (work.result_bytes <= room_bytes)
+            ):
+                room_bytes -= work.result_bytes
                 segment = job.waiting.pop(0)
                 job.sends[segment] = job.sends.get(segment, 0) + 1
-                work = job.work
+                left = work.deadline - now
                 taken.append(
-                    Piece(
-                        work.request_id,
-                        work.stage,
-                        segment,
-                        work.key,
-                        work.inputs,
-                        work.deadline - now,
-                    )
+                    Piece(work.request_id, work.stage, segment, work.key, work.inputs, left)
                 )
         return tuple(taken)
 
 
-def _is_elsewhere(job: Job, rank: int, zone: str) -> bool:
-    return job.work.rank == rank and job.work.zone not in ("", zone)
+def _waits_for_zone(job: Job, zone: str, zones: frozenset[str], now: float) -> bool:
+    wanted = job.work.zone
+    return wanted not in ("", zone) and wanted in zones and now - job.since < ZONE_WAIT_S
--- a/greengagehoist/pieces/_types.py
+++ b/greengagehoist/pieces/_types.py
@@ -57,6 +57,7 @@
     :param due: instant at which the request's answer should have begun, in seconds.
     :param deadline: instant after which the results are useless, in seconds.
     :param zone: data centre in which the results are read, empty if that is open.
+    :param result_bytes: approximate size of the result of one piece.
     """
 
     request_id: str
@@ -69,3 +70,4 @@
     due: float
     deadline: float
     zone: str
+    result_bytes: float
--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -118,8 +118,9 @@
             headers += ((TENANT, exchange.tenant.name.encode()),)
         if exchange.req.prompt is not None:
             headers += ((PRIORITY, b"%d" % min(LOWEST_PRIORITY, exchange.rank)),)
-        if exchange.inputs or exchange.route.stages:
-            headers += ((INPUTS, ",".join(exchange.inputs).encode()),)
+        if exchange.route.stages:
+            handles = (handle for _, found in exchange.inputs for handle in found)
+            headers += ((INPUTS, ",".join(handles).encode()),)
         return headers
 
     def read_reply(self, head: ResponseHead) -> ReplicaReply:
--- a/greengagehoist/replicas/_book.py
+++ b/greengagehoist/replicas/_book.py
@@ -22,6 +22,10 @@
     missing_allowed_until: float = 0.0
     read_at: float | None = None
 
+    def zones_by_address(self) -> dict[str, str]:
+        """Return the data centre of each replica by its ``ip:port``."""
+        return {item.address: item.zone for item in self.replicas.values()}
+
     def of_service(self, service: str) -> tuple[Replica, ...]:
         """Return the replicas of a service that may get new requests."""
         return tuple(
