--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -83,7 +83,10 @@
             )
 
     def _note_failing(self, failing: bool, reason: str) -> None:
-        if failing != self._failing:
-            self._failing = failing
-            event = "configuration_reads_failing" if failing else "configuration_reads_restored"
-            log_event(event, "WARNING" if failing else "INFO", reason=reason)
+        if failing == self._failing:
+            return
+        self._failing = failing
+        if failing:
+            log_event("configuration_reads_failing", "WARNING", reason=reason)
+        else:
+            log_event("configuration_reads_restored")
--- /dev/null
+++ b/greengagehoist/pieces/tests/test_queue.py
@@ -0,0 +1,83 @@
+"""Guards against late, scattered or oversized batches of stage work."""
+
+import pytest
+
+from greengagehoist.deployment import PoolLimits
+from greengagehoist.pieces import PoolQueue, Room, StageWork
+
+ZONES = frozenset({"a", "b"})
+LARGE = 1e12
+
+
+@pytest.fixture
+def queue():
+    return PoolQueue(PoolLimits(6, 0.15, 0.01, 10e6))
+
+
+def work(name, count=3, rank=0, due=1.0, zone="", size=0.0, deadline=9.0):
+    return StageWork(name, "s", 0, tuple(range(count)), "k", (), rank, due, deadline, zone, size)
+
+
+def ids(batch):
+    return [(item.request_id, item.segment) for item in batch]
+
+
+def test_urgent_work_goes_first_then_what_is_due(queue):
+    queue.add(work("late", rank=1, due=0.5), "", 0.0)
+    queue.add(work("second", due=2.0), "", 0.0)
+    queue.add(work("first", due=1.0), "", 0.0)
+    batch = queue.take_batch("a", ZONES, LARGE, 0.0)
+    assert [item.request_id for item in batch] == ["first"] * 3 + ["second"] * 3
+
+
+def test_pieces_of_several_requests_fill_a_call(queue):
+    queue.add(work("x", 2), "", 0.0)
+    queue.add(work("y", 4), "vm-2", 0.0)
+    assert len(queue.take_batch("a", ZONES, LARGE, 0.0)) == 6
+    assert queue.waiting_pieces() == 0
+
+
+def test_work_of_one_stage_stays_together(queue):
+    queue.add(work("x", 4, due=1.0), "", 0.0)
+    queue.add(work("y", 4, due=2.0), "", 0.0)
+    assert {item.request_id for item in queue.take_batch("a", ZONES, LARGE, 0.0)} == {"x"}
+
+
+def test_calls_are_filled_when_the_pool_is_behind(queue):
+    for number in range(10):
+        queue.add(work(f"r{number}", 4, due=number), "", 0.0)
+    assert len(queue.take_batch("a", ZONES, LARGE, 0.0)) == 6
+
+
+def test_large_results_wait_for_their_zone_for_a_bounded_time(queue):
+    queue.add(work("x", zone="b"), "", 0.0)
+    assert queue.take_batch("a", ZONES, LARGE, 0.05) == ()
+    assert len(queue.take_batch("a", ZONES, LARGE, 0.5)) == 3
+
+
+def test_nobody_waits_for_a_zone_without_replicas(queue):
+    queue.add(work("x", zone="b"), "", 0.0)
+    assert len(queue.take_batch("a", frozenset({"a"}), LARGE, 0.0)) == 3
+
+
+def test_batch_fits_into_the_memory_for_results(queue):
+    queue.add(work("x", 6, size=3e6), "", 0.0)
+    assert len(queue.take_batch("a", ZONES, 7e6, 0.0)) == 2
+
+
+def test_work_past_its_deadline_is_forgotten(queue):
+    queue.add(work("x", deadline=1.0), "", 0.0)
+    assert [job.key.request_id for job in queue.expire(1.0)] == ["x"]
+    assert queue.waiting_pieces() == 0
+
+
+def test_room_is_regained_by_freeing_and_by_expiry():
+    room = Room(10e6)
+    room.hold("h1", 6e6, 0.0)
+    assert room.left(0.0) < 4e6
+    room.free("h1")
+    assert room.left(0.0) > 9e6
+    room.hold("h2", 6e6, 0.0)
+    assert room.left(10.0) > 9e6
+    room.free("h2")
+    assert room.left(10.0) <= 10e6
--- /dev/null
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -0,0 +1,162 @@
+"""Guards against headers that clients must not set and misread answers of replicas."""
+
+import json
+
+import pytest
+
+from greengagehoist.deployment import (
+    Backend,
+    Deployment,
+    Idempotent,
+    Knowledge,
+    Limits,
+    Route,
+    Stage,
+    Tenant,
+)
+from greengagehoist.gateway import Exchange
+from greengagehoist.http1 import ProtocolError, RequestHead, ResponseHead
+from greengagehoist.pieces import InputGone, Made, NotMade, Piece, TooLate
+from greengagehoist.platform import PlatformWire
+from greengagehoist.replicas import Load, Replica
+
+REPLICA = Replica("i-1", "s", "10.0.0.1", 80, "a", 4, 1, False)
+CLIENT = (
+    (b"Host", b"H.example:80"),
+    (b"X-Greengagehoist-Request-Id", b"id1"),
+    (b"X-Greengagehoist-Deadline-Ms", b"8000"),
+    (b"X-Greengagehoist-Model", b"m"),
+    (b"X-Greengagehoist-Token-Count", b"1460,80"),
+    (b"X-Greengagehoist-Prefix-Hash", b"5c:800,91:410,e4:250"),
+    (b"X-Greengagehoist-Segments", b"2,0,8"),
+    (b"X-Greengagehoist-Segment-Key", b"pk"),
+    (b"Api-Key", b"secret"),
+    (b"X-Greengagehoist-Tenant", b"forged"),
+    (b"x-greengagehoist-hold", b"forged"),
+    (b"X-Other", b"kept"),
+)
+
+
+@pytest.fixture
+def wire():
+    return PlatformWire()
+
+
+@pytest.fixture
+def request_of(wire):
+    def make(*headers):
+        return wire.read_request(RequestHead(b"POST", b"/a/b?c", "1.1", headers, True), b"body")
+
+    return make
+
+
+@pytest.fixture
+def exchange_of(request_of):
+    def make(*headers, tenant=None, stages=(), inputs=()):
+        route = Route(
+            "r", "h", "/", Idempotent(), 1, 1, 2, (Backend("s", 1),), 1, stages, False, True
+        )
+        known = Knowledge(Deployment(1, {}, {}, {}, True, Limits()), 0.0)
+        return Exchange(request_of(*headers), None, 0.0, known, route, "s", tenant, inputs=inputs)
+
+    return make
+
+
+def test_request_is_decoded(request_of):
+    req = request_of(*CLIENT)
+    assert (req.host, req.path, req.target) == ("h.example", "/a/b", b"/a/b?c")
+    assert (req.api_key, req.deadline_s, req.piece_counts) == ("secret", 8.0, (2, 0, 8))
+    assert [part.part_id for part in req.prompt.parts] == ["5c", "91", "e4"]
+    assert (req.prompt.tokens_in, req.prompt.tokens_out) == (1460, 80)
+
+
+def test_replica_gets_no_key_and_no_forged_header(wire, exchange_of):
+    exchange = exchange_of(*CLIENT, tenant=Tenant("t", None))
+    headers = dict(wire.replica_headers(exchange, REPLICA, 1.2345, None))
+    lowered = {name.lower(): value for name, value in headers.items()}
+    assert b"api-key" not in lowered
+    assert b"x-greengagehoist-hold" not in lowered
+    assert headers[b"X-Greengagehoist-Tenant"] == b"t"
+    assert headers[b"X-Greengagehoist-Deadline-Ms"] == b"1234"
+    assert headers[b"X-Greengagehoist-Expect-Instance"] == b"i-1"
+    assert headers[b"X-Greengagehoist-Request-Id"] == b"id1"
+    assert headers[b"X-Greengagehoist-Prefix-Hash"] == b"5c:800,91:410,e4:250"
+    assert headers[b"X-Other"] == b"kept"
+    assert headers[b"X-Greengagehoist-Request-Priority"] == b"2"
+
+
+def test_public_request_passes_no_tenant(wire, exchange_of):
+    headers = dict(wire.replica_headers(exchange_of(*CLIENT), REPLICA, 1.0, None))
+    assert b"X-Greengagehoist-Tenant" not in headers
+
+
+def test_inputs_of_all_last_stages_are_named(wire, exchange_of):
+    exchange = exchange_of(
+        *CLIENT,
+        stages=(Stage("p", (), 1), Stage("q", (), 1)),
+        inputs=(("p", ("a:1/x", "a:1/y")), ("q", ("b:1/z",))),
+    )
+    headers = dict(wire.replica_headers(exchange, REPLICA, 1.0, None))
+    assert headers[b"X-Greengagehoist-Inputs"] == b"a:1/x,a:1/y,b:1/z"
+
+
+def test_resumption_replaces_the_clients_event_id(wire, exchange_of):
+    exchange = exchange_of(*CLIENT, (b"Last-Event-Id", b"3"))
+    headers = wire.replica_headers(exchange, REPLICA, 1.0, 7)
+    assert [value for name, value in headers if name == b"Last-Event-Id"] == [b"7"]
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Greengagehoist-Deadline-Ms", b"soon"),
+        (b"X-Greengagehoist-Segments", b"2,x"),
+        (b"Last-Event-Id", b"-1"),
+    ],
+)
+def test_malformed_header_is_refused(request_of, header):
+    with pytest.raises(ProtocolError):
+        request_of((b"Host", b"h"), (b"X-Greengagehoist-Request-Id", b"i"), header)
+
+
+def test_request_without_an_id_is_refused(request_of):
+    with pytest.raises(ProtocolError):
+        request_of((b"Host", b"h"))
+
+
+def test_reply_is_decoded(wire):
+    head = ResponseHead(
+        503,
+        b"",
+        (
+            (b"x-greengagehoist-request-id", b"id1"),
+            (b"X-Greengagehoist-Not-Executed", b"1"),
+            (b"X-Greengagehoist-Load-Report", b"3,0,8"),
+        ),
+    )
+    reply = wire.read_reply(head)
+    assert (reply.request_id, reply.not_executed, reply.signed) == ("id1", True, False)
+    assert reply.load == Load(3, 0, 8)
+
+
+def test_stage_call_names_key_or_inputs(wire):
+    pieces = (
+        Piece("r1", 0, 2, "pk", (), 0.9),
+        Piece("r2", 2, 0, "", ("10.0.0.9:80/h",), 0.5),
+    )
+    items = json.loads(wire.stage_call(REPLICA, pieces).body)["items"]
+    assert items[0] == {"id": "r1", "stage": 0, "segment": 2, "remaining_ms": 900, "key": "pk"}
+    assert items[1]["inputs"] == ["10.0.0.9:80/h"]
+    assert "key" not in items[1]
+
+
+def test_ends_of_pieces_are_decoded(wire):
+    items = [{"handle": "a:1/x"}, {"reason": "gone"}, {"reason": "late"}, {"reason": "room"}]
+    ends = wire.read_pieces(json.dumps({"items": items}).encode(), 4)
+    assert ends == (Made("a:1/x"), InputGone(), TooLate(), NotMade("room"))
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"items":[]}', b'{"items":[3]}'])
+def test_malformed_ends_are_refused(wire, body):
+    with pytest.raises(ValueError):
+        wire.read_pieces(body, 1)
--- /dev/null
+++ b/greengagehoist/platform/tests/test_store.py
@@ -0,0 +1,175 @@
+"""Guards against rows of other writers and misread configurations."""
+
+import base64
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagehoist.deployment import Idempotent, Streaming, find_route
+from greengagehoist.platform import StoreCalls
+from greengagehoist.platform._store import read_replica
+from greengagehoist.platform_client import (
+    DeleteRow,
+    ListReplicas,
+    ReadDeployment,
+    ReadRange,
+    Refused,
+    WriteRow,
+    Written,
+)
+from greengagehoist.standins._profiles import generated
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "h.example",
+            "prefix": "/a/",
+            "route_type": "streaming",
+            "timeout_ms": 8000,
+            "target_latency_ms": 1700,
+            "priority": 1,
+            "service": "llm",
+            "max_attempts": 2,
+            "stages": [{"service": "pool", "after": [], "bytes": 8000}],
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_target_ms": 400,
+        },
+        {
+            "name": "r2",
+            "host": "h.example",
+            "prefix": "/b/",
+            "route_type": "idempotent",
+            "timeout_ms": 2000,
+            "backends": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+        },
+    ],
+    "services": [
+        {"name": "llm", "engine": {"slots": 48}},
+        {
+            "name": "pool",
+            "segments": {"batch": 5, "call_ms": 150.0, "item_ms": 25.6, "headroom_mb": 24.4},
+        },
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "slots": 48,
+    "state": "ready",
+    "models": [{"name": "m"}],
+    "born": 12,
+}
+
+
+def row(key, value, ver=5):
+    encoded = base64.b64encode(json.dumps(value).encode()).decode()
+    return {"table": "t", "part": "", "key": key, "value": encoded, "ver": ver}
+
+
+def body(**fields):
+    return json.dumps({"ver": 9, "now_ms": 1000, **fields}).encode()
+
+
+@pytest.fixture
+def calls():
+    return StoreCalls()
+
+
+def test_configuration_is_decoded(calls):
+    read = calls.decode(ReadDeployment(), 200, body(rows=[row("config", CONFIG)]))
+    deployment = read.deployment
+    assert (read.row, deployment.version) == (5, 7)
+    streaming = find_route(deployment, "h.example", "/a/x")
+    assert streaming.kind == Streaming(True, 0.4)
+    assert streaming.timeout_s == 8.0
+    split = find_route(deployment, "h.example", "/b/")
+    assert split.kind == Idempotent()
+    assert [item.weight for item in split.backends] == [90, 10]
+    assert deployment.services["pool"].pool.result_bytes == 24.4e6
+    assert deployment.tenants["k2"].name == "t"
+
+
+def test_unchanged_row_is_not_decoded_again(calls):
+    read = calls.decode(ReadDeployment(5), 200, body(rows=[row("config", CONFIG)]))
+    assert (read.deployment, read.row) == (None, 5)
+
+
+def test_no_configuration_yet(calls):
+    assert calls.decode(ReadDeployment(), 200, body(rows=[])).row == 0
+
+
+def test_page_of_replicas_counts_what_cannot_be_read(calls):
+    rows = [row("i-1", ENTRY), row("i-2", {"service": 3}), {"key": "i-3", "value": "%%", "ver": 1}]
+    page = calls.decode(ListReplicas(), 200, body(rows=rows, has_more=True))
+    assert [item.replica_id for item in page.replicas] == ["i-1"]
+    assert (page.unreadable, page.last) == (2, "i-3")
+    assert page.replicas[0].models == ("m",)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"address": "nowhere"},
+        {"address": ":80"},
+        {"slots": "many"},
+        {"service": None},
+        {"born": 1.5},
+        {"models": 3},
+    ],
+)
+def test_entry_of_another_writer_names_no_replica(change):
+    assert read_replica("i", {**ENTRY, **change}) is None
+
+
+def test_draining_replica_is_leaving():
+    assert read_replica("i", {**ENTRY, "state": "draining"}).leaving
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=6,
+)
+
+
+@generated(200)
+@given(st.dictionaries(st.sampled_from(list(ENTRY)), JSON))
+def test_any_entry_gives_a_replica_or_none(change):
+    found = read_replica("i", {**ENTRY, **change})
+    assert found is None or (found.host and found.port >= 0)
+
+
+def test_write_names_the_expected_version(calls):
+    call = calls.encode(WriteRow("member/x", [1], 4))
+    assert call.json["expected_revision"][0]["ver"] == 4
+    assert json.loads(base64.b64decode(call.json["writes"][0]["value"])) == [1]
+    assert calls.is_write(WriteRow("k", 1, 0))
+    assert not calls.is_write(ReadRange("member/"))
+
+
+def test_removal_names_the_expected_version(calls):
+    call = calls.encode(DeleteRow("member/x", 4))
+    assert call.json["remove"][0]["key"] == "member/x"
+    assert call.json["writes"] == []
+
+
+def test_refused_write_returns_the_current_row(calls):
+    message = WriteRow("k", 1, 0)
+    refused = calls.decode(message, 412, body(rows=[row("k", 5, 8)]))
+    assert isinstance(refused, Refused)
+    assert refused.row.version == 8
+    assert calls.decode(message, 200, body()) == Written(9, 1.0)
+
+
+def test_range_ends_after_its_prefix(calls):
+    assert "from=member%2F&target=member0" in calls.encode(ReadRange("member/")).path
--- /dev/null
+++ b/greengagehoist/replicas/tests/test_choice.py
@@ -0,0 +1,76 @@
+"""Guards against prompt parts without a home and against overloaded or failing replicas."""
+
+import pytest
+
+from greengagehoist.replicas import (
+    AnyReplica,
+    Load,
+    NearHome,
+    Observed,
+    Replica,
+    choose,
+)
+
+NOW = 100.0
+
+
+@pytest.fixture
+def candidates():
+    return [
+        Replica(f"i-{number}", "s", "10.0.0.1", 80 + number, zone, 10, 1, False)
+        for number, zone in enumerate("aabb")
+    ]
+
+
+def chosen(candidates, affinity, **seen):
+    def observed(key):
+        return seen.get(key.replace("-", "_"), Observed())
+
+    return choose(candidates, observed, affinity, "a", NOW)
+
+
+def test_part_has_one_home(candidates):
+    homes = {chosen(candidates, NearHome("p")).replica_id for _ in range(10)}
+    assert len(homes) == 1
+
+
+def test_parts_spread_over_the_replicas(candidates):
+    homes = {chosen(candidates, NearHome(f"p{number}")).replica_id for number in range(60)}
+    assert len(homes) == 4
+
+
+def test_other_homes_stay_when_a_replica_leaves(candidates):
+    before = {n: chosen(candidates, NearHome(f"p{n}")).replica_id for n in range(60)}
+    rest = [item for item in candidates if item.replica_id != "i-2"]
+    after = {n: chosen(rest, NearHome(f"p{n}")).replica_id for n in range(60)}
+    assert all(after[n] == home for n, home in before.items() if home != "i-2")
+
+
+def test_full_home_passes_requests_on(candidates):
+    home = chosen(candidates, NearHome("p")).replica_id
+    full = Observed(load=Load(10, 2, 10), reported_at=NOW)
+    assert chosen(candidates, NearHome("p"), **{home.replace("-", "_"): full}).replica_id != home
+
+
+def test_old_report_does_not_count(candidates):
+    home = chosen(candidates, NearHome("p")).replica_id
+    old = Observed(load=Load(10, 2, 10), reported_at=NOW - 60)
+    assert chosen(candidates, NearHome("p"), **{home.replace("-", "_"): old}).replica_id == home
+
+
+def test_avoided_replica_is_used_only_if_no_other_is_left(candidates):
+    home = chosen(candidates, NearHome("p")).replica_id
+    avoided = {home.replace("-", "_"): Observed(avoid_until=NOW + 1)}
+    assert chosen(candidates, NearHome("p"), **avoided).replica_id != home
+    alone = [item for item in candidates if item.replica_id == home]
+    assert chosen(alone, NearHome("p"), **avoided).replica_id == home
+
+
+def test_own_zone_goes_first_until_it_is_busier(candidates):
+    assert chosen(candidates, AnyReplica()).zone == "a"
+    busy = Observed(in_flight=6)
+    assert chosen(candidates, AnyReplica(), i_0=busy, i_1=busy).zone == "b"
+
+
+def test_no_candidate_gives_none():
+    assert choose([], lambda key: Observed(), AnyReplica(), "a", NOW) is None
--- a/greengagehoist/retries/_resend.py
+++ b/greengagehoist/retries/_resend.py
@@ -105,13 +105,14 @@
     """Return what follows the end of a send that brought no whole answer."""
     started = isinstance(end, Broken) and end.passed_on
     room = state.sends < MOST_SENDS and state.time_left_s > LEAST_TIME_S
+    unrun = state.may_have_run == 0
     match end:
-        case NotSent() if room and state.may_have_run < state.max_attempts:
-            return SendAgain()
-        case Rejected() if (
-            room and state.budget_left and (state.may_have_run == 0 or may_repeat(kind))
+        case NotSent() if (
+            room and state.may_have_run < state.max_attempts and (unrun or may_repeat(kind))
         ):
             return SendAgain()
+        case Rejected() if room and state.budget_left and (unrun or may_repeat(kind)):
+            return SendAgain()
         case Lost() | Broken() if (
             room
             and state.budget_left
@@ -121,4 +122,4 @@
             return SendAgain(resume=started)
     if started:
         return AbortAnswer()
-    return RefuseNotRun() if state.may_have_run == 0 else FailUnknown()
+    return RefuseNotRun() if unrun else FailUnknown()
--- a/greengagehoist/tests/test_imports.py
+++ b/greengagehoist/tests/test_imports.py
@@ -8,6 +8,9 @@
 ROOT = Path(__file__).parent.parent
 DECISION_PACKAGES = (
     "base",
+    "deployment",
+    "replicas",
+    "pieces",
     "config",
     "quiet_hours",
     "quota",
--- a/greengagehoist/tests/test_operations_page.py
+++ b/greengagehoist/tests/test_operations_page.py
@@ -14,7 +14,7 @@
 from greengagehoist.daemon import main as daemon
 
 ROOT = Path(__file__).parents[2]
-PAGE = (ROOT / "docs" / "operations.md").read_text()
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
 METRIC_CALLS = ("incr", "timing")
 
 
