--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -112,6 +112,7 @@
         self.measurements = Measurements()
         self.front = GatewayFront(chain, wire, known, clock, self.measurements.observe_request)
         self.probes = ProbeFront({ready_path: self._readiness, METRICS_PATH: self._metrics})
+        self.address = settings.clients
         self._stopping = False
         self._was_ready = False
         self._tasks: list[asyncio.Task] = []
@@ -123,6 +124,8 @@
         """
         loop = asyncio.get_running_loop()
         log_event("listening", interface="peers", address=self.peers.listen())
+        # The port may have been chosen by the system.
+        self.members.own = self.peers.own
         controllers = (
             self.platform,
             self.deployments,
@@ -139,19 +142,21 @@
         address = await self.probes.listen(host, self.metrics_port)
         log_event("listening", interface="metrics", address=address)
         host, port = check_address("clients", self.settings.clients)
-        log_event("listening", interface="clients", address=await self.front.listen(host, port))
+        self.address = await self.front.listen(host, port)
+        log_event("listening", interface="clients", address=self.address)
         # Objects of the start live as long as the process; the collector need not look at them.
         gc.collect()
         gc.freeze()
 
     def _readiness(self) -> tuple[int, bytes]:
-        reason = self._reason_not_ready()
+        reason = self.reason_not_ready()
         if (not reason) != self._was_ready:
             self._was_ready = not reason
             log_event("readiness_changed", ready=not reason, reason=reason)
         return (503, reason.encode()) if reason else (200, b"ready\n")
 
-    def _reason_not_ready(self) -> str:
+    def reason_not_ready(self) -> str:
+        """Return why the load balancer should send no connections, empty if it should."""
         known, now = self.deployments.known.value, self.clock.monotonic()
         if self._stopping:
             return "stopping"
@@ -194,6 +199,10 @@
             if not self.front.in_flight:
                 break
         log_event("stopped", in_flight=self.front.in_flight, unregistered=unregistered.done())
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Stop at once and end all connections."""
         await self.front.stop()
         await self.probes.stop()
         for task in self._tasks:
--- /dev/null
+++ b/greengagehoist/daemon/tests/test_gateway.py
@@ -0,0 +1,444 @@
+"""Guards against broken promises of the whole gateway, against stand-ins on loopback."""
+
+import asyncio
+import random
+
+import pytest
+
+from greengagehoist.daemon._gateway import GatewayDaemon
+from greengagehoist.gateway import Bounds, GatewaySettings
+from greengagehoist.http1 import (
+    IncompleteError,
+    ResponseReader,
+    encode_request,
+    get_header,
+    open_socket,
+)
+from greengagehoist.platform import READY_PATH, PlatformWire, StoreCalls
+from greengagehoist.standins._prepared import (
+    BreaksOff,
+    Full,
+    LosesAnswers,
+    MixesUp,
+    PreparedReplica,
+    PreparedStore,
+    Silent,
+)
+from greengagehoist.utils import SystemClock
+
+BOUNDS = Bounds(grace_s=4.0, revoke_s=3.0)
+
+
+def route(name, prefix, kind, service, attempts=1, **fields):
+    return {
+        "name": name,
+        "host": "h.example",
+        "prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 2000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": attempts,
+        **fields,
+    }
+
+
+def config(version=1, keys=("key1",)):
+    stages = [
+        {"service": "pool", "after": [], "bytes": 10},
+        {"service": "pool", "after": [0], "bytes": 10},
+    ]
+    pool = {"batch": 4, "call_ms": 5.0, "item_ms": 1.0, "headroom_mb": 1.0}
+    return {
+        "version": version,
+        "routes": [
+            route("book", "/book/", "non_idempotent", "desk", 2),
+            route("look", "/look/", "idempotent", "desk", 2),
+            route("text", "/text/", "streaming", "llm", 2, resumable=True, gap_target_ms=400),
+            route("once", "/once/", "streaming", "llm", 1, gap_target_ms=400),
+            route("deep", "/deep/", "streaming", "llm", 1, gap_target_ms=400, stages=stages),
+        ],
+        "services": [
+            {"name": "desk"},
+            {"name": "llm", "engine": {"slots": 8}},
+            {"name": "pool", "segments": pool},
+        ],
+        "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 5000},
+        "tenants": [{"name": "t1", "api_keys": list(keys), "priority": 0}],
+    }
+
+
+class System:
+    """A gateway with the stand-ins around it."""
+
+    def __init__(self):
+        self.store = PreparedStore()
+        self.desks = [PreparedReplica(f"d{n}", "desk", "a") for n in range(2)]
+        self.engines = [PreparedReplica(f"e{n}", "llm", "a", "engine") for n in range(2)]
+        self.pool = [PreparedReplica(f"p{n}", "pool", "a") for n in range(2)]
+        self.daemons = []
+        self.sent = 0
+
+    @property
+    def replicas(self):
+        return self.desks + self.engines + self.pool
+
+    async def start(self, daemons=1):
+        await self.store.start()
+        for replica in self.replicas:
+            await replica.start()
+            self.store.put("servers", replica.replica_id, replica.entry())
+        self.store.put("op", "config", config())
+        for number in range(daemons):
+            await self.add_daemon(f"vm{number}")
+
+    async def add_daemon(self, vm):
+        settings = GatewaySettings(
+            vm,
+            "a",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            self.store.address,
+            300,
+            BOUNDS,
+        )
+        daemon = GatewayDaemon(
+            settings,
+            StoreCalls(),
+            PlatformWire(),
+            READY_PATH,
+            0,
+            SystemClock(),
+            random.Random(1),
+        )
+        await daemon.start()
+        self.daemons.append(daemon)
+        await until(lambda: daemon.reason_not_ready() == "")
+
+    async def stop(self):
+        for daemon in self.daemons:
+            await daemon.abort()
+        for standin in [self.store, *self.replicas]:
+            await standin.stop()
+
+    async def connect(self, daemon=0):
+        host, _, port = self.daemons[daemon].address.partition(":")
+        return await open_socket(host, int(port), 1.0)
+
+    def encode(self, path, body=b"", key=b"key1", **headers):
+        self.sent += 1
+        fields = [
+            (b"Host", b"h.example"),
+            (b"X-Greengagehoist-Request-Id", b"r%d" % self.sent),
+            (b"X-Greengagehoist-Deadline-Ms", b"1500"),
+            (b"Api-Key", key),
+        ]
+        fields += [(name.replace("_", "-").encode(), value) for name, value in headers.items()]
+        return encode_request(b"POST", path.encode(), tuple(fields), body)
+
+    async def call(self, path, body=b"", daemon=0, **headers):
+        """Send a request on its own connection; returns status, headers and body."""
+        sock = await self.connect(daemon)
+        sock.write(self.encode(path, body, **headers))
+        reader = ResponseReader(sock, b"POST")
+        try:
+            head = await reader.head()
+            return head.status, head.headers, await reader.whole_body()
+        finally:
+            sock.abort()
+
+
+async def until(condition, timeout=5.0):
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+def play():
+    """Return a function that plays a scenario on a started system."""
+
+    def run(scenario, daemons=1):
+        async def main():
+            system = System()
+            try:
+                await system.start(daemons)
+                await scenario(system)
+            finally:
+                await system.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_request_is_passed_on_byte_for_byte(play):
+    async def scenario(system):
+        status, headers, body = await system.call("/book/x%2fy?q=1", b"\x00body")
+        assert (status, body) == (200, b"done \x00body")
+        assert get_header(headers, b"x-greengagehoist-server-stamp") in (b"d0", b"d1")
+        (request,) = [item for desk in system.desks for item in desk.requests]
+        assert request.head.target == b"/book/x%2fy?q=1"
+        names = {name.lower(): value for name, value in request.head.headers}
+        assert names[b"x-greengagehoist-tenant"] == b"t1"
+        assert b"api-key" not in names
+        assert int(names[b"x-greengagehoist-deadline-ms"]) <= 1500
+
+    play(scenario)
+
+
+def test_kept_connection_takes_requests_in_order(play):
+    async def scenario(system):
+        sock = await system.connect()
+        for number in range(3):
+            sock.write(system.encode("/look/a", b"%d" % number))
+            reader = ResponseReader(sock, b"POST")
+            await reader.head()
+            assert await reader.whole_body() == b"done %d" % number
+            assert reader.reusable
+        sock.abort()
+
+    play(scenario)
+
+
+def test_pipelined_requests_are_answered_in_order(play):
+    async def scenario(system):
+        sock = await system.connect()
+        sock.write(b"".join(system.encode("/look/a", b"%d" % number) for number in range(3)))
+        received = b""
+        async with asyncio.timeout(2):
+            while b"done 2" not in received:
+                received += await sock.read()
+        assert received.index(b"done 0") < received.index(b"done 1") < received.index(b"done 2")
+        sock.abort()
+
+    play(scenario)
+
+
+def test_unknown_route_and_key_are_denied(play):
+    async def scenario(system):
+        assert (await system.call("/none/"))[0] == 404
+        assert (await system.call("/look/", key=b"other"))[0] == 401
+        assert not any(desk.requests for desk in system.desks)
+
+    play(scenario)
+
+
+def test_too_large_a_body_is_refused(play):
+    async def scenario(system):
+        assert (await system.call("/look/", b"x" * 1001))[0] == 413
+
+    play(scenario)
+
+
+def test_booking_whose_answer_is_lost_runs_once_and_is_unknown(play):
+    async def scenario(system):
+        for desk in system.desks:
+            desk.behaviour = LosesAnswers()
+        status, _, _ = await system.call("/book/")
+        assert status == 502
+        assert sum(len(desk.ran) for desk in system.desks) == 1
+
+    play(scenario)
+
+
+def test_lookup_whose_answer_is_lost_is_repeated(play):
+    async def scenario(system):
+        for desk in system.desks:
+            desk.behaviour = LosesAnswers()
+        await system.call("/look/")
+        assert sorted(len(desk.ran) for desk in system.desks) == [1, 1]
+
+    play(scenario)
+
+
+def test_rejected_booking_is_moved_or_refused_as_not_run(play):
+    async def scenario(system):
+        system.desks[0].behaviour = Full()
+        assert (await system.call("/book/"))[0] == 200
+        system.desks[1].behaviour = Full()
+        status, headers, _ = await system.call("/book/")
+        assert status == 503
+        assert float(get_header(headers, b"retry-after")) > 0
+
+    play(scenario)
+
+
+def test_answer_of_another_request_is_not_passed_on(play):
+    async def scenario(system):
+        for desk in system.desks:
+            desk.behaviour = MixesUp()
+        status, _, body = await system.call("/book/")
+        assert (status, body) == (502, b"")
+
+    play(scenario)
+
+
+def test_silent_replica_gives_a_timely_answer(play):
+    async def scenario(system):
+        for desk in system.desks:
+            desk.behaviour = Silent()
+        assert (await system.call("/book/"))[0] == 504
+
+    play(scenario)
+
+
+def test_stream_that_breaks_off_is_resumed_at_another_replica(play):
+    async def scenario(system):
+        for engine in system.engines:
+            engine.behaviour = BreaksOff(3)
+        status, _, body = await system.call("/text/")
+        assert status == 200
+        assert body == b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(5))
+
+    play(scenario)
+
+
+def test_stream_that_cannot_be_resumed_is_aborted(play):
+    async def scenario(system):
+        for engine in system.engines:
+            engine.behaviour = BreaksOff(3)
+        with pytest.raises(IncompleteError):
+            await system.call("/once/")
+
+    play(scenario)
+
+
+def test_started_stream_is_aborted_if_no_other_replica_can_be_reached(play):
+    """The gateway once sent a 502 within the started answer."""
+
+    async def scenario(system):
+        system.engines[0].behaviour = BreaksOff(2)
+        system.engines[1].behaviour = BreaksOff(2)
+        first = asyncio.ensure_future(system.call("/text/"))
+        await until(lambda: any(engine.ran for engine in system.engines))
+        other = next(engine for engine in system.engines if not engine.ran)
+        await other.stop()
+        with pytest.raises(IncompleteError):
+            await first
+
+    play(scenario)
+
+
+def test_stages_run_as_a_graph_and_their_results_are_freed(play):
+    async def scenario(system):
+        status, _, _ = await system.call(
+            "/deep/",
+            X_Greengagehoist_Segments=b"2,3",
+            X_Greengagehoist_Segment_Key=b"pk",
+        )
+        assert status == 200
+        made = {handle: item for p in system.pool for handle, item in p.made.items()}
+        first = {handle for handle, item in made.items() if item["stage"] == 0}
+        second = {handle for handle, item in made.items() if item["stage"] == 1}
+        assert len(first) == 2
+        assert len(second) == 3
+        for handle in first:
+            assert made[handle]["key"] == "pk"
+        for handle in second:
+            assert set(made[handle]["inputs"]) == first
+        (request,) = [item for engine in system.engines for item in engine.requests]
+        inputs = get_header(request.head.headers, b"x-greengagehoist-inputs").decode()
+        assert set(inputs.split(",")) == second
+        await until(lambda: {h for p in system.pool for h in p.freed} == first | second)
+
+    play(scenario)
+
+
+def test_pieces_of_several_daemons_share_calls(play):
+    async def scenario(system):
+        await until(lambda: all(daemon.members.count.value == 3 for daemon in system.daemons), 9)
+        await asyncio.sleep(0.6)
+        for replica in system.pool:
+            replica.pause_s = 0.1
+        headers = {"X_Greengagehoist_Segments": b"1,0", "X_Greengagehoist_Segment_Key": b"k"}
+        calls = [system.call("/deep/", daemon=n % 3, **headers) for n in range(12)]
+        assert {status for status, _, _ in await asyncio.gather(*calls)} == {200}
+        assert max(size for replica in system.pool for size in replica.calls) >= 3
+
+    play(scenario, daemons=3)
+
+
+def test_silent_pool_replica_is_worked_around(play):
+    async def scenario(system):
+        system.pool[0].behaviour = Silent()
+        headers = {"X_Greengagehoist_Segments": b"4,0", "X_Greengagehoist_Segment_Key": b"k"}
+        results = await asyncio.gather(*(system.call("/deep/", **headers) for _ in range(3)))
+        assert {status for status, _, _ in results} == {200}
+
+    play(scenario)
+
+
+def test_client_that_leaves_frees_the_replica(play):
+    async def scenario(system):
+        for desk in system.desks:
+            desk.behaviour = Silent()
+        sock = await system.connect()
+        sock.write(system.encode("/book/"))
+        await until(lambda: any(desk.ran for desk in system.desks))
+        sock.abort()
+        await until(lambda: system.daemons[0].front.in_flight == 0, 0.4)
+
+    play(scenario)
+
+
+def test_new_configuration_is_in_force_and_revoked_key_is_refused(play):
+    async def scenario(system):
+        system.store.put("op", "config", config(2, keys=("key2",)))
+        known = system.daemons[0].deployments.known
+        await until(lambda: known.value.deployment.version == 2, 2.0)
+        assert (await system.call("/look/"))[0] == 401
+        assert (await system.call("/look/", key=b"key2"))[0] == 200
+
+    play(scenario)
+
+
+def test_keys_are_refused_when_the_platform_is_away_for_too_long(play):
+    """A revocation may be in force that this daemon cannot see."""
+
+    async def scenario(system):
+        system.store.available = False
+        assert (await system.call("/look/"))[0] == 200
+        await asyncio.sleep(BOUNDS.revoke_s + 0.1)
+        status, headers, _ = await system.call("/look/")
+        assert status == 503
+        assert get_header(headers, b"retry-after") is not None
+        system.store.available = True
+        await until(lambda: system.daemons[0].reason_not_ready() == "")
+        assert (await system.call("/look/"))[0] == 200
+
+    play(scenario)
+
+
+def test_leaving_replica_gets_no_requests(play):
+    async def scenario(system):
+        leaving = system.desks[0]
+        system.store.put("servers", leaving.replica_id, leaving.entry("draining"))
+        book = system.daemons[0].replicas.book
+        await until(lambda: book.value.replicas[leaving.replica_id].leaving)
+        for _ in range(6):
+            assert (await system.call("/look/"))[0] == 200
+        assert not leaving.requests
+
+    play(scenario)
+
+
+def test_stop_finishes_requests_and_answers_until_then(play):
+    async def scenario(system):
+        for desk in system.desks:
+            desk.pause_s = 0.4
+        pending = asyncio.ensure_future(system.call("/book/"))
+        await until(lambda: any(desk.requests for desk in system.desks))
+        stopping = asyncio.ensure_future(system.daemons[0].stop())
+        await asyncio.sleep(0.05)
+        assert system.daemons[0].reason_not_ready() == "stopping"
+        late = await system.call("/book/")
+        assert late[0] == 200
+        assert get_header(late[1], b"connection") == b"close"
+        assert (await pending)[0] == 200
+        await stopping
+        assert ("greengagehoist", "member/vm0") not in system.store.rows
+
+    play(scenario)
