Keep stage calls in the zone of their data, leave cut zones out, repeat failed lookups

Change: work of the replica's own zone counts as due 0.3 s earlier; zones whose daemons and a replica do not answer are left out for 1 s; a lookup's first 5xx is repeated within the budget; reads every 1.2 s.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -13,6 +13,7 @@
     MemberController,
     PlacementController,
     PoolController,
+    ReachController,
     ReplicaController,
     Unregister,
 )
@@ -90,7 +91,10 @@
             bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s, self.members.count
         )
         self.replicas = ReplicaController(self.platform, clock, rng)
-        self.placement = PlacementController(self.replicas.book, clock, settings.data_centre)
+        self.reach = ReachController(self.peers, self.members.others, clock, settings.data_centre)
+        self.placement = PlacementController(
+            self.replicas.book, self.reach.reach, clock, settings.data_centre
+        )
         self.pools = PoolController(
             self.deployments.known,
             self.replicas.book,
@@ -101,6 +105,7 @@
             self.budgets.new_window,
         )
         self.replicas.followers = (self.pools,)
+        self.reach.followers = (self.pools,)
         known = self.deployments.known
         chain = compose(
             [
@@ -132,6 +137,7 @@
             self.replicas,
             self.peers,
             self.members,
+            self.reach,
             self.placement,
             self.pools,
         )
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -18,6 +18,7 @@
     StageEnd,
     SubmitStage,
 )
+from greengagehoist.gateway.controllers._reach import Reach, ReachController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
 
 __all__ = [
@@ -33,6 +34,8 @@
     "MemberController",
     "PlacementController",
     "PoolController",
+    "Reach",
+    "ReachController",
     "ReplicaController",
     "ReplicasChanged",
     "StageEnd",
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -9,8 +9,8 @@
 from greengagehoist.platform_client import ReadDeployment
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
-# A change must be in force within two seconds of its acknowledgement; two reads fit into that.
-POLL_S = 0.8
+# A change must be in force within two seconds of its acknowledgement; a read and its repetition fit into that.
+POLL_S = 1.2
 # While the configuration is unknown or the platform fails, reads are repeated faster.
 RETRY_S = 0.3
 
@@ -55,7 +55,7 @@
         self.tell(_Read(result, sent_at))
         ok = isinstance(result, Success) and self.known.value is not None
         period = POLL_S if ok else RETRY_S
-        await self.clock.sleep(period * self.rng.uniform(0.9, 1.1))
+        await self.clock.sleep(period * self.rng.uniform(0.95, 1.05))
         self.tell(Tick())
 
     def _apply(self, result: Result, sent_at: float) -> None:
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -41,7 +41,8 @@
 
     Entries are written once and not renewed: links between the daemons show who is alive.
 
-    :param count: published number of members, at least 1.
+    :ivar count: published number of members, at least 1.
+    :ivar others: published members without this one.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.clock = clock
         self.rng = rng
         self.count: Published[int] = Published(1)
+        self.others: Published[tuple[Member, ...]] = Published(())
         self._row_version = 0
         self._unlinked_since: dict[str, float] = {}
         self._leaving = False
@@ -103,7 +105,8 @@
             await self._register(own_row[0].version if own_row else 0)
         else:
             self._row_version = own_row[0].version
-        self.peers.tell(SetMembers(tuple(item for _, item in members.values())))
+        self.others.value = tuple(item for _, item in members.values())
+        self.peers.tell(SetMembers(self.others.value))
         self.platform.tell(SetShare(len(members) + 1))
         if self.count.value != len(members) + 1:
             log_event("members_changed", members=len(members) + 1)
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -2,6 +2,7 @@
 
 from typing import Any, NamedTuple
 
+from greengagehoist.gateway.controllers._reach import Reach
 from greengagehoist.replicas import (
     Affinity,
     Book,
@@ -15,6 +16,8 @@
 # A replica that refused a connection is left out for this long, doubling with each failure.
 FIRST_AVOID_S = 0.5
 LONGEST_AVOID_S = 4.0
+# A data centre that seems cut off is tried again after this time.
+ZONE_CUT_S = 1.0
 # Part of a new sample in the running error rate of a replica.
 ERROR_SMOOTHING = 0.2
 # Error rate above which a replica is left out, if its siblings are better.
@@ -49,7 +52,8 @@
 class Ended(NamedTuple):
     """Tell the end of a request at a replica.
 
-    :param failure: what went wrong: ``""``, ``unreachable``, ``rejected`` or ``failed``.
+    :param failure: what went wrong: ``""``, ``unreachable``, ``rejected``, ``failed`` or
+        ``cancelled`` if the client left.
     """
 
     replica_id: str
@@ -77,15 +81,18 @@
     """Chooses replicas by prompt parts, load, zone and recent failures.
 
     :param book: the known replicas.
+    :param reach: which daemons and data centres can be reached.
     :param zone: data centre of this daemon.
     """
 
-    def __init__(self, book: Published[Book], clock: Clock, zone: str):
+    def __init__(self, book: Published[Book], reach: Published[Reach], clock: Clock, zone: str):
         super().__init__("placement")
         self.book = book
+        self.reach = reach
         self.clock = clock
         self.zone = zone
         self._health: dict[str, _Health] = {}
+        self._cut_until: dict[str, float] = {}
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
@@ -114,12 +121,31 @@
         fresh = [item for item in candidates if item.replica_id not in wanted.exclude]
         return choose(
             fresh,
-            lambda key: self._health[key].seen if key in self._health else Observed(),
+            self._observed,
             wanted.affinity,
             self.zone,
             self.clock.monotonic(),
         )
 
+    def _observed(self, replica_id: str) -> Observed:
+        health = self._health.get(replica_id)
+        seen = health.seen if health is not None else Observed()
+        replica = self.book.value.replicas.get(replica_id)
+        cut = self._cut_until.get(replica.zone, 0.0) if replica is not None else 0.0
+        if cut <= seen.avoid_until:
+            return seen
+        return seen._replace(avoid_until=cut)
+
+    def _observe_zone(self, replica_id: str, unreachable: bool, now: float) -> None:
+        """Leave a whole data centre out if neither its daemons nor a replica can be reached."""
+        replica = self.book.value.replicas.get(replica_id)
+        if replica is None:
+            return
+        if not unreachable:
+            self._cut_until.pop(replica.zone, None)
+        elif replica.zone in self.reach.value.silent_zones:
+            self._cut_until[replica.zone] = now + ZONE_CUT_S
+
     def _choose(self, wanted: Choose) -> Replica | None:
         found = self._find(wanted)
         if found is not None:
@@ -134,7 +160,11 @@
         health = self._of(end.replica_id)
         seen = health.seen._replace(in_flight=max(0, health.seen.in_flight - 1))
         now = self.clock.monotonic()
+        if end.failure != "cancelled":
+            self._observe_zone(end.replica_id, end.failure == "unreachable", now)
         match end.failure:
+            case "cancelled":
+                pass
             case "unreachable":
                 pause = min(LONGEST_AVOID_S, FIRST_AVOID_S * 2**health.unreachable)
                 health.unreachable = min(8, health.unreachable + 1)
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -5,10 +5,10 @@
 from greengagehoist.deployment import Knowledge
 from greengagehoist.gateway import WireFormat
 from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker, ResultFreer
+from greengagehoist.gateway.controllers._reach import Reach, ReachChanged
 from greengagehoist.gateway.controllers._replicas import ReplicasChanged
 from greengagehoist.peers import (
     FromPeer,
-    GetPeers,
     Goodbye,
     SendTo,
     StageCancel,
@@ -34,8 +34,6 @@
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, tick
 
 TICK_S = 0.1
-# A peer without a frame for this long does not own pools: its heartbeats come more often.
-SILENT_AFTER_S = 1.2
 # A call that takes this many times its usual duration is repeated at another replica.
 OVERDUE_FACTOR = 2.5
 OVERDUE_MARGIN_S = 0.15
@@ -103,11 +101,6 @@
     """Give the own pools up: new work goes to other daemons."""
 
 
-class _Peers(NamedTuple):
-    alive: frozenset[str]
-    linked: frozenset[str]
-
-
 class _Freed(NamedTuple):
     address: str
     handles: tuple[str, ...]
@@ -234,8 +227,8 @@
                 self._free_results(service, handles)
             case GetBacklogs(services, rank):
                 reply(tuple(self._backlog(service, rank) for service in services))
-            case _Peers(alive, linked):
-                self._set_peers(alive, linked)
+            case ReachChanged(reach):
+                self._set_reach(reach)
             case Leave():
                 self._leaving = True
             case _Freed():
@@ -338,16 +331,10 @@
                 # The peer still finishes the work that it has.
                 self._alive -= {vm}
 
-    def _set_peers(self, alive: frozenset[str], linked: frozenset[str]) -> None:
-        if alive != self._alive:
-            log_event(
-                "pool_daemons_changed",
-                alive=len(alive) + 1,
-                lost=",".join(sorted(self._alive - alive)),
-            )
-        self._alive = alive
+    def _set_reach(self, reach: Reach) -> None:
+        self._alive = reach.ready
         for pending in list(self._pending.values()):
-            if pending.owner != self.vm and pending.owner not in linked:
+            if pending.owner != self.vm and pending.owner not in reach.linked:
                 log_event(
                     "stage_moved",
                     request=pending.work.request_id,
@@ -572,7 +559,6 @@
 
     def _tick(self) -> None:
         now = self.clock.monotonic()
-        self.start(self._look_at_peers())
         for service, pool in self._pools.items():
             for job in pool.queue.expire(now):
                 self._finish_job(service, job, "late")
@@ -588,17 +574,6 @@
             del self._finished[key]
         self._flush_frees()
 
-    async def _look_at_peers(self) -> None:
-        peers = await self.peers.ask(GetPeers())
-        linked = frozenset(peer.vm for peer in peers if peer.silent_for < SILENT_AFTER_S)
-        alive = frozenset(
-            peer.vm
-            for peer in peers
-            if peer.vm in linked and peer.heartbeat is not None and peer.heartbeat.ready
-        )
-        if alive != self._alive or self._pending:
-            self.tell(_Peers(alive, linked))
-
     def _check_overdue(self, service: str, pool: _Pool, member: _Member, now: float) -> None:
         limit = OVERDUE_FACTOR * member.expected_s + OVERDUE_MARGIN_S
         if member.pieces is None or member.overdue or now - member.started < limit:
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -9,8 +9,9 @@
 from greengagehoist.replicas import Book, Replica, apply_outage, apply_read
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
-# A leaving replica must get no request two seconds after the list shows it; two reads fit in.
-POLL_S = 0.8
+# A leaving replica must get no request two seconds after the list shows it; a read and its
+# repetition fit in.
+POLL_S = 1.2
 RETRY_S = 0.3
 
 
@@ -80,7 +81,7 @@
         self.tell(_Read(tuple(replicas) if ok else None, unreadable, sent_at))
         known = ok and replicas
         period = POLL_S if known else RETRY_S
-        await self.clock.sleep(period * self.rng.uniform(0.9, 1.1))
+        await self.clock.sleep(period * self.rng.uniform(0.95, 1.05))
         self.tell(Tick())
 
     def _apply(self, read: _Read) -> None:
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -169,6 +169,14 @@
                 case AbortAnswer():
                     return StreamBroken("the replica's answer broke off")
 
+    def _may_improve(self, exchange: Exchange, head: ResponseHead) -> bool:
+        """Return whether another replica may be asked after a replica's own failure."""
+        progress = exchange.progress
+        if head.status < SERVER_ERROR or progress.sends or not may_repeat(exchange.route.kind):
+            return False
+        left = exchange.final_by - self.clock.monotonic()
+        return exchange.route.max_attempts > 1 and left > exchange.route.target_latency_s
+
     def _decide(self, exchange: Exchange, end: SendEnd) -> NextStep:
         now, progress = self.clock.monotonic(), exchange.progress
         window = self.budgets.of_service(exchange.service)
@@ -205,7 +213,7 @@
                     failure = ""
             return end
         except asyncio.CancelledError:
-            failure = ""
+            failure = "cancelled"
             raise
         finally:
             self.placement.tell(Ended(replica.replica_id, failure))
@@ -277,6 +285,8 @@
             body = await reader.whole_body()
         except (IncompleteError, ProtocolError):
             return Broken()
+        if self._may_improve(exchange, head):
+            return Broken()
         if head.status in (408, 421, 429, 503):
             # These statuses would promise that the request has not run, which the replica did
             # not state.
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -7,6 +7,12 @@
 
 # Time for which a piece waits for a replica in the zone where its result is read, in seconds.
 ZONE_WAIT_S = 0.12
+# Longest such wait of a piece that would still end in time.
+LONGEST_ZONE_WAIT_S = 0.25
+# Time before its latest start from which a piece does not wait that long.
+ZONE_SLACK_S = 0.15
+# Among equally urgent work, a replica prefers what is due this much later in its own zone.
+ZONE_HEAD_START_S = 0.3
 
 
 # Part of what could be sent that a call must hold, if memory for results bounds it.
@@ -114,6 +120,14 @@
         ]
         return [self.jobs.pop(key) for key in late]
 
+    def _waits_for_zone(self, job: Job, zone: str, zones: frozenset[str], now: float) -> bool:
+        wanted = job.work.zone
+        if wanted in ("", zone) or wanted not in zones:
+            return False
+        start_by = job.work.due - self.expected_s(min(len(job.waiting), self.limits.batch))
+        spare = start_by - ZONE_SLACK_S
+        return now < job.since + ZONE_WAIT_S or now < min(spare, job.since + LONGEST_ZONE_WAIT_S)
+
     def _gives_up_at(self, job: Job) -> float:
         # A client's further attempt is late from the start; it waits for spare capacity.
         patience = RETRY_PATIENCE * (job.work.deadline - job.since)
@@ -129,7 +143,8 @@
 
         Work that can still end when it is due goes before work that is late; then the most
         urgent requests go first, then those that are due first. Large results wait for a replica
-        in the zone where they are read, for ``ZONE_WAIT_S`` at most.
+        in the zone where they are read, for ``ZONE_WAIT_S``,
+        or longer if they still end in time.
 
         :param zone: data centre of the replica.
         :param zones: data centres with replicas that take calls.
@@ -141,9 +156,14 @@
         ready = [
             job
             for job in self.jobs.values()
-            if job.waiting and not _waits_for_zone(job, zone, zones, now)
+            if job.waiting and not self._waits_for_zone(job, zone, zones, now)
         ]
-        ready.sort(key=lambda job: (self._is_late(job, now), job.work.rank, job.work.due))
+
+        def order(job: Job) -> tuple[bool, int, float]:
+            head_start = ZONE_HEAD_START_S if job.work.zone == zone else 0.0
+            return self._is_late(job, now), job.work.rank, job.work.due - head_start
+
+        ready.sort(key=order)
         waiting = sum(len(job.waiting) for job in ready)
         chosen: list[tuple[Job, int]] = []
         for job in ready:
@@ -170,8 +190,3 @@
         pieces.append(Piece(work.request_id, work.stage, segment, work.key, work.inputs, left))
     del job.waiting[:count]
     return pieces
-
-
-def _waits_for_zone(job: Job, zone: str, zones: frozenset[str], now: float) -> bool:
-    wanted = job.work.zone
-    return wanted not in ("", zone) and wanted in zones and now - job.since < ZONE_WAIT_S
