Let large deployments share hubs

Change: two hubs in each data centre, on the largest machines; all daemons link to them and only they own pools. The period of the reads follows the bounds of the deployment.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -24,7 +24,7 @@
     StageFilter,
 )
 from greengagehoist.gateway.front import GatewayFront, ProbeFront
-from greengagehoist.membership import Member
+from greengagehoist.membership import Member, choose_hub_links
 from greengagehoist.peers import Broadcast, Goodbye, PeerController, UpdateHeartbeat
 from greengagehoist.platform_client import CallCodec, PlatformController
 from greengagehoist.utils import Clock, Measurements, check_address, log_event
@@ -46,6 +46,9 @@
 # Part of the bound for applying a configuration up to which a request may be denied by it.
 DENY_PART = 0.7
 METRICS_PATH = b"/metrics"
+# Part of the bounds for applying configurations and leaving replicas after which the platform is
+# read again; the rest is for a slow or repeated read.
+READ_PART = 0.6
 # All daemons of a deployment share the platform's network, which gives them no secret.
 PEER_CREDENTIAL = "greengagehoist-gateway-peers"
 
@@ -74,9 +77,12 @@
         self.metrics_port = metrics_port
         bounds = settings.bounds
         self.platform = PlatformController(settings.platform, clock, rng, calls, LONGEST_BREAKER_S)
-        self.deployments = DeploymentController(self.platform, clock, rng)
+        read_every = READ_PART * min(bounds.apply_s, bounds.drain_s)
+        self.deployments = DeploymentController(self.platform, clock, rng, read_every)
         incarnation = int(clock.now().timestamp() * 1000)
-        own = Member(settings.vm, settings.data_centre, settings.peers, incarnation)
+        own = Member(
+            settings.vm, settings.data_centre, settings.peers, incarnation, settings.capacity
+        )
         self.peers = PeerController(
             own,
             (),
@@ -85,13 +91,14 @@
             rng,
             dead_after=PEER_DEAD_S,
             heartbeat_period=PEER_HEARTBEAT_S,
+            choose=choose_hub_links,
         )
         self.members = MemberController(self.platform, self.peers, own, clock, rng)
         self.budgets = RepeatBudgets(
             bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s, self.members.count
         )
-        self.replicas = ReplicaController(self.platform, clock, rng)
-        self.reach = ReachController(self.peers, self.members.others, clock, settings.data_centre)
+        self.replicas = ReplicaController(self.platform, clock, rng, read_every)
+        self.reach = ReachController(self.peers, self.members.links, clock, settings.data_centre)
         self.placement = PlacementController(
             self.replicas.book, self.reach.reach, clock, settings.data_centre
         )
@@ -102,6 +109,7 @@
             wire,
             clock,
             settings.vm,
+            self.members.hubs,
             self.budgets.new_window,
         )
         self.replicas.followers = (self.pools,)
--- a/greengagehoist/daemon/tests/test_gateway.py
+++ b/greengagehoist/daemon/tests/test_gateway.py
@@ -101,7 +101,7 @@
             "127.0.0.1:0",
             "127.0.0.1:0",
             self.store.address,
-            300,
+            1.0,
             BOUNDS,
         )
         daemon = GatewayDaemon(
--- a/greengagehoist/gateway/_settings.py
+++ b/greengagehoist/gateway/_settings.py
@@ -32,7 +32,7 @@
     :param readiness: address of the load balancer's readiness check.
     :param peers: address of the listener for other daemons.
     :param platform: address of the platform.
-    :param memory_mb: memory of this VM in MB.
+    :param capacity: relative capacity of this VM: cores, bounded by the link.
     """
 
     vm: str
@@ -41,5 +41,5 @@
     readiness: str
     peers: str
     platform: str
-    memory_mb: int
+    capacity: float
     bounds: Bounds
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -9,8 +9,6 @@
 from greengagehoist.platform_client import ReadDeployment
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
-# A change must be in force within two seconds of its acknowledgement; a read and its repetition fit into that.
-POLL_S = 1.2
 # While the configuration is unknown or the platform fails, reads are repeated faster.
 RETRY_S = 0.3
 
@@ -25,13 +23,16 @@
 
     A periodic read is used instead of a change feed, because only the answer to a read that was
     sent after an instant proves that no key was revoked before that instant.
+
+    :param read_every: seconds between reads.
     """
 
-    def __init__(self, platform: Controller, clock: Clock, rng: random.Random):
+    def __init__(self, platform: Controller, clock: Clock, rng: random.Random, read_every: float):
         super().__init__("deployment")
         self.platform = platform
         self.clock = clock
         self.rng = rng
+        self.read_every = read_every
         self.known: Published[Knowledge | None] = Published(None)
         self._row = 0
         self._failing = False
@@ -54,7 +55,7 @@
         result = await self.platform.ask(ReadDeployment(self._row))
         self.tell(_Read(result, sent_at))
         ok = isinstance(result, Success) and self.known.value is not None
-        period = POLL_S if ok else RETRY_S
+        period = self.read_every if ok else RETRY_S
         await self.clock.sleep(period * self.rng.uniform(0.95, 1.05))
         self.tell(Tick())
 
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -5,7 +5,7 @@
 
 from returns.result import Result, Success
 
-from greengagehoist.membership import Member
+from greengagehoist.membership import Member, choose_hub_links, choose_hubs
 from greengagehoist.peers import GetPeers, SetMembers
 from greengagehoist.platform_client import (
     DeleteRow,
@@ -42,7 +42,8 @@
     Entries are written once and not renewed: links between the daemons show who is alive.
 
     :ivar count: published number of members, at least 1.
-    :ivar others: published members without this one.
+    :ivar links: published members that this daemon links to.
+    :ivar hubs: published names of the members that all others link to.
     """
 
     def __init__(
@@ -60,7 +61,8 @@
         self.clock = clock
         self.rng = rng
         self.count: Published[int] = Published(1)
-        self.others: Published[tuple[Member, ...]] = Published(())
+        self.links: Published[tuple[Member, ...]] = Published(())
+        self.hubs: Published[frozenset[str]] = Published(frozenset({own.vm}))
         self._row_version = 0
         self._unlinked_since: dict[str, float] = {}
         self._leaving = False
@@ -105,8 +107,10 @@
             await self._register(own_row[0].version if own_row else 0)
         else:
             self._row_version = own_row[0].version
-        self.others.value = tuple(item for _, item in members.values())
-        self.peers.tell(SetMembers(self.others.value))
+        everyone = (self.own, *(item for _, item in members.values()))
+        self.hubs.value = choose_hubs(everyone)
+        self.links.value = choose_hub_links(self.own.vm, self.own.data_centre, everyone)
+        self.peers.tell(SetMembers(everyone))
         self.platform.tell(SetShare(len(members) + 1))
         if self.count.value != len(members) + 1:
             log_event("members_changed", members=len(members) + 1)
@@ -132,6 +136,9 @@
         reply(None)
 
     async def _remove_dead(self, members: dict[str, tuple[Row, Member]]) -> None:
+        if self.own.vm not in self.hubs.value:
+            # Only hubs have links to all others.
+            return
         now = self.clock.monotonic()
         linked = {peer.vm for peer in await self.peers.ask(GetPeers())}
         for vm in linked | (self._unlinked_since.keys() - members.keys()):
@@ -149,6 +156,6 @@
 def read_member(row: Row) -> Member | None:
     """Return the member of a row, or None if the row is not one."""
     match row.value:
-        case [str(vm), str(data_centre), str(address), int(incarnation)]:
-            return Member(vm, data_centre, address, incarnation)
+        case [str(vm), str(data_centre), str(address), int(incarnation), int() | float() as size]:
+            return Member(vm, data_centre, address, incarnation, float(size))
     return None
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -1,5 +1,6 @@
 """Controller that runs the work of stage pools in batches, together with the other daemons."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from greengagehoist.deployment import Knowledge
@@ -167,6 +168,7 @@
     queue or reject the surplus calls, and a piece may be made twice.
 
     :param vm: name of the own VM.
+    :param hubs: published names of the VMs whose daemons may own pools.
     :param repeats: builds the budget of repeated pieces of one pool.
     """
 
@@ -178,7 +180,8 @@
         wire: WireFormat,
         clock: Clock,
         vm: str,
-        repeats: Any,
+        hubs: Published[frozenset[str]],
+        repeats: Callable[[], RepeatWindow],
     ):
         super().__init__("pools")
         self.known = known
@@ -187,6 +190,7 @@
         self.wire = wire
         self.clock = clock
         self.vm = vm
+        self.hubs = hubs
         self.make_repeats = repeats
         self._alive: frozenset[str] = frozenset()
         self._leaving = False
@@ -274,7 +278,9 @@
                 self._place(pending)
 
     def _owner_of(self, service: str) -> str:
-        names = self._alive if self._leaving and self._alive else self._alive | {self.vm}
+        names = self._alive & self.hubs.value
+        if not names or (not self._leaving and self.vm in self.hubs.value):
+            names |= {self.vm}
         return max(names, key=lambda name: rendezvous_rank(service, name))
 
     def _resolve(self, key: JobKey, end: StageEnd) -> bool:
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -9,9 +9,7 @@
 from greengagehoist.replicas import Book, Replica, apply_outage, apply_read
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
-# A leaving replica must get no request two seconds after the list shows it; a read and its
-# repetition fit in.
-POLL_S = 1.2
+# Seconds between reads while the platform fails or nothing is known yet.
 RETRY_S = 0.3
 
 
@@ -32,6 +30,7 @@
 
     The list is read as a whole: a feed would return with every heartbeat of every replica.
 
+    :param read_every: seconds between reads.
     :param followers: controllers that receive :class:`ReplicasChanged`.
     """
 
@@ -40,12 +39,14 @@
         platform: Controller,
         clock: Clock,
         rng: random.Random,
+        read_every: float,
         followers: tuple[Controller, ...] = (),
     ):
         super().__init__("replicas")
         self.platform = platform
         self.clock = clock
         self.rng = rng
+        self.read_every = read_every
         self.followers = followers
         self.book: Published[Book] = Published(Book())
         self._unreadable = 0
@@ -80,7 +81,7 @@
                 break
         self.tell(_Read(tuple(replicas) if ok else None, unreadable, sent_at))
         known = ok and replicas
-        period = POLL_S if known else RETRY_S
+        period = self.read_every if known else RETRY_S
         await self.clock.sleep(period * self.rng.uniform(0.95, 1.05))
         self.tell(Tick())
 
--- a/greengagehoist/membership/__init__.py
+++ b/greengagehoist/membership/__init__.py
@@ -1,6 +1,11 @@
 """Life cycles of VMs and targets, leave marks and the choice of peers."""
 
-from greengagehoist.membership._choice import Member, choose_peers
+from greengagehoist.membership._choice import (
+    Member,
+    choose_hub_links,
+    choose_hubs,
+    choose_peers,
+)
 from greengagehoist.membership._lifecycle import (
     TARGET_LIFE,
     VM_LIFE,
@@ -22,5 +27,7 @@
     "TargetState",
     "VM_LIFE",
     "VmState",
+    "choose_hub_links",
+    "choose_hubs",
     "choose_peers",
 ]
--- a/greengagehoist/peers/_controller.py
+++ b/greengagehoist/peers/_controller.py
@@ -3,6 +3,7 @@
 import hmac
 import random
 import socket
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
@@ -96,6 +97,7 @@
     :param seeds: peers' addresses to dial while no other peer is known or linked.
     :param dead_after: seconds without a frame after which a link is dead.
     :param heartbeat_period: seconds between heartbeats.
+    :param choose: chooses the members to link to.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         dead_after: float = DEAD_AFTER_S,
         heartbeat_period: float = HEARTBEAT_PERIOD_S,
         tls: TlsFiles = NO_TLS,
+        choose: Callable[[str, str, tuple[Member, ...]], tuple[Member, ...]] = choose_peers,
     ):
         super().__init__("peers")
         self.own = own
@@ -118,6 +121,7 @@
         self.dead_after = dead_after
         self.heartbeat_period = heartbeat_period
         self.tls = tls
+        self.choose = choose
         self._socket: socket.socket | None = None
         self._open: dict[str, _Open] = {}
         self._dials: dict[str, _Dial] = {}
@@ -192,7 +196,7 @@
                 fields = {k: v for k, v in message._asdict().items() if v is not None}
                 self._beat = self._beat._replace(**fields)
             case SetMembers(members):
-                self._members = choose_peers(self.own.vm, self.own.data_centre, members)
+                self._members = self.choose(self.own.vm, self.own.data_centre, members)
             case CloseLinks(reason):
                 self._close_links(reason)
                 reply(None)
--- a/greengagehoist/platform/_settings.py
+++ b/greengagehoist/platform/_settings.py
@@ -11,6 +11,9 @@
 SETTINGS_VARIABLE = "GREENGAGEHOIST_NODE_FILE"
 LONGEST_BOUND_S = 86_400.0
 MOST_REPEATS = 1e9
+LARGEST_LIMIT = 1e9
+# Link at which a daemon that uses one core is not bound by its link.
+MBPS_PER_CORE = 20.0
 
 
 def read_settings(text: str) -> GatewaySettings:
@@ -32,11 +35,19 @@
         readiness=_address(raw, "listen", "ready"),
         peers=f"{ip}:{first_port}",
         platform=_address(raw, "platform", "address"),
-        memory_mb=check_int("limits.memory_mb", _get(raw, "limits", "memory_mb"), 1, 10_000_000),
+        capacity=_capacity(raw),
         bounds=_bounds(raw),
     )
 
 
+def _capacity(raw: Any) -> float:
+    def limit(name: str) -> float:
+        return check_float(f"limits.{name}", _get(raw, "limits", name), 0.0, LARGEST_LIMIT)
+
+    # "cores" is the speed of the machine's core; "cpu_fraction" is the share of it.
+    return min(limit("cpu_fraction") * limit("cores"), limit("link_mbps") / MBPS_PER_CORE)
+
+
 def _bounds(raw: Any) -> Bounds:
     def milliseconds(name: str) -> float:
         value = _get(raw, "bounds", name)
--- a/greengagehoist/platform/tests/test_settings.py
+++ b/greengagehoist/platform/tests/test_settings.py
@@ -12,7 +12,7 @@
 unknown_field: [1, 2]
 listen: {frontend: "10.1.0.41:8625", ready: "10.1.0.41:8621"}
 internal_ports: [7740, 7755]
-limits: {memory_mb: 300, cores: 2}
+limits: {memory_mb: 300, cpu_fraction: 0.5, cores: 2, link_mbps: 1000.0}
 bounds:
   drain_ms: 2000
   grace_s: 8
@@ -31,6 +31,7 @@
     assert settings.peers == "10.1.0.41:7740"
     assert settings.bounds.apply_s == 2.5
     assert settings.bounds.repeat_slack == 54
+    assert settings.capacity == 1.0
 
 
 @pytest.mark.parametrize(
@@ -41,7 +42,7 @@
         ("revoke_ms: 5000", "other: 1", "bounds.revoke_ms"),
         ("[7740, 7755]", "[]", "internal_ports.0"),
         ('"edge-1"', '""', "node_name"),
-        ("memory_mb: 300", "memory_mb: -1", "limits.memory_mb"),
+        ("cores: 2", "cores: -1", "limits.cores"),
     ],
 )
 def test_bad_setting_is_named(old, new, field):
