--- a/greengagehoist/cli/_main.py
+++ b/greengagehoist/cli/_main.py
@@ -37,6 +37,7 @@
     printed,
     with_list_files,
 )
+from greengagehoist.cli._story import format_steps, read_story
 from greengagehoist.cli._tables import (
     format_changes,
     format_conflict,
@@ -313,6 +314,23 @@
     return body, json.dumps(body, indent=2, sort_keys=True), OK
 
 
+@main.command()
+@click.argument("request")
+@click.argument("logs", type=click.File("r"), default="-")
+def explain(request: str, logs: Any) -> None:
+    """Show what happened to a REQUEST, from the log lines of the daemons (file or stdin)."""
+    story = read_story(logs, request)
+    if not story.steps:
+        click.echo(f"{PROGRAM}: request: got {request!r}, accepted: one of the log lines", err=True)
+        raise SystemExit(BAD_INPUT)
+    for line in format_steps(story.steps):
+        click.echo(line)
+    if story.context:
+        click.echo("replicas of the request in the same time:")
+        for line in format_steps(story.context):
+            click.echo(f"  {line}")
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- a/greengagehoist/daemon/tests/test_gateway.py
+++ b/greengagehoist/daemon/tests/test_gateway.py
@@ -72,7 +72,8 @@
 class System:
     """A gateway with the stand-ins around it."""
 
-    def __init__(self):
+    def __init__(self, bounds):
+        self.bounds = bounds
         self.store = PreparedStore()
         self.desks = [PreparedReplica(f"d{n}", "desk", "a") for n in range(2)]
         self.engines = [PreparedReplica(f"e{n}", "llm", "a", "engine") for n in range(2)]
@@ -102,7 +103,7 @@
             "127.0.0.1:0",
             self.store.address,
             1.0,
-            BOUNDS,
+            self.bounds,
         )
         daemon = GatewayDaemon(
             settings,
@@ -160,9 +161,9 @@
 def play():
     """Return a function that plays a scenario on a started system."""
 
-    def run(scenario, daemons=1):
+    def run(scenario, daemons=1, bounds=BOUNDS):
         async def main():
-            system = System()
+            system = System(bounds)
             try:
                 await system.start(daemons)
                 await scenario(system)
@@ -371,6 +372,18 @@
     play(scenario)
 
 
+def test_pieces_that_never_reached_a_replica_need_no_budget(play):
+    """A pool's new owner once failed stages, because unreachable replicas used up its budget."""
+
+    async def scenario(system):
+        await system.pool[0].stop()
+        headers = {"X_Greengagehoist_Segments": b"8,0", "X_Greengagehoist_Segment_Key": b"k"}
+        results = await asyncio.gather(*(system.call("/deep/", **headers) for _ in range(3)))
+        assert {status for status, _, _ in results} == {200}
+
+    play(scenario, bounds=BOUNDS._replace(repeat_ratio=0.0, repeat_slack=0.0))
+
+
 def test_client_that_leaves_frees_the_replica(play):
     async def scenario(system):
         for desk in system.desks:
--- a/greengagehoist/gateway/controllers/_pool_worker.py
+++ b/greengagehoist/gateway/controllers/_pool_worker.py
@@ -17,7 +17,7 @@
 from greengagehoist.utils import Clock, Controller
 
 # Connections to replicas take a few milliseconds; a silent replica must not hold a batch up.
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.25
 # A kept connection is not trusted after this pause, because it may have gone silent.
 LONGEST_IDLE_S = 2.0
 # A call is given up after this many times its usual duration, to survive slow replicas.
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -514,6 +514,11 @@
                 case NotMade("room"):
                     member.room.fill(now)
                     self._repeat_piece(service, pool, job, piece.segment)
+                case None if end.failure == "unreachable":
+                    # The pieces have not arrived anywhere, so this is no repeat.
+                    job.sends[piece.segment] -= 1
+                    if piece.segment not in job.waiting:
+                        job.waiting.append(piece.segment)
                 case _:
                     self._repeat_piece(service, pool, job, piece.segment)
 
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -49,7 +49,7 @@
 from greengagehoist.utils import Clock, Controller, Published, log_event
 
 # Connections take a few milliseconds; one that takes longer goes to a dark or overloaded replica.
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.25
 RETRY_FULL_S = 0.4
 # An idempotent request without an answer for this many target latencies goes to another replica.
 SILENCE_FACTOR = 3.0
@@ -248,6 +248,17 @@
         splitter: EventSplitter,
     ) -> Reply | SendEnd:
         req = exchange.req
+        log_event(
+            "request_sent",
+            request=req.request_id,
+            replica=replica.replica_id,
+            zone=replica.zone,
+            route=exchange.route.name,
+            version=exchange.known.deployment.version,
+            version_age_ms=round((self.clock.monotonic() - exchange.known.confirmed_at) * 1000),
+            send=exchange.progress.sends + 1,
+            left_ms=round(left * 1000),
+        )
         resume_after = splitter.last_id if splitter.last_id is not None else None
         headers = self.wire.replica_headers(exchange, replica, left, resume_after)
         sock.write(encode_request(req.method, req.target, headers, req.body))
--- a/greengagehoist/gateway/filters/_stage_work.py
+++ b/greengagehoist/gateway/filters/_stage_work.py
@@ -193,7 +193,20 @@
             self._zone_of_bytes(exchange, number, count, inputs),
             stage.result_bytes,
         )
-        return await self.pools.ask(SubmitStage(work))
+        began = self.clock.monotonic()
+        end = await self.pools.ask(SubmitStage(work))
+        log_event(
+            "stage_ended",
+            request=work.request_id,
+            stage=number,
+            service=work.service,
+            pieces=count,
+            rank=work.rank,
+            took_ms=round((self.clock.monotonic() - began) * 1000),
+            due_in_ms=round((work.due - self.clock.monotonic()) * 1000),
+            reason=end.reason,
+        )
+        return end
 
     def _time_after(self, exchange: Exchange, number: int) -> float:
         """Return the time from the end of a stage to the beginning of the answer."""
--- /dev/null
+++ b/greengagehoist/utils/tests/test_logging.py
@@ -0,0 +1,70 @@
+"""Guards against log lines that block the daemon, vanish silently or cannot be read back."""
+
+import os
+
+import pytest
+
+from greengagehoist.utils import BoundedWriter, read_pairs
+from greengagehoist.utils._logging import BURST_LINES, LINES_PER_S, _pairs
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def read_all(fd):
+    data = b""
+    while True:
+        try:
+            data += os.read(fd, 65536)
+        except BlockingIOError:
+            return data.decode()
+
+
+def test_lines_are_written_in_order(pipe):
+    writer = BoundedWriter(pipe[1], clock=lambda: 0.0)
+    for number in range(3):
+        writer.write(f"n={number}\n")
+    assert read_all(pipe[0]) == "n=0\nn=1\nn=2\n"
+
+
+def test_reader_that_stops_does_not_block_and_drops_are_counted(pipe):
+    writer = BoundedWriter(pipe[1], clock=lambda: 0.0)
+    for _ in range(int(BURST_LINES)):
+        writer.write("x" * 99 + "\n")
+    assert writer.dropped > 0
+    read_all(pipe[0])
+    writer.clock = lambda: 1.0
+    writer.write("last\n")
+    assert "event=log_lines_dropped count=" in read_all(pipe[0])
+
+
+def test_lines_beyond_the_rate_are_dropped(pipe):
+    now = [0.0]
+    writer = BoundedWriter(pipe[1], clock=lambda: now[0], writable=lambda fd: True)
+    os.set_blocking(pipe[1], False)
+    for _ in range(int(BURST_LINES) + 10):
+        writer.write("\n")
+    assert writer.dropped == 10
+    now[0] += 10 / LINES_PER_S
+    for _ in range(10):
+        writer.write("\n")
+    assert read_all(pipe[0]).count("\n") == BURST_LINES + 11
+
+
+def test_overlong_line_is_cut(pipe):
+    writer = BoundedWriter(pipe[1], clock=lambda: 0.0)
+    writer.write("x" * 10_000)
+    assert len(read_all(pipe[0])) < 4096
+
+
+@pytest.mark.parametrize("value", ["plain", "two words", 'a "quoted" one', "back\\slash x", "a=b"])
+def test_pairs_are_read_back(value):
+    line = f"  12.5 edge-1 ts=1 {_pairs({'event': 'e', 'reason': value, 'n': 3})} vm=x"
+    pairs = read_pairs(line)
+    assert (pairs["event"], pairs["reason"], pairs["n"], pairs["vm"]) == ("e", value, "3", "x")
