--- a/greengagehoist/gateway/filters/_stage_work.py
+++ b/greengagehoist/gateway/filters/_stage_work.py
@@ -159,8 +159,6 @@
                 reason = await ends[before]
                 if reason:
                     return reason
-            if earlier[number] != stage.after:
-                await self._wait_for_others(exchange, number)
             inputs = tuple(item for before in stage.after for item in handles.get(before, ()))
             count = counts[number] if number < len(counts) else 0
             end = StageEnd((), "")
@@ -178,23 +176,6 @@
                 ends[number] = group.create_task(run(number))
         return next((task.result() for task in ends.values() if task.result()), "")
 
-    async def _wait_for_others(self, exchange: Exchange, number: int) -> None:
-        """Wait until a stage with large results ends together with the last stage of its peers.
-
-        The results take up scarce memory of their replicas until the request reads them.
-        """
-        route = exchange.route
-        others = [item for item in final_stages(route) if item != number]
-        if not others or not self._usual_s(exchange, number):
-            return
-        services = tuple(route.stages[item].service for item in (number, *others))
-        waits = await self.pools.ask(GetBacklogs(services, exchange.rank))
-        ends = [
-            wait + self._usual_s(exchange, item)
-            for wait, item in zip(waits, (number, *others), strict=True)
-        ]
-        await self.clock.sleep(max(0.0, max(ends[1:]) - ends[0]))
-
     async def _submit(
         self, exchange: Exchange, number: int, count: int, inputs: tuple[str, ...]
     ) -> StageEnd:
