Count a pool's repeat budget by requests

Cause: the owner of a pool allowed itself repeats for each piece (0.2 of some 1,300 pieces in 10 s), though the budget counts clients' requests (0.2 of some 160, and a slack of 54 for all daemons). Change: one request for each stage of a request; a third of the slack for an owner.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -110,7 +110,7 @@
             clock,
             settings.vm,
             self.members.hubs,
-            self.budgets.new_window,
+            self.budgets.pool_window,
         )
         self.replicas.followers = (self.pools,)
         self.reach.followers = (self.pools,)
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -383,8 +383,7 @@
             log_event("stage_without_pool", "WARNING", service=work.service)
             self._finish_job(work.service, Job(work, origin, now), "failed")
             return
-        for _ in work.segments:
-            pool.repeats.observe_request(now)
+        pool.repeats.observe_request(now)
         pool.queue.add(work, origin, now)
         self._dispatch(work.service, pool)
 
@@ -513,6 +512,8 @@
                     self._finish_job(service, job, "late")
                 case NotMade("room"):
                     member.room.fill(now)
+                    # The replica is left alone until it may have room, so this cannot go on.
+                    job.sends[piece.segment] -= 1
                     self._repeat_piece(service, pool, job, piece.segment)
                 case None if end.failure == "unreachable":
                     # The pieces have not arrived anywhere, so this is no repeat.
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -51,6 +51,8 @@
 # Connections take a few milliseconds; one that takes longer goes to a dark or overloaded replica.
 CONNECT_TIMEOUT_S = 0.25
 RETRY_FULL_S = 0.4
+# Daemons that may own a pool within one window of the budget, one after the other or cut off.
+POOL_OWNERS = 3
 # An idempotent request without an answer for this many target latencies goes to another replica.
 SILENCE_FACTOR = 3.0
 SERVER_ERROR = 500
@@ -72,16 +74,20 @@
         self.daemons = daemons
         self._windows: dict[str, RepeatWindow] = {}
 
-    def new_window(self) -> RepeatWindow:
-        """Return an empty window with this daemon's share of the slack."""
-        share = self.slack / max(1, self.daemons.value)
+    def pool_window(self) -> RepeatWindow:
+        """Return an empty window for the owner of a stage pool.
+
+        A pool has one owner, and a few in one window while daemons are lost or cut off.
+        """
+        share = self.slack / min(POOL_OWNERS, max(1, self.daemons.value))
         return RepeatWindow(self.ratio, share, self.window_s)
 
     def of_service(self, service: str) -> RepeatWindow:
         """Return the window of a service."""
         window = self._windows.get(service)
         if window is None:
-            window = self._windows[service] = self.new_window()
+            window = RepeatWindow(self.ratio, self.slack, self.window_s)
+            self._windows[service] = window
         window.slack = self.slack / max(1, self.daemons.value)
         return window
 
