--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 FUZZ_PROCESSES ?= 5
 FUZZ_PACKAGES := $(patsubst %,greengagehoist/%/tests,config quota quiet_hours filters answers membership orders codec server)
 
-.PHONY: demo test bench bench-quick capacity fuzz chaos lint format setup lock
+.PHONY: demo test bench bench-quick capacity fuzz chaos soak soak-quick lint format setup lock
 
 setup: $(SETUP)
 
@@ -42,6 +42,14 @@
 chaos: $(SETUP)
 	$(BIN)/python -m benchmarks.chaos --seconds 300 --seed $${SEED:-1}
 
+# Gateway processes under random faults; a fresh seed unless SEED is set, COUNT runs.
+soak: $(SETUP)
+	$(BIN)/python -m benchmarks.soak $(if $(SEED),--seed $(SEED),--count $(or $(COUNT),1))
+
+# The seeds that ever failed, and one more, short.
+soak-quick: $(SETUP)
+	$(BIN)/python -m benchmarks.soak --seconds 6 --seed 1 --seed 50
+
 capacity: $(SETUP)
 	$(BIN)/python -m benchmarks.capacity
 
