--- /dev/null
+++ b/greengagehoist/daemon/tests/prepared.py
@@ -0,0 +1,141 @@
+"""A gateway with stand-ins of the prepared platform around it."""
+
+import asyncio
+import random
+
+from greengagehoist.daemon._gateway import GatewayDaemon
+from greengagehoist.gateway import Bounds, GatewaySettings
+from greengagehoist.http1 import ResponseReader, encode_request, open_socket
+from greengagehoist.platform import READY_PATH, PlatformWire, StoreCalls
+from greengagehoist.standins import PreparedReplica, PreparedStore
+from greengagehoist.utils import SystemClock
+
+BOUNDS = Bounds(grace_s=4.0, revoke_s=3.0)
+
+
+def route(name, prefix, kind, service, attempts=1, **fields):
+    return {
+        "name": name,
+        "host": "h.example",
+        "prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 2000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": attempts,
+        **fields,
+    }
+
+
+def config(version=1, keys=("key1",)):
+    stages = [
+        {"service": "pool", "after": [], "bytes": 10},
+        {"service": "pool", "after": [0], "bytes": 10},
+    ]
+    pool = {"batch": 4, "call_ms": 5.0, "item_ms": 1.0, "headroom_mb": 1.0}
+    return {
+        "version": version,
+        "routes": [
+            route("book", "/book/", "non_idempotent", "desk", 2),
+            route("look", "/look/", "idempotent", "desk", 2),
+            route("text", "/text/", "streaming", "llm", 2, resumable=True, gap_target_ms=400),
+            route("once", "/once/", "streaming", "llm", 1, gap_target_ms=400),
+            route("deep", "/deep/", "streaming", "llm", 1, gap_target_ms=400, stages=stages),
+        ],
+        "services": [
+            {"name": "desk"},
+            {"name": "llm", "engine": {"slots": 8}},
+            {"name": "pool", "segments": pool},
+        ],
+        "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 5000},
+        "tenants": [{"name": "t1", "api_keys": list(keys), "priority": 0}],
+    }
+
+
+class System:
+    """A gateway with the stand-ins around it."""
+
+    def __init__(self, bounds):
+        self.bounds = bounds
+        self.store = PreparedStore()
+        self.desks = [PreparedReplica(f"d{n}", "desk", "a") for n in range(2)]
+        self.engines = [PreparedReplica(f"e{n}", "llm", "a", "engine") for n in range(2)]
+        self.pool = [PreparedReplica(f"p{n}", "pool", "a") for n in range(2)]
+        self.daemons = []
+        self.sent = 0
+
+    @property
+    def replicas(self):
+        return self.desks + self.engines + self.pool
+
+    async def start(self, daemons=1):
+        await self.store.start()
+        for replica in self.replicas:
+            await replica.start()
+            self.store.put("servers", replica.replica_id, replica.entry())
+        self.store.put("op", "config", config())
+        for number in range(daemons):
+            await self.add_daemon(f"vm{number}")
+
+    async def add_daemon(self, vm):
+        settings = GatewaySettings(
+            vm,
+            "a",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            self.store.address,
+            1.0,
+            self.bounds,
+        )
+        daemon = GatewayDaemon(
+            settings,
+            StoreCalls(),
+            PlatformWire(),
+            READY_PATH,
+            0,
+            SystemClock(),
+            random.Random(1),
+        )
+        await daemon.start()
+        self.daemons.append(daemon)
+        await until(lambda: daemon.reason_not_ready() == "")
+
+    async def stop(self):
+        for daemon in self.daemons:
+            await daemon.abort()
+        for standin in [self.store, *self.replicas]:
+            await standin.stop()
+
+    async def connect(self, daemon=0):
+        host, _, port = self.daemons[daemon].address.partition(":")
+        return await open_socket(host, int(port), 1.0)
+
+    def encode(self, path, body=b"", key=b"key1", **headers):
+        self.sent += 1
+        fields = [
+            (b"Host", b"h.example"),
+            (b"X-Greengagehoist-Request-Id", b"r%d" % self.sent),
+            (b"X-Greengagehoist-Deadline-Ms", b"1500"),
+            (b"Api-Key", key),
+        ]
+        fields += [(name.replace("_", "-").encode(), value) for name, value in headers.items()]
+        return encode_request(b"POST", path.encode(), tuple(fields), body)
+
+    async def call(self, path, body=b"", daemon=0, **headers):
+        """Send a request on its own connection; returns status, headers and body."""
+        sock = await self.connect(daemon)
+        sock.write(self.encode(path, body, **headers))
+        reader = ResponseReader(sock, b"POST")
+        try:
+            head = await reader.head()
+            return head.status, head.headers, await reader.whole_body()
+        finally:
+            sock.abort()
+
+
+async def until(condition, timeout=5.0):
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await asyncio.sleep(0.01)
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -9,15 +9,15 @@
     LoadReported,
     PlacementController,
 )
-from greengagehoist.gateway.controllers._pools import (
+from greengagehoist.gateway.controllers._pool_messages import (
     CancelStages,
     FreeResults,
     GetBacklogs,
     Leave,
-    PoolController,
     StageEnd,
     SubmitStage,
 )
+from greengagehoist.gateway.controllers._pools import PoolController
 from greengagehoist.gateway.controllers._reach import Reach, ReachController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
 
--- /dev/null
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -0,0 +1,277 @@
+"""A stage pool at its owner: its replicas, the calls to them and what their ends mean."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from greengagehoist.deployment import PoolLimits
+from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker
+from greengagehoist.pieces import (
+    InputGone,
+    Job,
+    JobKey,
+    Made,
+    NotMade,
+    Piece,
+    PoolQueue,
+    Room,
+    TooLate,
+)
+from greengagehoist.replicas import Replica
+from greengagehoist.retries import RepeatWindow
+from greengagehoist.utils import log_event
+
+# A call that takes this many times its usual duration is repeated at another replica.
+OVERDUE_FACTOR = 2.5
+OVERDUE_MARGIN_S = 0.15
+# Part of a new sample in the running slowness of a replica.
+SLOWNESS_SMOOTHING = 0.4
+# A replica that is slower than this gets work only while all are slow.
+SLOW = 1.8
+# Slowness is forgotten with this half-life, so that a replica that has recovered is tried again.
+SLOWNESS_HALF_LIFE_S = 3.0
+FIRST_AVOID_S = 0.3
+LONGEST_AVOID_S = 2.0
+REJECTED_PAUSE_S = 0.05
+# A piece that failed this often is given up.
+MOST_PIECE_SENDS = 6
+# Ranks whose backlogs are told apart; less urgent ones count as the last.
+BACKLOG_RANKS = 4
+
+
+class JobEnd(NamedTuple):
+    """End of the work of one stage.
+
+    :param reason: why it failed: ``""``, ``gone``, ``late`` or ``failed``.
+    """
+
+    job: Job
+    reason: str
+
+
+class CallEffect(NamedTuple):
+    """What the end of a call leads to.
+
+    :param ends: work that has ended with it.
+    :param spare: handles of results that nobody waits for.
+    """
+
+    ends: tuple[JobEnd, ...]
+    spare: tuple[str, ...]
+
+
+class PoolReplica:
+    """A replica of the pool as its owner sees it."""
+
+    __slots__ = ("avoid_until", "expected_s", "failures", "overdue", "pieces", "replica")
+    __slots__ += ("room", "slow_at", "slowness", "started", "worker")
+
+    def __init__(self, replica: Replica, worker: PoolWorker, room: Room):
+        self.replica = replica
+        self.worker = worker
+        self.room = room
+        self.pieces: tuple[Piece, ...] | None = None
+        self.started = 0.0
+        self.expected_s = 0.0
+        self.overdue = False
+        self.slowness = 1.0
+        self.slow_at = 0.0
+        self.failures = 0
+        self.avoid_until = 0.0
+
+    def slowness_at(self, now: float) -> float:
+        """Return the duration of its calls relative to the usual one."""
+        faded = 0.5 ** ((now - self.slow_at) / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (self.slowness - 1.0) * faded
+
+    def observe(self, end: BatchEnded, now: float) -> None:
+        """Learn from the end of a call."""
+        if not end.failure:
+            self.failures = 0
+            sample = end.duration_s / max(0.001, self.expected_s)
+            current = self.slowness_at(now)
+            self.slowness = current + SLOWNESS_SMOOTHING * (sample - current)
+            self.slow_at = now
+            return
+        pause = min(LONGEST_AVOID_S, FIRST_AVOID_S * 2**self.failures)
+        if end.failure == "rejected":
+            pause = REJECTED_PAUSE_S
+        else:
+            self.failures += 1
+        self.avoid_until = now + pause
+        log_event(
+            "stage_call_failed",
+            "WARNING",
+            replica=end.replica_id,
+            failure=end.failure,
+            pieces=len(end.pieces),
+            duration_ms=round(end.duration_s * 1000),
+        )
+
+
+class OwnedPool:
+    """Queue and replicas of one service; part of the state of the pool controller.
+
+    :param repeats: budget of repeated pieces.
+    :param make_worker: builds the worker of a replica.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        limits: PoolLimits,
+        repeats: RepeatWindow,
+        make_worker: Callable[[Replica], PoolWorker],
+    ):
+        self.service = service
+        self.queue = PoolQueue(limits)
+        self.repeats = repeats
+        self.make_worker = make_worker
+        self.members: dict[str, PoolReplica] = {}
+
+    def sync(self, replicas: Iterable[Replica]) -> None:
+        """Follow the list of replicas; one with a call is replaced at the end of the call."""
+        listed = {item.replica_id: item for item in replicas}
+        for key in self.members.keys() - listed.keys():
+            if self.members[key].pieces is None:
+                self.members.pop(key).worker.close()
+        for key, replica in listed.items():
+            member = self.members.get(key)
+            if member is not None and member.pieces is not None:
+                continue
+            if member is None or member.replica.born_ms != replica.born_ms:
+                room = Room(self.queue.limits.result_bytes)
+                self.members[key] = PoolReplica(replica, self.make_worker(replica), room)
+
+    def next_calls(self, listed: dict[str, Replica], now: float) -> list[PoolReplica]:
+        """Take the pieces of the calls that can start now; returns their replicas."""
+        usable = [
+            member
+            for key, member in self.members.items()
+            if member.avoid_until <= now and key in listed and not listed[key].leaving
+        ]
+        zones = frozenset(member.replica.zone for member in usable)
+        idle, started = self._idle_by_speed(usable, now), []
+        for number, member in enumerate(idle):
+            if not self.queue.waiting_pieces():
+                break
+            room, others = member.room.left(now), len(idle) - number
+            batch = self.queue.take_batch(member.replica.zone, zones, room, others, now)
+            if batch:
+                member.pieces, member.started, member.overdue = batch, now, False
+                member.expected_s = self.queue.expected_s(len(batch))
+                started.append(member)
+        return started
+
+    @staticmethod
+    def _idle_by_speed(usable: list[PoolReplica], now: float) -> list[PoolReplica]:
+        """Return the idle replicas, fast ones first; slow ones only if all are slow."""
+        fast = [member for member in usable if member.slowness_at(now) < SLOW]
+        idle = [member for member in fast or usable if member.pieces is None]
+        return sorted(idle, key=lambda member: member.slowness_at(now))
+
+    def end_call(self, end: BatchEnded, now: float) -> CallEffect | None:
+        """Apply the end of a call, or return None if it is not one of this pool."""
+        member = self.members.get(end.replica_id)
+        if member is None or member.pieces is not end.pieces:
+            return None
+        member.observe(end, now)
+        member.pieces = None
+        self._log_call(member, end, now)
+        ends: list[JobEnd] = []
+        spare: list[str] = []
+        for number, piece in enumerate(end.pieces):
+            job = self.queue.jobs.get(JobKey(piece.request_id, piece.stage))
+            outcome = end.ends[number] if end.ends is not None else None
+            if job is None or piece.segment in job.handles:
+                if isinstance(outcome, Made):
+                    spare.append(outcome.handle)
+                continue
+            reason = None
+            match outcome:
+                case Made(handle):
+                    member.room.hold(handle, job.work.result_bytes, now)
+                    job.add_result(piece.segment, handle)
+                    reason = "" if job.is_done else None
+                case InputGone():
+                    reason = "gone"
+                case TooLate():
+                    reason = "late"
+                case NotMade("room"):
+                    # The replica is left alone until it may have room, so this cannot go on.
+                    member.room.fill(now)
+                    job.forget_send(piece.segment)
+                    reason = self._repeat(job, piece.segment, now)
+                case None if end.failure == "unreachable":
+                    # The pieces have not arrived anywhere, so this is no repeat.
+                    job.forget_send(piece.segment)
+                    job.wait(piece.segment)
+                case _:
+                    reason = self._repeat(job, piece.segment, now)
+            if reason is not None:
+                self.queue.drop(job.key)
+                ends.append(JobEnd(job, reason))
+        return CallEffect(tuple(ends), tuple(spare))
+
+    def _repeat(self, job: Job, segment: int, now: float) -> str | None:
+        """Queue a piece again; returns ``failed`` if it may not be repeated."""
+        if segment in job.waiting:
+            return None
+        if job.sends.get(segment, 0) >= MOST_PIECE_SENDS or not self.repeats.take(now):
+            return "failed"
+        job.wait(segment)
+        return None
+
+    def _log_call(self, member: PoolReplica, end: BatchEnded, now: float) -> None:
+        reasons = [getattr(item, "reason", type(item).__name__) for item in end.ends or ()]
+        log_event(
+            "stage_call_ended",
+            service=self.service,
+            replica=end.replica_id,
+            pieces=len(end.pieces),
+            took_ms=round(end.duration_s * 1000),
+            room_kb=round(member.room.left(now) / 1000),
+            waiting=self.queue.waiting_pieces(),
+            failure=end.failure,
+            not_made=",".join(item for item in reasons if item != "Made"),
+        )
+
+    def repeat_overdue(self, now: float) -> None:
+        """Queue the pieces of calls again that take much longer than usual."""
+        for member in self.members.values():
+            limit = OVERDUE_FACTOR * member.expected_s + OVERDUE_MARGIN_S
+            if member.pieces is None or member.overdue or now - member.started < limit:
+                continue
+            member.overdue = True
+            member.slowness, member.slow_at = OVERDUE_FACTOR, now
+            log_event(
+                "stage_call_overdue",
+                "WARNING",
+                replica=member.replica.replica_id,
+                pieces=len(member.pieces),
+                expected_ms=round(member.expected_s * 1000),
+            )
+            for piece in member.pieces:
+                job = self.queue.jobs.get(JobKey(piece.request_id, piece.stage))
+                if job is not None and piece.segment not in job.handles:
+                    self._repeat(job, piece.segment, now)
+
+    def expire(self, now: float) -> list[JobEnd]:
+        """Give up the work that is not worth doing any more."""
+        return [JobEnd(job, "late") for job in self.queue.expire(now)]
+
+    def backlog(self, now: float) -> tuple[float, ...]:
+        """Return how long new work waits, in seconds by its rank."""
+        usable = sum(member.avoid_until <= now for member in self.members.values())
+        return tuple(self.queue.backlog_s(usable, rank, now) for rank in range(BACKLOG_RANKS))
+
+    def note_freed(self, address: str, handles: tuple[str, ...]) -> None:
+        """Regain the memory of results that the replica at ``address`` has freed."""
+        for member in self.members.values():
+            if member.replica.address == address:
+                for handle in handles:
+                    member.room.free(handle)
+
+    def close(self) -> None:
+        """Close the connections to the replicas."""
+        for member in self.members.values():
+            member.worker.close()
--- /dev/null
+++ b/greengagehoist/gateway/tests/test_owned_pool.py
@@ -0,0 +1,89 @@
+"""Guards against pieces that are lost, repeated beyond the budget, or hang at a pool's owner."""
+
+import pytest
+
+from greengagehoist.deployment import PoolLimits
+from greengagehoist.gateway.controllers._owned_pool import OwnedPool
+from greengagehoist.gateway.controllers._pool_worker import BatchEnded
+from greengagehoist.pieces import InputGone, Made, NotMade, StageWork
+from greengagehoist.replicas import Replica
+from greengagehoist.retries import RepeatWindow
+
+REPLICAS = {
+    name: Replica(name, "s", "10.0.0.1", 80 + number, "a", 1, 1, False)
+    for number, name in enumerate(("r0", "r1"))
+}
+
+
+@pytest.fixture
+def pool():
+    limits = PoolLimits(4, 0.1, 0.01, 10e6)
+    made = OwnedPool("s", limits, RepeatWindow(0.0, 5.0, 10.0), lambda replica: None)
+    made.sync(REPLICAS.values())
+    return made
+
+
+def work(name="x", count=2):
+    return StageWork(name, "s", 0, tuple(range(count)), "k", (), 1, 5.0, 9.0, "", 0.0)
+
+
+def end_of(member, ends, failure=""):
+    return BatchEnded(member.replica.replica_id, member.pieces, ends, failure, 0.1)
+
+
+def test_work_ends_with_its_results_in_order(pool):
+    pool.queue.add(work(), "", 0.0)
+    (member,) = pool.next_calls(REPLICAS, 0.0)
+    effect = pool.end_call(end_of(member, (Made("a/1"), Made("a/2"))), 0.2)
+    ((job, reason),) = effect.ends
+    assert (job.ordered_handles(), reason) == (("a/1", "a/2"), "")
+
+
+def test_lost_call_is_repeated_at_another_replica(pool):
+    pool.queue.add(work(), "", 0.0)
+    (member,) = pool.next_calls(REPLICAS, 0.0)
+    assert pool.end_call(end_of(member, None, "lost"), 0.2).ends == ()
+    (other,) = pool.next_calls(REPLICAS, 0.2)
+    assert other is not member
+
+
+def test_repeats_end_with_the_budget(pool):
+    pool.queue.add(work(count=3), "", 0.0)
+    (member,) = pool.next_calls(REPLICAS, 0.0)
+    pool.end_call(end_of(member, None, "lost"), 0.2)
+    (member,) = pool.next_calls(REPLICAS, 0.2)
+    ((_, reason),) = pool.end_call(end_of(member, None, "lost"), 0.4).ends
+    assert reason == "failed"
+
+
+def test_call_that_ends_after_its_work_was_replaced_is_harmless(pool):
+    """A stage that ran again lost the count of its sends, and the old call's end raised KeyError."""
+    pool.queue.add(work(), "", 0.0)
+    (member,) = pool.next_calls(REPLICAS, 0.0)
+    pool.queue.add(work(), "", 0.1)
+    effect = pool.end_call(end_of(member, (NotMade("room"), NotMade("room"))), 0.2)
+    assert effect.ends == ()
+    assert pool.queue.waiting_pieces() == 2
+
+
+def test_result_that_nobody_waits_for_is_spare(pool):
+    pool.queue.add(work(), "", 0.0)
+    (member,) = pool.next_calls(REPLICAS, 0.0)
+    pool.queue.drop_request("x")
+    assert pool.end_call(end_of(member, (Made("a/1"), InputGone())), 0.2).spare == ("a/1",)
+
+
+def test_overdue_call_is_repeated_once_and_its_late_results_count(pool):
+    pool.queue.add(work(), "", 0.0)
+    (slow,) = pool.next_calls(REPLICAS, 0.0)
+    pool.repeat_overdue(2.0)
+    pool.repeat_overdue(2.1)
+    (other,) = pool.next_calls(REPLICAS, 2.1)
+    assert len(other.pieces) == 2
+    ((_, reason),) = pool.end_call(end_of(slow, (Made("a/1"), Made("a/2"))), 2.2).ends
+    assert reason == ""
+    assert pool.end_call(end_of(other, (Made("b/1"), Made("b/2"))), 2.3).spare == ("b/1", "b/2")
+
+
+def test_end_of_a_call_of_another_pool_is_passed_over(pool):
+    assert pool.end_call(BatchEnded("other", (), (), "", 0.1), 0.0) is None
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -57,6 +57,21 @@
         """Whether all results exist."""
         return len(self.handles) == len(self.work.segments)
 
+    def add_result(self, segment: int, handle: str) -> None:
+        """Note a result; the piece is not made again."""
+        self.handles[segment] = handle
+        if segment in self.waiting:
+            self.waiting.remove(segment)
+
+    def wait(self, segment: int) -> None:
+        """Queue a piece for another call."""
+        if segment not in self.waiting:
+            self.waiting.append(segment)
+
+    def forget_send(self, segment: int) -> None:
+        """Take back the count of a send that no replica has worked on."""
+        self.sends[segment] = max(0, self.sends.get(segment, 0) - 1)
+
     def ordered_handles(self) -> tuple[str, ...]:
         """Return the handles in the order of the segments."""
         return tuple(self.handles[item] for item in self.work.segments)
