Put changed settings in force, hold the adapter's border by a test

Cause: SIGHUP read the settings file but the filters kept the old bounds, and a change without a signal went unseen. Change: bounds are told to the filter, the budgets and the readers; the file is looked at each second; an invalid file changes nothing. A test holds that only the gateway program imports the adapter and that no wire name stands outside it. Fields that nothing read are removed.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -6,7 +6,7 @@
 
 from greengagehoist.base import compose
 from greengagehoist.deployment import is_fresh
-from greengagehoist.gateway import GatewaySettings, WireFormat
+from greengagehoist.gateway import Bounds, GatewaySettings, WireFormat
 from greengagehoist.gateway.controllers import (
     DeploymentController,
     Leave,
@@ -15,6 +15,7 @@
     PoolController,
     ReachController,
     ReplicaController,
+    SetReadPeriod,
     Unregister,
 )
 from greengagehoist.gateway.filters import (
@@ -77,8 +78,7 @@
         self.metrics_port = metrics_port
         bounds = settings.bounds
         self.platform = PlatformController(settings.platform, clock, rng, calls, LONGEST_BREAKER_S)
-        read_every = READ_PART * min(bounds.apply_s, bounds.drain_s)
-        self.deployments = DeploymentController(self.platform, clock, rng, read_every)
+        self.deployments = DeploymentController(self.platform, clock, rng, read_period(bounds))
         incarnation = int(clock.now().timestamp() * 1000)
         own = Member(
             settings.vm, settings.data_centre, settings.peers, incarnation, settings.capacity
@@ -97,7 +97,7 @@
         self.budgets = RepeatBudgets(
             bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s, self.members.count
         )
-        self.replicas = ReplicaController(self.platform, clock, rng, read_every)
+        self.replicas = ReplicaController(self.platform, clock, rng, read_period(bounds))
         self.reach = ReachController(self.peers, self.members.links, clock, settings.data_centre)
         self.placement = PlacementController(
             self.replicas.book, self.reach.reach, clock, settings.data_centre
@@ -115,9 +115,11 @@
         self.replicas.followers = (self.pools,)
         self.reach.followers = (self.pools,)
         known = self.deployments.known
+        self.route_filter = RouteFilter(known, clock, 0.0, 0.0)
+        self.apply_settings(settings)
         chain = compose(
             [
-                RouteFilter(known, clock, bounds.revoke_s, DENY_PART * bounds.apply_s),
+                self.route_filter,
                 StageFilter(self.pools, self.placement, self.replicas.book, clock),
                 ReplicaFilter(self.placement, self.pools, self.budgets, wire, clock),
             ]
@@ -130,6 +132,16 @@
         self._was_ready = False
         self._tasks: list[asyncio.Task] = []
 
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Put changed bounds in force; addresses stay until the next start."""
+        bounds = settings.bounds
+        self.settings = settings
+        self.route_filter.revoke_after_s = bounds.revoke_s
+        self.route_filter.deny_within_s = DENY_PART * bounds.apply_s
+        self.deployments.tell(SetReadPeriod(read_period(bounds)))
+        self.replicas.tell(SetReadPeriod(read_period(bounds)))
+        self.budgets.set_bounds(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s)
+
     async def start(self) -> None:
         """Start the controllers and the listeners.
 
@@ -222,3 +234,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def read_period(bounds: Bounds) -> float:
+    """Return the seconds between reads of the platform that keep the bounds."""
+    return READ_PART * min(bounds.apply_s, bounds.drain_s)
--- a/greengagehoist/daemon/gateway.py
+++ b/greengagehoist/daemon/gateway.py
@@ -21,6 +21,8 @@
 from greengagehoist.utils import SystemClock, ValidationError, log_event, setup_logging
 
 BAD_SETTINGS = 2
+# Seconds between looks at the settings file.
+WATCH_PERIOD_S = 1.0
 
 
 @click.command()
@@ -72,21 +74,43 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, daemon)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, daemon)
     log_event("started", vm=settings.vm, data_centre=settings.data_centre)
     await daemon.start()
+    watching = loop.create_task(_watch_settings(daemon))
     await stopping.wait()
+    watching.cancel()
     await daemon.stop()
 
 
-def _reload(daemon: GatewayDaemon) -> None:
+async def _watch_settings(daemon: GatewayDaemon) -> None:
+    """Follow the settings file, which may also change without a signal."""
+    seen = _modified_at()
+    while True:
+        await daemon.clock.sleep(WATCH_PERIOD_S)
+        now = _modified_at()
+        if now != seen:
+            seen = now
+            reload_settings(daemon)
+
+
+def _modified_at() -> int:
+    try:
+        return os.stat(os.environ.get(SETTINGS_VARIABLE, "")).st_mtime_ns
+    except OSError as exc:
+        log_event("settings_rejected", "ERROR", reason=str(exc))
+        return 0
+
+
+def reload_settings(daemon: GatewayDaemon) -> None:
+    """Read the settings file again; an invalid one changes nothing."""
     try:
         settings = load_settings()
     except (ValidationError, OSError) as exc:
         log_event("settings_rejected", "ERROR", reason=str(exc))
         return
     log_event("settings_reloaded", changed=settings != daemon.settings)
-    daemon.settings = settings
+    daemon.apply_settings(settings)
 
 
 if __name__ == "__main__":
--- a/greengagehoist/daemon/tests/prepared.py
+++ b/greengagehoist/daemon/tests/prepared.py
@@ -53,6 +53,27 @@
     }
 
 
+def settings_text(revoke_ms, grace_s):
+    """Return a settings file with these bounds."""
+    return f"""
+node_name: vm0
+zone: a
+ip: 127.0.0.1
+listen: {{frontend: "127.0.0.1:1", ready: "127.0.0.1:2"}}
+internal_ports: [7740, 7755]
+limits: {{cpu_fraction: 0.5, cores: 2, link_mbps: 1000}}
+platform: {{address: "127.0.0.1:3"}}
+bounds:
+  drain_ms: 2000
+  grace_s: {grace_s}
+  config_apply_ms: 2000
+  revoke_ms: {revoke_ms}
+  retry_budget_ratio: 0.2
+  budget_window_s: 10
+  retry_budget_slack: 54
+"""
+
+
 class System:
     """A gateway with the stand-ins around it."""
 
--- a/greengagehoist/daemon/tests/test_gateway.py
+++ b/greengagehoist/daemon/tests/test_gateway.py
@@ -3,9 +3,18 @@
 import asyncio
 
 import pytest
-
-from greengagehoist.daemon.tests.prepared import BOUNDS, System, config, until
+from click.testing import CliRunner
+
+from greengagehoist.daemon.gateway import main, reload_settings
+from greengagehoist.daemon.tests.prepared import (
+    BOUNDS,
+    System,
+    config,
+    settings_text,
+    until,
+)
 from greengagehoist.http1 import IncompleteError, ResponseReader, get_header
+from greengagehoist.platform import SETTINGS_VARIABLE
 from greengagehoist.standins import BreaksOff, Full, LosesAnswers, MixesUp, Silent
 
 
@@ -307,3 +316,33 @@
         assert ("greengagehoist", "member/vm0") not in system.store.rows
 
     play(scenario)
+
+
+def test_changed_bounds_are_in_force_and_invalid_settings_change_nothing(
+    play, tmp_path, monkeypatch
+):
+    path = tmp_path / "settings.yaml"
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+
+    async def scenario(system):
+        daemon = system.daemons[0]
+        path.write_text(settings_text(revoke_ms=2500, grace_s=5))
+        reload_settings(daemon)
+        assert daemon.route_filter.revoke_after_s == 2.5
+        path.write_text(settings_text(revoke_ms="soon", grace_s=6))
+        reload_settings(daemon)
+        assert daemon.route_filter.revoke_after_s == 2.5
+        assert daemon.settings.bounds.grace_s == 5
+        assert (await system.call("/look/"))[0] == 200
+
+    play(scenario)
+
+
+def test_program_names_a_bad_setting_and_exits_with_2(tmp_path, monkeypatch):
+    path = tmp_path / "settings.yaml"
+    path.write_text(settings_text(revoke_ms="soon", grace_s=6))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    result = CliRunner().invoke(main, [])
+    assert result.exit_code == 2
+    assert "bounds.revoke_ms" in result.output
+    assert len(result.output.strip().splitlines()) == 1
--- a/greengagehoist/deployment/_types.py
+++ b/greengagehoist/deployment/_types.py
@@ -53,7 +53,6 @@
 
     :param priority: rank of the requests, 0 is the most urgent.
     :param max_attempts: replicas that may run one attempt of the client.
-    :param shares_prompts: whether requests name the parts of their prompt.
     """
 
     name: str
@@ -67,7 +66,6 @@
     max_attempts: int
     stages: tuple[Stage, ...]
     public: bool
-    shares_prompts: bool
 
 
 class PoolLimits(NamedTuple):
@@ -89,12 +87,10 @@
     """A group of replicas.
 
     :param pool: limits of a stage pool, None for other services.
-    :param is_engine: whether the replicas are model engines.
     """
 
     name: str
     pool: PoolLimits | None
-    is_engine: bool
 
 
 class Tenant(NamedTuple):
--- a/greengagehoist/deployment/tests/test_routes.py
+++ b/greengagehoist/deployment/tests/test_routes.py
@@ -17,7 +17,7 @@
 
 
 def route(name, prefix, host="h", backends=(Backend("s", 1),)):
-    return Route(name, host, prefix, Idempotent(), 1.0, 0.5, 0, backends, 1, (), False, False)
+    return Route(name, host, prefix, Idempotent(), 1.0, 0.5, 0, backends, 1, (), False)
 
 
 @pytest.fixture
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -1,6 +1,6 @@
 """Tasks that own the gateway's state and talk by messages."""
 
-from greengagehoist.gateway.controllers._deployment import DeploymentController
+from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
 from greengagehoist.gateway.controllers._members import MemberController, Unregister
 from greengagehoist.gateway.controllers._placement import (
     Choose,
@@ -38,6 +38,7 @@
     "ReachController",
     "ReplicaController",
     "ReplicasChanged",
+    "SetReadPeriod",
     "StageEnd",
     "SubmitStage",
     "Unregister",
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -13,6 +13,12 @@
 RETRY_S = 0.3
 
 
+class SetReadPeriod(NamedTuple):
+    """Tell how many seconds may lie between reads of the platform."""
+
+    seconds: float
+
+
 class _Read(NamedTuple):
     result: Result
     sent_at: float
@@ -47,6 +53,8 @@
         match message:
             case Tick():
                 self.start(self._read())
+            case SetReadPeriod(seconds):
+                self.read_every = seconds
             case _Read(result, sent_at):
                 self._apply(result, sent_at)
 
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -5,6 +5,7 @@
 
 from returns.result import Result, Success
 
+from greengagehoist.gateway.controllers._deployment import SetReadPeriod
 from greengagehoist.platform_client import ListReplicas
 from greengagehoist.replicas import Book, Replica, apply_outage, apply_read
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
@@ -61,6 +62,8 @@
         match message:
             case Tick():
                 self.start(self._read())
+            case SetReadPeriod(seconds):
+                self.read_every = seconds
             case _Read():
                 self._apply(message)
 
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -74,6 +74,12 @@
         self.daemons = daemons
         self._windows: dict[str, RepeatWindow] = {}
 
+    def set_bounds(self, ratio: float, slack: float, window_s: float) -> None:
+        """Put other bounds in force; pools follow when their owner changes."""
+        self.ratio, self.slack, self.window_s = ratio, slack, window_s
+        for window in self._windows.values():
+            window.ratio, window.window_s = ratio, window_s
+
     def pool_window(self) -> RepeatWindow:
         """Return an empty window for the owner of a stage pool.
 
--- a/greengagehoist/platform/_config.py
+++ b/greengagehoist/platform/_config.py
@@ -60,7 +60,6 @@
             for item in raw.get("stages") or ()
         ),
         public=bool(raw.get("public")),
-        shares_prompts=bool(raw.get("sticky")),
     )
 
 
@@ -85,7 +84,7 @@
         piece_s=pool["item_ms"] / 1000,
         result_bytes=pool["headroom_mb"] * MEGABYTE,
     )
-    return Service(raw["name"], limits or None, bool(raw.get("engine")))
+    return Service(raw["name"], limits or None)
 
 
 def _limits(raw: dict[str, Any]) -> Limits:
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -53,9 +53,7 @@
 @pytest.fixture
 def exchange_of(request_of):
     def make(*headers, tenant=None, stages=(), inputs=()):
-        route = Route(
-            "r", "h", "/", Idempotent(), 1, 1, 2, (Backend("s", 1),), 1, stages, False, True
-        )
+        route = Route("r", "h", "/", Idempotent(), 1, 1, 2, (Backend("s", 1),), 1, stages, False)
         known = Knowledge(Deployment(1, {}, {}, {}, True, Limits()), 0.0)
         return Exchange(
             request_of(*headers), None, 0.0, Progress(), known, route, "s", tenant, inputs=inputs
--- a/greengagehoist/replicas/_choice.py
+++ b/greengagehoist/replicas/_choice.py
@@ -26,7 +26,6 @@
     :param load: last report, or None.
     :param reported_at: instant of the report.
     :param avoid_until: instant until which it gets requests only if no other replica is left.
-    :param slowness: latency relative to its siblings, 1.0 is typical.
     """
 
     in_flight: int = 0
@@ -34,7 +33,6 @@
     load: Load | None = None
     reported_at: float = 0.0
     avoid_until: float = 0.0
-    slowness: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +104,6 @@
     def cost(item: Replica) -> float:
         seen = observed(item.replica_id)
         crossing = 0.0 if item.zone == zone else ZONE_WEIGHT
-        return (used_share(item, seen, now) + crossing) * max(1.0, seen.slowness)
+        return used_share(item, seen, now) + crossing
 
     return min(usable, key=cost)
--- a/greengagehoist/tests/test_imports.py
+++ b/greengagehoist/tests/test_imports.py
@@ -82,3 +82,28 @@
     module = tmp_path / "_bad.py"
     module.write_text("import asyncio\nfrom greengagehoist.targets import Send\n")
     assert sorted(violations(module)) == ["asyncio", "greengagehoist.targets"]
+
+
+def product_modules():
+    """Return the modules that must not know the platform's names."""
+    for path in sorted(ROOT.rglob("*.py")):
+        parts = path.relative_to(ROOT).parts
+        if parts[0] not in ("platform", "standins") and "tests" not in parts:
+            yield path
+
+
+def test_only_the_gateway_program_imports_the_adapter():
+    users = {
+        str(path.relative_to(ROOT))
+        for path in product_modules()
+        if any(
+            name == "greengagehoist.platform" or name.startswith("greengagehoist.platform.")
+            for name in imported_modules(path)
+        )
+    }
+    assert users == {"daemon/gateway.py"}
+
+
+@pytest.mark.parametrize("name", ["X-Greengagehoist-", "/greengagehoist/", "rows-get", "stage-run"])
+def test_names_of_the_wire_stay_in_the_adapter(name):
+    assert [str(path) for path in product_modules() if name in path.read_text()] == []
