--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -19,6 +19,7 @@
     Unregister,
 )
 from greengagehoist.gateway.filters import (
+    EngineStarts,
     RepeatBudgets,
     ReplicaFilter,
     RouteFilter,
@@ -117,11 +118,12 @@
         known = self.deployments.known
         self.route_filter = RouteFilter(known, clock, 0.0, 0.0)
         self.apply_settings(settings)
+        starts = EngineStarts()
         chain = compose(
             [
                 self.route_filter,
-                StageFilter(self.pools, self.placement, self.replicas.book, clock),
-                ReplicaFilter(self.placement, self.pools, self.budgets, wire, clock),
+                StageFilter(self.pools, self.placement, self.replicas.book, starts, clock),
+                ReplicaFilter(self.placement, self.pools, self.budgets, starts, wire, clock),
             ]
         )
         self.measurements = Measurements()
--- a/greengagehoist/daemon/tests/test_gateway.py
+++ b/greengagehoist/daemon/tests/test_gateway.py
@@ -13,6 +13,7 @@
     settings_text,
     until,
 )
+from greengagehoist.gateway.controllers import CancelStages, ReserveStages, StagePlan
 from greengagehoist.http1 import IncompleteError, ResponseReader, get_header
 from greengagehoist.platform import SETTINGS_VARIABLE
 from greengagehoist.standins import BreaksOff, Full, LosesAnswers, MixesUp, Silent
@@ -209,6 +210,44 @@
     play(scenario)
 
 
+def test_stage_results_are_freed_once_the_engine_has_fetched_them(play):
+    """Results that were kept until the first event filled the memory of their replicas."""
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.prefill_s = 0.5
+        headers = {"X_Greengagehoist_Segments": b"2,0", "X_Greengagehoist_Segment_Key": b"k"}
+        call = asyncio.ensure_future(system.call("/deep/", **headers))
+        await until(lambda: sum(len(replica.freed) for replica in system.pool) == 2)
+        assert not call.done()
+        assert any(engine.requests for engine in system.engines)
+        assert (await call)[0] == 200
+
+    play(scenario)
+
+
+def test_request_that_the_pools_cannot_serve_in_time_is_refused_at_once(play):
+    """Each daemon once knew only of the work that it had seen end."""
+
+    async def scenario(system):
+        await until(lambda: all(len(d.members.hubs.value) == 2 for d in system.daemons), 9)
+        await asyncio.sleep(0.6)
+        due = system.daemons[0].clock.monotonic() + 0.2
+        plans = (StagePlan("pool", 1000, due),)
+        await system.daemons[0].pools.ask(ReserveStages("other", 0, plans))
+        headers = {"X_Greengagehoist_Segments": b"2,2", "X_Greengagehoist_Segment_Key": b"k"}
+        for daemon in range(2):
+            status, fields, _ = await system.call("/deep/", daemon=daemon, **headers)
+            assert status == 503
+            assert float(get_header(fields, b"retry-after")) > 0
+        assert not any(replica.calls for replica in system.pool)
+        system.daemons[0].pools.tell(CancelStages("other", reserved=True))
+        await asyncio.sleep(0.1)
+        assert (await system.call("/deep/", daemon=1, **headers))[0] == 200
+
+    play(scenario, daemons=2)
+
+
 def test_pieces_of_several_daemons_share_calls(play):
     async def scenario(system):
         await until(lambda: all(daemon.members.count.value == 3 for daemon in system.daemons), 9)
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -10,6 +10,9 @@
 from greengagehoist.pieces import Piece, PieceEnd
 from greengagehoist.replicas import Load, Replica
 
+# Route priorities that are told apart for equal tenants; engines know ten ranks in all.
+ROUTE_RANKS = 3
+
 
 class PromptPart(NamedTuple):
     """Part of a prompt that other requests may share."""
@@ -126,10 +129,12 @@
 
     @property
     def rank(self) -> int:
-        """Rank of the request, 0 is the most urgent; a tenant's goes before the route's."""
-        if self.tenant is not None and self.tenant.priority is not None:
-            return self.tenant.priority
-        return self.route.priority
+        """Rank of the request, 0 is the most urgent.
+
+        The tenant's priority decides first; the route's orders the requests of equal tenants.
+        """
+        tenant = self.tenant.priority if self.tenant is not None else None
+        return ROUTE_RANKS * (tenant or 0) + min(self.route.priority, ROUTE_RANKS - 1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -12,9 +12,10 @@
 from greengagehoist.gateway.controllers._pool_messages import (
     CancelStages,
     FreeResults,
-    GetBacklogs,
     Leave,
+    ReserveStages,
     StageEnd,
+    StagePlan,
     SubmitStage,
 )
 from greengagehoist.gateway.controllers._pools import PoolController
@@ -28,7 +29,6 @@
     "Ended",
     "FindHome",
     "FreeResults",
-    "GetBacklogs",
     "Leave",
     "LoadReported",
     "MemberController",
@@ -38,8 +38,10 @@
     "ReachController",
     "ReplicaController",
     "ReplicasChanged",
+    "ReserveStages",
     "SetReadPeriod",
     "StageEnd",
+    "StagePlan",
     "SubmitStage",
     "Unregister",
 ]
--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -13,6 +13,7 @@
     NotMade,
     Piece,
     PoolQueue,
+    Reservation,
     Room,
     TooLate,
 )
@@ -34,8 +35,6 @@
 REJECTED_PAUSE_S = 0.05
 # A piece that failed this often is given up.
 MOST_PIECE_SENDS = 6
-# Ranks whose backlogs are told apart; less urgent ones count as the last.
-BACKLOG_RANKS = 4
 
 
 class JobEnd(NamedTuple):
@@ -259,17 +258,26 @@
         """Give up the work that is not worth doing any more."""
         return [JobEnd(job, "late") for job in self.queue.expire(now)]
 
-    def backlog(self, now: float) -> tuple[float, ...]:
-        """Return how long new work waits, in seconds by its rank."""
-        usable = sum(member.avoid_until <= now for member in self.members.values())
-        return tuple(self.queue.backlog_s(usable, rank, now) for rank in range(BACKLOG_RANKS))
-
-    def note_freed(self, address: str, handles: tuple[str, ...]) -> None:
-        """Regain the memory of results that the replica at ``address`` has freed."""
-        for member in self.members.values():
-            if member.replica.address == address:
-                for handle in handles:
-                    member.room.free(handle)
+    def wait_s(self, new: Reservation, now: float) -> float:
+        """Return the seconds until the pool has done what goes before new work."""
+        usable = [item for item in self.members.values() if item.avoid_until <= now]
+        if any(item.pieces is None for item in usable):
+            busy = 0.0
+        else:
+            busy = min((item.started + item.expected_s - now for item in usable), default=0.0)
+        speed = sum(1.0 / max(1.0, item.slowness_at(now)) for item in usable)
+        return max(0.0, busy) + self.queue.wait_s(new, speed, now)
+
+    def note_freed(self, address: str, handles: tuple[str, ...]) -> bool:
+        """Regain the memory of results that the replica at ``address`` has freed.
+
+        :return: whether the replica is one of this pool.
+        """
+        found = [item for item in self.members.values() if item.replica.address == address]
+        for member in found:
+            for handle in handles:
+                member.room.free(handle)
+        return bool(found)
 
     def close(self) -> None:
         """Close the connections to the replicas."""
--- a/greengagehoist/gateway/controllers/_pool_messages.py
+++ b/greengagehoist/gateway/controllers/_pool_messages.py
@@ -1,8 +1,9 @@
 """Messages of the pool controller, and stage work as peers send it."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
-from greengagehoist.peers import StageSubmit
+from greengagehoist.peers import StageReserve, StageSubmit
 from greengagehoist.pieces import StageWork
 
 
@@ -23,10 +24,37 @@
     reason: str
 
 
+class StagePlan(NamedTuple):
+    """Work of one request at one service.
+
+    :param due: instant at which the results should exist, in seconds.
+    """
+
+    service: str
+    pieces: int
+    due: float
+
+
+class ReserveStages(NamedTuple):
+    """Announce the stage work of a request; replied by a dictionary of waiting times.
+
+    It has the seconds until each service has done what goes before the request; a service whose
+    owner does not answer in time is missing.
+    """
+
+    request_id: str
+    rank: int
+    plans: tuple[StagePlan, ...]
+
+
 class CancelStages(NamedTuple):
-    """Drop the waiting stage work of a request that has ended."""
+    """Drop the waiting and the reserved stage work of a request that has ended.
+
+    :param reserved: whether some of the reserved work was not submitted.
+    """
 
     request_id: str
+    reserved: bool
 
 
 class FreeResults(NamedTuple):
@@ -36,16 +64,6 @@
     handles: tuple[str, ...]
 
 
-class GetBacklogs(NamedTuple):
-    """Ask how long new work waits at services; replied by seconds for each of them.
-
-    :param rank: rank of the new work.
-    """
-
-    services: tuple[str, ...]
-    rank: int
-
-
 class Leave(NamedTuple):
     """Give the own pools up: new work goes to other daemons."""
 
@@ -64,6 +82,7 @@
         work.deadline - now,
         work.zone,
         work.result_bytes,
+        work.attempt,
     )
 
 
@@ -81,4 +100,24 @@
         now + sent.left_s,
         sent.zone,
         sent.result_bytes,
+        sent.attempt,
+    )
+
+
+def to_reservation(
+    request_id: str, rank: int, plans: Sequence[StagePlan], now: float
+) -> StageReserve:
+    """Return a reservation for a peer, whose clock shows another time."""
+    return StageReserve(
+        request_id,
+        tuple(plan.service for plan in plans),
+        tuple(plan.pieces for plan in plans),
+        rank,
+        tuple(plan.due - now for plan in plans),
     )
+
+
+def to_plans(sent: StageReserve, now: float) -> tuple[StagePlan, ...]:
+    """Return the plans of a peer's request, with instants of the own clock."""
+    found = zip(sent.services, sent.pieces, sent.due_in_s, strict=False)
+    return tuple(StagePlan(service, pieces, now + due_in) for service, pieces, due_in in found)
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -1,6 +1,6 @@
 """Controller that runs the work of stage pools in batches, together with the other daemons."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from greengagehoist.deployment import Knowledge
@@ -9,29 +9,41 @@
 from greengagehoist.gateway.controllers._pool_messages import (
     CancelStages,
     FreeResults,
-    GetBacklogs,
     Leave,
+    ReserveStages,
     StageEnd,
+    StagePlan,
     SubmitStage,
+    to_plans,
+    to_reservation,
     to_submission,
     to_work,
 )
-from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker, ResultFreer
+from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker
 from greengagehoist.gateway.controllers._reach import Reach, ReachChanged
 from greengagehoist.gateway.controllers._replicas import ReplicasChanged
+from greengagehoist.gateway.controllers._reservations import Reservations
+from greengagehoist.gateway.controllers._results import (
+    FreeHandles,
+    ResultController,
+    ResultsFreed,
+)
 from greengagehoist.peers import (
     FromPeer,
     Goodbye,
     SendTo,
     StageCancel,
     StageFree,
+    StageReserve,
     StageResult,
     StageSubmit,
+    StageWaits,
     Subscribe,
 )
 from greengagehoist.pieces import (
     Job,
     JobKey,
+    Reservation,
     StageWork,
 )
 from greengagehoist.replicas import Book, Replica, rendezvous_rank
@@ -44,24 +56,20 @@
 RESUBMIT_S = 0.6
 # Time for which results are kept for such a repeated submission.
 FINISHED_LIFE_S = 3.0
+# A request does not wait longer for the pools' owners before it is admitted: several round trips
+# between data centres.
+RESERVE_TIMEOUT_S = 0.05
 
 
-class _Freed(NamedTuple):
-    address: str
-    handles: tuple[str, ...]
-    ok: bool
-
-
-class _Backlog(NamedTuple):
-    seconds: tuple[float, ...]
-    at: float
+class _ReserveTimeout(NamedTuple):
+    request_id: str
 
 
 class _Finished(NamedTuple):
     """Results that were sent to a peer, which may not have received them."""
 
     result: StageResult
-    inputs: tuple[str, ...]
+    work: StageWork
     expires: float
 
 
@@ -114,23 +122,33 @@
         self._pools: dict[str, OwnedPool] = {}
         self._pending: dict[JobKey, _Pending] = {}
         self._finished: dict[JobKey, _Finished] = {}
-        self._backlogs: dict[str, _Backlog] = {}
-        self._to_free: dict[str, list[str]] = {}
-        self._freers: dict[str, ResultFreer] = {}
+        self._delivered: dict[str, set[int]] = {}
+        self._reservations = Reservations()
+        self._results = ResultController(wire, self)
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
         self.peers.tell(
-            Subscribe((StageSubmit, StageResult, StageFree, StageCancel, Goodbye), self)
+            Subscribe(
+                (
+                    StageReserve,
+                    StageWaits,
+                    StageSubmit,
+                    StageResult,
+                    StageFree,
+                    StageCancel,
+                    Goodbye,
+                ),
+                self,
+            )
         )
         self.start(tick(self, self.clock, TICK_S))
+        self.start(self._results.run())
         try:
             await super().run()
         finally:
             for pool in self._pools.values():
                 pool.close()
-            for freer in self._freers.values():
-                freer.close()
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
@@ -141,18 +159,22 @@
                 self._from_peer(vm, sent)
             case BatchEnded():
                 self._batch_ended(message)
-            case CancelStages(request_id):
-                self._cancel(request_id)
+            case ReserveStages():
+                self._reserve(message, reply)
+            case _ReserveTimeout(request_id):
+                self._end_reservation(request_id)
+            case CancelStages():
+                self._cancel(message)
             case FreeResults(service, handles):
                 self._free_results(service, handles)
-            case GetBacklogs(services, rank):
-                reply(tuple(self._backlog(service, rank) for service in services))
             case ReachChanged(reach):
                 self._set_reach(reach)
             case Leave():
                 self._leaving = True
-            case _Freed():
-                self._freed(message)
+            case ResultsFreed(address, handles):
+                for pool in self._pools.values():
+                    if pool.note_freed(address, handles):
+                        self._start_calls(pool)
             case ReplicasChanged():
                 self._sync_members()
             case Tick():
@@ -160,6 +182,35 @@
 
     # Work of this daemon's requests.
 
+    def _reserve(self, message: ReserveStages, reply: Reply) -> None:
+        plans_by_owner: dict[str, list[StagePlan]] = {}
+        for plan in message.plans:
+            plans_by_owner.setdefault(self._owner_of(plan.service), []).append(plan)
+        request_id, rank = message.request_id, message.rank
+        self._reservations.open(request_id, [plan.service for plan in message.plans], reply)
+        for owner, plans in plans_by_owner.items():
+            if owner == self.vm:
+                self._reservations.answer(request_id, self._accept_plans(request_id, rank, plans))
+                continue
+            self._reservations.note_sent(request_id, owner)
+            sent = to_reservation(request_id, rank, plans, self.clock.monotonic())
+            self.peers.tell(SendTo(owner, sent))
+        self.start(self._time_reservation(request_id))
+
+    async def _time_reservation(self, request_id: str) -> None:
+        await self.clock.sleep(RESERVE_TIMEOUT_S)
+        self.tell(_ReserveTimeout(request_id))
+
+    def _end_reservation(self, request_id: str) -> None:
+        missing = self._reservations.close(request_id)
+        if missing:
+            log_event(
+                "reservation_unanswered",
+                "WARNING",
+                request=request_id,
+                owners=",".join(sorted(self._owner_of(service) for service in missing)),
+            )
+
     def _submit(self, work: StageWork, reply: Reply) -> None:
         pending = _Pending(work, reply)
         self._pending[JobKey(work.request_id, work.stage)] = pending
@@ -191,11 +242,16 @@
         pending = self._pending.pop(key, None)
         if pending is None:
             return False
+        self._delivered.setdefault(key.request_id, set()).add(key.stage)
         pending.reply(end)
         return True
 
-    def _cancel(self, request_id: str) -> None:
-        owners = set()
+    def _cancel(self, message: CancelStages) -> None:
+        request_id = message.request_id
+        self._delivered.pop(request_id, None)
+        owners = self._reservations.drop(request_id)
+        if not message.reserved:
+            owners = set()
         for key in [item for item in self._pending if item.request_id == request_id]:
             owners.add(self._pending.pop(key).owner)
         self._drop(request_id)
@@ -205,7 +261,7 @@
     def _drop(self, request_id: str) -> None:
         for pool in self._pools.values():
             for job in pool.queue.drop_request(request_id):
-                self._queue_free(tuple(job.handles.values()))
+                self._free(tuple(job.handles.values()))
 
     # Messages of peers.
 
@@ -215,13 +271,21 @@
             case StageSubmit():
                 self._accept(to_work(message, now), vm)
             case StageResult():
-                self._backlogs[message.service] = _Backlog(message.backlog_s, now)
                 end = StageEnd(message.handles, message.reason)
                 key = JobKey(message.request_id, message.stage)
-                if not self._resolve(key, end) and message.handles:
+                # The answer to a repeated submission names results that are in use.
+                if not self._resolve(key, end) and key.stage not in self._delivered.get(
+                    key.request_id, ()
+                ):
                     self._free_results(message.service, message.handles)
+            case StageReserve(request_id, services, _, rank, _):
+                waits = dict(self._accept_plans(request_id, rank, to_plans(message, now)))
+                waits_s = tuple(waits.get(service, 0.0) for service in services)
+                self.peers.tell(SendTo(vm, StageWaits(request_id, services, waits_s)))
+            case StageWaits(request_id, services, waits_s):
+                self._reservations.answer(request_id, zip(services, waits_s, strict=False))
             case StageFree(_, handles):
-                self._queue_free(handles)
+                self._free(handles)
             case StageCancel(request_id):
                 self._drop(request_id)
             case Goodbye():
@@ -242,6 +306,19 @@
 
     # Work of the pools that this daemon owns.
 
+    def _accept_plans(
+        self, request_id: str, rank: int, plans: Iterable[StagePlan]
+    ) -> list[tuple[str, float]]:
+        """Reserve work; returns the seconds that it waits by service."""
+        now, waits = self.clock.monotonic(), []
+        for service, pieces, due in plans:
+            pool = self._pool(service)
+            if pool is not None:
+                new = Reservation(pieces, rank, due)
+                waits.append((service, pool.wait_s(new, now)))
+                pool.queue.reserve(request_id, new)
+        return waits
+
     def _pool(self, service: str) -> OwnedPool | None:
         pool = self._pools.get(service)
         known = self.known.value
@@ -263,11 +340,11 @@
         key = JobKey(work.request_id, work.stage)
         pool = self._pools.get(work.service)
         job = pool.queue.jobs.get(key) if pool is not None else None
-        if job is not None and job.work.inputs == work.inputs:
+        if job is not None and _is_same(job.work, work):
             job.origin = vm
             return
         finished = self._finished.get(key)
-        if finished is not None and finished.inputs == work.inputs:
+        if finished is not None and _is_same(finished.work, work):
             self.peers.tell(SendTo(vm, finished.result))
             return
         self._enqueue(work, vm)
@@ -276,7 +353,7 @@
         pool, now = self._pool(work.service), self.clock.monotonic()
         if pool is None:
             log_event("stage_without_pool", "WARNING", service=work.service)
-            self._finish(JobEnd(Job(work, origin, now), "failed"))
+            self._end_job(JobEnd(Job(work, origin, now), "failed"))
             return
         pool.repeats.observe_request(now)
         pool.queue.add(work, origin, now)
@@ -297,51 +374,36 @@
             if effect is None:
                 continue
             for job_end in effect.ends:
-                self._finish(job_end)
-            self._queue_free(effect.spare)
+                self._end_job(job_end)
+            self._free(effect.spare)
             pool.sync(self.book.value.of_service(service))
             self._start_calls(pool)
             return
 
-    def _finish(self, end: JobEnd) -> None:
+    def _end_job(self, end: JobEnd) -> None:
         """Tell whoever waits for the work of a stage how it ended."""
         job, reason = end
         handles = () if reason else job.ordered_handles()
         if reason:
-            self._queue_free(tuple(job.handles.values()))
+            self._free(tuple(job.handles.values()))
         if not job.origin:
             if not self._resolve(job.key, StageEnd(handles, reason)):
-                self._queue_free(handles)
+                self._free(handles)
             return
         work = job.work
-        backlog = self._own_backlog(work.service)
-        result = StageResult(work.request_id, work.service, work.stage, handles, reason, backlog)
+        result = StageResult(work.request_id, work.service, work.stage, handles, reason)
         if not reason:
             expires = self.clock.monotonic() + FINISHED_LIFE_S
-            self._finished[job.key] = _Finished(result, work.inputs, expires)
+            self._finished[job.key] = _Finished(result, work, expires)
         self.peers.tell(SendTo(job.origin, result))
 
-    def _own_backlog(self, service: str) -> tuple[float, ...]:
-        pool = self._pools.get(service)
-        return pool.backlog(self.clock.monotonic()) if pool is not None else ()
-
-    def _backlog(self, service: str, rank: int) -> float:
-        now = self.clock.monotonic()
-        if self._owner_of(service) == self.vm:
-            seen = _Backlog(self._own_backlog(service), now)
-        else:
-            seen = self._backlogs.get(service, _Backlog((), now))
-        if not seen.seconds:
-            return 0.0
-        return max(0.0, seen.seconds[min(rank, len(seen.seconds) - 1)] - (now - seen.at))
-
     # Periodic work.
 
     def _tick(self) -> None:
         now = self.clock.monotonic()
         for pool in self._pools.values():
             for job_end in pool.expire(now):
-                self._finish(job_end)
+                self._end_job(job_end)
             pool.repeat_overdue(now)
             self._start_calls(pool)
         for key, pending in list(self._pending.items()):
@@ -351,7 +413,6 @@
                 self._place(pending)
         for key in [key for key, item in self._finished.items() if item.expires <= now]:
             del self._finished[key]
-        self._flush_frees()
 
     def _free_results(self, service: str, handles: tuple[str, ...]) -> None:
         """Free results through the owner of their pool, which keeps account of its replicas."""
@@ -359,38 +420,15 @@
             return
         owner = self._owner_of(service)
         if owner == self.vm:
-            self._queue_free(handles)
+            self._free(handles)
         else:
             self.peers.tell(SendTo(owner, StageFree(service, handles)))
 
-    def _queue_free(self, handles: tuple[str, ...]) -> None:
-        for handle in handles:
-            address, _, _ = handle.partition("/")
-            self._to_free.setdefault(address, []).append(handle)
-        self._flush_frees()
-
-    def _flush_frees(self) -> None:
-        for address, handles in list(self._to_free.items()):
-            freer = self._freers.get(address)
-            if freer is None:
-                host, _, port = address.rpartition(":")
-                freer = self._freers[address] = ResultFreer(host, int(port), self.wire)
-            if not freer.busy:
-                del self._to_free[address]
-                self.start(self._free(freer, address, tuple(handles)))
-
-    async def _free(self, freer: ResultFreer, address: str, handles: tuple[str, ...]) -> None:
-        ok = await freer.free(handles)
-        self.tell(_Freed(address, handles, ok))
-
-    def _freed(self, freed: _Freed) -> None:
-        if freed.ok:
-            for pool in self._pools.values():
-                pool.note_freed(freed.address, freed.handles)
-        else:
-            # The replica frees results by itself when their lifetime is over.
-            log_event(
-                "results_not_freed", "WARNING", peer=freed.address, results=len(freed.handles)
-            )
-            self._freers.pop(freed.address, None)
-        self._flush_frees()
+    def _free(self, handles: tuple[str, ...]) -> None:
+        if handles:
+            self._results.tell(FreeHandles(handles))
+
+
+def _is_same(work: StageWork, other: StageWork) -> bool:
+    """Return whether a submission repeats an earlier one."""
+    return work.inputs == other.inputs and work.attempt == other.attempt
--- /dev/null
+++ b/greengagehoist/gateway/controllers/_results.py
@@ -0,0 +1,82 @@
+"""Controller that frees results at the replicas of stage pools."""
+
+from typing import Any, NamedTuple
+
+from greengagehoist.gateway import WireFormat
+from greengagehoist.gateway.controllers._pool_worker import ResultFreer
+from greengagehoist.utils import Controller, Reply, log_event
+
+
+class FreeHandles(NamedTuple):
+    """Free results at the replicas that hold them."""
+
+    handles: tuple[str, ...]
+
+
+class ResultsFreed(NamedTuple):
+    """Tell the follower that the replica at ``address`` holds these results no longer."""
+
+    address: str
+    handles: tuple[str, ...]
+
+
+class _Ended(NamedTuple):
+    address: str
+    handles: tuple[str, ...]
+    ok: bool
+
+
+class ResultController(Controller):
+    """Frees results with one call at a time to each replica.
+
+    :param follower: receives :class:`ResultsFreed`.
+    """
+
+    def __init__(self, wire: WireFormat, follower: Controller):
+        super().__init__("results")
+        self.wire = wire
+        self.follower = follower
+        self._waiting: dict[str, list[str]] = {}
+        self._freers: dict[str, ResultFreer] = {}
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        try:
+            await super().run()
+        finally:
+            for freer in self._freers.values():
+                freer.close()
+
+    def handle(self, message: Any, reply: Reply) -> None:
+        """Process one message."""
+        match message:
+            case FreeHandles(handles):
+                for handle in handles:
+                    address, _, _ = handle.partition("/")
+                    self._waiting.setdefault(address, []).append(handle)
+                    self._call(address)
+            case _Ended():
+                self._ended(message)
+
+    def _call(self, address: str) -> None:
+        freer = self._freers.get(address)
+        if freer is None:
+            host, _, port = address.rpartition(":")
+            freer = self._freers[address] = ResultFreer(host, int(port), self.wire)
+        if not freer.busy and address in self._waiting:
+            freer.busy = True
+            self.start(self._free(freer, address))
+
+    async def _free(self, freer: ResultFreer, address: str) -> None:
+        handles = tuple(self._waiting.pop(address))
+        self.tell(_Ended(address, handles, await freer.free(handles)))
+
+    def _ended(self, end: _Ended) -> None:
+        if end.ok:
+            self.follower.tell(ResultsFreed(end.address, end.handles))
+        else:
+            # The replica frees results by itself when their lifetime is over.
+            log_event("results_not_freed", "WARNING", peer=end.address, results=len(end.handles))
+            self._freers.pop(end.address, None)
+        if end.address in self._waiting:
+            self._call(end.address)
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -18,6 +18,7 @@
 )
 from greengagehoist.gateway._events import EventSplitter
 from greengagehoist.gateway.controllers import Choose, Ended, FreeResults, LoadReported
+from greengagehoist.gateway.filters._engine_starts import EngineStarts
 from greengagehoist.gateway.filters._stage_work import affinity_of
 from greengagehoist.http1 import (
     IncompleteError,
@@ -56,6 +57,8 @@
 # An idempotent request without an answer for this many target latencies goes to another replica.
 SILENCE_FACTOR = 3.0
 SERVER_ERROR = 500
+# Time in which a replica fetches the stage results of a request: a few megabytes at 10 Gbit/s.
+INPUT_FETCH_S = 0.03
 
 
 class RepeatBudgets:
@@ -106,6 +109,7 @@
 
     :param placement: controller that chooses the replicas.
     :param pools: controller that frees stage results.
+    :param starts: learns the times from the send to the first event.
     """
 
     def __init__(
@@ -113,9 +117,11 @@
         placement: Controller,
         pools: Controller,
         budgets: RepeatBudgets,
+        starts: EngineStarts,
         wire: WireFormat,
         clock: Clock,
     ):
+        self.starts = starts
         self.placement = placement
         self.pools = pools
         self.budgets = budgets
@@ -275,13 +281,17 @@
         )
         resume_after = splitter.last_id if splitter.last_id is not None else None
         headers = self.wire.replica_headers(exchange, replica, left, resume_after)
+        sent_at = self.clock.monotonic()
         sock.write(encode_request(req.method, req.target, headers, req.body))
         reader = ResponseReader(sock, req.method)
+        freeing = asyncio.ensure_future(self._free_fetched(exchange))
         try:
             async with asyncio.timeout(self._silence_limit(exchange)):
                 head = await reader.head()
         except (IncompleteError, ProtocolError, TimeoutError):
             return Lost()
+        finally:
+            freeing.cancel()
         reply = self.wire.read_reply(head)
         if reply.load is not None:
             self.placement.tell(LoadReported(replica.replica_id, reply.load))
@@ -292,6 +302,7 @@
         if not reply.signed or get_header(head.headers, b"content-encoding") is not None:
             return Lost()
         if isinstance(exchange.route.kind, Streaming) and head.status < 300:
+            self.starts.observe(exchange.route, self.clock.monotonic() - sent_at)
             return await self._pass_stream(exchange, head, reader, splitter)
         if exchange.progress.started:
             # The client has the beginning of another replica's answer.
@@ -318,7 +329,18 @@
             return Lost()
         return Relayed(head, body)
 
+    async def _free_fetched(self, exchange: Exchange) -> None:
+        """Free the stage results when the replica has surely fetched them.
+
+        It rejects the request without running it if they are gone too early.
+        """
+        if exchange.inputs:
+            await self.clock.sleep(INPUT_FETCH_S)
+            self._free_inputs(exchange)
+
     def _free_inputs(self, exchange: Exchange) -> None:
+        if exchange.progress.inputs_freed:
+            return
         exchange.progress.inputs_freed = bool(exchange.inputs)
         for service, handles in exchange.inputs:
             self.pools.tell(FreeResults(service, handles))
--- a/greengagehoist/gateway/filters/_stage_work.py
+++ b/greengagehoist/gateway/filters/_stage_work.py
@@ -17,18 +17,20 @@
     CancelStages,
     FindHome,
     FreeResults,
-    GetBacklogs,
+    ReserveStages,
     StageEnd,
+    StagePlan,
     SubmitStage,
 )
-from greengagehoist.pieces import StageWork
+from greengagehoist.gateway.filters._engine_starts import EngineStarts
+from greengagehoist.pieces import StageWork, stages_end_s
 from greengagehoist.replicas import Affinity, AnyReplica, Book, NearHome
 from greengagehoist.utils import Clock, Controller, Published, log_event
 
 # Wait at a pool below which no request is refused for it.
 LEAST_BACKLOG_S = 0.1
-# Usual time from the send to an engine to its first event.
-ENGINE_START_S = 0.15
+# Wait up to which a request that can no longer be answered in time is served all the same.
+LATE_BACKLOG_S = 0.4
 RETRY_BACKLOG_S = 1.0
 # Bytes moved by a stage from which its replica should be where they come from or go to.
 LARGE_RESULT_BYTES = 500_000
@@ -42,6 +44,7 @@
     :param pools: controller of the stage pools.
     :param placement: controller that chooses the replica that reads the results.
     :param book: the known replicas.
+    :param starts: observed times from the send to the first event.
     """
 
     def __init__(
@@ -49,9 +52,11 @@
         pools: Controller,
         placement: Controller,
         book: Published[Book],
+        starts: EngineStarts,
         clock: Clock,
     ):
         self.pools = pools
+        self.starts = starts
         self.book = book
         self.placement = placement
         self.clock = clock
@@ -61,34 +66,49 @@
         route = exchange.route
         if not route.stages:
             return await proceed(exchange)
-        refusal = await self._refuse_overload(exchange)
-        if refusal is not None:
-            return refusal
+        handles: dict[int, tuple[str, ...]] = {}
+        submitted = False
+        try:
+            refusal = await self._refuse_overload(exchange)
+            if refusal is not None:
+                return refusal
+            reply = await self._serve(exchange, handles, proceed)
+            submitted = len(handles) == len(route.stages)
+            return reply
+        finally:
+            self.pools.tell(CancelStages(exchange.req.request_id, reserved=not submitted))
+            self._free(route, handles)
+
+    async def _serve(
+        self, exchange: Exchange, handles: dict[int, tuple[str, ...]], proceed: Proceed
+    ) -> Reply:
         prompt = exchange.req.prompt
         home = await self.placement.ask(
             FindHome(exchange.service, affinity_of(prompt), prompt.model if prompt else "")
         )
         exchange = exchange._replace(home=home)
-        handles: dict[int, tuple[str, ...]] = {}
-        try:
-            for _ in range(MOST_ROUNDS):
-                reply = await self._run_round(exchange, handles, proceed)
-                if not isinstance(reply, InputsLost):
-                    return reply
-                handles.clear()
-            return without_answer(
-                exchange.progress, "stage results are lost again", RETRY_BACKLOG_S
-            )
-        finally:
-            self.pools.tell(CancelStages(exchange.req.request_id))
-            for number, found in handles.items():
-                self.pools.tell(FreeResults(route.stages[number].service, found))
+        for attempt in range(MOST_ROUNDS):
+            reply = await self._run_round(exchange, attempt, handles, proceed)
+            if not isinstance(reply, InputsLost):
+                return reply
+            # Some of the results may still take up memory.
+            self._free(exchange.route, handles)
+        return without_answer(exchange.progress, "stage results are lost again", RETRY_BACKLOG_S)
+
+    def _free(self, route: Route, handles: dict[int, tuple[str, ...]]) -> None:
+        for number, found in handles.items():
+            self.pools.tell(FreeResults(route.stages[number].service, found))
+        handles.clear()
 
     async def _run_round(
-        self, exchange: Exchange, handles: dict[int, tuple[str, ...]], proceed: Proceed
+        self,
+        exchange: Exchange,
+        attempt: int,
+        handles: dict[int, tuple[str, ...]],
+        proceed: Proceed,
     ) -> Reply:
         route = exchange.route
-        reason = await self._run_stages(exchange, handles)
+        reason = await self._run_stages(exchange, attempt, handles)
         if reason == "gone":
             return InputsLost()
         if reason:
@@ -105,26 +125,41 @@
         return await proceed(exchange._replace(inputs=inputs))
 
     async def _refuse_overload(self, exchange: Exchange) -> NotRun | None:
-        """Refuse a request at once whose answer would not begin in time."""
-        services = tuple(item.service for item in exchange.route.stages)
-        waits = await self.pools.ask(GetBacklogs(services, exchange.rank))
-        if max(waits) < LEAST_BACKLOG_S:
+        """Reserve the stage work, or refuse a request at once whose answer would be late."""
+        stages, req = exchange.route.stages, exchange.req
+        usual = [self._usual_s(exchange, number) for number in range(len(stages))]
+        start_s, now = self.starts.expected_s(exchange.route), self.clock.monotonic()
+        fastest = stages_end_s(start_after(exchange.route), usual, [0.0] * len(stages))
+        in_time_at_best = now + fastest + start_s <= exchange.due
+        plans: dict[str, StagePlan] = {}
+        for number, stage in enumerate(stages):
+            if usual[number]:
+                # What cannot be answered in time counts as late in all pools.
+                due = exchange.due - self._time_after(exchange, number) if in_time_at_best else now
+                before = plans.get(stage.service, StagePlan(stage.service, 0, due))
+                pieces = before.pieces + req.piece_counts[number]
+                plans[stage.service] = StagePlan(stage.service, pieces, max(before.due, due))
+        if not plans:
             return None
-        needed = longest_path(
-            exchange.route, [wait + self._usual_s(exchange, n) for n, wait in enumerate(waits)]
+        waits = await self.pools.ask(
+            ReserveStages(req.request_id, exchange.rank, tuple(plans.values()))
+        )
+        longest = max(waits.values(), default=0.0)
+        needed = stages_end_s(
+            start_after(exchange.route), usual, [waits.get(item.service, 0.0) for item in stages]
         )
-        late = self.clock.monotonic() + max(needed) + ENGINE_START_S - exchange.due
-        if late <= 0:
+        late = now + needed + start_s - exchange.due
+        if late <= 0 or longest < (LEAST_BACKLOG_S if in_time_at_best else LATE_BACKLOG_S):
             return None
         log_event(
             "request_refused",
-            request=exchange.req.request_id,
+            request=req.request_id,
             reason="stage pools are behind",
             rank=exchange.rank,
-            backlog_ms=round(max(waits) * 1000),
+            backlog_ms=round(longest * 1000),
             late_ms=round(late * 1000),
         )
-        return NotRun(f"stage pools are {max(waits):.2f} s behind", RETRY_BACKLOG_S)
+        return NotRun(f"stage pools are {longest:.2f} s behind", RETRY_BACKLOG_S)
 
     def _usual_s(self, exchange: Exchange, number: int) -> float:
         """Return the time of a stage without waiting, 0 if the request leaves it out."""
@@ -135,7 +170,9 @@
             return 0.0
         return service.pool.call_s + min(count, service.pool.batch) * service.pool.piece_s
 
-    async def _run_stages(self, exchange: Exchange, handles: dict[int, tuple[str, ...]]) -> str:
+    async def _run_stages(
+        self, exchange: Exchange, attempt: int, handles: dict[int, tuple[str, ...]]
+    ) -> str:
         """Run all stages; returns why one failed, or an empty reason.
 
         Results are freed as soon as all stages that need them have ended.
@@ -158,7 +195,7 @@
             count = counts[number] if number < len(counts) else 0
             end = StageEnd((), "")
             if count:
-                end = await self._submit(exchange, number, count, inputs)
+                end = await self._submit(exchange, attempt, number, inputs)
             handles[number] = end.handles
             for before in () if end.reason else stage.after:
                 readers[before].discard(number)
@@ -172,9 +209,10 @@
         return next((task.result() for task in ends.values() if task.result()), "")
 
     async def _submit(
-        self, exchange: Exchange, number: int, count: int, inputs: tuple[str, ...]
+        self, exchange: Exchange, attempt: int, number: int, inputs: tuple[str, ...]
     ) -> StageEnd:
         stage = exchange.route.stages[number]
+        count = exchange.req.piece_counts[number]
         work = StageWork(
             exchange.req.request_id,
             stage.service,
@@ -187,6 +225,7 @@
             exchange.final_by,
             self._zone_of_bytes(exchange, number, count, inputs),
             stage.result_bytes,
+            attempt,
         )
         began = self.clock.monotonic()
         end = await self.pools.ask(SubmitStage(work))
@@ -207,7 +246,8 @@
         """Return the time from the end of a stage to the beginning of the answer."""
         stages = exchange.route.stages
         usual = [self._usual_s(exchange, item) for item in range(len(stages))]
-        return longest_path(exchange.route, usual)[number] - usual[number] + ENGINE_START_S
+        after = longest_path(exchange.route, usual)[number] - usual[number]
+        return after + self.starts.expected_s(exchange.route)
 
     def _zone_of_bytes(
         self, exchange: Exchange, number: int, count: int, inputs: tuple[str, ...]
--- /dev/null
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -0,0 +1,222 @@
+"""Guards against results that are freed too early, and against requests that pools cannot serve."""
+
+import asyncio
+
+import pytest
+
+from greengagehoist.deployment import Deployment, Knowledge, Limits, PoolLimits, Service
+from greengagehoist.gateway.controllers import (
+    CancelStages,
+    PoolController,
+    Reach,
+    ReserveStages,
+    StagePlan,
+    SubmitStage,
+)
+from greengagehoist.gateway.controllers._reach import ReachChanged
+from greengagehoist.gateway.controllers._results import FreeHandles
+from greengagehoist.peers import (
+    FromPeer,
+    SendTo,
+    StageCancel,
+    StageFree,
+    StageReserve,
+    StageResult,
+    StageSubmit,
+    StageWaits,
+)
+from greengagehoist.pieces import StageWork
+from greengagehoist.replicas import Book, rendezvous_rank
+from greengagehoist.retries import RepeatWindow
+from greengagehoist.utils import Controller, Published
+
+VMS = frozenset({"vm-a", "vm-b"})
+OWNER = max(VMS, key=lambda vm: rendezvous_rank("s", vm))
+(OTHER,) = VMS - {OWNER}
+
+
+class Recorder(Controller):
+    """Keeps what it is told, and says that each message was sent."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.told = []
+
+    def tell(self, message):
+        self.told.append(message)
+
+    async def ask(self, message):
+        self.told.append(message)
+        return True
+
+    def sent(self, kind):
+        """Return the messages of one kind that were sent to peers."""
+        found = [item.message for item in self.told if isinstance(item, SendTo)]
+        return [item for item in found if isinstance(item, kind)]
+
+
+@pytest.fixture
+def make_pools(clock):
+    """Return a function that builds the controller of one VM and the recorders around it."""
+
+    def make(vm):
+        limits = PoolLimits(4, 0.1, 0.01, 10e6)
+        services = {"s": Service("s", limits)}
+        deployment = Deployment(1, {}, services, {}, False, Limits())
+        peers, results = Recorder("peers"), Recorder("results")
+        pools = PoolController(
+            Published(Knowledge(deployment, 0.0)),
+            Published(Book()),
+            peers,
+            None,
+            clock,
+            vm,
+            Published(VMS),
+            lambda: RepeatWindow(0.0, 5.0, 10.0),
+        )
+        pools._results = results
+        send(pools, ReachChanged(Reach(VMS - {vm}, VMS - {vm})))
+        return pools, peers, results
+
+    return make
+
+
+def send(controller, message):
+    """Handle a message at once; returns its replies."""
+    replies = []
+    controller.handle(message, replies.append)
+    return replies
+
+
+def work(clock, attempt=0, count=2):
+    now = clock.monotonic()
+    pieces = tuple(range(count))
+    return StageWork("x", "s", 0, pieces, "k", (), 1, now + 5, now + 9, "", 0.0, attempt)
+
+
+def plans(clock, pieces=400):
+    return (StagePlan("s", pieces, clock.monotonic() + 5),)
+
+
+def submission(attempt=0):
+    return StageSubmit("x", "s", 0, (0, 1), "k", (), 1, 5.0, 9.0, "", 0.0, attempt)
+
+
+def result():
+    return StageResult("x", "s", 0, ("a:1/1", "a:1/2"), "")
+
+
+def test_result_that_arrives_twice_is_not_freed_while_it_is_used(make_pools, clock):
+    """Stages of more than 0.6 s are submitted twice; the second answer freed their results."""
+
+    async def scenario():
+        pools, peers, results = make_pools(OTHER)
+        replies = send(pools, SubmitStage(work(clock)))
+        for _ in range(2):
+            send(pools, FromPeer(OWNER, "z", 1, result()))
+        assert [end.handles for end in replies] == [("a:1/1", "a:1/2")]
+        assert not peers.sent(StageFree)
+        assert not results.told
+
+    asyncio.run(scenario())
+
+
+def test_result_for_a_request_that_has_ended_is_freed(make_pools, clock):
+    async def scenario():
+        pools, peers, _ = make_pools(OTHER)
+        send(pools, SubmitStage(work(clock)))
+        send(pools, CancelStages("x", True))
+        send(pools, FromPeer(OWNER, "z", 1, result()))
+        assert [item.handles for item in peers.sent(StageFree)] == [("a:1/1", "a:1/2")]
+
+    asyncio.run(scenario())
+
+
+def test_repeated_submission_gets_the_same_results_and_a_new_attempt_new_ones(make_pools, clock):
+    """A stage that was done again because its results were lost once got the lost ones."""
+
+    async def scenario():
+        pools, peers, _ = make_pools(OWNER)
+        send(pools, FromPeer(OTHER, "z", 1, submission()))
+        (pool,) = pools._pools.values()
+        (job,) = pool.queue.jobs.values()
+        for segment in (0, 1):
+            job.add_result(segment, f"a:1/{segment}")
+        pool.queue.drop(job.key)
+        pools._end_job((job, ""))
+        send(pools, FromPeer(OTHER, "z", 1, submission()))
+        assert [item.handles for item in peers.sent(StageResult)] == [("a:1/0", "a:1/1")] * 2
+        send(pools, FromPeer(OTHER, "z", 1, submission(attempt=1)))
+        assert len(peers.sent(StageResult)) == 2
+        assert len(pool.queue.jobs) == 1
+
+    asyncio.run(scenario())
+
+
+def test_owner_tells_peers_how_long_new_work_waits(make_pools, clock):
+    async def scenario():
+        pools, peers, _ = make_pools(OWNER)
+        send(pools, FromPeer(OTHER, "z", 1, StageReserve("x", ("s",), (400,), 1, (5.0,))))
+        send(pools, FromPeer(OTHER, "z", 1, StageReserve("y", ("s",), (4,), 1, (5.0,))))
+        first, second = peers.sent(StageWaits)
+        assert (first.services, first.wait_s) == (("s",), (0.0,))
+        assert second.wait_s[0] > 10.0
+        send(pools, FromPeer(OTHER, "z", 1, StageCancel("x")))
+        send(pools, FromPeer(OTHER, "z", 1, StageReserve("z", ("s",), (4,), 1, (5.0,))))
+        assert peers.sent(StageWaits)[-1].wait_s[0] < 1.0
+
+    asyncio.run(scenario())
+
+
+def test_reservation_waits_for_the_owner_and_ends_with_the_request(make_pools, clock):
+    async def scenario():
+        pools, peers, _ = make_pools(OTHER)
+        replies = send(pools, ReserveStages("x", 1, plans(clock)))
+        assert [item.pieces for item in peers.sent(StageReserve)] == [(400,)]
+        assert replies == []
+        send(pools, FromPeer(OWNER, "z", 1, StageWaits("x", ("s",), (1.5,))))
+        assert replies == [{"s": 1.5}]
+        send(pools, CancelStages("x", True))
+        assert peers.sent(StageCancel) == [StageCancel("x")]
+
+    asyncio.run(scenario())
+
+
+def test_silent_owner_delays_a_request_for_a_moment_only(make_pools, clock):
+    async def scenario():
+        pools, _, _ = make_pools(OTHER)
+        replies = send(pools, ReserveStages("x", 1, plans(clock)))
+        await asyncio.sleep(0)
+        await clock.advance(0.1)
+        while not pools._mailbox.empty():
+            send(pools, pools._mailbox.get_nowait().message)
+        assert replies == [{}]
+
+    asyncio.run(scenario())
+
+
+def test_results_of_a_failed_stage_are_freed(make_pools, clock):
+    async def scenario():
+        pools, _, results = make_pools(OWNER)
+        send(pools, SubmitStage(work(clock)))
+        (pool,) = pools._pools.values()
+        (job,) = pool.queue.jobs.values()
+        job.add_result(0, "a:1/0")
+        pools._end_job((job, "failed"))
+        assert results.told == [FreeHandles(("a:1/0",))]
+
+    asyncio.run(scenario())
+
+
+def test_ended_tasks_are_forgotten(make_pools, clock):
+    """A method of the pool controller once hid the one that its base calls at a task's end."""
+
+    async def scenario():
+        pools, _, _ = make_pools(OTHER)
+        send(pools, SubmitStage(work(clock)))
+        assert len(pools._tasks) == 1
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert not pools._tasks
+
+    asyncio.run(scenario())
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -38,6 +38,32 @@
     leave_marks: tuple[LeaveMark, ...]
 
 
+class StageReserve(NamedTuple):
+    """Tell the owner of stage pools which work of a request will come, and ask when it can start.
+
+    :param services: pools of the request that the receiver owns.
+    :param pieces: number of pieces at each of them.
+    :param due_in_s: seconds until the results of each of them should exist.
+    """
+
+    request_id: str
+    services: tuple[str, ...]
+    pieces: tuple[int, ...]
+    rank: int
+    due_in_s: tuple[float, ...]
+
+
+class StageWaits(NamedTuple):
+    """Answer to :class:`StageReserve`.
+
+    :param wait_s: seconds until each service has done what goes before the request.
+    """
+
+    request_id: str
+    services: tuple[str, ...]
+    wait_s: tuple[float, ...]
+
+
 class StageSubmit(NamedTuple):
     """Ask the owner of a stage pool for the results of one stage of a request.
 
@@ -45,6 +71,7 @@
     :param left_s: seconds after which the results are useless.
     :param zone: data centre in which the results are read, empty if that is open.
     :param result_bytes: approximate size of the result of one piece.
+    :param attempt: counts how often the request began its stages.
     """
 
     request_id: str
@@ -58,6 +85,7 @@
     left_s: float
     zone: str
     result_bytes: float
+    attempt: int
 
 
 class StageResult(NamedTuple):
@@ -65,7 +93,6 @@
 
     :param handles: of the results, in the order of the segments; empty if the stage failed.
     :param reason: why the stage failed, empty if it did not.
-    :param backlog_s: time in which the pool finishes what waits there, by rank of new work.
     """
 
     request_id: str
@@ -73,7 +100,6 @@
     stage: int
     handles: tuple[str, ...]
     reason: str
-    backlog_s: tuple[float, ...]
 
 
 class StageFree(NamedTuple):
@@ -84,7 +110,7 @@
 
 
 class StageCancel(NamedTuple):
-    """Drop the waiting work of a request that has ended."""
+    """Drop the waiting and the reserved work of a request that has ended."""
 
     request_id: str
 
@@ -192,4 +218,6 @@
     | StageResult
     | StageFree
     | StageCancel
+    | StageReserve
+    | StageWaits
 )
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -10,8 +10,10 @@
     LeaveMark,
     StageCancel,
     StageFree,
+    StageReserve,
     StageResult,
     StageSubmit,
+    StageWaits,
     TraceSpans,
     TraceWant,
     Transfer,
@@ -40,5 +42,7 @@
         StageResult: 15,
         StageCancel: 16,
         StageFree: 17,
+        StageReserve: 18,
+        StageWaits: 19,
     }
 )
--- a/greengagehoist/pieces/__init__.py
+++ b/greengagehoist/pieces/__init__.py
@@ -1,6 +1,7 @@
 """Stage work in pieces: types, order and batches."""
 
-from greengagehoist.pieces._queue import Job, JobKey, PoolQueue
+from greengagehoist.pieces._estimate import stages_end_s
+from greengagehoist.pieces._queue import Job, JobKey, PoolQueue, Reservation
 from greengagehoist.pieces._room import Room
 from greengagehoist.pieces._types import (
     InputGone,
@@ -21,7 +22,9 @@
     "Piece",
     "PieceEnd",
     "PoolQueue",
+    "Reservation",
     "Room",
     "StageWork",
     "TooLate",
+    "stages_end_s",
 ]
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -13,14 +13,15 @@
 ZONE_SLACK_S = 0.15
 # Among equally urgent work, a replica prefers what is due this much later in its own zone.
 ZONE_HEAD_START_S = 0.3
-
-
 # Part of what could be sent that a call must hold, if memory for results bounds it.
 LEAST_FILL = 0.5
 # Part of its remaining time for which late work waits at least.
 RETRY_PATIENCE = 0.25
 # Time after which late work is given up while it waits.
 LATE_LIFE_S = 0.8
+# Part of the replicas' time that is planned for: calls are not always full, and replicas wait for
+# memory and for messages.
+USED_TIME = 0.8
 
 
 class JobKey(NamedTuple):
@@ -30,6 +31,17 @@
     stage: int
 
 
+class Reservation(NamedTuple):
+    """Pieces that a request will submit when its earlier stages have ended.
+
+    :param due: instant at which the results should exist, in seconds.
+    """
+
+    pieces: int
+    rank: int
+    due: float
+
+
 class Job:
     """Stage work in progress.
 
@@ -86,11 +98,20 @@
     def __init__(self, limits: PoolLimits):
         self.limits = limits
         self.jobs: dict[JobKey, Job] = {}
+        self.reserved: dict[str, Reservation] = {}
+
+    def reserve(self, request_id: str, reservation: Reservation) -> None:
+        """Note work that will come, so that later requests know of it."""
+        self.reserved[request_id] = reservation
 
     def add(self, work: StageWork, origin: str, now: float) -> Job:
         """Queue the pieces of a stage; a repeated submission replaces the first."""
         job = Job(work, origin, now)
         self.jobs[job.key] = job
+        reserved = self.reserved.pop(work.request_id, None)
+        if reserved is not None and reserved.pieces > len(work.segments):
+            left = reserved.pieces - len(work.segments)
+            self.reserved[work.request_id] = reserved._replace(pieces=left)
         return job
 
     def drop(self, key: JobKey) -> Job | None:
@@ -99,6 +120,7 @@
 
     def drop_request(self, request_id: str) -> list[Job]:
         """Forget all work of a request."""
+        self.reserved.pop(request_id, None)
         found = [key for key in self.jobs if key.request_id == request_id]
         return [self.jobs.pop(key) for key in found]
 
@@ -106,18 +128,25 @@
         """Return the number of pieces that no replica works on."""
         return sum(len(job.waiting) for job in self.jobs.values())
 
-    def backlog_s(self, replicas: int, rank: int, now: float) -> float:
+    def wait_s(self, new: Reservation, replicas: float, now: float) -> float:
         """Return the time in which ``replicas`` replicas finish what goes before new work.
 
-        :param rank: rank of the new work.
+        Reserved work counts as well: it arrives before or together with the new work.
         """
+        mine = self._order(new.pieces, new.rank, new.due, now)
         pieces = sum(
             len(job.waiting)
             for job in self.jobs.values()
-            if job.work.rank <= rank and not self._is_late(job, now)
+            if self._order(len(job.waiting), job.work.rank, job.work.due, now) <= mine
+        )
+        pieces += sum(
+            item.pieces
+            for item in self.reserved.values()
+            if self._order(item.pieces, item.rank, item.due, now) <= mine
         )
         calls = pieces / self.limits.batch
-        return (calls * self.limits.call_s + pieces * self.limits.piece_s) / max(1, replicas)
+        busy = calls * self.limits.call_s + pieces * self.limits.piece_s
+        return busy / (USED_TIME * max(1.0, replicas))
 
     def expected_s(self, pieces: int) -> float:
         """Return the time of one call with ``pieces`` pieces at a replica of usual speed."""
@@ -128,6 +157,9 @@
 
         Work that still waits ``LATE_LIFE_S`` after it was due takes the place of work in time.
         """
+        overdue = [key for key, item in self.reserved.items() if item.due + LATE_LIFE_S <= now]
+        for key in overdue:
+            del self.reserved[key]
         late = [
             key
             for key, job in self.jobs.items()
@@ -148,8 +180,10 @@
         patience = RETRY_PATIENCE * (job.work.deadline - job.since)
         return max(job.work.due + LATE_LIFE_S, job.since + patience)
 
-    def _is_late(self, job: Job, now: float) -> bool:
-        return now + self.expected_s(min(len(job.waiting), self.limits.batch)) > job.work.due
+    def _order(self, pieces: int, rank: int, due: float, now: float) -> tuple[bool, int, float]:
+        """Return the sort key of work: late work goes last, then rank and due time decide."""
+        late = now + self.expected_s(min(pieces, self.limits.batch)) > due
+        return late, rank, due
 
     def take_batch(
         self, zone: str, zones: frozenset[str], room_bytes: float, idle: int, now: float
@@ -175,8 +209,8 @@
         ]
 
         def order(job: Job) -> tuple[bool, int, float]:
-            head_start = ZONE_HEAD_START_S if job.work.zone == zone else 0.0
-            return self._is_late(job, now), job.work.rank, job.work.due - head_start
+            late, rank, due = self._order(len(job.waiting), job.work.rank, job.work.due, now)
+            return late, rank, due - (ZONE_HEAD_START_S if job.work.zone == zone else 0.0)
 
         ready.sort(key=order)
         waiting = sum(len(job.waiting) for job in ready)
--- a/greengagehoist/pieces/_types.py
+++ b/greengagehoist/pieces/_types.py
@@ -59,6 +59,8 @@
     :param deadline: instant after which the results are useless, in seconds.
     :param zone: data centre in which the results are read, empty if that is open.
     :param result_bytes: approximate size of the result of one piece.
+    :param attempt: counts how often the request began its stages; a later attempt needs new
+        results because those of the earlier one are gone.
     """
 
     request_id: str
@@ -72,3 +74,4 @@
     deadline: float
     zone: str
     result_bytes: float
+    attempt: int = 0
--- a/greengagehoist/pieces/tests/test_queue.py
+++ b/greengagehoist/pieces/tests/test_queue.py
@@ -3,7 +3,7 @@
 import pytest
 
 from greengagehoist.deployment import PoolLimits
-from greengagehoist.pieces import PoolQueue, Room, StageWork
+from greengagehoist.pieces import PoolQueue, Reservation, Room, StageWork
 
 ZONES = frozenset({"a", "b"})
 LARGE = 1e12
@@ -57,11 +57,46 @@
     assert {item.request_id for item in batch} == {"in-time"}
 
 
-def test_backlog_counts_what_goes_before_new_work(queue):
+def wait_s(queue, rank, due=5.0, replicas=2):
+    return queue.wait_s(Reservation(3, rank, due), replicas, 0.0)
+
+
+def test_wait_counts_what_goes_before_new_work(queue):
     queue.add(work("x", 6, rank=0, due=5.0), "", 0.0)
     queue.add(work("y", 6, rank=2, due=5.0), "", 0.0)
-    urgent, least = (queue.backlog_s(2, rank, 0.0) for rank in (0, 2))
-    assert 0 < urgent < least
+    assert 0 < wait_s(queue, 0) < wait_s(queue, 2)
+
+
+def test_work_that_is_late_from_the_start_waits_for_all_other(queue):
+    queue.add(work("x", 6, rank=2, due=5.0), "", 0.0)
+    assert wait_s(queue, 0) == 0.0
+    assert wait_s(queue, 0, due=0.1) > 0.0
+
+
+def test_wait_counts_reserved_work_once(queue):
+    """Requests were admitted as if none of those that came just before used the later pools."""
+    queue.reserve("x", Reservation(6, 1, 5.0))
+    before = wait_s(queue, 1)
+    assert before > 0.0
+    queue.add(work("x", 6, rank=1, due=5.0), "", 0.0)
+    assert wait_s(queue, 1) == before
+
+
+def test_reservation_of_two_stages_ends_with_the_second(queue):
+    queue.reserve("x", Reservation(6, 1, 5.0))
+    queue.add(work("x", 2, rank=1, due=5.0), "", 0.0)
+    assert queue.reserved["x"].pieces == 4
+    queue.add(work("x", 4, rank=1, due=5.0), "", 0.0)
+    assert not queue.reserved
+
+
+def test_reservation_ends_with_its_request_or_its_time(queue):
+    queue.reserve("x", Reservation(6, 1, 1.0))
+    queue.reserve("y", Reservation(6, 1, 1.0))
+    queue.drop_request("x")
+    assert list(queue.reserved) == ["y"]
+    queue.expire(3.0)
+    assert not queue.reserved
 
 
 def test_late_work_is_given_up_while_it_waits(queue):
--- a/greengagehoist/standins/_prepared.py
+++ b/greengagehoist/standins/_prepared.py
@@ -182,6 +182,7 @@
     :ivar requests: everything that reached it.
     :ivar made: stage, piece and inputs by handle.
     :ivar calls: pieces of each stage call.
+    :ivar prefill_s: seconds from a request to the first event of its stream.
     """
 
     def __init__(self, replica_id: str, service: str, zone: str, kind: str = "plain"):
@@ -193,6 +194,7 @@
         self.behaviour: Behaviour = Sound()
         self.events = 5
         self.pause_s = 0.0
+        self.prefill_s = 0.0
         self.ran: list[str] = []
         self.requests: list[Request] = []
         self.made: dict[str, dict[str, Any]] = {}
@@ -253,6 +255,7 @@
     async def _stream(self, sock: Socket, request: Request, headers: tuple) -> None:
         last = get_header(request.head.headers, b"last-event-id")
         first = int(last) + 1 if last is not None else 0
+        await asyncio.sleep(self.prefill_s)
         coding = ((b"Transfer-Encoding", b"chunked"), (b"Content-Type", b"text/event-stream"))
         sock.write(encode_response_head(200, b"", headers + coding))
         for number in range(first, self.events):
--- a/greengagehoist/utils/_controller.py
+++ b/greengagehoist/utils/_controller.py
@@ -61,10 +61,10 @@
         """Run a coroutine as a task that is cancelled with the controller."""
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
-        task.add_done_callback(self._finish)
+        task.add_done_callback(self._end_task)
         return task
 
-    def _finish(self, task: asyncio.Task) -> None:
+    def _end_task(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logger.opt(exception=task.exception()).error(f"event=task_failed owner={self.name}")
