Let refused requests come back after 2.5 s

Change: Retry-After of 2.5 s.

Tried and dropped: requests that would be late wait at the daemon until their pools are idle, instead of a refusal.

--- a/greengagehoist/gateway/filters/_stage_work.py
+++ b/greengagehoist/gateway/filters/_stage_work.py
@@ -31,7 +31,8 @@
 LEAST_BACKLOG_S = 0.1
 # Wait up to which a request that can no longer be answered in time is served all the same.
 LATE_BACKLOG_S = 0.4
-RETRY_BACKLOG_S = 1.0
+# A client comes back when a burst is probably over; clients wait for a third of their time at most.
+RETRY_BACKLOG_S = 2.5
 # Bytes moved by a stage from which its replica should be where they come from or go to.
 LARGE_RESULT_BYTES = 500_000
 # A stage whose results are lost is done again this often.
