Read the platform through hubs; drop the stage work of lost daemons

Results that killed daemons had got filled the pools' memory until they expired, and their waiting work went on.

Passing the content on: it would need a second encoding of the configuration. Trusting the time of a hub's message: its way may take any time, so the age is counted from the question.

Daemons that are no hubs ask one for the token and the age of its newest read, and read the platform only if the token differs, the hub is silent or its read too old. Both periods are halved, so that the ages add up as before. A lost link drops the stage work and the results of that daemon.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -14,6 +14,7 @@
     PlacementController,
     PoolController,
     ReachController,
+    RelayController,
     ReplicaController,
     SetReadPeriod,
     Unregister,
@@ -79,7 +80,6 @@
         self.metrics_port = metrics_port
         bounds = settings.bounds
         self.platform = PlatformController(settings.platform, clock, rng, calls, LONGEST_BREAKER_S)
-        self.deployments = DeploymentController(self.platform, clock, rng, read_period(bounds))
         incarnation = int(clock.now().timestamp() * 1000)
         own = Member(
             settings.vm, settings.data_centre, settings.peers, incarnation, settings.capacity
@@ -98,8 +98,24 @@
         self.budgets = RepeatBudgets(
             bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s, self.members.count
         )
-        self.replicas = ReplicaController(self.platform, clock, rng, read_period(bounds))
-        self.reach = ReachController(self.peers, self.members.links, clock, settings.data_centre)
+        members = self.members
+        self.reach = ReachController(self.peers, members.links, clock, settings.data_centre)
+        self.relay = RelayController(
+            self.peers,
+            own,
+            members.shared,
+            members.hubs,
+            members.links,
+            self.reach.reach,
+            clock,
+        )
+        reads = (self.platform, self.relay, members.shared, clock, rng, read_period(bounds))
+        self.deployments = DeploymentController(*reads)
+        self.replicas = ReplicaController(*reads)
+        self.relay.sources = {
+            "deployment": self.deployments.confirmed,
+            "replicas": self.replicas.confirmed,
+        }
         self.placement = PlacementController(
             self.replicas.book, self.reach.reach, clock, settings.data_centre
         )
@@ -160,6 +176,7 @@
             self.peers,
             self.members,
             self.reach,
+            self.relay,
             self.placement,
             self.pools,
         )
--- a/greengagehoist/daemon/tests/test_gateway.py
+++ b/greengagehoist/daemon/tests/test_gateway.py
@@ -308,6 +308,30 @@
     play(scenario)
 
 
+def test_hub_confirms_the_configuration_for_other_daemons(play, monkeypatch):
+    """Each daemon of a large deployment once made all reads of the platform itself."""
+    monkeypatch.setattr("greengagehoist.membership._choice.FULL_MESH_UP_TO", 2)
+
+    async def scenario(system):
+        await until(lambda: all(d.members.shared.value for d in system.daemons), 9)
+        (served,) = [d for d in system.daemons if d.settings.vm not in d.members.hubs.value]
+        await until(lambda: served.reach.reach.value.ready >= served.members.hubs.value)
+        served.platform.address = "127.0.0.1:1"
+        await served.platform._client.aclose()
+        known = served.deployments.known
+        before = known.value.confirmed_at
+        await until(lambda: known.value.confirmed_at > before + 2.0)
+        system.store.put("op", "config", config(2))
+        hubs = [d for d in system.daemons if d is not served]
+        await until(lambda: all(d.deployments.known.value.deployment.version == 2 for d in hubs))
+        changed_at = served.clock.monotonic()
+        await asyncio.sleep(1.0)
+        assert known.value.deployment.version == 1
+        assert known.value.confirmed_at < changed_at
+
+    play(scenario, daemons=3)
+
+
 def test_keys_are_refused_when_the_platform_is_away_for_too_long(play):
     """A revocation may be in force that this daemon cannot see."""
 
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -20,6 +20,7 @@
 )
 from greengagehoist.gateway.controllers._pools import PoolController
 from greengagehoist.gateway.controllers._reach import Reach, ReachController
+from greengagehoist.gateway.controllers._relay import RelayController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
 
 __all__ = [
@@ -36,6 +37,7 @@
     "PoolController",
     "Reach",
     "ReachController",
+    "RelayController",
     "ReplicaController",
     "ReplicasChanged",
     "ReserveStages",
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -6,12 +6,10 @@
 from returns.result import Result, Success
 
 from greengagehoist.deployment import Knowledge, merge
-from greengagehoist.platform_client import ReadDeployment
+from greengagehoist.gateway.controllers._relay import Confirmed, ask_relay, read_pause_s
+from greengagehoist.platform_client import DeploymentRead, ReadDeployment
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
-# While the configuration is unknown or the platform fails, reads are repeated faster.
-RETRY_S = 0.3
-
 
 class SetReadPeriod(NamedTuple):
     """Tell how many seconds may lie between reads of the platform."""
@@ -30,12 +28,26 @@
     A periodic read is used instead of a change feed, because only the answer to a read that was
     sent after an instant proves that no key was revoked before that instant.
 
+    :param relay: controller that knows what hubs have read.
+    :param shared: whether hubs read for the other daemons.
     :param read_every: seconds between reads.
+    :ivar confirmed: published row version and instant of the newest read.
     """
 
-    def __init__(self, platform: Controller, clock: Clock, rng: random.Random, read_every: float):
+    def __init__(
+        self,
+        platform: Controller,
+        relay: Controller,
+        shared: Published[bool],
+        clock: Clock,
+        rng: random.Random,
+        read_every: float,
+    ):
         super().__init__("deployment")
         self.platform = platform
+        self.relay = relay
+        self.shared = shared
+        self.confirmed: Published[Confirmed | None] = Published(None)
         self.clock = clock
         self.rng = rng
         self.read_every = read_every
@@ -59,12 +71,18 @@
                 self._apply(result, sent_at)
 
     async def _read(self) -> None:
-        sent_at = self.clock.monotonic()
-        result = await self.platform.ask(ReadDeployment(self._row))
+        sent_at, row = self.clock.monotonic(), self._row
+        token = str(row) if row else ""
+        relayed = await ask_relay(self.relay, "deployment", token, sent_at, self.read_every)
+        if relayed is not None:
+            result, sent_at = Success(DeploymentRead(None, row)), relayed.at
+        else:
+            sent_at = self.clock.monotonic()
+            result = await self.platform.ask(ReadDeployment(row))
         self.tell(_Read(result, sent_at))
         ok = isinstance(result, Success) and self.known.value is not None
-        period = self.read_every if ok else RETRY_S
-        await self.clock.sleep(period * self.rng.uniform(0.95, 1.05))
+        pause = read_pause_s(ok, self.read_every, self.shared.value, self.rng)
+        await self.clock.sleep(pause)
         self.tell(Tick())
 
     def _apply(self, result: Result, sent_at: float) -> None:
@@ -80,6 +98,8 @@
         now_known = self.known.value
         if read.deployment is not None:
             self._row = max(self._row, read.row)
+        if now_known is not None:
+            self.confirmed.value = Confirmed(str(self._row), now_known.confirmed_at)
         if now_known is not None and (
             held is None or held.deployment.version != now_known.deployment.version
         ):
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -22,6 +22,8 @@
 MEMBER_PREFIX = "member/"
 # Members change when machines are replaced, so the list is read rarely.
 POLL_S = 4.0
+# Daemons that hubs serve need the list only to find new hubs.
+SERVED_POLL_S = 12.0
 RETRY_S = 0.5
 # A member without a working link for this long is removed from the list; one that still runs
 # registers again with its next read.
@@ -44,6 +46,7 @@
     :ivar count: published number of members, at least 1.
     :ivar links: published members that this daemon links to.
     :ivar hubs: published names of the members that all others link to.
+    :ivar shared: published: whether there are members that are no hubs.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.count: Published[int] = Published(1)
         self.links: Published[tuple[Member, ...]] = Published(())
         self.hubs: Published[frozenset[str]] = Published(frozenset({own.vm}))
+        self.shared: Published[bool] = Published(False)
         self._row_version = 0
         self._unlinked_since: dict[str, float] = {}
         self._leaving = False
@@ -86,7 +90,8 @@
     async def _read(self) -> None:
         result = await self.platform.ask(ReadRange(MEMBER_PREFIX))
         self.tell(_Read(result))
-        period = POLL_S if isinstance(result, Success) else RETRY_S
+        served = self.own.vm not in self.hubs.value
+        period = (SERVED_POLL_S if served else POLL_S) if isinstance(result, Success) else RETRY_S
         await self.clock.sleep(period * self.rng.uniform(0.8, 1.2))
         self.tell(Tick())
 
@@ -109,6 +114,7 @@
             self._row_version = own_row[0].version
         everyone = (self.own, *(item for _, item in members.values()))
         self.hubs.value = choose_hubs(everyone)
+        self.shared.value = len(self.hubs.value) < len(everyone)
         self.links.value = choose_hub_links(self.own.vm, self.own.data_centre, everyone)
         self.peers.tell(SetMembers(everyone))
         self.platform.tell(SetShare(len(members) + 1))
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -70,6 +70,7 @@
 
     result: StageResult
     work: StageWork
+    origin: str
     expires: float
 
 
@@ -118,6 +119,7 @@
         self.hubs = hubs
         self.make_repeats = repeats
         self._alive: frozenset[str] = frozenset()
+        self._linked: frozenset[str] = frozenset()
         self._leaving = False
         self._pools: dict[str, OwnedPool] = {}
         self._pending: dict[JobKey, _Pending] = {}
@@ -293,7 +295,10 @@
                 self._alive -= {vm}
 
     def _set_reach(self, reach: Reach) -> None:
-        self._alive = reach.ready
+        lost = self._linked - reach.linked
+        self._alive, self._linked = reach.ready, reach.linked
+        for vm in lost:
+            self._drop_origin(vm)
         for pending in list(self._pending.values()):
             if pending.owner != self.vm and pending.owner not in reach.linked:
                 log_event(
@@ -359,6 +364,23 @@
         pool.queue.add(work, origin, now)
         self._start_calls(pool)
 
+    def _drop_origin(self, vm: str) -> None:
+        """Forget the work of a daemon that was lost, and free the results that it had got.
+
+        Its requests have ended with it; if only the link is cut, it has its work done elsewhere.
+        """
+        handles: list[str] = []
+        dropped = 0
+        for pool in self._pools.values():
+            for job in pool.queue.drop_origin(vm):
+                handles.extend(job.handles.values())
+                dropped += 1
+        for key in [key for key, item in self._finished.items() if item.origin == vm]:
+            handles.extend(self._finished.pop(key).result.handles)
+        if dropped or handles:
+            log_event("origin_lost", vm=vm, stages=dropped, results=len(handles))
+        self._free(tuple(handles))
+
     def _sync_members(self) -> None:
         for service, pool in self._pools.items():
             pool.sync(self.book.value.of_service(service))
@@ -394,7 +416,7 @@
         result = StageResult(work.request_id, work.service, work.stage, handles, reason)
         if not reason:
             expires = self.clock.monotonic() + FINISHED_LIFE_S
-            self._finished[job.key] = _Finished(result, work, expires)
+            self._finished[job.key] = _Finished(result, work, job.origin, expires)
         self.peers.tell(SendTo(job.origin, result))
 
     # Periodic work.
--- /dev/null
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -0,0 +1,171 @@
+"""Controller that asks hubs what they have read from the platform, in place of an own read."""
+
+import random
+from typing import Any, NamedTuple
+
+from greengagehoist.gateway.controllers._reach import Reach
+from greengagehoist.membership import Member
+from greengagehoist.peers import (
+    FromPeer,
+    ReadConfirmation,
+    ReadConfirmationRequest,
+    SendTo,
+    Subscribe,
+)
+from greengagehoist.replicas import rendezvous_rank
+from greengagehoist.utils import Clock, Controller, Published, Reply, log_event
+
+# Several round trips between data centres; a hub that takes longer is not waited for.
+ANSWER_TIMEOUT_S = 0.15
+# Hubs and the daemons that ask them both read in this part of the usual period, so that the ages of
+# their reads add up to the usual age.
+SHARED_PERIOD_PART = 0.5
+# A confirmation that is older than this many periods is not used.
+LONGEST_AGE_PERIODS = 1.0
+# Seconds between reads while the platform fails or nothing is known yet.
+RETRY_S = 0.3
+PERIOD_JITTER = 0.05
+
+
+class Confirmed(NamedTuple):
+    """Content that the platform held at an instant.
+
+    :param token: identifies the content.
+    :param at: instant of the own clock, at or before the one at which the read was sent.
+    """
+
+    token: str
+    at: float
+
+
+class AskHub(NamedTuple):
+    """Ask a hub for its newest read; replied by :class:`Confirmed`, or None if there is none.
+
+    :param topic: ``deployment`` or ``replicas``.
+    """
+
+    topic: str
+
+
+class _TimedOut(NamedTuple):
+    number: int
+
+
+class _Question(NamedTuple):
+    asked_at: float
+    reply: Reply
+
+
+class RelayController(Controller):
+    """Answers for hubs and asks them; the other daemons then need few calls of the platform.
+
+    A confirmation says how old the hub's read was when it answered. The answer was given after the
+    question, so the content was current at the instant of the question minus that age.
+
+    :param shared: whether hubs read for the other daemons.
+    :param hubs: published names of the hubs.
+    :param links: published members that this daemon links to.
+    :param sources: own newest reads by topic.
+    """
+
+    def __init__(
+        self,
+        peers: Controller,
+        own: Member,
+        shared: Published[bool],
+        hubs: Published[frozenset[str]],
+        links: Published[tuple[Member, ...]],
+        reach: Published[Reach],
+        clock: Clock,
+    ):
+        super().__init__("relay")
+        self.peers = peers
+        self.own = own
+        self.shared = shared
+        self.hubs = hubs
+        self.links = links
+        self.reach = reach
+        self.clock = clock
+        self.sources: dict[str, Published[Confirmed | None]] = {}
+        self._open: dict[int, _Question] = {}
+        self._number = 0
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        self.peers.tell(Subscribe((ReadConfirmationRequest, ReadConfirmation), self))
+        await super().run()
+
+    def handle(self, message: Any, reply: Reply) -> None:
+        """Process one message."""
+        match message:
+            case AskHub(topic):
+                self._ask(topic, reply)
+            case FromPeer(vm, _, _, ReadConfirmationRequest(number, topic)):
+                self._answer(vm, number, topic)
+            case FromPeer(vm, _, _, ReadConfirmation(number, token, age_s)):
+                question = self._open.pop(number, None)
+                if question is not None:
+                    at = question.asked_at - age_s
+                    question.reply(Confirmed(token, at) if token else None)
+            case _TimedOut(number):
+                question = self._open.pop(number, None)
+                if question is not None:
+                    log_event("hub_silent", "WARNING", waited_s=ANSWER_TIMEOUT_S)
+                    question.reply(None)
+
+    def _ask(self, topic: str, reply: Reply) -> None:
+        hub = self._choose_hub(topic)
+        if hub is None:
+            reply(None)
+            return
+        self._number += 1
+        self._open[self._number] = _Question(self.clock.monotonic(), reply)
+        self.peers.tell(SendTo(hub, ReadConfirmationRequest(self._number, topic)))
+        self.start(self._time(self._number))
+
+    async def _time(self, number: int) -> None:
+        await self.clock.sleep(ANSWER_TIMEOUT_S)
+        self.tell(_TimedOut(number))
+
+    def _choose_hub(self, topic: str) -> str | None:
+        """Return a hub in the own data centre if one answers, else any; None for own reads."""
+        if not self.shared.value or self.own.vm in self.hubs.value:
+            return None
+        usable = self.hubs.value & self.reach.value.ready
+        near = {item.vm for item in self.links.value if item.data_centre == self.own.data_centre}
+        names = usable & near or usable
+        return max(names, key=lambda vm: rendezvous_rank(self.own.vm + topic, vm), default=None)
+
+    def _answer(self, vm: str, number: int, topic: str) -> None:
+        source = self.sources.get(topic)
+        found = source.value if source is not None else None
+        token, age_s = "", 0.0
+        if found is not None:
+            token, age_s = found.token, self.clock.monotonic() - found.at
+        self.peers.tell(SendTo(vm, ReadConfirmation(number, token, age_s)))
+
+
+async def ask_relay(
+    relay: Controller, topic: str, token: str, now: float, period: float
+) -> Confirmed | None:
+    """Return a hub's confirmation of what this daemon holds, or None if it must read itself.
+
+    :param token: of the own newest content, empty if there is none.
+    :param period: seconds between reads.
+    """
+    if not token:
+        return None
+    found = await relay.ask(AskHub(topic))
+    if found is None or found.token != token or now - found.at > LONGEST_AGE_PERIODS * period:
+        return None
+    return found
+
+
+def read_pause_s(ok: bool, read_every: float, shared: bool, rng: random.Random) -> float:
+    """Return the seconds until the next read.
+
+    :param ok: whether something is known and the last read has succeeded.
+    :param read_every: usual seconds between reads.
+    """
+    period = read_every * (SHARED_PERIOD_PART if shared else 1.0) if ok else RETRY_S
+    return period * rng.uniform(1.0 - PERIOD_JITTER, 1.0 + PERIOD_JITTER)
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -1,18 +1,17 @@
 """Controller that follows the platform's list of replicas."""
 
+import hashlib
 import random
 from typing import Any, NamedTuple
 
 from returns.result import Result, Success
 
 from greengagehoist.gateway.controllers._deployment import SetReadPeriod
+from greengagehoist.gateway.controllers._relay import Confirmed, ask_relay, read_pause_s
 from greengagehoist.platform_client import ListReplicas
 from greengagehoist.replicas import Book, Replica, apply_outage, apply_read
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
-# Seconds between reads while the platform fails or nothing is known yet.
-RETRY_S = 0.3
-
 
 class ReplicasChanged(NamedTuple):
     """Tell followers that the list has changed."""
@@ -31,13 +30,18 @@
 
     The list is read as a whole: a feed would return with every heartbeat of every replica.
 
+    :param relay: controller that knows what hubs have read.
+    :param shared: whether hubs read for the other daemons.
     :param read_every: seconds between reads.
     :param followers: controllers that receive :class:`ReplicasChanged`.
+    :ivar confirmed: published digest of the list and instant of the newest read.
     """
 
     def __init__(
         self,
         platform: Controller,
+        relay: Controller,
+        shared: Published[bool],
         clock: Clock,
         rng: random.Random,
         read_every: float,
@@ -45,6 +49,10 @@
     ):
         super().__init__("replicas")
         self.platform = platform
+        self.relay = relay
+        self.shared = shared
+        self.confirmed: Published[Confirmed | None] = Published(None)
+        self._listed: tuple[Replica, ...] = ()
         self.clock = clock
         self.rng = rng
         self.read_every = read_every
@@ -68,6 +76,13 @@
                 self._apply(message)
 
     async def _read(self) -> None:
+        sent_at, held = self.clock.monotonic(), self.confirmed.value
+        token = held.token if held is not None else ""
+        relayed = await ask_relay(self.relay, "replicas", token, sent_at, self.read_every)
+        if relayed is not None:
+            self.tell(_Read(self._listed, self._unreadable, relayed.at))
+            await self._pause(True)
+            return
         sent_at = self.clock.monotonic()
         replicas: list[Replica] = []
         unreadable, after, ok = 0, "", True
@@ -83,9 +98,11 @@
             if not after:
                 break
         self.tell(_Read(tuple(replicas) if ok else None, unreadable, sent_at))
-        known = ok and replicas
-        period = self.read_every if known else RETRY_S
-        await self.clock.sleep(period * self.rng.uniform(0.95, 1.05))
+        await self._pause(bool(ok and replicas))
+
+    async def _pause(self, ok: bool) -> None:
+        pause = read_pause_s(ok, self.read_every, self.shared.value, self.rng)
+        await self.clock.sleep(pause)
         self.tell(Tick())
 
     def _apply(self, read: _Read) -> None:
@@ -100,11 +117,20 @@
             self._unreadable = read.unreadable
         book = apply_read(before, read.replicas, read.sent_at)
         self.book.value = book
+        self._note_confirmed(read)
         if book.replicas != before.replicas:
             self._log_changes(before, book)
             for follower in self.followers:
                 follower.tell(ReplicasChanged(book))
 
+    def _note_confirmed(self, read: _Read) -> None:
+        held = self.confirmed.value
+        if held is None or read.replicas != self._listed:
+            self._listed = read.replicas
+            self.confirmed.value = Confirmed(list_token(read.replicas), read.sent_at)
+        elif read.sent_at > held.at:
+            self.confirmed.value = held._replace(at=read.sent_at)
+
     def _log_changes(self, before: Book, book: Book) -> None:
         for key, item in book.replicas.items():
             old = before.replicas.get(key)
@@ -120,3 +146,8 @@
                 )
         for key in before.replicas.keys() - book.replicas.keys():
             log_event("replica_gone", replica=key, service=before.replicas[key].service)
+
+
+def list_token(replicas: tuple[Replica, ...]) -> str:
+    """Return a digest that is equal for equal lists on all daemons."""
+    return hashlib.blake2b(repr(replicas).encode(), digest_size=8).hexdigest()
--- a/greengagehoist/gateway/tests/test_pools.py
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -15,9 +15,9 @@
 )
 from greengagehoist.gateway.controllers._reach import ReachChanged
 from greengagehoist.gateway.controllers._results import FreeHandles
+from greengagehoist.gateway.tests.recorder import Recorder, send
 from greengagehoist.peers import (
     FromPeer,
-    SendTo,
     StageCancel,
     StageFree,
     StageReserve,
@@ -28,33 +28,13 @@
 from greengagehoist.pieces import StageWork
 from greengagehoist.replicas import Book, rendezvous_rank
 from greengagehoist.retries import RepeatWindow
-from greengagehoist.utils import Controller, Published
+from greengagehoist.utils import Published
 
 VMS = frozenset({"vm-a", "vm-b"})
 OWNER = max(VMS, key=lambda vm: rendezvous_rank("s", vm))
 (OTHER,) = VMS - {OWNER}
 
 
-class Recorder(Controller):
-    """Keeps what it is told, and says that each message was sent."""
-
-    def __init__(self, name):
-        super().__init__(name)
-        self.told = []
-
-    def tell(self, message):
-        self.told.append(message)
-
-    async def ask(self, message):
-        self.told.append(message)
-        return True
-
-    def sent(self, kind):
-        """Return the messages of one kind that were sent to peers."""
-        found = [item.message for item in self.told if isinstance(item, SendTo)]
-        return [item for item in found if isinstance(item, kind)]
-
-
 @pytest.fixture
 def make_pools(clock):
     """Return a function that builds the controller of one VM and the recorders around it."""
@@ -81,13 +61,6 @@
     return make
 
 
-def send(controller, message):
-    """Handle a message at once; returns its replies."""
-    replies = []
-    controller.handle(message, replies.append)
-    return replies
-
-
 def work(clock, attempt=0, count=2):
     now = clock.monotonic()
     pieces = tuple(range(count))
@@ -220,3 +193,23 @@
         assert not pools._tasks
 
     asyncio.run(scenario())
+
+
+def test_work_of_a_lost_daemon_is_dropped_and_its_results_are_freed(make_pools):
+    """Results of killed daemons filled the pools for seconds, and their work went on."""
+
+    async def scenario():
+        pools, _, results = make_pools(OWNER)
+        send(pools, FromPeer(OTHER, "z", 1, submission()))
+        (pool,) = pools._pools.values()
+        (job,) = pool.queue.jobs.values()
+        for segment in (0, 1):
+            job.add_result(segment, f"a:1/{segment}")
+        pool.queue.drop(job.key)
+        pools._end_job((job, ""))
+        send(pools, FromPeer(OTHER, "z", 1, submission()._replace(request_id="y")))
+        send(pools, ReachChanged(Reach()))
+        assert results.told == [FreeHandles(("a:1/0", "a:1/1"))]
+        assert not pool.queue.jobs
+
+    asyncio.run(scenario())
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -115,6 +115,28 @@
     request_id: str
 
 
+class ReadConfirmationRequest(NamedTuple):
+    """Ask a hub which content it has read from the platform.
+
+    :param topic: ``deployment`` or ``replicas``.
+    """
+
+    number: int
+    topic: str
+
+
+class ReadConfirmation(NamedTuple):
+    """Answer to :class:`ReadConfirmationRequest`.
+
+    :param token: identifies the content, empty if the sender has read nothing yet.
+    :param age_s: seconds since the read was sent.
+    """
+
+    number: int
+    token: str
+    age_s: float
+
+
 class ConfigPush(NamedTuple):
     """An accepted version of the configuration.
 
@@ -220,4 +242,6 @@
     | StageCancel
     | StageReserve
     | StageWaits
+    | ReadConfirmationRequest
+    | ReadConfirmation
 )
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -8,6 +8,8 @@
     Heartbeat,
     Hello,
     LeaveMark,
+    ReadConfirmation,
+    ReadConfirmationRequest,
     StageCancel,
     StageFree,
     StageReserve,
@@ -44,5 +46,7 @@
         StageFree: 17,
         StageReserve: 18,
         StageWaits: 19,
+        ReadConfirmationRequest: 20,
+        ReadConfirmation: 21,
     }
 )
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -124,6 +124,11 @@
         found = [key for key in self.jobs if key.request_id == request_id]
         return [self.jobs.pop(key) for key in found]
 
+    def drop_origin(self, vm: str) -> list[Job]:
+        """Forget all work that the daemon of ``vm`` waits for."""
+        found = [key for key, job in self.jobs.items() if job.origin == vm]
+        return [self.jobs.pop(key) for key in found]
+
     def waiting_pieces(self) -> int:
         """Return the number of pieces that no replica works on."""
         return sum(len(job.waiting) for job in self.jobs.values())
