--- a/greengagehoist/daemon/gateway.py
+++ b/greengagehoist/daemon/gateway.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import click
+import uvloop
 
 from greengagehoist.daemon._gateway import GatewayDaemon
 from greengagehoist.gateway import GatewaySettings
@@ -42,7 +43,8 @@
         sys.exit(BAD_SETTINGS)
     setup_logging(log_level, stream=sys.stdout, vm=settings.vm)
     try:
-        asyncio.run(_run(settings, metrics_port))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_run(settings, metrics_port))
     except OSError as exc:
         click.echo(f"greengagehoist gateway: cannot listen: {exc}", err=True)
         sys.exit(BAD_SETTINGS)
