Let hubs' daemons read rarely while hubs cannot

Change: a daemon whose hub cannot read reads itself at most every 1.5 s. Test: test_daemons_do_not_all_read_while_hubs_cannot.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -6,7 +6,12 @@
 from returns.result import Result, Success
 
 from greengagehoist.deployment import Knowledge, merge
-from greengagehoist.gateway.controllers._relay import Confirmed, ask_relay, read_pause_s
+from greengagehoist.gateway.controllers._relay import (
+    Confirmed,
+    ask_relay,
+    read_pause_s,
+    reads_itself,
+)
 from greengagehoist.platform_client import DeploymentRead, ReadDeployment
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
@@ -53,6 +58,7 @@
         self.read_every = read_every
         self.known: Published[Knowledge | None] = Published(None)
         self._row = 0
+        self._read_at = float("-inf")
         self._failing = False
 
     async def run(self) -> None:
@@ -73,14 +79,16 @@
     async def _read(self) -> None:
         sent_at, row = self.clock.monotonic(), self._row
         token = str(row) if row else ""
-        relayed = await ask_relay(self.relay, "deployment", token, sent_at, self.read_every)
-        if relayed is not None:
-            result, sent_at = Success(DeploymentRead(None, row)), relayed.at
-        else:
-            sent_at = self.clock.monotonic()
+        word = await ask_relay(self.relay, "deployment", token, sent_at, self.read_every)
+        ok = False
+        if isinstance(word, Confirmed):
+            self.tell(_Read(Success(DeploymentRead(None, row)), word.at))
+            ok = True
+        elif reads_itself(word, sent_at - self._read_at):
+            self._read_at = sent_at = self.clock.monotonic()
             result = await self.platform.ask(ReadDeployment(row))
-        self.tell(_Read(result, sent_at))
-        ok = isinstance(result, Success) and self.known.value is not None
+            self.tell(_Read(result, sent_at))
+            ok = isinstance(result, Success) and self.known.value is not None
         pause = read_pause_s(ok, self.read_every, self.shared.value, self.rng)
         await self.clock.sleep(pause)
         self.tell(Tick())
--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -1,6 +1,7 @@
 """Controller that asks hubs what they have read from the platform, in place of an own read."""
 
 import random
+from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 from greengagehoist.gateway.controllers._reach import Reach
@@ -22,6 +23,8 @@
 SHARED_PERIOD_PART = 0.5
 # A confirmation that is older than this many periods is not used.
 LONGEST_AGE_PERIODS = 1.0
+# Seconds between own reads while hubs cannot read: an outage must not make all daemons read at once.
+STALE_HUB_PERIOD_S = 1.5
 # Seconds between reads while the platform fails or nothing is known yet.
 RETRY_S = 0.3
 PERIOD_JITTER = 0.05
@@ -38,6 +41,19 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class HubStale:
+    """The hub itself has not read the platform for too long."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadNow:
+    """No hub can speak for what this daemon needs."""
+
+
+HubWord = Confirmed | HubStale | ReadNow
+
+
 class AskHub(NamedTuple):
     """Ask a hub for its newest read; replied by :class:`Confirmed`, or None if there is none.
 
@@ -147,18 +163,34 @@
 
 async def ask_relay(
     relay: Controller, topic: str, token: str, now: float, period: float
-) -> Confirmed | None:
-    """Return a hub's confirmation of what this daemon holds, or None if it must read itself.
+) -> HubWord:
+    """Return a hub's confirmation of what this daemon holds, or why there is none.
 
     :param token: of the own newest content, empty if there is none.
     :param period: seconds between reads.
     """
     if not token:
-        return None
+        return ReadNow()
     found = await relay.ask(AskHub(topic))
-    if found is None or found.token != token or now - found.at > LONGEST_AGE_PERIODS * period:
-        return None
-    return found
+    if found is None:
+        return ReadNow()
+    if now - found.at > LONGEST_AGE_PERIODS * period:
+        return HubStale()
+    return found if found.token == token else ReadNow()
+
+
+def reads_itself(word: HubWord, since_read_s: float) -> bool:
+    """Return whether a daemon reads the platform itself.
+
+    :param since_read_s: seconds since its last own read, answered or not.
+    """
+    match word:
+        case Confirmed():
+            return False
+        case HubStale():
+            return since_read_s >= STALE_HUB_PERIOD_S
+        case ReadNow():
+            return True
 
 
 def read_pause_s(ok: bool, read_every: float, shared: bool, rng: random.Random) -> float:
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -7,7 +7,12 @@
 from returns.result import Result, Success
 
 from greengagehoist.gateway.controllers._deployment import SetReadPeriod
-from greengagehoist.gateway.controllers._relay import Confirmed, ask_relay, read_pause_s
+from greengagehoist.gateway.controllers._relay import (
+    Confirmed,
+    ask_relay,
+    read_pause_s,
+    reads_itself,
+)
 from greengagehoist.platform_client import ListReplicas
 from greengagehoist.replicas import Book, Replica, apply_outage, apply_read
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
@@ -53,6 +58,7 @@
         self.shared = shared
         self.confirmed: Published[Confirmed | None] = Published(None)
         self._listed: tuple[Replica, ...] = ()
+        self._read_at = float("-inf")
         self.clock = clock
         self.rng = rng
         self.read_every = read_every
@@ -78,12 +84,15 @@
     async def _read(self) -> None:
         sent_at, held = self.clock.monotonic(), self.confirmed.value
         token = held.token if held is not None else ""
-        relayed = await ask_relay(self.relay, "replicas", token, sent_at, self.read_every)
-        if relayed is not None:
-            self.tell(_Read(self._listed, self._unreadable, relayed.at))
+        word = await ask_relay(self.relay, "replicas", token, sent_at, self.read_every)
+        if isinstance(word, Confirmed):
+            self.tell(_Read(self._listed, self._unreadable, word.at))
             await self._pause(True)
             return
-        sent_at = self.clock.monotonic()
+        if not reads_itself(word, sent_at - self._read_at):
+            await self._pause(False)
+            return
+        self._read_at = sent_at = self.clock.monotonic()
         replicas: list[Replica] = []
         unreadable, after, ok = 0, "", True
         while ok:
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -10,8 +10,11 @@
     ANSWER_TIMEOUT_S,
     AskHub,
     Confirmed,
+    HubStale,
+    ReadNow,
     ask_relay,
     read_pause_s,
+    reads_itself,
 )
 from greengagehoist.gateway.controllers._replicas import list_token
 from greengagehoist.gateway.tests.recorder import Recorder, send
@@ -115,18 +118,27 @@
 
 
 @pytest.mark.parametrize(
-    ("token", "found", "used"),
+    ("token", "found", "word"),
     [
-        ("7", Confirmed("7", 99.0), True),
-        ("7", Confirmed("8", 99.0), False),
-        ("7", Confirmed("7", 97.0), False),
-        ("7", None, False),
-        ("", Confirmed("", 99.0), False),
+        ("7", Confirmed("7", 99.0), Confirmed("7", 99.0)),
+        ("7", Confirmed("8", 99.0), ReadNow()),
+        ("7", Confirmed("7", 97.0), HubStale()),
+        ("7", Confirmed("8", 97.0), HubStale()),
+        ("7", None, ReadNow()),
+        ("", Confirmed("", 99.0), ReadNow()),
     ],
 )
-def test_only_a_fresh_confirmation_of_the_same_content_replaces_a_read(token, found, used):
+def test_only_a_fresh_confirmation_of_the_same_content_replaces_a_read(token, found, word):
     got = asyncio.run(ask_relay(Answering(found), "deployment", token, 100.0, 2.0))
-    assert got == (found if used else None)
+    assert got == word
+
+
+def test_daemons_do_not_all_read_while_hubs_cannot():
+    """In an outage 64 daemons once made 400 calls a second that were all refused."""
+    assert reads_itself(ReadNow(), 0.0)
+    assert not reads_itself(HubStale(), 1.0)
+    assert reads_itself(HubStale(), 1.6)
+    assert not reads_itself(Confirmed("7", 1.0), 9.0)
 
 
 def test_ages_of_a_hub_and_of_its_question_add_up_to_the_usual_period():
