Split the pool controller; tell results of different attempts apart

Change: OwnedPools holds what a daemon owns and what it has handed out; StageResult names the attempt. Test: test_late_result_of_an_earlier_attempt_does_not_end_the_present_one.

--- /dev/null
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -0,0 +1,129 @@
+"""The stage pools that a daemon owns, and the results that it has handed to peers."""
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
+
+from greengagehoist.deployment import Knowledge
+from greengagehoist.gateway.controllers._owned_pool import OwnedPool
+from greengagehoist.gateway.controllers._pool_messages import StagePlan
+from greengagehoist.gateway.controllers._pool_worker import PoolWorker
+from greengagehoist.peers import StageResult
+from greengagehoist.pieces import Job, JobKey, Reservation, StageWork
+from greengagehoist.replicas import Book, Replica
+from greengagehoist.retries import RepeatWindow
+from greengagehoist.utils import Published, log_event
+
+# Time for which results are kept for a repeated submission.
+FINISHED_LIFE_S = 3.0
+
+
+class _Finished(NamedTuple):
+    """Results that were sent to a peer, which may not have received them."""
+
+    result: StageResult
+    work: StageWork
+    origin: str
+    expires: float
+
+
+class OwnedPools:
+    """Pools by service; part of the state of the pool controller.
+
+    :param make_repeats: builds the budget of repeated pieces of one pool.
+    :param make_worker: builds the worker of a replica.
+    """
+
+    def __init__(
+        self,
+        known: Published[Knowledge | None],
+        book: Published[Book],
+        make_repeats: Callable[[], RepeatWindow],
+        make_worker: Callable[[Replica], PoolWorker],
+    ):
+        self.known = known
+        self.book = book
+        self.make_repeats = make_repeats
+        self.make_worker = make_worker
+        self._pools: dict[str, OwnedPool] = {}
+        self._finished: dict[JobKey, _Finished] = {}
+
+    def __iter__(self) -> Iterator[OwnedPool]:
+        return iter(list(self._pools.values()))
+
+    def get(self, service: str) -> OwnedPool | None:
+        """Return the pool of a service with its newest limits, or None if it has no pool."""
+        pool = self._pools.get(service)
+        known = self.known.value
+        listed = known.deployment.services.get(service) if known else None
+        if listed is None or listed.pool is None:
+            return pool
+        if pool is None:
+            pool = OwnedPool(service, listed.pool, self.make_repeats(), self.make_worker)
+            self._pools[service] = pool
+            self.sync(pool)
+        pool.queue.limits = listed.pool
+        return pool
+
+    def sync(self, pool: OwnedPool) -> None:
+        """Let a pool follow the list of replicas."""
+        pool.sync(self.book.value.of_service(pool.service))
+
+    def reserve(
+        self, request_id: str, rank: int, plans: Iterable[StagePlan], now: float
+    ) -> dict[str, float]:
+        """Reserve work; returns by service the seconds until what goes before it is done."""
+        waits = {}
+        for service, pieces, due in plans:
+            pool = self.get(service)
+            if pool is not None:
+                new = Reservation(pieces, rank, due)
+                waits[service] = pool.wait_s(new, now)
+                pool.queue.reserve(request_id, new)
+        return waits
+
+    def find_job(self, work: StageWork) -> Job | None:
+        """Return the job of an earlier submission of the same work that is still in progress."""
+        pool = self._pools.get(work.service)
+        job = pool.queue.jobs.get(_key(work)) if pool is not None else None
+        return job if job is not None and _is_same(job.work, work) else None
+
+    def find_result(self, work: StageWork) -> StageResult | None:
+        """Return the results of an earlier submission of the same work."""
+        finished = self._finished.get(_key(work))
+        return finished.result if finished and _is_same(finished.work, work) else None
+
+    def keep_result(self, job: Job, result: StageResult, now: float) -> None:
+        """Keep the results that a peer gets, in case that it submits the work again."""
+        expires = now + FINISHED_LIFE_S
+        self._finished[job.key] = _Finished(result, job.work, job.origin, expires)
+
+    def forget_old_results(self, now: float) -> None:
+        """Forget results whose submission is not repeated any more."""
+        for key in [key for key, item in self._finished.items() if item.expires <= now]:
+            del self._finished[key]
+
+    def drop_request(self, request_id: str) -> tuple[str, ...]:
+        """Forget all work of a request; returns the handles of its results."""
+        dropped = [job for pool in self for job in pool.queue.drop_request(request_id)]
+        return tuple(handle for job in dropped for handle in job.handles.values())
+
+    def drop_origin(self, vm: str) -> tuple[str, ...]:
+        """Forget the work of a daemon that was lost; returns the handles of its results.
+
+        Its requests have ended with it; if only the link is cut, it has its work done elsewhere.
+        """
+        dropped = [job for pool in self for job in pool.queue.drop_origin(vm)]
+        handles = [handle for job in dropped for handle in job.handles.values()]
+        for key in [key for key, item in self._finished.items() if item.origin == vm]:
+            handles.extend(self._finished.pop(key).result.handles)
+        if dropped or handles:
+            log_event("origin_lost", vm=vm, stages=len(dropped), results=len(handles))
+        return tuple(handles)
+
+
+def _key(work: StageWork) -> JobKey:
+    return JobKey(work.request_id, work.stage)
+
+
+def _is_same(work: StageWork, other: StageWork) -> bool:
+    return work.inputs == other.inputs and work.attempt == other.attempt
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -1,11 +1,12 @@
 """Controller that runs the work of stage pools in batches, together with the other daemons."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from greengagehoist.deployment import Knowledge
 from greengagehoist.gateway import WireFormat
 from greengagehoist.gateway.controllers._owned_pool import JobEnd, OwnedPool
+from greengagehoist.gateway.controllers._owned_pools import OwnedPools
 from greengagehoist.gateway.controllers._pool_messages import (
     CancelStages,
     FreeResults,
@@ -43,7 +44,6 @@
 from greengagehoist.pieces import (
     Job,
     JobKey,
-    Reservation,
     StageWork,
 )
 from greengagehoist.replicas import Book, Replica, rendezvous_rank
@@ -54,8 +54,6 @@
 # A peer that has not answered for this long gets the work again: the answer may be lost with a
 # link that was replaced.
 RESUBMIT_S = 0.6
-# Time for which results are kept for such a repeated submission.
-FINISHED_LIFE_S = 3.0
 # A request does not wait longer for the pools' owners before it is admitted: several round trips
 # between data centres.
 RESERVE_TIMEOUT_S = 0.05
@@ -65,15 +63,6 @@
     request_id: str
 
 
-class _Finished(NamedTuple):
-    """Results that were sent to a peer, which may not have received them."""
-
-    result: StageResult
-    work: StageWork
-    origin: str
-    expires: float
-
-
 class _Pending:
     """Own stage work whose results this daemon waits for."""
 
@@ -110,20 +99,17 @@
         repeats: Callable[[], RepeatWindow],
     ):
         super().__init__("pools")
-        self.known = known
         self.book = book
         self.peers = peers
         self.wire = wire
         self.clock = clock
         self.vm = vm
         self.hubs = hubs
-        self.make_repeats = repeats
         self._alive: frozenset[str] = frozenset()
         self._linked: frozenset[str] = frozenset()
         self._leaving = False
-        self._pools: dict[str, OwnedPool] = {}
+        self._owned = OwnedPools(known, book, repeats, self._make_worker)
         self._pending: dict[JobKey, _Pending] = {}
-        self._finished: dict[JobKey, _Finished] = {}
         self._delivered: dict[str, set[int]] = {}
         self._reservations = Reservations()
         self._results = ResultController(wire, self)
@@ -149,7 +135,7 @@
         try:
             await super().run()
         finally:
-            for pool in self._pools.values():
+            for pool in self._owned:
                 pool.close()
 
     def handle(self, message: Any, reply: Reply) -> None:
@@ -174,11 +160,13 @@
             case Leave():
                 self._leaving = True
             case ResultsFreed(address, handles):
-                for pool in self._pools.values():
+                for pool in self._owned:
                     if pool.note_freed(address, handles):
                         self._start_calls(pool)
             case ReplicasChanged():
-                self._sync_members()
+                for pool in self._owned:
+                    self._owned.sync(pool)
+                    self._start_calls(pool)
             case Tick():
                 self._tick()
 
@@ -192,7 +180,8 @@
         self._reservations.open(request_id, [plan.service for plan in message.plans], reply)
         for owner, plans in plans_by_owner.items():
             if owner == self.vm:
-                self._reservations.answer(request_id, self._accept_plans(request_id, rank, plans))
+                waits = self._owned.reserve(request_id, rank, plans, self.clock.monotonic())
+                self._reservations.answer(request_id, waits.items())
                 continue
             self._reservations.note_sent(request_id, owner)
             sent = to_reservation(request_id, rank, plans, self.clock.monotonic())
@@ -240,6 +229,10 @@
             names |= {self.vm}
         return max(names, key=lambda name: rendezvous_rank(service, name))
 
+    def _is_awaited(self, key: JobKey, attempt: int) -> bool:
+        pending = self._pending.get(key)
+        return pending is not None and pending.work.attempt == attempt
+
     def _resolve(self, key: JobKey, end: StageEnd) -> bool:
         pending = self._pending.pop(key, None)
         if pending is None:
@@ -256,15 +249,10 @@
             owners = set()
         for key in [item for item in self._pending if item.request_id == request_id]:
             owners.add(self._pending.pop(key).owner)
-        self._drop(request_id)
+        self._free(self._owned.drop_request(request_id))
         for owner in owners - {self.vm}:
             self.peers.tell(SendTo(owner, StageCancel(request_id)))
 
-    def _drop(self, request_id: str) -> None:
-        for pool in self._pools.values():
-            for job in pool.queue.drop_request(request_id):
-                self._free(tuple(job.handles.values()))
-
     # Messages of peers.
 
     def _from_peer(self, vm: str, message: Any) -> None:
@@ -276,12 +264,12 @@
                 end = StageEnd(message.handles, message.reason)
                 key = JobKey(message.request_id, message.stage)
                 # The answer to a repeated submission names results that are in use.
-                if not self._resolve(key, end) and key.stage not in self._delivered.get(
-                    key.request_id, ()
-                ):
+                if self._is_awaited(key, message.attempt):
+                    self._resolve(key, end)
+                elif key.stage not in self._delivered.get(key.request_id, ()):
                     self._free_results(message.service, message.handles)
             case StageReserve(request_id, services, _, rank, _):
-                waits = dict(self._accept_plans(request_id, rank, to_plans(message, now)))
+                waits = self._owned.reserve(request_id, rank, to_plans(message, now), now)
                 waits_s = tuple(waits.get(service, 0.0) for service in services)
                 self.peers.tell(SendTo(vm, StageWaits(request_id, services, waits_s)))
             case StageWaits(request_id, services, waits_s):
@@ -289,7 +277,7 @@
             case StageFree(_, handles):
                 self._free(handles)
             case StageCancel(request_id):
-                self._drop(request_id)
+                self._free(self._owned.drop_request(request_id))
             case Goodbye():
                 # The peer still finishes the work that it has.
                 self._alive -= {vm}
@@ -298,7 +286,7 @@
         lost = self._linked - reach.linked
         self._alive, self._linked = reach.ready, reach.linked
         for vm in lost:
-            self._drop_origin(vm)
+            self._free(self._owned.drop_origin(vm))
         for pending in list(self._pending.values()):
             if pending.owner != self.vm and pending.owner not in reach.linked:
                 log_event(
@@ -311,51 +299,21 @@
 
     # Work of the pools that this daemon owns.
 
-    def _accept_plans(
-        self, request_id: str, rank: int, plans: Iterable[StagePlan]
-    ) -> list[tuple[str, float]]:
-        """Reserve work; returns the seconds that it waits by service."""
-        now, waits = self.clock.monotonic(), []
-        for service, pieces, due in plans:
-            pool = self._pool(service)
-            if pool is not None:
-                new = Reservation(pieces, rank, due)
-                waits.append((service, pool.wait_s(new, now)))
-                pool.queue.reserve(request_id, new)
-        return waits
-
-    def _pool(self, service: str) -> OwnedPool | None:
-        pool = self._pools.get(service)
-        known = self.known.value
-        listed = known.deployment.services.get(service) if known else None
-        if listed is None or listed.pool is None:
-            return pool
-        if pool is None:
-            pool = OwnedPool(service, listed.pool, self.make_repeats(), self._make_worker)
-            pool.sync(self.book.value.of_service(service))
-            self._pools[service] = pool
-        pool.queue.limits = listed.pool
-        return pool
-
     def _make_worker(self, replica: Replica) -> PoolWorker:
         return PoolWorker(replica, self.wire, self.clock, self)
 
     def _accept(self, work: StageWork, vm: str) -> None:
         """Queue a peer's work; answer a repeated submission without doing the work again."""
-        key = JobKey(work.request_id, work.stage)
-        pool = self._pools.get(work.service)
-        job = pool.queue.jobs.get(key) if pool is not None else None
-        if job is not None and _is_same(job.work, work):
+        job, result = self._owned.find_job(work), self._owned.find_result(work)
+        if job is not None:
             job.origin = vm
-            return
-        finished = self._finished.get(key)
-        if finished is not None and _is_same(finished.work, work):
-            self.peers.tell(SendTo(vm, finished.result))
-            return
-        self._enqueue(work, vm)
+        elif result is not None:
+            self.peers.tell(SendTo(vm, result))
+        else:
+            self._enqueue(work, vm)
 
     def _enqueue(self, work: StageWork, origin: str) -> None:
-        pool, now = self._pool(work.service), self.clock.monotonic()
+        pool, now = self._owned.get(work.service), self.clock.monotonic()
         if pool is None:
             log_event("stage_without_pool", "WARNING", service=work.service)
             self._end_job(JobEnd(Job(work, origin, now), "failed"))
@@ -364,41 +322,19 @@
         pool.queue.add(work, origin, now)
         self._start_calls(pool)
 
-    def _drop_origin(self, vm: str) -> None:
-        """Forget the work of a daemon that was lost, and free the results that it had got.
-
-        Its requests have ended with it; if only the link is cut, it has its work done elsewhere.
-        """
-        handles: list[str] = []
-        dropped = 0
-        for pool in self._pools.values():
-            for job in pool.queue.drop_origin(vm):
-                handles.extend(job.handles.values())
-                dropped += 1
-        for key in [key for key, item in self._finished.items() if item.origin == vm]:
-            handles.extend(self._finished.pop(key).result.handles)
-        if dropped or handles:
-            log_event("origin_lost", vm=vm, stages=dropped, results=len(handles))
-        self._free(tuple(handles))
-
-    def _sync_members(self) -> None:
-        for service, pool in self._pools.items():
-            pool.sync(self.book.value.of_service(service))
-            self._start_calls(pool)
-
     def _start_calls(self, pool: OwnedPool) -> None:
         for member in pool.next_calls(self.book.value.replicas, self.clock.monotonic()):
             self.start(member.worker.run_batch(member.pieces, member.expected_s))
 
     def _batch_ended(self, end: BatchEnded) -> None:
-        for service, pool in self._pools.items():
+        for pool in self._owned:
             effect = pool.end_call(end, self.clock.monotonic())
             if effect is None:
                 continue
             for job_end in effect.ends:
                 self._end_job(job_end)
             self._free(effect.spare)
-            pool.sync(self.book.value.of_service(service))
+            self._owned.sync(pool)
             self._start_calls(pool)
             return
 
@@ -413,17 +349,18 @@
                 self._free(handles)
             return
         work = job.work
-        result = StageResult(work.request_id, work.service, work.stage, handles, reason)
+        result = StageResult(
+            work.request_id, work.service, work.stage, handles, reason, work.attempt
+        )
         if not reason:
-            expires = self.clock.monotonic() + FINISHED_LIFE_S
-            self._finished[job.key] = _Finished(result, work, job.origin, expires)
+            self._owned.keep_result(job, result, self.clock.monotonic())
         self.peers.tell(SendTo(job.origin, result))
 
     # Periodic work.
 
     def _tick(self) -> None:
         now = self.clock.monotonic()
-        for pool in self._pools.values():
+        for pool in self._owned:
             for job_end in pool.expire(now):
                 self._end_job(job_end)
             pool.repeat_overdue(now)
@@ -433,8 +370,7 @@
                 self._resolve(key, StageEnd((), "late"))
             elif pending.owner != self.vm and now - pending.sent_at > RESUBMIT_S:
                 self._place(pending)
-        for key in [key for key, item in self._finished.items() if item.expires <= now]:
-            del self._finished[key]
+        self._owned.forget_old_results(now)
 
     def _free_results(self, service: str, handles: tuple[str, ...]) -> None:
         """Free results through the owner of their pool, which keeps account of its replicas."""
@@ -449,8 +385,3 @@
     def _free(self, handles: tuple[str, ...]) -> None:
         if handles:
             self._results.tell(FreeHandles(handles))
-
-
-def _is_same(work: StageWork, other: StageWork) -> bool:
-    """Return whether a submission repeats an earlier one."""
-    return work.inputs == other.inputs and work.attempt == other.attempt
--- a/greengagehoist/gateway/tests/test_pools.py
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -75,8 +75,8 @@
     return StageSubmit("x", "s", 0, (0, 1), "k", (), 1, 5.0, 9.0, "", 0.0, attempt)
 
 
-def result():
-    return StageResult("x", "s", 0, ("a:1/1", "a:1/2"), "")
+def result(attempt=0):
+    return StageResult("x", "s", 0, ("a:1/1", "a:1/2"), "", attempt)
 
 
 def test_result_that_arrives_twice_is_not_freed_while_it_is_used(make_pools, clock):
@@ -111,7 +111,7 @@
     async def scenario():
         pools, peers, _ = make_pools(OWNER)
         send(pools, FromPeer(OTHER, "z", 1, submission()))
-        (pool,) = pools._pools.values()
+        (pool,) = pools._owned
         (job,) = pool.queue.jobs.values()
         for segment in (0, 1):
             job.add_result(segment, f"a:1/{segment}")
@@ -172,7 +172,7 @@
     async def scenario():
         pools, _, results = make_pools(OWNER)
         send(pools, SubmitStage(work(clock)))
-        (pool,) = pools._pools.values()
+        (pool,) = pools._owned
         (job,) = pool.queue.jobs.values()
         job.add_result(0, "a:1/0")
         pools._end_job((job, "failed"))
@@ -201,7 +201,7 @@
     async def scenario():
         pools, _, results = make_pools(OWNER)
         send(pools, FromPeer(OTHER, "z", 1, submission()))
-        (pool,) = pools._pools.values()
+        (pool,) = pools._owned
         (job,) = pool.queue.jobs.values()
         for segment in (0, 1):
             job.add_result(segment, f"a:1/{segment}")
@@ -213,3 +213,15 @@
         assert not pool.queue.jobs
 
     asyncio.run(scenario())
+
+
+def test_late_result_of_an_earlier_attempt_does_not_end_the_present_one(make_pools, clock):
+    async def scenario():
+        pools, _, _ = make_pools(OTHER)
+        replies = send(pools, SubmitStage(work(clock, attempt=1)))
+        send(pools, FromPeer(OWNER, "z", 1, result()))
+        assert replies == []
+        send(pools, FromPeer(OWNER, "z", 1, result(attempt=1)))
+        assert [end.handles for end in replies] == [("a:1/1", "a:1/2")]
+
+    asyncio.run(scenario())
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -93,6 +93,7 @@
 
     :param handles: of the results, in the order of the segments; empty if the stage failed.
     :param reason: why the stage failed, empty if it did not.
+    :param attempt: as in the submission.
     """
 
     request_id: str
@@ -100,6 +101,7 @@
     stage: int
     handles: tuple[str, ...]
     reason: str
+    attempt: int
 
 
 class StageFree(NamedTuple):
