Tell owners of a request's end only if reserved work is left

Cause: the filter counted the handles that it still held, so requests with several stages ended with a message to each owner, and each reservation started a timer even if it was answered at once. Change: Progress.stages_done; a timer only while answers are missing. Seen failing on the code before: test_owners_hear_of_the_end_of_a_request_only_if_work_is_left.

--- a/greengagehoist/daemon/tests/test_gateway.py
+++ b/greengagehoist/daemon/tests/test_gateway.py
@@ -15,6 +15,7 @@
 )
 from greengagehoist.gateway.controllers import CancelStages, ReserveStages, StagePlan
 from greengagehoist.http1 import IncompleteError, ResponseReader, get_header
+from greengagehoist.peers import SendTo, StageCancel, StageReserve
 from greengagehoist.platform import SETTINGS_VARIABLE
 from greengagehoist.standins import BreaksOff, Full, LosesAnswers, MixesUp, Silent
 
@@ -248,6 +249,26 @@
     play(scenario, daemons=2)
 
 
+def test_owners_hear_of_the_end_of_a_request_only_if_work_is_left(play):
+    """Each request with several stages once ended with a needless message to each owner."""
+
+    async def scenario(system):
+        await until(lambda: all(len(d.members.hubs.value) == 2 for d in system.daemons), 9)
+        await asyncio.sleep(0.6)
+        headers = {"X_Greengagehoist_Segments": b"2,2", "X_Greengagehoist_Segment_Key": b"k"}
+        sent = []
+        for daemon in system.daemons:
+            send = daemon.peers.tell
+            daemon.peers.tell = lambda message, send=send: (sent.append(message), send(message))
+        for daemon in range(2):
+            assert (await system.call("/deep/", daemon=daemon, **headers))[0] == 200
+        kinds = [type(item.message) for item in sent if isinstance(item, SendTo)]
+        assert StageReserve in kinds
+        assert StageCancel not in kinds
+
+    play(scenario, daemons=2)
+
+
 def test_pieces_of_several_daemons_share_calls(play):
     async def scenario(system):
         await until(lambda: all(daemon.members.count.value == 3 for daemon in system.daemons), 9)
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -87,6 +87,7 @@
     :ivar sends: number of sends.
     :ivar tried: ids of the replicas that it was sent to.
     :ivar started: whether the client got the beginning of the answer.
+    :ivar stages_done: whether all stages have ended with results once.
     :ivar inputs_freed: whether the stage results were freed.
     :ivar splitter: events of a resumable stream, None before the first send.
     """
@@ -96,6 +97,7 @@
         self.sends = 0
         self.tried: frozenset[str] = frozenset()
         self.started = False
+        self.stages_done = False
         self.inputs_freed = False
         self.splitter: EventSplitter | None = None
 
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -186,7 +186,8 @@
             self._reservations.note_sent(request_id, owner)
             sent = to_reservation(request_id, rank, plans, self.clock.monotonic())
             self.peers.tell(SendTo(owner, sent))
-        self.start(self._time_reservation(request_id))
+        if self._reservations.is_open(request_id):
+            self.start(self._time_reservation(request_id))
 
     async def _time_reservation(self, request_id: str) -> None:
         await self.clock.sleep(RESERVE_TIMEOUT_S)
--- a/greengagehoist/gateway/controllers/_reservations.py
+++ b/greengagehoist/gateway/controllers/_reservations.py
@@ -28,6 +28,10 @@
         """Wait for the answers for ``services``; ``reply`` gets seconds by service."""
         self._open[request_id] = _Open(set(services), reply)
 
+    def is_open(self, request_id: str) -> bool:
+        """Return whether answers for a request are missing."""
+        return request_id in self._open
+
     def note_sent(self, request_id: str, owner: str) -> None:
         """Note that another daemon may hold a reservation."""
         self.owners.setdefault(request_id, set()).add(owner)
--- a/greengagehoist/gateway/filters/_stage_work.py
+++ b/greengagehoist/gateway/filters/_stage_work.py
@@ -70,16 +70,14 @@
         if not route.stages:
             return await proceed(exchange)
         handles: dict[int, tuple[str, ...]] = {}
-        submitted = False
         try:
             refusal = await self._refuse_overload(exchange)
             if refusal is not None:
                 return refusal
-            reply = await self._serve(exchange, handles, proceed)
-            submitted = len(handles) == len(route.stages)
-            return reply
+            return await self._serve(exchange, handles, proceed)
         finally:
-            self.pools.tell(CancelStages(exchange.req.request_id, reserved=not submitted))
+            reserved = not exchange.progress.stages_done
+            self.pools.tell(CancelStages(exchange.req.request_id, reserved))
             self._free(route, handles)
 
     async def _serve(
@@ -123,6 +121,7 @@
                 age_ms=round((self.clock.monotonic() - exchange.arrived) * 1000),
             )
             return without_answer(exchange.progress, f"a stage failed: {reason}", RETRY_BACKLOG_S)
+        exchange.progress.stages_done = True
         final = final_stages(route)
         inputs = tuple((route.stages[number].service, handles[number]) for number in final)
         exchange.progress.inputs_freed = False
--- a/greengagehoist/gateway/tests/test_engine_starts.py
+++ b/greengagehoist/gateway/tests/test_engine_starts.py
@@ -9,9 +9,7 @@
 
 @pytest.fixture
 def routes():
-    return [
-        Route(name, "h", "/", NonIdempotent(), 1.0, 1.0, 1, (), 1, (), False) for name in "ab"
-    ]
+    return [Route(name, "h", "/", NonIdempotent(), 1.0, 1.0, 1, (), 1, (), False) for name in "ab"]
 
 
 def test_expected_time_follows_what_was_seen(routes):
