Admit requests that would be late by 0.15 s at most

Ruled out: other kinds than the staged ones (all refusals are of ranks 3 to 5). Change: LATE_TOLERANCE_S.

--- a/greengagehoist/gateway/filters/_stage_work.py
+++ b/greengagehoist/gateway/filters/_stage_work.py
@@ -29,6 +29,8 @@
 
 # Wait at a pool below which no request is refused for it.
 LEAST_BACKLOG_S = 0.1
+# Estimated lateness up to which a request is admitted: pools plan for a part of their time only.
+LATE_TOLERANCE_S = 0.15
 # Wait up to which a request that can no longer be answered in time is served all the same.
 LATE_BACKLOG_S = 0.4
 # A client comes back when a burst is probably over; clients wait for a third of their time at most.
@@ -171,7 +173,8 @@
             start_after(exchange.route), usual, [waits.get(item.service, 0.0) for item in stages]
         )
         late = now + needed + start_s - exchange.due
-        if late <= 0 or longest < (LEAST_BACKLOG_S if in_time_at_best else LATE_BACKLOG_S):
+        negligible_s = LEAST_BACKLOG_S if in_time_at_best else LATE_BACKLOG_S
+        if late <= LATE_TOLERANCE_S or longest < negligible_s:
             return None
         log_event(
             "request_refused",
