Name a hub's answer by the usual term

Cause: read-through; a figurative name. Change: HubAnswer and the variables that hold it, comments. Result: no change of behaviour; lint and the gateway's tests pass.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -79,12 +79,12 @@
     async def _read(self) -> None:
         sent_at, row = self.clock.monotonic(), self._row
         token = str(row) if row else ""
-        word = await ask_relay(self.relay, "deployment", token, sent_at, self.read_every)
+        answer = await ask_relay(self.relay, "deployment", token, sent_at, self.read_every)
         ok = False
-        if isinstance(word, Confirmed):
-            self.tell(_Read(Success(DeploymentRead(None, row)), word.at))
+        if isinstance(answer, Confirmed):
+            self.tell(_Read(Success(DeploymentRead(None, row)), answer.at))
             ok = True
-        elif reads_itself(word, sent_at - self._read_at):
+        elif reads_itself(answer, sent_at - self._read_at):
             self._read_at = sent_at = self.clock.monotonic()
             result = await self.platform.ask(ReadDeployment(row))
             self.tell(_Read(result, sent_at))
--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -48,10 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadNow:
-    """No hub can speak for what this daemon needs."""
+    """No hub has answered, or it has read other content."""
 
 
-HubWord = Confirmed | HubStale | ReadNow
+HubAnswer = Confirmed | HubStale | ReadNow
 
 
 class AskHub(NamedTuple):
@@ -163,7 +163,7 @@
 
 async def ask_relay(
     relay: Controller, topic: str, token: str, now: float, period: float
-) -> HubWord:
+) -> HubAnswer:
     """Return a hub's confirmation of what this daemon holds, or why there is none.
 
     :param token: of the own newest content, empty if there is none.
@@ -179,12 +179,12 @@
     return found if found.token == token else ReadNow()
 
 
-def reads_itself(word: HubWord, since_read_s: float) -> bool:
+def reads_itself(answer: HubAnswer, since_read_s: float) -> bool:
     """Return whether a daemon reads the platform itself.
 
     :param since_read_s: seconds since its last own read, answered or not.
     """
-    match word:
+    match answer:
         case Confirmed():
             return False
         case HubStale():
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -84,12 +84,12 @@
     async def _read(self) -> None:
         sent_at, held = self.clock.monotonic(), self.confirmed.value
         token = held.token if held is not None else ""
-        word = await ask_relay(self.relay, "replicas", token, sent_at, self.read_every)
-        if isinstance(word, Confirmed):
-            self.tell(_Read(self._listed, self._unreadable, word.at))
+        answer = await ask_relay(self.relay, "replicas", token, sent_at, self.read_every)
+        if isinstance(answer, Confirmed):
+            self.tell(_Read(self._listed, self._unreadable, answer.at))
             await self._pause(True)
             return
-        if not reads_itself(word, sent_at - self._read_at):
+        if not reads_itself(answer, sent_at - self._read_at):
             await self._pause(False)
             return
         self._read_at = sent_at = self.clock.monotonic()
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -1,4 +1,4 @@
-"""Guards against daemons that rely on a hub's word for longer than the hub's read is old."""
+"""Guards against daemons that take a hub's read for newer than it is."""
 
 import asyncio
 import random
@@ -48,7 +48,7 @@
 
 
 def test_confirmation_counts_from_the_question_less_the_age_of_the_hubs_read(make_relay, clock):
-    """The way of the answer may take any time, which must not make the read look newer."""
+    """The answer may be delayed for any time, which must not make the read look newer."""
 
     async def scenario():
         relay, peers = make_relay()
@@ -118,7 +118,7 @@
 
 
 @pytest.mark.parametrize(
-    ("token", "found", "word"),
+    ("token", "found", "answer"),
     [
         ("7", Confirmed("7", 99.0), Confirmed("7", 99.0)),
         ("7", Confirmed("8", 99.0), ReadNow()),
@@ -128,9 +128,9 @@
         ("", Confirmed("", 99.0), ReadNow()),
     ],
 )
-def test_only_a_fresh_confirmation_of_the_same_content_replaces_a_read(token, found, word):
+def test_only_a_fresh_confirmation_of_the_same_content_replaces_a_read(token, found, answer):
     got = asyncio.run(ask_relay(Answering(found), "deployment", token, 100.0, 2.0))
-    assert got == word
+    assert got == answer
 
 
 def test_daemons_do_not_all_read_while_hubs_cannot():
