Test a plan's limit with a customer that had no plan before

Cause: the scenario lowered the plan of a customer that held 6,000 requests a minute. A daemon whose quota controller learns of the change a moment later gives a transfer by the older limit (250 requests to one that asked for one), which the design allows: in the window of a change the largest limit holds. Ruled out: a boundary of the minute (30 s before its end), slots that two daemons open (read through). Change: the customer is new, so that only the limit of 5 was ever in force; a new test shows the transfer by the older limit and that the next window keeps the new one. The check itself is unchanged.

--- a/greengagehoist/quota/tests/test_scenarios.py
+++ b/greengagehoist/quota/tests/test_scenarios.py
@@ -184,6 +184,22 @@
     assert isinstance(ledger.reserve(Request("u", "depot", 0, 1.0), at(1)), Shortage)
 
 
+def test_lowered_limit_holds_in_the_window_after_the_change(leases):
+    """A peer that learns of the change later gives by the older limit until the window ends."""
+    giver = Ledger(leases, make_config(version=1, requests=6400))
+    taker = Ledger(LeaseBook("entry-1", "dc0", 1), make_config(version=2, requests=5))
+    key = Key("depot", "requests", int(START))
+    given = giver.give(key, 1, 1, at(1))
+    assert taker.credit(key, "t1", given, at(1))
+    assert 5 < taker.balances.open(key, 5, at(1).wall) <= 6400
+    giver.cfg = make_config(version=2, requests=5)
+    following = key._replace(window=key.window + 60)
+    left = giver.give(following, 1000, 1, at(60))
+    assert taker.credit(following, "t2", left, at(60))
+    assert taker.balances.open(following, 5, at(60).wall) <= 5
+    assert giver.balances.open(following, 5, at(60).wall) == 0
+
+
 def test_settlement_after_the_window_returns_nothing(ledger):
     first = ledger.reserve(Request("a", "depot", 100, 90.0), at(1))
     assert [draw.amount for draw in ledger.settle(first, 30, at(30))] == [70]
--- a/greengagehoist/tests/guarantees.feature
+++ b/greengagehoist/tests/guarantees.feature
@@ -25,7 +25,7 @@
     Then the booking is refused as "unauthenticated" and was not run
 
   Scenario: A plan's limit holds over all daemons
-    Given a plan of 5 requests a minute for "small"
+    Given a plan of 5 requests a minute for the new customer "small"
     When "small" sends 12 look-ups over all daemons within a minute
     Then at most 5 of them are answered and the others are refused as "over_plan"
 
--- a/greengagehoist/tests/test_guarantees.py
+++ b/greengagehoist/tests/test_guarantees.py
@@ -79,7 +79,7 @@
 
     async def start():
         await running.start()
-        await running.propose("entry-0", 0, example_changes(("depot", "small")), "test")
+        await running.propose("entry-0", 0, example_changes(("depot",)), "test")
         await running.wait_ready()
 
     try:
@@ -174,8 +174,9 @@
     assert (error["code"], error["outcome"]) == (code, "not_run")
 
 
-@given(parsers.parse('a plan of {limit:d} requests a minute for "{customer}"'))
+@given(parsers.parse('a plan of {limit:d} requests a minute for the new customer "{customer}"'))
 def small_plan(world, limit, customer):
+    """Give a plan to a customer that had none: an older, larger one may be used up to the minute."""
     limits = {"requests_per_minute": limit, "tokens_per_minute": 0, "concurrency": 64}
     usage = {"services": ["job-desk"], "deadline_ms": 5000, "limits": limits}
     digest = hashlib.sha256(credential_of(customer).encode()).hexdigest()
