Bound the bytes of a response, and mend faults of the readers

Cause: a replica, a stage pool, the platform's store or a target may send bytes without end. Heads, trailers, buffered bodies, events and lines of streams were held in memory without a limit. A malformed configuration row raised an error outside the expected ones, so that the read had no reply and the daemon read no more. A 409 with 'not executed' on a route without stages ended in an assertion error. A 421 that carries the id of another request counted as a proof. Change: http1/_limits.py holds the limits for both front ends; ResponseReader and the connections of the HTTP client library count bytes outside the body in a row and bytes of buffered bodies; the event splitter limits an event; the queue of a target's stream is bounded. The connection is closed, one log line (response_invalid) names the sender. A malformed row is a failed read, and every platform call gets a reply.

--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -1,5 +1,7 @@
 """Splits an event stream into whole events, so that another replica can resume it."""
 
+from greengagehoist.http1 import MAX_EVENT_BYTES, ProtocolError
+
 EVENT_END = b"\n\n"
 
 
@@ -14,16 +16,25 @@
         self._partial = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Return the whole events that ``data`` completes."""
+        """Return the whole events that ``data`` completes.
+
+        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``.
+        """
         text = self._partial + data
         end = text.rfind(EVENT_END)
         if end < 0:
             self._partial = text
+            self._check_size()
             return b""
         whole, self._partial = text[: end + 2], text[end + 2 :]
         self.last_id = _last_event_id(whole, self.last_id)
+        self._check_size()
         return whole
 
+    def _check_size(self) -> None:
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise ProtocolError(f"event of a stream exceeds {MAX_EVENT_BYTES} bytes")
+
     def discard_partial(self) -> None:
         """Discard an incomplete event after its replica has failed."""
         self._partial = b""
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -112,7 +112,7 @@
         # Stages by request whose results the request has received.
         self._delivered: dict[str, set[int]] = {}
         self._reservations = Reservations()
-        self._results = ResultController(wire, self)
+        self._results = ResultController(wire, clock, self)
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
--- a/greengagehoist/gateway/controllers/_results.py
+++ b/greengagehoist/gateway/controllers/_results.py
@@ -4,7 +4,7 @@
 
 from greengagehoist.gateway import WireFormat
 from greengagehoist.gateway.controllers._pool_worker import ResultFreer
-from greengagehoist.utils import Controller, Reply, log_event
+from greengagehoist.utils import Clock, Controller, Reply, log_event
 
 
 class FreeHandles(NamedTuple):
@@ -32,9 +32,10 @@
     :param follower: receives :class:`ResultsFreed`.
     """
 
-    def __init__(self, wire: WireFormat, follower: Controller):
+    def __init__(self, wire: WireFormat, clock: Clock, follower: Controller):
         super().__init__("results")
         self.wire = wire
+        self.clock = clock
         self.follower = follower
         self._queued: dict[str, list[str]] = {}
         self._freers: dict[str, ResultFreer] = {}
@@ -62,7 +63,7 @@
         freer = self._freers.get(address)
         if freer is None:
             host, _, port = address.rpartition(":")
-            freer = self._freers[address] = ResultFreer(host, int(port), self.wire)
+            freer = self._freers[address] = ResultFreer(host, int(port), self.wire, self.clock)
         if not freer.busy and address in self._queued:
             freer.busy = True
             self.start(self._free(freer, address))
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -281,8 +281,7 @@
             send=exchange.progress.sends + 1,
             left_ms=round(remaining_s * 1000),
         )
-        resume_after = splitter.last_id if splitter.last_id is not None else None
-        headers = self.wire.replica_headers(exchange, replica, remaining_s, resume_after)
+        headers = self.wire.replica_headers(exchange, replica, remaining_s, splitter.last_id)
         sent_at = self.clock.monotonic()
         sock.write(encode_request(req.method, req.target, headers, req.body))
         reader = ResponseReader(sock, req.method)
@@ -290,26 +289,32 @@
         try:
             async with asyncio.timeout(self._response_timeout_s(exchange)):
                 head = await reader.head()
-        except (IncompleteError, ProtocolError, TimeoutError):
+        except ProtocolError as exc:
+            _log_invalid_response(exchange, replica, exc)
+            return Lost()
+        except (IncompleteError, TimeoutError):
             return Lost()
         finally:
             free_task.cancel()
         reply = self.wire.read_reply(head)
         if reply.load is not None:
             self.placement.tell(LoadReported(replica.replica_id, reply.load))
+        if reply.request_id not in (None, req.request_id):
+            # The answer belongs to another request, so it says nothing about this one.
+            return Lost()
         if reply.not_executed or head.status == 421:
-            return Rejected(inputs_gone=head.status == 409)
-        if reply.request_id != req.request_id:
+            return Rejected(inputs_gone=head.status == 409 and bool(exchange.inputs))
+        if reply.request_id is None:
             return Lost()
         if not reply.signed or get_header(head.headers, b"content-encoding") is not None:
             return Lost()
         if isinstance(exchange.route.kind, Streaming) and head.status < 300:
             self.first_event_latency.observe(exchange.route, self.clock.monotonic() - sent_at)
-            return await self._relay_stream(exchange, head, reader, splitter)
+            return await self._relay_stream(exchange, replica, head, reader, splitter)
         if exchange.progress.started:
             # The client already has the beginning of another replica's answer.
             return Broken()
-        return await self._read_answer(exchange, head, reader)
+        return await self._read_answer(exchange, replica, head, reader)
 
     def _response_timeout_s(self, exchange: Exchange) -> float | None:
         if isinstance(exchange.route.kind, Idempotent) and exchange.route.max_attempts > 1:
@@ -317,11 +322,14 @@
         return None
 
     async def _read_answer(
-        self, exchange: Exchange, head: ResponseHead, reader: ResponseReader
+        self, exchange: Exchange, replica: Replica, head: ResponseHead, reader: ResponseReader
     ) -> Reply | SendEnd:
         try:
             body = await reader.whole_body()
-        except (IncompleteError, ProtocolError):
+        except ProtocolError as exc:
+            _log_invalid_response(exchange, replica, exc)
+            return Broken()
+        except IncompleteError:
             return Broken()
         if self._should_retry_error(exchange, head):
             return Broken()
@@ -350,35 +358,45 @@
     async def _relay_stream(
         self,
         exchange: Exchange,
+        replica: Replica,
         head: ResponseHead,
         reader: ResponseReader,
         splitter: EventSplitter,
     ) -> Reply | SendEnd:
         resumable = is_retryable(exchange.route.kind)
         try:
-            first = await reader.chunk()
-        except (IncompleteError, ProtocolError):
-            return Broken()
-        self._free_inputs(exchange)
-        if not exchange.progress.started:
-            exchange.sink.start(head)
-            exchange.progress.started = True
-        try:
-            data = first
+            data = await reader.chunk()
+            self._free_inputs(exchange)
+            if not exchange.progress.started:
+                exchange.sink.start(head)
+                exchange.progress.started = True
             while data:
-                ready = splitter.feed(data) if resumable else data
+                whole_events = splitter.feed(data)
+                ready = whole_events if resumable else data
                 if ready:
                     await exchange.sink.send(ready)
                 data = await reader.chunk()
-        except (IncompleteError, ProtocolError):
+        except (IncompleteError, ProtocolError) as exc:
+            if isinstance(exc, ProtocolError):
+                _log_invalid_response(exchange, replica, exc)
             splitter.discard_partial()
             return Broken()
         rest = splitter.flush()
-        if rest:
+        if rest and resumable:
             await exchange.sink.send(rest)
         return StreamEnded()
 
 
+def _log_invalid_response(exchange: Exchange, replica: Replica, exc: ProtocolError) -> None:
+    log_event(
+        "response_invalid",
+        "WARNING",
+        request=exchange.req.request_id,
+        replica=replica.replica_id,
+        reason=str(exc),
+    )
+
+
 def model_of(exchange: Exchange) -> str:
     """Return the model of an engine request, empty for others."""
     return exchange.req.prompt.model if exchange.req.prompt is not None else ""
--- a/greengagehoist/http1/__init__.py
+++ b/greengagehoist/http1/__init__.py
@@ -1,5 +1,11 @@
 """HTTP/1.1 over asyncio: sockets, readers of requests and responses, serialization."""
 
+from greengagehoist.http1._bounded_connection import (
+    BufferedConnection,
+    ResponseTooLargeError,
+    StreamConnection,
+)
+from greengagehoist.http1._limits import MAX_BODY_BYTES, MAX_EVENT_BYTES, MAX_FRAMING_BYTES
 from greengagehoist.http1._request import Request, RequestReader, SizeLimits
 from greengagehoist.http1._response import ResponseReader
 from greengagehoist.http1._socket import Socket, open_socket
@@ -19,6 +25,10 @@
 
 __all__ = [
     "LAST_CHUNK",
+    "MAX_BODY_BYTES",
+    "MAX_EVENT_BYTES",
+    "MAX_FRAMING_BYTES",
+    "BufferedConnection",
     "Headers",
     "IncompleteError",
     "ProtocolError",
@@ -27,8 +37,10 @@
     "RequestReader",
     "ResponseHead",
     "ResponseReader",
+    "ResponseTooLargeError",
     "SizeLimits",
     "Socket",
+    "StreamConnection",
     "encode_chunk",
     "encode_request",
     "encode_response_head",
--- /dev/null
+++ b/greengagehoist/http1/_bounded_connection.py
@@ -0,0 +1,91 @@
+"""Connections of the HTTP client library with a limit on the bytes of a response."""
+
+from typing import Any
+
+from aiosonic.connection import Connection
+
+from greengagehoist.http1._limits import MAX_BODY_BYTES, MAX_EVENT_BYTES, MAX_FRAMING_BYTES
+
+
+class ResponseTooLargeError(ValueError):
+    """The peer sent more bytes than a response may have."""
+
+
+class StreamConnection(Connection):
+    """A connection whose responses may be streams of any length.
+
+    Lines in a row, which are the status line, the headers, a chunk header or trailers, are limited
+    to ``MAX_FRAMING_BYTES``, and a chunk to ``MAX_EVENT_BYTES``.
+    """
+
+    max_read_bytes = MAX_EVENT_BYTES
+
+    def __init__(self, *args: Any, **kwargs: Any):
+        super().__init__(*args, **kwargs)
+        self._framing_bytes = 0
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes of a request, after which a new response is expected."""
+        self._framing_bytes = 0
+        super().write(data)
+
+    async def readline(self) -> bytes:
+        """Read a line.
+
+        :raises ResponseTooLargeError: if the lines in a row are too long.
+        """
+        return self._count_line(await super().readline())
+
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        """Read up to a separator, like :meth:`readline`."""
+        return self._count_line(await super().readuntil(separator))
+
+    async def readexactly(self, size: int) -> bytes:
+        """Read bytes of the body.
+
+        :raises ResponseTooLargeError: if there are too many.
+        """
+        self._check_read(size)
+        self._framing_bytes = 0
+        return await super().readexactly(size)
+
+    async def read(self, size: int = -1) -> bytes:
+        """Read some bytes of the body."""
+        self._framing_bytes = 0
+        return await super().read(size)
+
+    def _count_line(self, line: bytes) -> bytes:
+        self._framing_bytes += len(line)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            raise ResponseTooLargeError(
+                f"response has more than {MAX_FRAMING_BYTES} bytes in a row outside its body"
+            )
+        return line
+
+    def _check_read(self, size: int) -> None:
+        if size > self.max_read_bytes:
+            raise ResponseTooLargeError(
+                f"part of {size} bytes of a response exceeds {self.max_read_bytes} bytes"
+            )
+
+
+class BufferedConnection(StreamConnection):
+    """A connection whose responses are buffered, so that the whole body is limited.
+
+    The limit is ``MAX_BODY_BYTES``.
+    """
+
+    max_read_bytes = MAX_BODY_BYTES
+
+    def __init__(self, *args: Any, **kwargs: Any):
+        super().__init__(*args, **kwargs)
+        self._body_bytes = 0
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes of a request, after which a new response is expected."""
+        self._body_bytes = 0
+        super().write(data)
+
+    def _check_read(self, size: int) -> None:
+        self._body_bytes += size
+        super()._check_read(self._body_bytes)
--- a/greengagehoist/http1/_response.py
+++ b/greengagehoist/http1/_response.py
@@ -2,6 +2,7 @@
 
 import httptools
 
+from greengagehoist.http1._limits import MAX_BODY_BYTES, MAX_FRAMING_BYTES
 from greengagehoist.http1._socket import Socket
 from greengagehoist.http1._types import (
     IncompleteError,
@@ -17,6 +18,9 @@
 class ResponseReader:
     """Reads the final response to one request.
 
+    Bytes outside the body are limited to ``MAX_FRAMING_BYTES`` in a row, trailers are ignored, and
+    the body is limited when it is read as a whole.
+
     :ivar reusable: after the end of the body, whether the connection may carry another request: it
         stays open and no byte has followed the response.
     """
@@ -28,9 +32,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._reason = b""
-        self._status = 0
         self._head: ResponseHead | None = None
         self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._framing_bytes = 0
         self._done = False
         self._has_extra = False
         self._until_close = False
@@ -49,7 +54,7 @@
             self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._done:
+        if self._head is None:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -71,6 +76,7 @@
     def on_body(self, data: bytes) -> None:
         if not self._done:
             self._body.append(data)
+            self._body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         if self._head is not None and not self._until_close:
@@ -102,15 +108,20 @@
         self.reusable = persistent and not self._has_extra and not self.sock.has_unread
         return b""
 
-    async def whole_body(self) -> bytes:
+    async def whole_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the complete body.
 
         :raises IncompleteError: if the connection ends before its end.
-        :raises ProtocolError: if the bytes are not a response.
+        :raises ProtocolError: if the bytes are not a response, or the body exceeds ``max_bytes``.
         """
+        declared = get_header(self._head.headers, b"content-length") if self._head else None
+        if declared is not None and declared.isdigit() and int(declared) > max_bytes:
+            raise ProtocolError(f"response body of {int(declared)} bytes exceeds {max_bytes} bytes")
         parts = []
         while data := await self.chunk():
             parts.append(data)
+            if self._body_bytes > max_bytes:
+                raise ProtocolError(f"response body exceeds {max_bytes} bytes")
         return b"".join(parts)
 
     async def _receive(self) -> None:
@@ -123,6 +134,18 @@
                 self._done = True
                 return
             raise IncompleteError("connection closed before the end of the response")
+        body_bytes = self._body_bytes
+        self._feed(data)
+        if self._body_bytes > body_bytes:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += len(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self._done:
+            raise ProtocolError(
+                f"response has more than {MAX_FRAMING_BYTES} bytes in a row outside its body"
+            )
+
+    def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -112,13 +112,20 @@
 
 
 def _deployment(rows: list[dict[str, Any]], known_row: int) -> DeploymentRead:
+    """Decode the configuration row.
+
+    :raises ValueError: if its value is malformed.
+    """
     found = [row for row in rows if row["key"] == "config"]
     if not found:
         return DeploymentRead(None, 0)
     version = found[0]["ver"]
     if version == known_row:
         return DeploymentRead(None, version)
-    return DeploymentRead(decode_deployment(_value(found[0])), version)
+    try:
+        return DeploymentRead(decode_deployment(_value(found[0])), version)
+    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+        raise ValueError(f"configuration in row version {version} is malformed: {exc!r}") from exc
 
 
 def _replica_page(body: dict[str, Any]) -> ReplicaPage:
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -3,6 +3,7 @@
 import base64
 import json
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -173,3 +174,12 @@
 
 def test_range_ends_after_its_prefix(calls):
     assert "from=member%2F&target=member0" in calls.encode(ReadRange("member/")).path
+
+
+@pytest.mark.parametrize("value", [[], None, 1, {"version": 1}, {"version": 1, "routes": [3]}])
+def test_malformed_configuration_is_a_failed_read(value):
+    """Another error would leave the read without a reply, and the daemon would read no more."""
+    encoded = base64.b64encode(msgspec.json.encode(value)).decode()
+    body = {"rows": [{"key": "config", "value": encoded, "ver": 7}], "ver": 7, "now_ms": 1}
+    with pytest.raises(ValueError, match="row version 7"):
+        StoreCodec().decode(ReadDeployment(0), 200, msgspec.json.encode(body))
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from greengagehoist.base import ErrorCode, Outcome, StepError, not_run
+from greengagehoist.http1 import BufferedConnection
 from greengagehoist.platform_client._breaker import (
     MAX_OPEN_S,
     Breaker,
@@ -150,6 +151,10 @@
             ok = True
         except (TimeoutError, *_CALL_ERRORS) as exc:
             result = self._failure(message, exc)
+        except Exception as exc:
+            # Without a reply, the caller would never make another call.
+            reply(self._failure(message, exc))
+            raise
         finally:
             self.tell(_CallEnded(ok, client))
         reply(result)
@@ -199,4 +204,5 @@
 
 
 def _open_client() -> aiosonic.HTTPClient:
-    return aiosonic.HTTPClient(TCPConnector(pool_configs={":default": PoolConfig(size=POOL_SIZE)}))
+    pools = {":default": PoolConfig(size=POOL_SIZE)}
+    return aiosonic.HTTPClient(TCPConnector(pools, connection_cls=BufferedConnection))
--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -11,6 +11,7 @@
 )
 from greengagehoist.standins._gateway_standins import (
     BreaksOff,
+    Endless,
     Full,
     Healthy,
     LosesAnswers,
@@ -34,6 +35,7 @@
 
 __all__ = [
     "BreaksOff",
+    "Endless",
     "Full",
     "LosesAnswers",
     "MixesUp",
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -63,8 +63,24 @@
     """Accepts requests and never responds."""
 
 
+@dataclass(frozen=True, slots=True)
+class Endless:
+    """Responds with bytes that never end, until the caller closes the connection.
+
+    :param beginning: first bytes; ``{id}`` stands for the id of the request.
+    :param repeated: bytes that follow again and again.
+    :param pause_s: seconds before each of the repeated blocks, 0 for full speed.
+    """
+
+    beginning: bytes
+    repeated: bytes
+    pause_s: float = 0.0
+
+
 # The soak run writes these class names to its report.
-Behaviour = Healthy | Full | LosesAnswers | BreaksOff | MixesUp | Silent
+Behaviour = Healthy | Full | LosesAnswers | BreaksOff | MixesUp | Silent | Endless
+# Bytes that an endless response writes at once at full speed.
+ENDLESS_BLOCK_BYTES = 64 * 1024
 
 
 class HttpStandin:
@@ -109,6 +125,21 @@
         raise NotImplementedError
 
 
+async def send_endless(sock: Socket, behaviour: Endless, request_id: bytes = b"") -> int:
+    """Write bytes until the peer closes the connection; returns the number of bytes."""
+    sent = len(behaviour.beginning)
+    sock.write(behaviour.beginning.replace(b"{id}", request_id))
+    block = behaviour.repeated
+    if not behaviour.pause_s:
+        block *= max(1, ENDLESS_BLOCK_BYTES // len(block))
+    while not sock.gone.done():
+        await asyncio.sleep(behaviour.pause_s)
+        sock.write(block)
+        sent += len(block)
+        await sock.drain()
+    return sent
+
+
 def send_response(sock: Socket, status: int, headers: tuple, body: bytes) -> None:
     """Send a response with a Content-Length."""
     framed = (*headers, (b"Content-Length", b"%d" % len(body)))
@@ -119,6 +150,8 @@
     """Store of the platform: versioned rows and transactions conditional on row versions.
 
     :ivar available: False to respond to every call with 503.
+    :ivar endless: response to every call, None for the store's own.
+    :ivar endless_bytes: number of bytes of each endless response.
     """
 
     def __init__(self):
@@ -126,6 +159,8 @@
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.version = 0
         self.available = True
+        self.endless: Endless | None = None
+        self.endless_bytes: list[int] = []
 
     def put(self, table: str, key: str, value: Any) -> None:
         """Write a row unconditionally, in place of the operator or a replica."""
@@ -142,6 +177,9 @@
         if not self.available:
             send_response(sock, 503, (), b"{}")
             return
+        if self.endless is not None:
+            self.endless_bytes.append(await send_endless(sock, self.endless))
+            return
         path, _, query = request.head.target.decode().partition("?")
         if path.endswith("/rows-get"):
             status, body = 200, self._get(parse_qs(query))
@@ -187,6 +225,7 @@
     :ivar stage_results: item of the stage call (stage, piece and inputs) by handle.
     :ivar freed: handles that the gateway has freed.
     :ivar calls: number of items in each stage call.
+    :ivar endless_bytes: number of bytes of each endless response.
     """
 
     def __init__(self, replica_id: str, service: str, zone: str, kind: str = "plain"):
@@ -204,6 +243,7 @@
         self.stage_results: dict[str, dict[str, Any]] = {}
         self.freed: list[str] = []
         self.calls: list[int] = []
+        self.endless_bytes: list[int] = []
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the replica's row value for the store's list of replicas."""
@@ -248,6 +288,11 @@
                 self.ran.append(request_id.decode())
                 send_response(sock, 200, ((REQUEST_ID, b"other"), (STAMP, b"s")), b"other")
                 return
+            case Endless():
+                self.ran.append(request_id.decode())
+                sent = await send_endless(sock, self.behaviour, request_id)
+                self.endless_bytes.append(sent)
+                return
         self.ran.append(request_id.decode())
         headers = ((REQUEST_ID, request_id), (STAMP, self.replica_id.encode()))
         if self.kind == "engine":
@@ -283,6 +328,9 @@
             case Silent():
                 await sock.gone
                 return
+            case Endless():
+                self.endless_bytes.append(await send_endless(sock, self.behaviour))
+                return
         await asyncio.sleep(self.pause_s)
         results = []
         for item in items:
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -25,7 +25,13 @@
     StreamEnd,
     Target,
 )
-from greengagehoist.targets._connector import NotSentError, SingleCallConnector, open_pooled_client
+from greengagehoist.targets._connector import (
+    NotSentError,
+    SingleCallConnector,
+    open_client,
+    open_pooled_client,
+    read_body,
+)
 from greengagehoist.targets._stream import StreamReader
 from greengagehoist.targets._wire import (
     LEAVING,
@@ -153,7 +159,7 @@
             response = await self._post(client, message, stream=stream)
         try:
             if response.status_code == REFUSED_STATUS:
-                reason = refusal_reason(await response.content())
+                reason = refusal_reason(await read_body(response))
                 if reason:
                     return Failure(self._refusal(call.attempt.stage, reason))
             if response.status_code == KEY_REUSED_STATUS and isinstance(call, OperationCall):
@@ -164,9 +170,9 @@
                 case GenerateCall():
                     return Success(await self._read_stream(call, response, message))
                 case PoolCall():
-                    return Success(decode_stage(await response.content()))
+                    return Success(decode_stage(await read_body(response)))
                 case OperationCall():
-                    return Success(decode_operation(await response.content()))
+                    return Success(decode_operation(await read_body(response)))
         finally:
             if stream:
                 await response.aclose()
@@ -228,7 +234,7 @@
                     await reader.pause(message.read_interval_s)
 
     async def _read_record(self, message: ReadRecord, reply: Reply) -> None:
-        client = aiosonic.HTTPClient()
+        client = open_client()
         url = f"http://{self.target.address}/operations/by-key/{quote(message.key, safe='')}"
         try:
             response = await client.request(url, "GET", timeouts=_timeouts(message.timeout))
@@ -239,7 +245,7 @@
                 return
             if response.status_code != 200:
                 raise ValueError(f"unexpected status {response.status_code}")
-            reply(Success(decode_record(await response.content())))
+            reply(Success(decode_record(await read_body(response))))
         except (TimeoutError, *_CALL_ERRORS) as exc:
             reply(self._failure("record", exc, Outcome.UNKNOWN))
         finally:
@@ -252,7 +258,7 @@
         self.start(self._send_cancel(attempt))
 
     async def _send_cancel(self, attempt: Attempt) -> None:
-        client = aiosonic.HTTPClient()
+        client = open_client()
         url = f"http://{self.target.address}/cancel"
         timeouts = _timeouts(CANCEL_TIMEOUT_S)
         try:
@@ -267,7 +273,7 @@
         url = f"http://{self.target.address}/load"
         try:
             response = await client.request(url, "GET", timeouts=_timeouts(LOAD_TIMEOUT_S))
-            reply(Success(msgspec.json.decode(await response.content(), type=LoadWire)))
+            reply(Success(msgspec.json.decode(await read_body(response), type=LoadWire)))
         except (TimeoutError, *_CALL_ERRORS) as exc:
             reply(self._failure("load", exc, Outcome.NOT_RUN))
             await self._discard(client)
--- a/greengagehoist/targets/_stream.py
+++ b/greengagehoist/targets/_stream.py
@@ -3,10 +3,12 @@
 import asyncio
 from typing import Any
 
+from greengagehoist.http1 import MAX_EVENT_BYTES
 from greengagehoist.targets._adaptive_timeout import AdaptiveTimeout
 
 TRAILER_TIMEOUT_S = 0.05
-MAX_LINE_BYTES = 1024 * 1024
+# Received chunks that may wait for the reader; reading from the socket pauses when there are more.
+MAX_QUEUED_CHUNKS = 64
 
 
 class StreamReader:
@@ -20,7 +22,7 @@
         self.response = response
         self.idle_timeout = idle_timeout
         self.max_idle_s = max_idle_s
-        self._queue: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._queue: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_CHUNKS)
         self._receive_task: asyncio.Task | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._timeout_scope = asyncio.timeout(None)
@@ -44,9 +46,11 @@
     async def _receive(self) -> None:
         try:
             async for data in self.response.read_chunks():
-                self._queue.put_nowait(data)
+                await self._queue.put(data)
         finally:
-            self._queue.put_nowait(None)
+            # After a cancellation nobody reads the queue any more.
+            if not asyncio.current_task().cancelling():
+                await self._queue.put(None)
 
     async def read_lines(self) -> list[bytes]:
         """Wait for data and return the complete lines of everything received so far.
@@ -61,8 +65,8 @@
         if batch[-1] is None:
             self._queue.put_nowait(batch.pop())
         *lines, self._partial_line = (self._partial_line + b"".join(batch)).split(b"\n")
-        if len(self._partial_line) > MAX_LINE_BYTES:
-            raise ValueError(f"stream line longer than {MAX_LINE_BYTES} bytes")
+        if len(self._partial_line) > MAX_EVENT_BYTES:
+            raise ValueError(f"stream line longer than {MAX_EVENT_BYTES} bytes")
         return lines
 
     async def _next_data(self) -> bytes:
