Let hubs pass on what they have read from the platform

Cause: cloud calls are the largest price of the large site. Hubs only confirmed tokens, so each change of the list of replicas or of the configuration was read by every daemon; both hubs of a data centre read; every daemon read the list of members. When the hubs of a data centre could not read, all daemons there read themselves. Change: one hub of each data centre reads, its deputy and the other daemons ask it and get the content if theirs differs; hubs in turn, the third in another data centre, are asked before an own read. Daemons that are no hub learn the hubs and the number of members the same way. The three controllers share the loop of timed reads (SharedReads). The list of members is read in all its pages. Ruled out: passing on tokens of members only; the number of daemons bounds the shares of budgets.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -8,6 +8,7 @@
 from greengagehoist.deployment import is_fresh
 from greengagehoist.gateway import Bounds, GatewaySettings, WireFormat
 from greengagehoist.gateway.controllers import (
+    MEMBER_POLL_PERIOD_S,
     DeploymentController,
     Leave,
     MemberController,
@@ -17,7 +18,9 @@
     RelayController,
     ReplicaController,
     SetReadPeriod,
+    SharedReads,
     Unregister,
+    topology_of,
 )
 from greengagehoist.gateway.filters import (
     FirstEventLatency,
@@ -29,7 +32,7 @@
 from greengagehoist.gateway.front import GatewayFront, ProbeFront
 from greengagehoist.membership import Member, choose_hub_links
 from greengagehoist.peers import Broadcast, Goodbye, PeerController, UpdateHeartbeat
-from greengagehoist.platform_client import CallCodec, PlatformController
+from greengagehoist.platform_client import DeploymentCodec, PlatformController
 from greengagehoist.utils import Clock, Measurements, check_address, log_event
 
 # Time for which the load balancer still sends connections after readiness fails: two failed checks,
@@ -69,7 +72,7 @@
     def __init__(
         self,
         settings: GatewaySettings,
-        call_codec: CallCodec,
+        call_codec: DeploymentCodec,
         wire: WireFormat,
         ready_path: bytes,
         metrics_port: int,
@@ -97,28 +100,30 @@
             heartbeat_period=PEER_HEARTBEAT_PERIOD_S,
             choose=choose_hub_links,
         )
-        self.members = MemberController(self.platform, self.peers, own, clock, rng)
+        topology = self.topology = topology_of(own)
         self.budgets = RetryBudgets(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, self.members.count
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, topology.count
         )
-        members = self.members
-        self.reach = ReachController(self.peers, members.links, clock, settings.data_centre)
-        self.relay = RelayController(
+        self.reach = ReachController(self.peers, topology.links, clock, settings.data_centre)
+        self.relay = RelayController(self.peers, own, topology, self.reach.reach, clock)
+
+        def reads(topic: str, period_s: float) -> SharedReads:
+            return SharedReads(self.relay, topic, settings.vm, topology, clock, rng, period_s)
+
+        self.members = MemberController(
+            self.platform,
             self.peers,
             own,
-            members.shared,
-            members.hubs,
-            members.links,
-            self.reach.reach,
+            topology,
+            reads("members", MEMBER_POLL_PERIOD_S),
             clock,
+            rng,
+        )
+        period_s = read_period(bounds)
+        self.deployments = DeploymentController(
+            self.platform, reads("deployment", period_s), call_codec.read_deployment, clock
         )
-        read_args = (self.platform, self.relay, members.shared, clock, rng, read_period(bounds))
-        self.deployments = DeploymentController(*read_args)
-        self.replicas = ReplicaController(*read_args)
-        self.relay.sources = {
-            "deployment": self.deployments.confirmed,
-            "replicas": self.replicas.confirmed,
-        }
+        self.replicas = ReplicaController(self.platform, reads("replicas", period_s), clock)
         self.placement = PlacementController(
             self.replicas.table, self.reach.reach, clock, settings.data_centre
         )
@@ -129,7 +134,7 @@
             wire,
             clock,
             settings.vm,
-            self.members.hubs,
+            topology.hubs,
             self.budgets.pool_budget,
         )
         self.replicas.followers = (self.pools,)
@@ -225,7 +230,7 @@
         self.measurements.set_state(
             in_flight=self.front.in_flight,
             connections=self.front.connections,
-            daemons=self.members.count.value,
+            daemons=self.topology.count.value,
             configuration_version=snapshot.deployment.version if snapshot else 0,
             configuration_age_seconds=now - snapshot.confirmed_at if snapshot else -1,
             replicas=len(self.replicas.table.value.replicas),
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -1,6 +1,7 @@
 """Tasks that own the gateway's state and talk by messages."""
 
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
+from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController, Unregister
 from greengagehoist.gateway.controllers._placement import (
     Choose,
@@ -22,8 +23,11 @@
 from greengagehoist.gateway.controllers._reach import Reach, ReachController
 from greengagehoist.gateway.controllers._relay import RelayController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
+from greengagehoist.gateway.controllers._shared_reads import SharedReads
+from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
 __all__ = [
+    "MEMBER_POLL_PERIOD_S",
     "CancelStages",
     "Choose",
     "DeploymentController",
@@ -42,8 +46,11 @@
     "ReplicasChanged",
     "ReserveStages",
     "SetReadPeriod",
+    "SharedReads",
     "StageEnd",
     "StagePlan",
     "SubmitStage",
+    "Topology",
     "Unregister",
+    "topology_of",
 ]
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -1,16 +1,18 @@
 """Controller that follows the operator's configuration on the platform."""
 
-import random
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from returns.result import Result, Success
 
 from greengagehoist.deployment import DeploymentSnapshot, merge
-from greengagehoist.gateway.controllers._relay import (
+from greengagehoist.gateway.controllers._relay import AddSource, HeldContent
+from greengagehoist.gateway.controllers._shared_reads import (
+    Changed,
     Confirmed,
-    ask_relay,
-    next_read_delay_s,
-    should_read_platform,
+    HubStale,
+    ReadNow,
+    SharedReads,
 )
 from greengagehoist.platform_client import DeploymentRead, ReadDeployment
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
@@ -33,36 +35,30 @@
     It polls instead of using a change feed, because only the answer to a read that was sent after
     a given time proves that no key was revoked before that time.
 
-    :param relay: controller that asks hubs for their newest reads.
-    :param shared: whether hubs read for the other daemons.
-    :param read_period_s: seconds between reads.
-    :ivar confirmed: published row version and time of the newest read.
+    :param reads: decides whether a hub or the platform is asked.
+    :param decode: decodes the configuration that a hub has read in a row version.
     """
 
     def __init__(
         self,
         platform: Controller,
-        relay: Controller,
-        shared: Published[bool],
+        reads: SharedReads,
+        decode: Callable[[str, int], DeploymentRead],
         clock: Clock,
-        rng: random.Random,
-        read_period_s: float,
     ):
         super().__init__("deployment")
         self.platform = platform
-        self.relay = relay
-        self.shared = shared
-        self.confirmed: Published[Confirmed | None] = Published(None)
+        self.reads = reads
+        self.decode = decode
         self.clock = clock
-        self.rng = rng
-        self.read_period_s = read_period_s
         self.snapshot: Published[DeploymentSnapshot | None] = Published(None)
         self._row_version = 0
-        self._read_at = float("-inf")
+        self._source = ""
         self._failing = False
 
     async def run(self) -> None:
         """Read until cancelled."""
+        self.reads.relay.tell(AddSource("deployment", self._held_for))
         self.tell(Tick())
         await super().run()
 
@@ -72,27 +68,46 @@
             case Tick():
                 self.start(self._read())
             case SetReadPeriod(seconds):
-                self.read_period_s = seconds
+                self.reads.period_s = seconds
             case _ReadEnded(result, sent_at):
                 self._apply(result, sent_at)
 
+    def _held_for(self, vm: str) -> HeldContent | None:
+        """Return the newest configuration and when the platform held it, for other daemons."""
+        current = self.snapshot.value
+        if current is None:
+            return None
+        return HeldContent(str(self._row_version), current.confirmed_at, self._source)
+
     async def _read(self) -> None:
-        sent_at, row_version = self.clock.monotonic(), self._row_version
-        token = str(row_version) if row_version else ""
-        answer = await ask_relay(self.relay, "deployment", token, sent_at, self.read_period_s)
+        row_version = self._row_version
+        step = await self.reads.next_step(str(row_version) if row_version else "")
         ok = False
-        if isinstance(answer, Confirmed):
-            self.tell(_ReadEnded(Success(DeploymentRead(None, row_version)), answer.at))
-            ok = True
-        elif should_read_platform(answer, sent_at - self._read_at):
-            self._read_at = sent_at = self.clock.monotonic()
-            result = await self.platform.ask(ReadDeployment(row_version))
-            self.tell(_ReadEnded(result, sent_at))
-            ok = isinstance(result, Success) and self.snapshot.value is not None
-        pause = next_read_delay_s(ok, self.read_period_s, self.shared.value, self.rng)
-        await self.clock.sleep(pause)
+        match step:
+            case Confirmed(at):
+                self.tell(_ReadEnded(Success(DeploymentRead(None, row_version)), at))
+                ok = True
+            case Changed(held):
+                ok = self._apply_hub_read(held)
+            case ReadNow():
+                sent_at = self.clock.monotonic()
+                result = await self.platform.ask(ReadDeployment(row_version))
+                self.tell(_ReadEnded(result, sent_at))
+                ok = isinstance(result, Success) and self.snapshot.value is not None
+            case HubStale():
+                pass
+        await self.reads.pause(step, ok)
         self.tell(Tick())
 
+    def _apply_hub_read(self, held: HeldContent) -> bool:
+        try:
+            read = self.decode(held.content, int(held.token))
+        except ValueError as exc:
+            log_event("hub_read_unreadable", "WARNING", topic="deployment", reason=str(exc))
+            return False
+        self.tell(_ReadEnded(Success(read), held.at))
+        return True
+
     def _apply(self, result: Result, sent_at: float) -> None:
         if not isinstance(result, Success):
             self._set_failing(True, result.failure().message)
@@ -104,10 +119,8 @@
             return
         self.snapshot.value = merge(held, read.deployment, sent_at)
         current = self.snapshot.value
-        if read.deployment is not None:
-            self._row_version = max(self._row_version, read.row)
-        if current is not None:
-            self.confirmed.value = Confirmed(str(self._row_version), current.confirmed_at)
+        if read.deployment is not None and read.row > self._row_version:
+            self._row_version, self._source = read.row, read.source
         if current is not None and (
             held is None or held.deployment.version != current.deployment.version
         ):
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -1,10 +1,21 @@
 """Controller that registers this daemon and keeps the list of the daemons of its deployment."""
 
+import hashlib
 import random
 from typing import Any, NamedTuple
 
-from returns.result import Result, Success
+import msgspec
+from returns.result import Success
 
+from greengagehoist.gateway.controllers._relay import AddSource, HeldContent
+from greengagehoist.gateway.controllers._shared_reads import (
+    Changed,
+    Confirmed,
+    HubStale,
+    ReadNow,
+    SharedReads,
+)
+from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.membership import Member, choose_hub_links, choose_hubs
 from greengagehoist.peers import GetPeers, SetMembers
 from greengagehoist.platform_client import (
@@ -12,19 +23,17 @@
     ReadRange,
     Refused,
     Row,
-    Rows,
     SetVmCount,
     WriteRow,
     Written,
 )
-from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
+from greengagehoist.utils import Clock, Controller, Reply, Tick, log_event
 
 MEMBER_PREFIX = "member/"
 # Members only change when machines are added or replaced, so the list is read rarely.
-POLL_PERIOD_S = 4.0
-# Daemons that are not hubs need the list only to find new hubs.
-NON_HUB_POLL_PERIOD_S = 12.0
-RETRY_DELAY_S = 0.5
+POLL_PERIOD_S = 6.0
+# Rows in one page of the list.
+PAGE_ROWS = 500
 # A member without a link for this long is removed from the list; if it still runs, it registers
 # again with its next read.
 REMOVE_AFTER_S = 30.0
@@ -35,18 +44,34 @@
 
 
 class _ReadEnded(NamedTuple):
-    result: Result
+    rows: tuple[Row, ...]
+
+
+class _HubsRead(NamedTuple):
+    hubs: "HubList"
+    token: str
+
+
+class HubList(NamedTuple):
+    """What daemons that are not hubs need to know of the list.
+
+    :param count: number of members.
+    :param hubs: members that all others link to.
+    """
+
+    count: int
+    hubs: tuple[Member, ...]
 
 
 class MemberController(Controller):
     """Registers this daemon on the platform and tells the peers controller about the others.
 
-    Entries are written once and not renewed: the links between daemons show which of them run.
+    Entries are written once and not renewed: the links between daemons show which of them run. With
+    hubs, one hub of each data centre reads the list; the others learn from it which members are
+    hubs.
 
-    :ivar count: published number of members, at least 1.
-    :ivar links: published members that this daemon links to.
-    :ivar hubs: published names of the members that all others link to.
-    :ivar shared: published; whether hubs read the platform for other members.
+    :param topology: published views, which this controller updates.
+    :param reads: decides whether a hub or the platform is asked.
     """
 
     def __init__(
@@ -54,6 +79,8 @@
         platform: Controller,
         peers: Controller,
         own: Member,
+        topology: Topology,
+        reads: SharedReads,
         clock: Clock,
         rng: random.Random,
     ):
@@ -61,18 +88,19 @@
         self.platform = platform
         self.peers = peers
         self.own = own
+        self.topology = topology
+        self.reads = reads
         self.clock = clock
         self.rng = rng
-        self.count: Published[int] = Published(1)
-        self.links: Published[tuple[Member, ...]] = Published(())
-        self.hubs: Published[frozenset[str]] = Published(frozenset({own.vm}))
-        self.shared: Published[bool] = Published(False)
         self._row_version = 0
+        self._listed: frozenset[str] = frozenset()
+        self._held: HeldContent | None = None
         self._unlinked_since: dict[str, float] = {}
         self._leaving = False
 
     async def run(self) -> None:
         """Read until cancelled."""
+        self.reads.relay.tell(AddSource("members", self._held_for))
         self.tell(Tick())
         await super().run()
 
@@ -81,28 +109,62 @@
         match message:
             case Tick():
                 self.start(self._read())
-            case _ReadEnded(result):
-                self.start(self._apply(result))
+            case _ReadEnded(rows):
+                self.start(self._apply(rows))
+            case _HubsRead(hubs, token):
+                self._apply_hub_read(hubs, token)
             case Unregister():
                 self._leaving = True
                 self.start(self._unregister(reply))
 
+    def _held_for(self, vm: str) -> HeldContent | None:
+        """Return the hubs for another daemon, or None if that daemon must register again."""
+        return self._held if vm in self._listed else None
+
     async def _read(self) -> None:
-        result = await self.platform.ask(ReadRange(MEMBER_PREFIX))
-        self.tell(_ReadEnded(result))
-        non_hub = self.own.vm not in self.hubs.value
-        period = (
-            (NON_HUB_POLL_PERIOD_S if non_hub else POLL_PERIOD_S)
-            if isinstance(result, Success)
-            else RETRY_DELAY_S
-        )
-        await self.clock.sleep(period * self.rng.uniform(0.8, 1.2))
+        step = await self.reads.next_step(self._held.token if self._held is not None else "")
+        ok = False
+        match step:
+            case Confirmed():
+                ok = True
+            case Changed(held):
+                ok = self._decode_hub_read(held)
+            case ReadNow():
+                ok = await self._read_platform()
+            case HubStale():
+                pass
+        await self.reads.pause(step, ok)
         self.tell(Tick())
 
-    async def _apply(self, result: Result[Rows, Any]) -> None:
-        if not isinstance(result, Success) or self._leaving:
+    async def _read_platform(self) -> bool:
+        read_at = self.clock.monotonic()
+        rows: tuple[Row, ...] = ()
+        while True:
+            after = rows[-1].key if rows else ""
+            result = await self.platform.ask(ReadRange(MEMBER_PREFIX, after, PAGE_ROWS))
+            if not isinstance(result, Success):
+                return False
+            page = result.unwrap().rows
+            rows += page
+            if len(page) < PAGE_ROWS:
+                break
+        if self._held is not None:
+            self._held = self._held._replace(at=read_at)
+        self.tell(_ReadEnded(rows))
+        return True
+
+    def _decode_hub_read(self, held: HeldContent) -> bool:
+        try:
+            hubs = msgspec.json.decode(held.content, type=HubList)
+        except msgspec.MsgspecError as exc:
+            log_event("hub_read_unreadable", "WARNING", topic="members", reason=str(exc))
+            return False
+        self.tell(_HubsRead(hubs, held.token))
+        return True
+
+    async def _apply(self, rows: tuple[Row, ...]) -> None:
+        if self._leaving:
             return
-        rows = result.unwrap().rows
         members, own_row = {}, None
         for row in rows:
             member = parse_member(row)
@@ -117,16 +179,37 @@
         else:
             self._row_version = own_row[0].version
         all_members = (self.own, *(item for _, item in members.values()))
-        self.hubs.value = choose_hubs(all_members)
-        self.shared.value = len(self.hubs.value) < len(all_members)
-        self.links.value = choose_hub_links(self.own.vm, self.own.data_centre, all_members)
+        hubs = choose_hubs(all_members)
+        self.topology.links.value = choose_hub_links(self.own.vm, self.own.data_centre, all_members)
+        self._publish(hubs, len(all_members))
+        self._listed = frozenset(members)
+        listed_hubs = sorted(item for item in all_members if item.vm in hubs)
+        content = msgspec.json.encode(HubList(len(all_members), tuple(listed_hubs)))
+        token = hashlib.blake2b(content, digest_size=8).hexdigest()
+        self._held = HeldContent(token, self.clock.monotonic(), content.decode())
         self.peers.tell(SetMembers(all_members))
-        self.platform.tell(SetVmCount(len(members) + 1))
-        if self.count.value != len(members) + 1:
-            log_event("members_changed", members=len(members) + 1)
-        self.count.value = len(members) + 1
         await self._remove_dead(members)
 
+    def _apply_hub_read(self, hubs: HubList, token: str) -> None:
+        if self._leaving:
+            return
+        others = tuple(item for item in hubs.hubs if item.vm != self.own.vm)
+        self.topology.links.value = others
+        self._publish(frozenset(item.vm for item in hubs.hubs), hubs.count)
+        # Daemons that this one does not know of are told to read the list themselves.
+        self._listed = frozenset()
+        self._held = HeldContent(token, self.clock.monotonic())
+        self.peers.tell(SetMembers((self.own, *others)))
+
+    def _publish(self, hubs: frozenset[str], count: int) -> None:
+        topology = self.topology
+        topology.hubs.value = hubs
+        topology.shared.value = len(hubs) < count
+        self.platform.tell(SetVmCount(count))
+        if topology.count.value != count:
+            log_event("members_changed", members=count)
+        topology.count.value = count
+
     async def _register(self, expected: int) -> None:
         value = list(self.own)
         result = await self.platform.ask(WriteRow(MEMBER_PREFIX + self.own.vm, value, expected))
@@ -146,7 +229,7 @@
         reply(None)
 
     async def _remove_dead(self, members: dict[str, tuple[Row, Member]]) -> None:
-        if self.own.vm not in self.hubs.value:
+        if self.own.vm not in self.topology.hubs.value:
             # Only hubs have links to all others.
             return
         now = self.clock.monotonic()
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -1,17 +1,19 @@
 """Controller that follows the platform's list of replicas."""
 
 import hashlib
-import random
 from typing import Any, NamedTuple
 
+import msgspec
 from returns.result import Result, Success
 
 from greengagehoist.gateway.controllers._deployment import SetReadPeriod
-from greengagehoist.gateway.controllers._relay import (
+from greengagehoist.gateway.controllers._relay import AddSource, HeldContent
+from greengagehoist.gateway.controllers._shared_reads import (
+    Changed,
     Confirmed,
-    ask_relay,
-    next_read_delay_s,
-    should_read_platform,
+    HubStale,
+    ReadNow,
+    SharedReads,
 )
 from greengagehoist.platform_client import ListReplicas
 from greengagehoist.replicas import Replica, ReplicaTable, apply_outage, apply_read
@@ -35,39 +37,30 @@
 
     The whole list is polled: a change feed would report each heartbeat of each replica.
 
-    :param relay: controller that asks hubs for their newest reads.
-    :param shared: whether hubs read for the other daemons.
-    :param read_period_s: seconds between reads.
+    :param reads: decides whether a hub or the platform is asked.
     :param followers: controllers that receive :class:`ReplicasChanged`.
-    :ivar confirmed: published digest of the list and time of the newest read.
     """
 
     def __init__(
         self,
         platform: Controller,
-        relay: Controller,
-        shared: Published[bool],
+        reads: SharedReads,
         clock: Clock,
-        rng: random.Random,
-        read_period_s: float,
         followers: tuple[Controller, ...] = (),
     ):
         super().__init__("replicas")
         self.platform = platform
-        self.relay = relay
-        self.shared = shared
-        self.confirmed: Published[Confirmed | None] = Published(None)
-        self._listed: tuple[Replica, ...] = ()
-        self._read_at = float("-inf")
+        self.reads = reads
         self.clock = clock
-        self.rng = rng
-        self.read_period_s = read_period_s
         self.followers = followers
         self.table: Published[ReplicaTable] = Published(ReplicaTable())
+        self._listed: tuple[Replica, ...] = ()
+        self._held: HeldContent | None = None
         self._unreadable = 0
 
     async def run(self) -> None:
         """Read until cancelled."""
+        self.reads.relay.tell(AddSource("replicas", self._held_for))
         self.tell(Tick())
         await super().run()
 
@@ -77,22 +70,33 @@
             case Tick():
                 self.start(self._read())
             case SetReadPeriod(seconds):
-                self.read_period_s = seconds
+                self.reads.period_s = seconds
             case _ReadEnded():
                 self._apply(message)
 
+    def _held_for(self, vm: str) -> HeldContent | None:
+        """Return the newest list and when the platform held it, for other daemons."""
+        return self._held
+
     async def _read(self) -> None:
-        sent_at, held = self.clock.monotonic(), self.confirmed.value
-        token = held.token if held is not None else ""
-        answer = await ask_relay(self.relay, "replicas", token, sent_at, self.read_period_s)
-        if isinstance(answer, Confirmed):
-            self.tell(_ReadEnded(self._listed, self._unreadable, answer.at))
-            await self._pause(True)
-            return
-        if not should_read_platform(answer, sent_at - self._read_at):
-            await self._pause(False)
-            return
-        self._read_at = sent_at = self.clock.monotonic()
+        step = await self.reads.next_step(self._held.token if self._held is not None else "")
+        ok = False
+        match step:
+            case Confirmed(at):
+                self.tell(_ReadEnded(self._listed, self._unreadable, at))
+                ok = True
+            case Changed(held):
+                ok = self._apply_hub_read(held)
+            case ReadNow():
+                ok = await self._read_platform()
+            case HubStale():
+                # An entry that lapses meanwhile may belong to a replica that runs.
+                self.tell(_ReadEnded(None, 0, self.clock.monotonic()))
+        await self.reads.pause(step, ok)
+        self.tell(Tick())
+
+    async def _read_platform(self) -> bool:
+        sent_at = self.clock.monotonic()
         replicas: list[Replica] = []
         unreadable, after, ok = 0, "", True
         while ok:
@@ -107,12 +111,16 @@
             if not after:
                 break
         self.tell(_ReadEnded(tuple(replicas) if ok else None, unreadable, sent_at))
-        await self._pause(bool(ok and replicas))
+        return bool(ok and replicas)
 
-    async def _pause(self, ok: bool) -> None:
-        pause = next_read_delay_s(ok, self.read_period_s, self.shared.value, self.rng)
-        await self.clock.sleep(pause)
-        self.tell(Tick())
+    def _apply_hub_read(self, held: HeldContent) -> bool:
+        try:
+            replicas = msgspec.json.decode(held.content, type=tuple[Replica, ...])
+        except msgspec.MsgspecError as exc:
+            log_event("hub_read_unreadable", "WARNING", topic="replicas", reason=str(exc))
+            return False
+        self.tell(_ReadEnded(replicas, self._unreadable, held.at))
+        return True
 
     def _apply(self, read: _ReadEnded) -> None:
         before = self.table.value
@@ -126,19 +134,19 @@
             self._unreadable = read.unreadable
         table = apply_read(before, read.replicas, read.sent_at)
         self.table.value = table
-        self._update_confirmed(read)
+        self._update_held(read)
         if table.replicas != before.replicas:
             self._log_changes(before, table)
             for follower in self.followers:
                 follower.tell(ReplicasChanged(table))
 
-    def _update_confirmed(self, read: _ReadEnded) -> None:
-        held = self.confirmed.value
+    def _update_held(self, read: _ReadEnded) -> None:
+        held = self._held
         if held is None or read.replicas != self._listed:
             self._listed = read.replicas
-            self.confirmed.value = Confirmed(list_token(read.replicas), read.sent_at)
+            self._held = encode_replicas(read.replicas, read.sent_at)
         elif read.sent_at > held.at:
-            self.confirmed.value = held._replace(at=read.sent_at)
+            self._held = held._replace(at=read.sent_at)
 
     def _log_changes(self, before: ReplicaTable, table: ReplicaTable) -> None:
         for key, item in table.replicas.items():
@@ -157,10 +165,11 @@
             log_event("replica_gone", replica=key, service=before.replicas[key].service)
 
 
-def list_token(replicas: tuple[Replica, ...]) -> str:
-    """Return a digest that is equal for equal lists on all daemons.
+def encode_replicas(replicas: tuple[Replica, ...], at: float) -> HeldContent:
+    """Return a list of replicas as other daemons read it; equal lists have equal tokens.
 
-    It depends on the field names of ``Replica``: daemons whose versions name the fields differently
-    never confirm each other's lists.
+    :param at: time at which the platform held the list.
     """
-    return hashlib.blake2b(repr(replicas).encode(), digest_size=8).hexdigest()
+    content = msgspec.json.encode(replicas)
+    token = hashlib.blake2b(content, digest_size=8).hexdigest()
+    return HeldContent(token, at, content.decode())
--- /dev/null
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -0,0 +1,162 @@
+"""Periodic reads of the platform that daemons share through hubs."""
+
+import random
+from dataclasses import dataclass
+
+from greengagehoist.gateway.controllers._relay import MAX_HUBS_ASKED, AskHub, HeldContent
+from greengagehoist.gateway.controllers._topology import Topology
+from greengagehoist.utils import Clock, Controller
+
+# With hubs, the ages of two reads add up: that of the hub that reads the platform and that of the
+# daemon that asks it. The usual period is divided between them. Queries cost less than reads.
+READER_PERIOD_FRACTION = 0.75
+QUERY_PERIOD_FRACTION = 1.0 - READER_PERIOD_FRACTION
+# Reads of a hub that are older than this many read periods are not used.
+MAX_AGE_PERIODS = 1.0
+# Least time between own reads while hubs cannot read, so that an outage of the hubs' reads does not
+# make all daemons read at once.
+STALE_HUB_PERIOD_S = 1.5
+# The same for daemons that no other one asks.
+STALE_HUB_PERIOD_NON_HUB_S = 3.0
+# Delay between reads while the platform fails or nothing has been read yet.
+RETRY_DELAY_S = 0.3
+PERIOD_JITTER = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """A hub holds the same content.
+
+    :param at: time at which the platform held it.
+    """
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """A hub holds other content."""
+
+    held: HeldContent
+
+
+@dataclass(frozen=True, slots=True)
+class HubStale:
+    """The hubs' own reads of the platform are too old."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadNow:
+    """No hub has answered, or this daemon is the one that reads for others."""
+
+
+HubAnswer = Confirmed | Changed | HubStale | ReadNow
+
+
+class SharedReads:
+    """Decides for each periodic read of one topic whether a hub or the platform is asked.
+
+    :param relay: controller that asks hubs for their newest reads.
+    :param topic: ``deployment``, ``replicas`` or ``members``.
+    :param vm: name of the own VM.
+    :param topology: the hubs, and whether they read for the other daemons.
+    :param period_s: seconds between reads.
+    """
+
+    def __init__(
+        self,
+        relay: Controller,
+        topic: str,
+        vm: str,
+        topology: Topology,
+        clock: Clock,
+        rng: random.Random,
+        period_s: float,
+    ):
+        self.relay = relay
+        self.topic = topic
+        self.vm = vm
+        self.topology = topology
+        self.clock = clock
+        self.rng = rng
+        self.period_s = period_s
+        self._read_at = float("-inf")
+
+    async def next_step(self, token: str) -> HubAnswer:
+        """Return what a hub holds, or :class:`ReadNow` if this daemon must read the platform.
+
+        :param token: token of the newest content that this daemon holds, empty if there is none.
+        """
+        if not token:
+            answer: HubAnswer = ReadNow()
+        else:
+            max_age_s = MAX_AGE_PERIODS * self.period_s
+            answer = await ask_hubs(self.relay, self.topic, token, self.clock, max_age_s)
+        now = self.clock.monotonic()
+        if not should_read_platform(answer, now - self._read_at, self.topology.is_hub(self.vm)):
+            return answer
+        self._read_at = now
+        return ReadNow()
+
+    async def pause(self, step: HubAnswer, ok: bool) -> None:
+        """Wait until the next read.
+
+        :param step: what :meth:`next_step` returned for the last read.
+        :param ok: whether the last read succeeded and this daemon holds some content.
+        """
+        shared = self.topology.shared.value
+        await self.clock.sleep(next_read_delay_s(step, ok, self.period_s, shared, self.rng))
+
+
+async def ask_hubs(
+    relay: Controller, topic: str, token: str, clock: Clock, max_age_s: float
+) -> HubAnswer:
+    """Return a hub's newest read of the platform, or why this daemon has to read itself.
+
+    :param token: token of the newest content that this daemon holds, empty if there is none.
+    :param max_age_s: age above which a read is too old.
+    """
+    answer: HubAnswer = ReadNow()
+    for skipped in range(MAX_HUBS_ASKED):
+        held = await relay.ask(AskHub(topic, token, skipped))
+        if held is None:
+            continue
+        if clock.monotonic() - held.at > max_age_s:
+            answer = HubStale()
+        elif held.token == token:
+            return Confirmed(held.at)
+        elif held.content:
+            return Changed(held)
+    return answer
+
+
+def should_read_platform(answer: HubAnswer, since_read_s: float, is_hub: bool) -> bool:
+    """Return whether a daemon reads the platform itself.
+
+    :param since_read_s: seconds since its last own read, answered or not.
+    """
+    match answer:
+        case Confirmed() | Changed():
+            return False
+        case HubStale():
+            return since_read_s >= (STALE_HUB_PERIOD_S if is_hub else STALE_HUB_PERIOD_NON_HUB_S)
+        case ReadNow():
+            return True
+
+
+def next_read_delay_s(
+    step: HubAnswer, ok: bool, period_s: float, shared: bool, rng: random.Random
+) -> float:
+    """Return the seconds until the next read.
+
+    :param step: how the last read was made.
+    :param ok: whether the last read succeeded and this daemon holds some content.
+    :param period_s: usual seconds between reads.
+    """
+    delay_s = period_s
+    if not ok:
+        delay_s = RETRY_DELAY_S
+    elif shared:
+        read = isinstance(step, ReadNow)
+        delay_s *= READER_PERIOD_FRACTION if read else QUERY_PERIOD_FRACTION
+    return delay_s * rng.uniform(1.0 - PERIOD_JITTER, 1.0 + PERIOD_JITTER)
--- /dev/null
+++ b/greengagehoist/gateway/tests/test_members.py
@@ -0,0 +1,133 @@
+"""Guards against a daemon that is missing from the list, and against needless reads of it."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+from returns.result import Success
+
+from greengagehoist.gateway.controllers import MemberController, SharedReads, topology_of
+from greengagehoist.gateway.controllers._members import PAGE_ROWS, HubList
+from greengagehoist.gateway.controllers._relay import HeldContent
+from greengagehoist.gateway.tests.recorder import Recorder
+from greengagehoist.membership import Member
+from greengagehoist.peers import GetPeers, SetMembers
+from greengagehoist.platform_client import ReadRange, Row, Rows, WriteRow, Written
+from greengagehoist.utils import Controller
+
+OWN = Member("vm-000", "a", "10.0.0.0:1", 1)
+
+
+def members(count):
+    """Return ``OWN`` and other members."""
+    others = range(1, count)
+    return [OWN, *(OWN._replace(vm=f"vm-{number:03}", address=f"x:{number}") for number in others)]
+
+
+class FakeTable(Controller):
+    """Platform that holds the rows of members and records the calls."""
+
+    def __init__(self, listed):
+        super().__init__("platform")
+        self.rows = [Row(f"member/{item.vm}", 1, list(item), 0.0) for item in listed]
+        self.calls = []
+
+    def tell(self, message):
+        pass
+
+    async def ask(self, message):
+        self.calls.append(message)
+        match message:
+            case ReadRange(_, after, limit):
+                found = [row for row in self.rows if row.key > after]
+                return Success(Rows(tuple(found[:limit]), 0.0))
+            case WriteRow():
+                return Success(Written(2, 0.0))
+
+
+class FakePeers(Recorder):
+    async def ask(self, message):
+        return () if isinstance(message, GetPeers) else await super().ask(message)
+
+
+class FixedHub(Controller):
+    """Relay that holds the answer of one hub."""
+
+    def __init__(self):
+        super().__init__("relay")
+        self.held = None
+
+    def tell(self, message):
+        pass
+
+    async def ask(self, message):
+        return self.held if message.skipped == 0 else None
+
+
+@pytest.fixture
+def make_members(clock):
+    """Return a function that builds a members controller and its platform, peers and hub."""
+
+    def make(listed):
+        platform, peers, hub = FakeTable(listed), FakePeers("peers"), FixedHub()
+        topology = topology_of(OWN)
+        reads = SharedReads(hub, "members", OWN.vm, topology, clock, random.Random(1), 6.0)
+        rng = random.Random(1)
+        controller = MemberController(platform, peers, OWN, topology, reads, clock, rng)
+        return controller, platform, peers, hub
+
+    return make
+
+
+async def run_for(controller, clock, seconds):
+    task = asyncio.ensure_future(controller.run())
+    await clock.advance(seconds)
+    task.cancel()
+
+
+def test_all_pages_of_the_list_are_read(make_members, clock):
+    """Members beyond the first page would otherwise be missing, and with them hubs."""
+    controller, platform, _, _ = make_members(members(PAGE_ROWS + 20))
+    asyncio.run(run_for(controller, clock, 0.1))
+    assert controller.topology.count.value == PAGE_ROWS + 20
+    assert [type(call) for call in platform.calls] == [ReadRange, ReadRange]
+
+
+def test_daemon_that_is_no_hub_learns_of_hubs_from_a_hub(make_members, clock):
+    """Otherwise hundreds of daemons read the list again and again."""
+    large = OWN._replace(vm="hub-1", capacity=9.0, address="x:900")
+    hubs = HubList(31, (large, OWN._replace(vm="hub-2", address="x:901")))
+    content = msgspec.json.encode(hubs).decode()
+
+    async def scenario():
+        controller, platform, peers, hub = make_members([*members(30), large])
+        task = asyncio.ensure_future(controller.run())
+        await clock.advance(0.1)
+        assert controller.topology.shared.value
+        reads = len(platform.calls)
+        hub.held = HeldContent("t", clock.monotonic() + 60.0, content)
+        await clock.advance(20.0)
+        task.cancel()
+        assert len(platform.calls) == reads
+        assert controller.topology.hubs.value == {"hub-1", "hub-2"}
+        assert controller.topology.count.value == 31
+        told = [item for item in peers.told if isinstance(item, SetMembers)]
+        assert {item.vm for item in told[-1].members} == {"hub-1", "hub-2", OWN.vm}
+
+    asyncio.run(scenario())
+
+
+def test_hub_answers_only_daemons_that_are_listed(make_members, clock):
+    """A daemon whose entry was removed must read the list, and registers again."""
+    controller, _, _, _ = make_members(members(30))
+    asyncio.run(run_for(controller, clock, 0.1))
+    assert controller._held_for("vm-001") is not None
+    assert controller._held_for("vm-999") is None
+
+
+def test_daemon_that_is_not_listed_registers(make_members, clock):
+    controller, platform, _, _ = make_members(members(30)[1:])
+    asyncio.run(run_for(controller, clock, 0.1))
+    (written,) = [call for call in platform.calls if isinstance(call, WriteRow)]
+    assert written.value == list(OWN)
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -117,26 +117,30 @@
     request_id: str
 
 
-class ReadConfirmationRequest(NamedTuple):
-    """Ask a hub which content it has read from the platform.
+class SharedReadRequest(NamedTuple):
+    """Ask a hub for what it has read from the platform.
 
-    :param topic: ``deployment`` or ``replicas``.
+    :param topic: ``deployment``, ``replicas`` or ``members``.
+    :param token: identifies the content that the sender holds, empty if there is none.
     """
 
     number: int
     topic: str
+    token: str
 
 
-class ReadConfirmation(NamedTuple):
-    """Answer to :class:`ReadConfirmationRequest`.
+class SharedRead(NamedTuple):
+    """Answer to :class:`SharedReadRequest`.
 
     :param token: identifies the content, empty if the sender has read nothing yet.
     :param age_s: seconds since the read request was sent to the platform.
+    :param content: encoded content, empty if the asking daemon holds it already.
     """
 
     number: int
     token: str
     age_s: float
+    content: str
 
 
 class ConfigPush(NamedTuple):
@@ -244,6 +248,6 @@
     | StageCancel
     | StageReserve
     | StageWaitTimes
-    | ReadConfirmationRequest
-    | ReadConfirmation
+    | SharedReadRequest
+    | SharedRead
 )
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -8,8 +8,8 @@
     Heartbeat,
     Hello,
     LeaveMark,
-    ReadConfirmation,
-    ReadConfirmationRequest,
+    SharedRead,
+    SharedReadRequest,
     StageCancel,
     StageFree,
     StageReserve,
@@ -46,7 +46,8 @@
         StageFree: 17,
         StageReserve: 18,
         StageWaitTimes: 19,
-        ReadConfirmationRequest: 20,
-        ReadConfirmation: 21,
+        # 20 and 21 are the tags of messages of earlier versions.
+        SharedReadRequest: 22,
+        SharedRead: 23,
     }
 )
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from greengagehoist.deployment import Deployment
 from greengagehoist.platform._config import decode_deployment
 from greengagehoist.platform_client import (
     DeleteRow,
@@ -82,6 +83,13 @@
                 rows = [row for row in body["rows"] if row.get("value") is not None]
                 return Refused(_row(rows[0]) if rows else None, now)
 
+    def read_deployment(self, source: str, row: int) -> DeploymentRead:
+        """Decode a configuration that another daemon has read in the row version ``row``.
+
+        :raises ValueError: if it is malformed.
+        """
+        return DeploymentRead(_parse_deployment(source, row), row, source)
+
 
 def _rows_request(table: str, start: str, end: str, limit: int) -> HttpCall:
     query = f"table={quote(table, safe='')}&part=&limit={min(limit, MAX_PAGE_ROWS)}"
@@ -123,7 +131,15 @@
     if version == known_row:
         return DeploymentRead(None, version)
     try:
-        return DeploymentRead(decode_deployment(_value(found[0])), version)
+        source = base64.b64decode(found[0]["value"]).decode()
+    except (binascii.Error, TypeError, UnicodeDecodeError) as exc:
+        raise ValueError(f"row version {version} is malformed: {exc!r}") from exc
+    return DeploymentRead(_parse_deployment(source, version), version, source)
+
+
+def _parse_deployment(source: str, version: int) -> Deployment:
+    try:
+        return decode_deployment(msgspec.json.decode(source))
     except (AttributeError, LookupError, TypeError, ValueError) as exc:
         raise ValueError(f"configuration in row version {version} is malformed: {exc!r}") from exc
 
--- a/greengagehoist/platform_client/__init__.py
+++ b/greengagehoist/platform_client/__init__.py
@@ -1,7 +1,11 @@
 """Client of the platform's table, object store, VM list and weight store."""
 
 from greengagehoist.platform_client._breaker import full_jitter
-from greengagehoist.platform_client._controller import CallCodec, PlatformController
+from greengagehoist.platform_client._controller import (
+    CallCodec,
+    DeploymentCodec,
+    PlatformController,
+)
 from greengagehoist.platform_client._types import (
     DeleteRow,
     DeploymentRead,
@@ -29,6 +33,7 @@
 
 __all__ = [
     "CallCodec",
+    "DeploymentCodec",
     "DeleteRow",
     "DeploymentRead",
     "FetchWeights",
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -28,7 +28,12 @@
     share,
     try_acquire,
 )
-from greengagehoist.platform_client._types import GetStoreState, SetVmCount, StoreState
+from greengagehoist.platform_client._types import (
+    DeploymentRead,
+    GetStoreState,
+    SetVmCount,
+    StoreState,
+)
 from greengagehoist.platform_client._wire import TABLE_CODEC, HttpCall
 from greengagehoist.utils import Clock, Controller, Reply, log_event
 
@@ -71,6 +76,18 @@
         """
 
 
+class DeploymentCodec(CallCodec, Protocol):
+    """Also decodes the operator's configuration that another daemon has read."""
+
+    def read_deployment(self, source: str, row: int) -> DeploymentRead:
+        """Decode a configuration.
+
+        :param source: the configuration as the operator wrote it.
+        :param row: version of its row.
+        :raises ValueError: if it is malformed.
+        """
+
+
 class PlatformController(Controller):
     """Sends calls to the platform within this daemon's share of the rate limits.
 
--- a/greengagehoist/platform_client/_types.py
+++ b/greengagehoist/platform_client/_types.py
@@ -138,10 +138,12 @@
 
     :param deployment: None if there is none yet or the row still has the version ``known_row``.
     :param row: version of the row, 0 if there is none.
+    :param source: the configuration as the operator wrote it, empty if ``deployment`` is None.
     """
 
     deployment: Deployment | None
     row: int
+    source: str = ""
 
 
 class ListReplicas(NamedTuple):
