Keep one owner of each stage pool through restarts and cuts

Two or three owners then sent the same replicas calls that were not full, 0.5 s each instead of 0.25 s. A pool whose only replicas were in the cut data centre accepted work, which waited until it was late. Links to a healed data centre came back up to 5 s later. Change: in a full mesh all linked daemons may own pools; entries stay when a daemon stops; a failed send or a goodbye excludes a daemon for 1 s; owners give work that has not started back when the pool has another owner; a daemon that is no hub waits up to 1 s for a hub before it calls replicas alone; work for a pool without replicas ends at once, and its wait is the back-off of its replicas; peers are dialled at least every second. Ruled out: capacity of the pools alone (the queues were short at two of three owners). Each pattern has a test in gateway/tests/test_pools.py or test_owned_pool.py.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -19,7 +19,6 @@
     ReplicaController,
     SetReadPeriod,
     SharedReads,
-    Unregister,
     topology_of,
 )
 from greengagehoist.gateway.filters import (
@@ -44,6 +43,9 @@
 # A silent peer has missed three heartbeats when it is declared dead.
 PEER_HEARTBEAT_PERIOD_S = 0.4
 PEER_DEAD_AFTER_S = 1.5
+# Requests are served without stage batching or late until the links of a data centre that was cut off
+# are back.
+PEER_MAX_BACKOFF_S = 1.0
 # The circuit breaker probes often, because API keys expire while the platform cannot be read.
 MAX_BREAKER_OPEN_S = 0.6
 # Readiness fails when the configuration is older than this fraction of the revocation bound, soon
@@ -99,6 +101,7 @@
             dead_after=PEER_DEAD_AFTER_S,
             heartbeat_period=PEER_HEARTBEAT_PERIOD_S,
             choose=choose_hub_links,
+            max_backoff=PEER_MAX_BACKOFF_S,
         )
         topology = self.topology = topology_of(own)
         self.budgets = RetryBudgets(
@@ -134,7 +137,7 @@
             wire,
             clock,
             settings.vm,
-            topology.hubs,
+            topology,
             self.budgets.pool_budget,
         )
         self.replicas.followers = (self.pools,)
@@ -246,7 +249,6 @@
         self.pools.tell(Leave())
         self.peers.tell(UpdateHeartbeat(ready=False))
         self.peers.tell(Broadcast(Goodbye("stopping")))
-        unregistered = asyncio.ensure_future(self.members.ask(Unregister()))
         deadline = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
         while self.clock.monotonic() < deadline:
             await self.clock.sleep(STOP_POLL_PERIOD_S)
@@ -255,7 +257,7 @@
             self.front.close_idle()
             if not self.front.in_flight:
                 break
-        log_event("stopped", in_flight=self.front.in_flight, unregistered=unregistered.done())
+        log_event("stopped", in_flight=self.front.in_flight)
         await self.abort()
 
     async def abort(self) -> None:
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -2,7 +2,7 @@
 
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
-from greengagehoist.gateway.controllers._members import MemberController, Unregister
+from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._placement import (
     Choose,
     FindHome,
@@ -51,6 +51,5 @@
     "StagePlan",
     "SubmitStage",
     "Topology",
-    "Unregister",
     "topology_of",
 ]
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -39,10 +39,6 @@
 REMOVE_AFTER_S = 30.0
 
 
-class Unregister(NamedTuple):
-    """Remove the entry of this daemon before it stops; replied by None when done."""
-
-
 class _ReadEnded(NamedTuple):
     rows: tuple[Row, ...]
 
@@ -66,7 +62,9 @@
 class MemberController(Controller):
     """Registers this daemon on the platform and tells the peers controller about the others.
 
-    Entries are written once and not renewed: the links between daemons show which of them run. With
+    Entries are written once and not renewed: the links between daemons show which of them run. A
+    daemon that stops keeps its entry, because most of them start again soon: the others keep the
+    same hubs meanwhile, and remove the entry if the daemon does not come back. With
     hubs, one hub of each data centre reads the list; the others learn from it which members are
     hubs.
 
@@ -92,11 +90,9 @@
         self.reads = reads
         self.clock = clock
         self.rng = rng
-        self._row_version = 0
         self._listed: frozenset[str] = frozenset()
         self._held: HeldContent | None = None
         self._unlinked_since: dict[str, float] = {}
-        self._leaving = False
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -113,9 +109,6 @@
                 self.start(self._apply(rows))
             case _HubsRead(hubs, token):
                 self._apply_hub_read(hubs, token)
-            case Unregister():
-                self._leaving = True
-                self.start(self._unregister(reply))
 
     def _held_for(self, vm: str) -> HeldContent | None:
         """Return the hubs for another daemon, or None if that daemon must register again."""
@@ -163,8 +156,6 @@
         return True
 
     async def _apply(self, rows: tuple[Row, ...]) -> None:
-        if self._leaving:
-            return
         members, own_row = {}, None
         for row in rows:
             member = parse_member(row)
@@ -176,8 +167,6 @@
                 members[member.vm] = (row, member)
         if own_row is None or own_row[1] != self.own:
             await self._register(own_row[0].version if own_row else 0)
-        else:
-            self._row_version = own_row[0].version
         all_members = (self.own, *(item for _, item in members.values()))
         hubs = choose_hubs(all_members)
         self.topology.links.value = choose_hub_links(self.own.vm, self.own.data_centre, all_members)
@@ -191,8 +180,6 @@
         await self._remove_dead(members)
 
     def _apply_hub_read(self, hubs: HubList, token: str) -> None:
-        if self._leaving:
-            return
         others = tuple(item for item in hubs.hubs if item.vm != self.own.vm)
         self.topology.links.value = others
         self._publish(frozenset(item.vm for item in hubs.hubs), hubs.count)
@@ -214,20 +201,13 @@
         value = list(self.own)
         result = await self.platform.ask(WriteRow(MEMBER_PREFIX + self.own.vm, value, expected))
         match result:
-            case Success(Written(version, _)):
-                self._row_version = version
+            case Success(Written()):
                 log_event("member_registered", vm=self.own.vm, address=self.own.address)
             case Success(Refused()):
                 log_event("member_registration_refused", "WARNING", expected=expected)
             case _:
                 log_event("member_registration_failed", "WARNING", reason=result.failure().message)
 
-    async def _unregister(self, reply: Reply) -> None:
-        if self._row_version:
-            key = MEMBER_PREFIX + self.own.vm
-            await self.platform.ask(DeleteRow(key, self._row_version))
-        reply(None)
-
     async def _remove_dead(self, members: dict[str, tuple[Row, Member]]) -> None:
         if self.own.vm not in self.topology.hubs.value:
             # Only hubs have links to all others.
--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -33,6 +33,8 @@
 MIN_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 2.0
 REJECTED_BACKOFF_S = 0.05
+# Expected wait at a pool without replicas, longer than any request waits.
+NO_REPLICA_WAIT_S = 60.0
 # The work of a stage fails when one of its pieces has failed after this many sends.
 MAX_PIECE_SENDS = 6
 
@@ -234,6 +236,19 @@
             not_made=",".join(item for item in reasons if item != "Made"),
         )
 
+    def fail_without_replicas(self) -> list[JobEnd]:
+        """End all work if the pool has no replica left, instead of letting it wait until late."""
+        if self.members:
+            return []
+        return [JobEnd(self.queue.drop(key), "failed") for key in list(self.queue.jobs)]
+
+    def release_unstarted(self) -> list[Job]:
+        """Remove and return the work of which no piece was sent to a replica."""
+        found = [job for job in self.queue.jobs.values() if not any(job.sends.values())]
+        for job in found:
+            self.queue.drop(job.key)
+        return found
+
     def requeue_overdue(self, now: float) -> None:
         """Requeue the pieces of calls that take much longer than expected."""
         for member in self.members.values():
@@ -260,11 +275,15 @@
 
     def wait_s(self, new: Reservation, now: float) -> float:
         """Return the seconds until the pool has finished the work ahead of new work."""
+        if not self.members:
+            return NO_REPLICA_WAIT_S
         usable = [item for item in self.members.values() if item.avoid_until <= now]
-        if any(item.pieces is None for item in usable):
+        if not usable:
+            busy = min(item.avoid_until for item in self.members.values()) - now
+        elif any(item.pieces is None for item in usable):
             busy = 0.0
         else:
-            busy = min((item.started + item.expected_s - now for item in usable), default=0.0)
+            busy = min(item.started + item.expected_s - now for item in usable)
         speed = sum(1.0 / max(1.0, item.slowness_at(now)) for item in usable)
         return max(0.0, busy) + self.queue.wait_s(new, speed, now)
 
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -29,6 +29,7 @@
     ResultController,
     ResultsFreed,
 )
+from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.peers import (
     FromPeer,
     Goodbye,
@@ -56,6 +57,14 @@
 RESUBMIT_S = 0.6
 # Timeout of a reservation; allows for several round trips between data centres.
 RESERVE_TIMEOUT_S = 0.05
+# A peer that could not be sent to, or that has said that it stops, owns no pools for this long. By
+# then its heartbeat or the loss of its link shows its state.
+EXCLUDE_S = 1.0
+# A daemon that is no hub waits this long for a link to one before it runs its stage work alone, so
+# that the daemons do not all call the replicas of a pool after a common restart.
+HUB_WAIT_S = 1.0
+# Reason of a stage result whose work has gone back to its daemon, because the pool has a new owner.
+MOVED = "moved"
 
 
 class _ReserveTimeout(NamedTuple):
@@ -82,7 +91,7 @@
     replicas queue or reject the surplus calls, and a piece may be computed twice.
 
     :param vm: name of the own VM.
-    :param hubs: published names of the VMs whose daemons may own pools.
+    :param topology: the hubs, which own all pools where there are any.
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
     """
 
@@ -94,7 +103,7 @@
         wire: WireFormat,
         clock: Clock,
         vm: str,
-        hubs: Published[frozenset[str]],
+        topology: Topology,
         make_retry_budget: Callable[[], RetryBudget],
     ):
         super().__init__("pools")
@@ -103,9 +112,11 @@
         self.wire = wire
         self.clock = clock
         self.vm = vm
-        self.hubs = hubs
+        self.topology = topology
         self._ready_peers: frozenset[str] = frozenset()
         self._linked_peers: frozenset[str] = frozenset()
+        self._excluded_until: dict[str, float] = {}
+        self._without_hub_since = clock.monotonic()
         self._leaving = False
         self._owned = OwnedPools(snapshot, table, make_retry_budget, self._make_worker)
         self._pending: dict[JobKey, _Pending] = {}
@@ -159,6 +170,7 @@
                 self._set_reach(reach)
             case Leave():
                 self._leaving = True
+                self._hand_over()
             case ResultsFreed(address, handles):
                 for pool in self._owned:
                     if pool.release_results(address, handles):
@@ -166,6 +178,8 @@
             case ReplicasChanged():
                 for pool in self._owned:
                     self._owned.sync(pool)
+                    for job_end in pool.fail_without_replicas():
+                        self._end_job(job_end)
                     self._start_calls(pool)
             case Tick():
                 self._tick()
@@ -179,6 +193,10 @@
         request_id, rank = message.request_id, message.rank
         self._reservations.open(request_id, [plan.service for plan in message.plans], reply)
         for owner, plans in plans_by_owner.items():
+            if not owner:
+                wait_s = self._without_hub_since + HUB_WAIT_S - self.clock.monotonic()
+                self._reservations.add_waits(request_id, ((p.service, wait_s) for p in plans))
+                continue
             if owner == self.vm:
                 waits = self._owned.reserve(request_id, rank, plans, self.clock.monotonic())
                 self._reservations.add_waits(request_id, waits.items())
@@ -215,18 +233,31 @@
             self._enqueue(work, "")
             return
         pending.sent_at = self.clock.monotonic()
+        if not pending.owner:
+            return
         sent = to_submission(work, pending.sent_at)
         self.start(self._send(pending, sent))
 
     async def _send(self, pending: _Pending, sent: StageSubmit) -> None:
         if not await self.peers.ask(SendTo(pending.owner, sent)):
-            self._ready_peers -= {pending.owner}
+            self._exclude(pending.owner)
             if JobKey(sent.request_id, sent.stage) in self._pending:
                 self._dispatch(pending)
 
+    def _exclude(self, vm: str) -> None:
+        self._excluded_until[vm] = self.clock.monotonic() + EXCLUDE_S
+
     def _owner_of(self, service: str) -> str:
-        names = self._ready_peers & self.hubs.value
-        if not names or (not self._leaving and self.vm in self.hubs.value):
+        """Return the owner of a pool, or an empty string while this daemon waits for a hub."""
+        now, shared = self.clock.monotonic(), self.topology.shared.value
+        names = {vm for vm in self._ready_peers if self._excluded_until.get(vm, now) <= now}
+        may_own = True
+        if shared:
+            names &= self.topology.hubs.value
+            may_own = self.topology.is_hub(self.vm)
+            if not may_own and not names and now < self._without_hub_since + HUB_WAIT_S:
+                return ""
+        if not names or (may_own and not self._leaving):
             names |= {self.vm}
         return max(names, key=lambda name: rendezvous_rank(service, name))
 
@@ -266,7 +297,10 @@
                 key = JobKey(message.request_id, message.stage)
                 # The answer to a repeated submission names results in use, which must not be freed.
                 if self._is_awaited(key, message.attempt):
-                    self._resolve(key, end)
+                    if message.reason == MOVED:
+                        self._dispatch(self._pending[key])
+                    else:
+                        self._resolve(key, end)
                 elif key.stage not in self._delivered.get(key.request_id, ()):
                     self._free_results(message.service, message.handles)
             case StageReserve(request_id, services, _, rank, _):
@@ -280,23 +314,52 @@
             case StageCancel(request_id):
                 self._free(self._owned.drop_request(request_id))
             case Goodbye():
-                # The peer still finishes the work that it has accepted.
-                self._ready_peers -= {vm}
+                # The peer still finishes the work that it has started.
+                self._exclude(vm)
 
     def _set_reach(self, reach: Reach) -> None:
-        lost = self._linked_peers - reach.linked
+        lost, had_hub = self._linked_peers - reach.linked, self._reaches_hub()
         self._ready_peers, self._linked_peers = reach.ready, reach.linked
+        if had_hub and not self._reaches_hub():
+            self._without_hub_since = self.clock.monotonic()
         for vm in lost:
+            self._excluded_until.pop(vm, None)
             self._free(self._owned.drop_origin(vm))
         for pending in list(self._pending.values()):
             if pending.owner != self.vm and pending.owner not in reach.linked:
-                log_event(
-                    "stage_moved",
-                    request=pending.work.request_id,
-                    stage=pending.work.stage,
-                    owner=pending.owner,
-                )
-                self._dispatch(pending)
+                self._move(pending)
+        self._hand_over()
+
+    def _reaches_hub(self) -> bool:
+        return bool(self._ready_peers & self.topology.hubs.value)
+
+    def _move(self, pending: _Pending) -> None:
+        if pending.owner:
+            log_event(
+                "stage_moved",
+                request=pending.work.request_id,
+                stage=pending.work.stage,
+                owner=pending.owner,
+            )
+        self._dispatch(pending)
+
+    def _hand_over(self) -> None:
+        """Give the work that has not started back to its daemons if its pool has a new owner.
+
+        Two owners would send the replicas calls that are not full and wait for each other.
+        """
+        for pool in self._owned:
+            if self._owner_of(pool.service) in ("", self.vm):
+                continue
+            for job in pool.release_unstarted():
+                if job.origin:
+                    work = job.work
+                    result = StageResult(
+                        work.request_id, work.service, work.stage, (), MOVED, work.attempt
+                    )
+                    self.peers.tell(SendTo(job.origin, result))
+                elif job.key in self._pending:
+                    self._move(self._pending[job.key])
 
     # Work of the pools that this daemon owns.
 
@@ -369,16 +432,21 @@
         for key, pending in list(self._pending.items()):
             if pending.work.deadline <= now:
                 self._resolve(key, StageEnd((), "late"))
-            elif pending.owner != self.vm and now - pending.sent_at > RESUBMIT_S:
+            elif pending.owner != self.vm and self._must_submit_again(pending, now):
                 self._dispatch(pending)
         self._owned.expire_results(now)
 
+    def _must_submit_again(self, pending: _Pending, now: float) -> bool:
+        if not pending.owner:
+            return bool(self._owner_of(pending.work.service))
+        return now - pending.sent_at > RESUBMIT_S
+
     def _free_results(self, service: str, handles: tuple[str, ...]) -> None:
         """Free results through the owner of their pool, which tracks the replicas' memory."""
         if not handles:
             return
         owner = self._owner_of(service)
-        if owner == self.vm:
+        if owner in ("", self.vm):
             self._free(handles)
         else:
             self.peers.tell(SendTo(owner, StageFree(service, handles)))
--- a/greengagehoist/gateway/tests/test_owned_pool.py
+++ b/greengagehoist/gateway/tests/test_owned_pool.py
@@ -5,7 +5,7 @@
 from greengagehoist.deployment import PoolLimits
 from greengagehoist.gateway.controllers._owned_pool import OwnedPool
 from greengagehoist.gateway.controllers._pool_worker import BatchEnded
-from greengagehoist.pieces import InputGone, Made, NotMade, StageWork
+from greengagehoist.pieces import InputGone, Made, NotMade, Reservation, StageWork
 from greengagehoist.replicas import Replica
 from greengagehoist.retries import RetryBudget
 
@@ -89,3 +89,14 @@
 
 def test_end_of_a_call_of_another_pool_is_ignored(pool):
     assert pool.end_call(BatchEnded("other", (), (), "", 0.1), 0.0) is None
+
+
+def test_wait_covers_the_back_off_of_the_only_replicas(pool):
+    """Guards against requests that are accepted although no replica of the pool can be reached."""
+    assert pool.wait_s(Reservation(2, 1, 5.0), 0.0) == 0.0
+    for number in range(2):
+        pool.queue.add(work(f"x{number}", 4), "", 0.0)
+    for member in pool.next_calls(REPLICAS, 0.0):
+        pool.end_call(end_of(member, None, "unreachable"), 0.1)
+    longest = max(member.avoid_until for member in pool.members.values())
+    assert 0.1 < longest - 0.1 <= pool.wait_s(Reservation(2, 1, 5.0), 0.1)
--- a/greengagehoist/gateway/tests/test_pools.py
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -12,12 +12,17 @@
     ReserveStages,
     StagePlan,
     SubmitStage,
+    Topology,
 )
+from greengagehoist.gateway.controllers._pools import EXCLUDE_S, HUB_WAIT_S, MOVED
 from greengagehoist.gateway.controllers._reach import ReachChanged
+from greengagehoist.gateway.controllers._replicas import ReplicasChanged
 from greengagehoist.gateway.controllers._results import FreeHandles
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
 from greengagehoist.peers import (
     FromPeer,
+    Goodbye,
+    SendTo,
     StageCancel,
     StageFree,
     StageReserve,
@@ -26,32 +31,33 @@
     StageWaitTimes,
 )
 from greengagehoist.pieces import StageWork
-from greengagehoist.replicas import ReplicaTable, rendezvous_rank
+from greengagehoist.replicas import Replica, ReplicaTable, rendezvous_rank
 from greengagehoist.retries import RetryBudget
 from greengagehoist.utils import Published
 
 VMS = frozenset({"vm-a", "vm-b"})
 OWNER = max(VMS, key=lambda vm: rendezvous_rank("s", vm))
 (OTHER,) = VMS - {OWNER}
+REPLICA = Replica("r0", "s", "10.0.0.1", 80, "a", 1, 1, False)
 
 
 @pytest.fixture
 def make_pools(clock):
     """Return a function that builds the controller of one VM and the recorders around it."""
 
-    def make(vm):
+    def make(vm, hubs=VMS, shared=False, replicas=()):
         limits = PoolLimits(4, 0.1, 0.01, 10e6)
         services = {"s": Service("s", limits)}
         deployment = Deployment(1, {}, services, {}, False, Limits())
         peers, results = Recorder("peers"), Recorder("results")
         pools = PoolController(
             Published(DeploymentSnapshot(deployment, 0.0)),
-            Published(ReplicaTable()),
+            Published(ReplicaTable({item.replica_id: item for item in replicas})),
             peers,
             None,
             clock,
             vm,
-            Published(VMS),
+            Topology(Published(2), Published(()), Published(hubs), Published(shared)),
             lambda: RetryBudget(0.0, 5.0, 10.0),
         )
         pools._results = results
@@ -128,7 +134,7 @@
 
 def test_owner_tells_peers_how_long_new_work_waits(make_pools, clock):
     async def scenario():
-        pools, peers, _ = make_pools(OWNER)
+        pools, peers, _ = make_pools(OWNER, replicas=(REPLICA,))
         deliver(pools, FromPeer(OTHER, "z", 1, StageReserve("x", ("s",), (400,), 1, (5.0,))))
         deliver(pools, FromPeer(OTHER, "z", 1, StageReserve("y", ("s",), (4,), 1, (5.0,))))
         first, second = peers.sent(StageWaitTimes)
@@ -225,3 +231,112 @@
         assert [end.handles for end in replies] == [("a:1/1", "a:1/2")]
 
     asyncio.run(scenario())
+
+
+def set_reach(pools, *vms):
+    deliver(pools, ReachChanged(Reach(frozenset(vms), frozenset(vms))))
+
+
+def test_pools_keep_their_owner_while_a_restarted_daemon_is_missing_from_the_list(make_pools):
+    """Guards against several owners of a pool for the seconds until all have read the list."""
+
+    async def scenario():
+        pools, _, _ = make_pools(OTHER, hubs=frozenset({OTHER}))
+        assert pools._owner_of("s") == OWNER
+
+    asyncio.run(scenario())
+
+
+def test_peer_that_could_not_be_sent_to_is_tried_again(make_pools, clock):
+    """Guards against an owner that one daemon disregards until the next change of its links."""
+
+    async def scenario():
+        pools, peers, _ = make_pools(OTHER)
+
+        async def fail(message):
+            return False
+
+        peers.ask = fail
+        deliver(pools, SubmitStage(work(clock)))
+        await asyncio.sleep(0)
+        assert pools._owner_of("s") == OTHER
+        await clock.advance(EXCLUDE_S)
+        assert pools._owner_of("s") == OWNER
+        deliver(pools, FromPeer(OWNER, "z", 1, Goodbye("stopping")))
+        assert pools._owner_of("s") == OTHER
+
+    asyncio.run(scenario())
+
+
+def test_owner_returns_work_that_has_not_started_once_the_pool_has_another(make_pools, clock):
+    """Guards against two owners of a pool after a partition, each with half of the work."""
+
+    async def scenario():
+        pools, peers, _ = make_pools(OTHER)
+        set_reach(pools)
+        deliver(pools, SubmitStage(work(clock)))
+        deliver(pools, FromPeer("vm-c", "z", 1, submission()._replace(request_id="y")))
+        deliver(pools, FromPeer("vm-c", "z", 1, submission()._replace(request_id="z")))
+        (pool,) = pools._owned
+        started = next(job for job in pool.queue.jobs.values() if job.work.request_id == "z")
+        started.sends[0] = 1
+        set_reach(pools, OWNER, "vm-c")
+        await asyncio.sleep(0)
+        assert [(item.request_id, item.reason) for item in peers.sent(StageResult)] == [
+            ("y", MOVED)
+        ]
+        assert [item.request_id for item in peers.sent(StageSubmit)] == ["x"]
+        assert [job.work.request_id for job in pool.queue.jobs.values()] == ["z"]
+
+    asyncio.run(scenario())
+
+
+def test_work_that_its_owner_returns_goes_to_the_new_owner(make_pools, clock):
+    async def scenario():
+        pools, peers, _ = make_pools(OTHER)
+        replies = deliver(pools, SubmitStage(work(clock)))
+        deliver(pools, FromPeer(OWNER, "z", 1, StageResult("x", "s", 0, (), MOVED, 0)))
+        await asyncio.sleep(0)
+        targets = [item.vm for item in peers.told if isinstance(item, SendTo)]
+        assert targets == [OWNER, OWNER]
+        assert not replies
+
+    asyncio.run(scenario())
+
+
+def test_daemons_wait_for_a_hub_after_a_restart_before_they_call_replicas_alone(make_pools, clock):
+    """Guards against 195 owners of one pool right after all machines have lost power."""
+
+    async def scenario():
+        pools, peers, _ = make_pools("vm-c", shared=True)
+        set_reach(pools)
+        deliver(pools, SubmitStage(work(clock)))
+        assert not list(pools._owned)
+        (waits,) = deliver(pools, ReserveStages("y", 0, plans(clock)))
+        assert 0.0 < waits["s"] <= HUB_WAIT_S
+        set_reach(pools, OWNER)
+        await asyncio.sleep(0)
+        assert [item.request_id for item in peers.sent(StageSubmit)] == ["x"]
+        set_reach(pools)
+        await clock.advance(HUB_WAIT_S)
+        pools._tick()
+        (pool,) = pools._owned
+        assert len(pool.queue.jobs) == 1
+
+    asyncio.run(scenario())
+
+
+def test_work_of_a_pool_without_replicas_ends_at_once(make_pools, clock):
+    """Answers the pattern of a zone cut that takes the last replica of a pool: work for it would
+    wait until it is late, and its client would learn too late to come back.
+    """
+
+    async def scenario():
+        pools, _, _ = make_pools(OWNER)
+        (waits,) = deliver(pools, ReserveStages("y", 0, plans(clock, pieces=2)))
+        assert waits["s"] > 30.0
+        replies = deliver(pools, SubmitStage(work(clock)))
+        deliver(pools, ReplicasChanged(ReplicaTable()))
+        assert [end.reason for end in replies] == ["failed"]
+
+    asyncio.run(scenario())
--- a/greengagehoist/peers/_controller.py
+++ b/greengagehoist/peers/_controller.py
@@ -98,6 +98,7 @@
     :param dead_after: seconds without a received frame after which a link is closed.
     :param heartbeat_period: seconds between heartbeats.
     :param choose: selects the members to link to.
+    :param max_backoff: maximum delay between connection attempts to a peer, in seconds.
     """
 
     def __init__(
@@ -111,6 +112,7 @@
         heartbeat_period: float = HEARTBEAT_PERIOD_S,
         tls: TlsFiles = NO_TLS,
         choose: Callable[[str, str, tuple[Member, ...]], tuple[Member, ...]] = choose_peers,
+        max_backoff: float = MAX_BACKOFF_S,
     ):
         super().__init__("peers")
         self.own = own
@@ -122,6 +124,7 @@
         self.heartbeat_period = heartbeat_period
         self.tls = tls
         self.choose = choose
+        self.max_backoff = max_backoff
         self._socket: socket.socket | None = None
         self._linked: dict[str, _LinkedPeer] = {}
         self._dials: dict[str, _DialState] = {}
@@ -252,7 +255,7 @@
     def _back_off(self, address: str) -> None:
         state = self._dials.setdefault(address, _DialState())
         state.active = False
-        max_delay = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(state.failures, 10))
+        max_delay = min(self.max_backoff, MIN_BACKOFF_S * 2 ** min(state.failures, 10))
         state.failures += 1
         state.not_before = self.clock.monotonic() + self.rng.uniform(0.0, max_delay)
 
