Hold back the pool replicas of a silent data centre together

Change: when one of them is unreachable and no daemon there answers, the pool's owner avoids all of them for 1 s, as the placement of requests does. The test fails without the change.

--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -33,6 +33,8 @@
 MIN_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 2.0
 REJECTED_BACKOFF_S = 0.05
+# Back-off of all replicas of a data centre that appears to be unreachable.
+ZONE_BACKOFF_S = 1.0
 # Expected wait at a pool without replicas, longer than any request waits.
 NO_REPLICA_WAIT_S = 60.0
 # The work of a stage fails when one of its pieces has failed after this many sends.
@@ -128,6 +130,7 @@
         self.retry_budget = retry_budget
         self.make_worker = make_worker
         self.members: dict[str, PoolReplica] = {}
+        self.silent_zones: frozenset[str] = frozenset()
 
     def sync(self, replicas: Iterable[Replica]) -> None:
         """Apply the list of replicas; a replica with a call in progress changes after the call."""
@@ -177,6 +180,8 @@
             return None
         member.observe(end, now)
         member.pieces = None
+        if end.failure == "unreachable":
+            self._avoid_silent_zone(member.replica.zone, now)
         self._log_call(member, end, now)
         ends: list[JobEnd] = []
         orphaned: list[str] = []
@@ -213,6 +218,17 @@
                 ends.append(JobEnd(job, reason))
         return CallEffect(tuple(ends), tuple(orphaned))
 
+    def _avoid_silent_zone(self, zone: str, now: float) -> None:
+        """Avoid a data centre if neither its daemons nor one of its replicas can be reached.
+
+        Otherwise each of its replicas holds a batch until the attempt to connect times out.
+        """
+        if zone not in self.silent_zones:
+            return
+        for member in self.members.values():
+            if member.replica.zone == zone:
+                member.avoid_until = max(member.avoid_until, now + ZONE_BACKOFF_S)
+
     def _retry(self, job: Job, segment: int, now: float) -> str | None:
         """Queue a piece again; returns ``failed`` if it must not be sent again."""
         if segment in job.waiting:
--- a/greengagehoist/gateway/controllers/_owned_pools.py
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -46,6 +46,7 @@
         self.make_worker = make_worker
         self._pools: dict[str, OwnedPool] = {}
         self._finished: dict[JobKey, _Finished] = {}
+        self._silent_zones: frozenset[str] = frozenset()
 
     def __iter__(self) -> Iterator[OwnedPool]:
         return iter(list(self._pools.values()))
@@ -59,11 +60,18 @@
             return pool
         if pool is None:
             pool = OwnedPool(service, listed.pool, self.make_retry_budget(), self.make_worker)
+            pool.silent_zones = self._silent_zones
             self._pools[service] = pool
             self.sync(pool)
         pool.queue.limits = listed.pool
         return pool
 
+    def set_silent_zones(self, zones: frozenset[str]) -> None:
+        """Set the data centres in which no daemon answers."""
+        self._silent_zones = zones
+        for pool in self:
+            pool.silent_zones = zones
+
     def sync(self, pool: OwnedPool) -> None:
         """Apply the list of replicas to a pool."""
         pool.sync(self.table.value.of_service(pool.service))
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -320,6 +320,7 @@
     def _set_reach(self, reach: Reach) -> None:
         lost, had_hub = self._linked_peers - reach.linked, self._reaches_hub()
         self._ready_peers, self._linked_peers = reach.ready, reach.linked
+        self._owned.set_silent_zones(reach.silent_zones)
         if had_hub and not self._reaches_hub():
             self._without_hub_since = self.clock.monotonic()
         for vm in lost:
--- a/greengagehoist/gateway/tests/test_owned_pool.py
+++ b/greengagehoist/gateway/tests/test_owned_pool.py
@@ -100,3 +100,19 @@
         pool.end_call(end_of(member, None, "unreachable"), 0.1)
     longest = max(member.avoid_until for member in pool.members.values())
     assert 0.1 < longest - 0.1 <= pool.wait_s(Reservation(2, 1, 5.0), 0.1)
+
+
+@pytest.mark.parametrize("silent_zones", [frozenset(), frozenset({"b"})])
+def test_unreachable_replica_of_a_silent_data_centre_holds_back_the_others_there(
+    pool, silent_zones
+):
+    """Answers the pattern of a zone cut: each replica there would hold a batch until a time-out."""
+    far = {name: REPLICAS["r0"]._replace(replica_id=name, zone="b") for name in ("b0", "b1")}
+    pool.sync({**REPLICAS, **far}.values())
+    pool.silent_zones = silent_zones
+    pool.queue.add(work(), "", 0.0)
+    (member,) = pool.next_calls(far, 0.0)
+    pool.end_call(end_of(member, None, "unreachable"), 0.1)
+    (other,) = {"b0", "b1"} - {member.replica.replica_id}
+    assert (pool.members[other].avoid_until > 0.1) is bool(silent_zones)
+    assert pool.members["r0"].avoid_until == 0.0
