Let the test of a pool's back-off fail without it

Cause: the back-off in the test was shorter than the queue's own estimate, so that the test passed with the former wait_s. Change: the replicas have failed three times before, so that their back-off is the longer part. Result: the test fails with the former wait_s and passes with the new one.

--- a/greengagehoist/gateway/tests/test_owned_pool.py
+++ b/greengagehoist/gateway/tests/test_owned_pool.py
@@ -97,9 +97,10 @@
     for number in range(2):
         pool.queue.add(work(f"x{number}", 4), "", 0.0)
     for member in pool.next_calls(REPLICAS, 0.0):
+        member.failures = 3
         pool.end_call(end_of(member, None, "unreachable"), 0.1)
-    longest = max(member.avoid_until for member in pool.members.values())
-    assert 0.1 < longest - 0.1 <= pool.wait_s(Reservation(2, 1, 5.0), 0.1)
+    back_off_s = min(member.avoid_until for member in pool.members.values()) - 0.1
+    assert 1.0 < back_off_s <= pool.wait_s(Reservation(2, 1, 5.0), 0.1)
 
 
 @pytest.mark.parametrize("silent_zones", [frozenset(), frozenset({"b"})])
