Mend faults found by reading, each with a test

Cause: a log line that was cut lost its end of line and joined the next one; an order answered with 500 counted as not run; a call refused while another one probed the platform took a token of the rate limit; one long deadline made all later requests of its route look old, so that they were served last for good; CLOCK_MARGIN_S was defined twice, and FINAL_STEPS, GetStoreState and the gateway's Exchange.deadline were unused. Change: the cut line ends with a newline; only 503 and 4xx prove that an order has not run; the circuit breaker is asked before the rate limit; AttemptAges forgets deadlines after 10 to 20 s; unused names are removed.

--- a/greengagehoist/config/_proposals.py
+++ b/greengagehoist/config/_proposals.py
@@ -101,7 +101,6 @@
 
 
 Step = Insert | ReadBack | CatchUp | Accepted | Conflict | Reused | NotAccepted | Undetermined
-FINAL_STEPS = (Accepted, Conflict, Reused, NotAccepted, Undetermined)
 
 
 class Proposal(NamedTuple):
--- a/greengagehoist/controllers/_roster.py
+++ b/greengagehoist/controllers/_roster.py
@@ -7,6 +7,7 @@
 from greengagehoist.membership import VM_LIFECYCLE, Member, VmState
 from greengagehoist.peers import FromPeer, GetPeers, Goodbye, Hello, SetMembers, Subscribe
 from greengagehoist.platform_client import ListVms, ReadRow, SetVmCount, Vm
+from greengagehoist.quota import CLOCK_MARGIN_S
 from greengagehoist.utils import Clock, Controller, Reply, Tick, log_event, tick
 
 ENTRY_ROLE = "entry"
@@ -15,7 +16,6 @@
 # platform's read rate.
 MAX_LIST_READS_PER_S = 280.0
 CLOCK_PERIOD_S = 10.0
-CLOCK_MARGIN_S = 0.25
 CLOCK_ROW = "clock"
 
 
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -109,7 +109,6 @@
 
     :param arrived: time of arrival on the boot clock, in seconds.
     :param answer_deadline: time by which the client must have the complete answer.
-    :param deadline: time at which the client stops waiting.
     :param service: service that runs the request.
     :param inputs: stage results that the replica needs: service and handles of each stage.
     :param inputs_zone: data centre that holds most bytes of the inputs, empty if any will do.
@@ -127,7 +126,6 @@
     service: str = ""
     tenant: Tenant | None = None
     answer_deadline: float = 0.0
-    deadline: float = 0.0
     due: float = 0.0
     inputs: tuple[tuple[str, tuple[str, ...]], ...] = ()
     inputs_zone: str = ""
--- a/greengagehoist/gateway/filters/_route.py
+++ b/greengagehoist/gateway/filters/_route.py
@@ -18,6 +18,8 @@
 NO_CONFIG_RETRY_AFTER_S = 0.3
 # Deadline of requests without one.
 DEFAULT_DEADLINE_S = 30.0
+# One client with a long deadline makes the requests of the others look old for at most twice this.
+AGE_WINDOW_S = 10.0
 # Reserved before a client's deadline, so that the answer arrives in time.
 ANSWER_MARGIN_S = 0.02
 
@@ -26,17 +28,23 @@
     """Estimates when a client sent its first attempt.
 
     A client reduces the deadline of each retry by the time since its first attempt, and first
-    attempts on a route all have the same deadline. The longest deadline of the route is therefore
-    that of a first attempt.
+    attempts on a route mostly have the same deadline. The longest deadline of the route in the last
+    ``AGE_WINDOW_S`` to twice that is therefore taken for that of a first attempt.
     """
 
     def __init__(self):
+        self._window_start = 0.0
         self._longest: dict[str, float] = {}
+        self._longest_before: dict[str, float] = {}
 
-    def age_s(self, route: Route, deadline_s: float) -> float:
+    def age_s(self, route: Route, deadline_s: float, now: float) -> float:
         """Return the seconds since the client's first attempt."""
-        longest = max(deadline_s, self._longest.get(route.name, 0.0))
-        self._longest[route.name] = longest
+        if now - self._window_start >= AGE_WINDOW_S:
+            expired = now - self._window_start >= 2 * AGE_WINDOW_S
+            self._longest_before = {} if expired else self._longest
+            self._longest, self._window_start = {}, now
+        self._longest[route.name] = max(deadline_s, self._longest.get(route.name, 0.0))
+        longest = max(self._longest[route.name], self._longest_before.get(route.name, 0.0))
         return longest - deadline_s
 
 
@@ -91,14 +99,13 @@
             case Allowed(tenant):
                 deadline_s = DEFAULT_DEADLINE_S if req.deadline_s is None else req.deadline_s
                 deadline = exchange.arrived + deadline_s
-                first_sent = exchange.arrived - self._ages.age_s(route, deadline_s)
+                first_sent = exchange.arrived - self._ages.age_s(route, deadline_s, now)
                 return await proceed(
                     exchange._replace(
                         snapshot=snapshot,
                         route=route,
                         service=choose_service(route, req.request_id),
                         tenant=tenant,
-                        deadline=deadline,
                         due=first_sent + route.target_latency_s,
                         answer_deadline=min(
                             exchange.arrived + route.timeout_s, deadline - ANSWER_MARGIN_S
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -16,7 +16,6 @@
 from greengagehoist.platform_client._breaker import (
     MAX_OPEN_S,
     Breaker,
-    BreakerState,
     admit,
     record_result,
 )
@@ -30,9 +29,7 @@
 )
 from greengagehoist.platform_client._types import (
     DeploymentRead,
-    GetStoreState,
     SetVmCount,
-    StoreState,
 )
 from greengagehoist.platform_client._wire import TABLE_CODEC, HttpCall
 from greengagehoist.utils import Clock, Controller, Reply, log_event
@@ -117,7 +114,6 @@
             False: Bucket(READS_PER_S, READS_PER_S, clock.monotonic()),
         }
         self._waiting = 0
-        self._last_success: float | None = None
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Start a call or process the end of one."""
@@ -129,15 +125,14 @@
                 self._admit(message.message, message.reply)
             case SetVmCount(vms):
                 self._set_vm_count(vms)
-            case GetStoreState():
-                reply(self._store_state())
             case _:
                 self._admit(message, reply)
 
     def _admit(self, message: Any, reply: Reply) -> None:
         now = self.clock.monotonic()
-        if self._breaker.state is not BreakerState.CLOSED and now < self._breaker.probe_at:
-            reply(self._refused(message, "circuit breaker is open"))
+        if not admit(self._breaker, now)[1]:
+            # A refused call takes no token of the rate limit.
+            reply(self._refused(message, f"circuit breaker is {self._breaker.state}"))
             return
         write = self.codec.is_write(message)
         self._buckets[write], wait = try_acquire(self._buckets[write], now)
@@ -148,10 +143,7 @@
             self._waiting += 1
             self.start(self._wait_for_rate(message, reply, wait))
             return
-        self._breaker, admitted = admit(self._breaker, now)
-        if not admitted:
-            reply(self._refused(message, "circuit breaker is probing"))
-            return
+        self._breaker, _ = admit(self._breaker, now)
         if self._client is None:
             self._client = _open_client()
         self.start(self._call(self._client, message, reply))
@@ -191,9 +183,7 @@
     def _record_end(self, message: _CallEnded) -> None:
         now, previous = self.clock.monotonic(), self._breaker.state
         self._breaker = record_result(self._breaker, message.ok, now, self.rng, self.max_open_s)
-        if message.ok:
-            self._last_success = now
-        elif self._client is message.client:
+        if not message.ok and self._client is message.client:
             self._client = None
         if self._breaker.state is not previous:
             log_event("platform_breaker", state=self._breaker.state)
@@ -203,11 +193,6 @@
         for write, total in ((True, WRITES_PER_S), (False, READS_PER_S)):
             self._buckets[write] = change_rate(self._buckets[write], share(total, vms), now)
 
-    def _store_state(self) -> StoreState:
-        age = None if self._last_success is None else self.clock.monotonic() - self._last_success
-        writes, reads = self._buckets[True].rate, self._buckets[False].rate
-        return StoreState(str(self._breaker.state), age, self._waiting, writes, reads)
-
     def _refused(self, message: Any, reason: str) -> Result[Any, StepError]:
         text = f"{type(message).__name__} not sent: {reason}"
         return Failure(not_run("platform", ErrorCode.PLATFORM, text, peer=self.address))
--- a/greengagehoist/platform_client/_types.py
+++ b/greengagehoist/platform_client/_types.py
@@ -181,24 +181,3 @@
     """Set the number of VMs in the roster, by which the platform's rate limits are divided."""
 
     vms: int
-
-
-class GetStoreState(NamedTuple):
-    """Ask for the state of the connection to the platform; replied by :class:`StoreState`."""
-
-
-class StoreState(NamedTuple):
-    """State of the connection to the platform.
-
-    :param breaker: ``closed``, ``open`` or ``probing``.
-    :param last_success_age_s: seconds since the last successful call, None if there was none.
-    :param waiting: number of calls delayed by the rate limit.
-    :param writes_per_s: this daemon's share of the write rate limit.
-    :param reads_per_s: this daemon's share of the read rate limit.
-    """
-
-    breaker: str
-    last_success_age_s: float | None
-    waiting: int
-    writes_per_s: float
-    reads_per_s: float
--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -296,7 +296,10 @@
             if response.status_code == 200:
                 reply(Success(None))
                 return
-            outcome, text = Outcome.NOT_RUN, f"unexpected status {response.status_code}"
+            # A target that fails with another status may have carried out the order before.
+            refused = 400 <= response.status_code < 500 or response.status_code == REFUSED_STATUS
+            outcome = Outcome.NOT_RUN if refused else Outcome.UNKNOWN
+            text = f"unexpected status {response.status_code}"
         except _NOT_SENT as exc:
             outcome, text = Outcome.NOT_RUN, type(exc).__name__
         except (TimeoutError, *_CALL_ERRORS) as exc:
--- a/greengagehoist/targets/tests/test_link.py
+++ b/greengagehoist/targets/tests/test_link.py
@@ -18,6 +18,7 @@
     PoolCall,
     ReadRecord,
     Send,
+    SendOrder,
     StageReply,
     Target,
     TargetLink,
@@ -241,3 +242,28 @@
         return connector.sent, double.bodies
 
     assert asyncio.run(run()) == (False, [])
+
+
+@pytest.mark.parametrize(
+    ("status", "outcome"),
+    [(503, Outcome.NOT_RUN), (409, Outcome.NOT_RUN), (500, Outcome.UNKNOWN)],
+)
+def test_order_that_ends_in_a_server_error_may_have_been_carried_out(status, outcome):
+    """A 500 counted as not run, so that an order could be given twice."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status)
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        link = TargetLink(Target("a", f"{host}:{port}", "dc", "engine", 1), SteppedClock())
+        task = asyncio.create_task(link.run())
+        try:
+            return await link.ask(SendOrder({}, 1, 5.0, lambda: True))
+        finally:
+            task.cancel()
+            server.close()
+
+    assert asyncio.run(run()).failure().outcome is outcome
--- a/greengagehoist/utils/_logging.py
+++ b/greengagehoist/utils/_logging.py
@@ -71,7 +71,9 @@
         while lines:
             chunk, count = b"", 0
             for line in lines:
-                cut = line if len(line) <= MAX_WRITE_BYTES else line[: MAX_WRITE_BYTES - 1]
+                cut = line
+                if len(line) > MAX_WRITE_BYTES:
+                    cut = line[: MAX_WRITE_BYTES - 2] + b"\n"
                 if count and len(chunk) + len(cut) > MAX_WRITE_BYTES:
                     break
                 chunk, count = chunk + cut, count + 1
--- a/greengagehoist/utils/tests/test_logging.py
+++ b/greengagehoist/utils/tests/test_logging.py
@@ -68,3 +68,10 @@
     line = f"  12.5 edge-1 ts=1 {_format_pairs({'event': 'e', 'reason': value, 'n': 3})} vm=x"
     pairs = parse_pairs(line)
     assert (pairs["event"], pairs["reason"], pairs["n"], pairs["vm"]) == ("e", value, "3", "x")
+
+
+def test_truncated_line_does_not_join_the_next_one(pipe):
+    writer = BoundedWriter(pipe[1], clock=lambda: 0.0)
+    writer.write("x" * 10_000 + "\n")
+    writer.write("event=next\n")
+    assert read_all(pipe[0]).splitlines()[-1] == "event=next"
