Do the work of tenants above their usual share after that of the others

Cause: one tenant that sends many times its usual took capacity of the pools from all others, since work of equal rank was done in order of its due time. Change: reservations name the tenant; the owner of a pool compares usual and recent shares (pieces/_tenant_rates.py) and orders what exceeds twice the usual share after the others' work in time; estimates of waiting times follow the order, so that it is also what is refused first. The message has a new tag; daemons of the former version do not answer it, and requests are then admitted without it. Ruled out: rates instead of shares (a burst of one kind of request would make all tenants stand out).

--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -15,6 +15,7 @@
     PoolQueue,
     Reservation,
     ResultMemory,
+    TenantRates,
     TooLate,
 )
 from greengagehoist.replicas import Replica
@@ -127,6 +128,7 @@
     ):
         self.service = service
         self.queue = PoolQueue(limits)
+        self.tenant_rates = TenantRates()
         self.retry_budget = retry_budget
         self.make_worker = make_worker
         self.members: dict[str, PoolReplica] = {}
--- a/greengagehoist/gateway/controllers/_owned_pools.py
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -5,7 +5,7 @@
 
 from greengagehoist.deployment import DeploymentSnapshot
 from greengagehoist.gateway.controllers._owned_pool import OwnedPool
-from greengagehoist.gateway.controllers._pool_messages import StagePlan
+from greengagehoist.gateway.controllers._pool_messages import ReserveStages, StagePlan
 from greengagehoist.gateway.controllers._pool_worker import PoolWorker
 from greengagehoist.peers import StageResult
 from greengagehoist.pieces import Job, JobKey, Reservation, StageWork
@@ -77,16 +77,20 @@
         pool.sync(self.table.value.of_service(pool.service))
 
     def reserve(
-        self, request_id: str, rank: int, plans: Iterable[StagePlan], now: float
+        self, message: ReserveStages, plans: Iterable[StagePlan], now: float
     ) -> dict[str, float]:
-        """Reserve work; returns the seconds until the work ahead of it is done, by service."""
+        """Reserve work; returns the seconds until the work ahead of it is done, by service.
+
+        :param plans: those of the services whose pools this daemon owns.
+        """
         waits = {}
         for service, pieces, due in plans:
             pool = self.get(service)
             if pool is not None:
-                new = Reservation(pieces, rank, due)
+                excess = pool.tenant_rates.is_excess(message.tenant, pieces, now)
+                new = Reservation(pieces, message.rank, due, excess)
                 waits[service] = pool.wait_s(new, now)
-                pool.queue.reserve(request_id, new)
+                pool.queue.reserve(message.request_id, new)
         return waits
 
     def find_job(self, work: StageWork) -> Job | None:
--- a/greengagehoist/gateway/controllers/_pool_messages.py
+++ b/greengagehoist/gateway/controllers/_pool_messages.py
@@ -40,11 +40,14 @@
 
     The reply maps each service to the seconds until it has finished the work ahead of the request.
     Services whose owner does not answer in time are left out.
+
+    :param tenant: holder of the request's key, empty if there is none.
     """
 
     request_id: str
     rank: int
     plans: tuple[StagePlan, ...]
+    tenant: str = ""
 
 
 class CancelStages(NamedTuple):
@@ -104,20 +107,23 @@
     )
 
 
-def to_reservation(
-    request_id: str, rank: int, plans: Sequence[StagePlan], now: float
-) -> StageReserve:
-    """Convert a reservation for a peer, with times relative to now since clocks differ."""
+def to_reservation(message: ReserveStages, plans: Sequence[StagePlan], now: float) -> StageReserve:
+    """Convert a reservation for a peer, with times relative to now since clocks differ.
+
+    :param plans: those of the services that the peer owns.
+    """
     return StageReserve(
-        request_id,
+        message.request_id,
         tuple(plan.service for plan in plans),
         tuple(plan.pieces for plan in plans),
-        rank,
+        message.rank,
         tuple(plan.due - now for plan in plans),
+        message.tenant,
     )
 
 
-def to_plans(sent: StageReserve, now: float) -> tuple[StagePlan, ...]:
-    """Convert the plans of a peer's reservation, with times on the own clock."""
+def from_reservation(sent: StageReserve, now: float) -> ReserveStages:
+    """Convert a peer's reservation, with times on the own clock."""
     found = zip(sent.services, sent.pieces, sent.due_in_s, strict=False)
-    return tuple(StagePlan(service, pieces, now + due_in) for service, pieces, due_in in found)
+    plans = tuple(StagePlan(service, pieces, now + due_in) for service, pieces, due_in in found)
+    return ReserveStages(sent.request_id, sent.rank, plans, sent.tenant)
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -15,7 +15,7 @@
     StageEnd,
     StagePlan,
     SubmitStage,
-    to_plans,
+    from_reservation,
     to_reservation,
     to_submission,
     to_work,
@@ -190,7 +190,7 @@
         plans_by_owner: dict[str, list[StagePlan]] = {}
         for plan in message.plans:
             plans_by_owner.setdefault(self._owner_of(plan.service), []).append(plan)
-        request_id, rank = message.request_id, message.rank
+        request_id = message.request_id
         self._reservations.open(request_id, [plan.service for plan in message.plans], reply)
         for owner, plans in plans_by_owner.items():
             if not owner:
@@ -198,11 +198,11 @@
                 self._reservations.add_waits(request_id, ((p.service, wait_s) for p in plans))
                 continue
             if owner == self.vm:
-                waits = self._owned.reserve(request_id, rank, plans, self.clock.monotonic())
+                waits = self._owned.reserve(message, plans, self.clock.monotonic())
                 self._reservations.add_waits(request_id, waits.items())
                 continue
             self._reservations.add_owner(request_id, owner)
-            sent = to_reservation(request_id, rank, plans, self.clock.monotonic())
+            sent = to_reservation(message, plans, self.clock.monotonic())
             self.peers.tell(SendTo(owner, sent))
         if self._reservations.is_open(request_id):
             self.start(self._start_reservation_timeout(request_id))
@@ -303,8 +303,9 @@
                         self._resolve(key, end)
                 elif key.stage not in self._delivered.get(key.request_id, ()):
                     self._free_results(message.service, message.handles)
-            case StageReserve(request_id, services, _, rank, _):
-                waits = self._owned.reserve(request_id, rank, to_plans(message, now), now)
+            case StageReserve(request_id, services):
+                reservation = from_reservation(message, now)
+                waits = self._owned.reserve(reservation, reservation.plans, now)
                 waits_s = tuple(waits.get(service, 0.0) for service in services)
                 self.peers.tell(SendTo(vm, StageWaitTimes(request_id, services, waits_s)))
             case StageWaitTimes(request_id, services, waits_s):
--- a/greengagehoist/gateway/filters/_stages.py
+++ b/greengagehoist/gateway/filters/_stages.py
@@ -184,8 +184,9 @@
                 plans[stage.service] = StagePlan(stage.service, pieces, max(plan.due, due))
         if not plans:
             return None
+        tenant = exchange.tenant.name if exchange.tenant is not None else ""
         waits = await self.pools.ask(
-            ReserveStages(req.request_id, exchange.rank, tuple(plans.values()))
+            ReserveStages(req.request_id, exchange.rank, tuple(plans.values()), tenant)
         )
         longest_wait_s = max(waits.values(), default=0.0)
         completion_s = estimate_completion_s(
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -44,6 +44,7 @@
     :param services: pools that the request needs and the receiver owns.
     :param pieces: number of pieces for each service.
     :param due_in_s: seconds until the results of each service are due.
+    :param tenant: holder of the request's key, empty if there is none.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     pieces: tuple[int, ...]
     rank: int
     due_in_s: tuple[float, ...]
+    tenant: str = ""
 
 
 class StageWaitTimes(NamedTuple):
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -44,10 +44,10 @@
         StageResult: 15,
         StageCancel: 16,
         StageFree: 17,
-        StageReserve: 18,
         StageWaitTimes: 19,
-        # 20 and 21 are the tags of messages of earlier versions.
+        # 18, 20 and 21 are the tags of messages of earlier versions.
         SharedReadRequest: 22,
         SharedRead: 23,
+        StageReserve: 24,
     }
 )
--- a/greengagehoist/pieces/__init__.py
+++ b/greengagehoist/pieces/__init__.py
@@ -3,6 +3,7 @@
 from greengagehoist.pieces._estimate import estimate_completion_s
 from greengagehoist.pieces._queue import Job, JobKey, PoolQueue, Reservation
 from greengagehoist.pieces._result_memory import ResultMemory
+from greengagehoist.pieces._tenant_rates import TenantRates
 from greengagehoist.pieces._types import (
     InputGone,
     Made,
@@ -25,6 +26,7 @@
     "Reservation",
     "ResultMemory",
     "StageWork",
+    "TenantRates",
     "TooLate",
     "estimate_completion_s",
 ]
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -35,11 +35,13 @@
     """Pieces that a request will submit when its earlier stages have ended.
 
     :param due: time at which the results should exist, in seconds on the monotonic clock.
+    :param excess: whether the tenant is above its usual share of the pool.
     """
 
     pieces: int
     rank: int
     due: float
+    excess: bool = False
 
 
 class Job:
@@ -47,14 +49,16 @@
 
     :param origin: VM of the daemon that waits for the results, empty for this daemon.
     :param queued_at: time at which the work was queued, in seconds on the monotonic clock.
+    :param excess: whether the tenant was above its usual share of the pool.
     :ivar waiting: segments that wait for a call.
     :ivar handles: handles of the results by segment.
     :ivar sends: number of sends by segment.
     """
 
-    __slots__ = ("handles", "origin", "queued_at", "sends", "waiting", "work")
+    __slots__ = ("excess", "handles", "origin", "queued_at", "sends", "waiting", "work")
 
-    def __init__(self, work: StageWork, origin: str, queued_at: float):
+    def __init__(self, work: StageWork, origin: str, queued_at: float, excess: bool = False):
+        self.excess = excess
         self.work = work
         self.origin = origin
         self.queued_at = queued_at
@@ -108,9 +112,9 @@
 
     def add(self, work: StageWork, origin: str, now: float) -> Job:
         """Queue the pieces of a stage; replaces an earlier submission of the same stage."""
-        job = Job(work, origin, now)
-        self.jobs[job.key] = job
         reserved = self.reserved.pop(work.request_id, None)
+        job = Job(work, origin, now, reserved is not None and reserved.excess)
+        self.jobs[job.key] = job
         if reserved is not None and reserved.pieces > len(work.segments):
             left = reserved.pieces - len(work.segments)
             self.reserved[work.request_id] = reserved._replace(pieces=left)
@@ -140,16 +144,12 @@
 
         Reserved work counts as well: it arrives before or together with the new work.
         """
-        new_key = self._sort_key(new.pieces, new.rank, new.due, now)
+        new_key = self._sort_key(new, now)
         pieces = sum(
-            len(job.waiting)
-            for job in self.jobs.values()
-            if self._sort_key(len(job.waiting), job.work.rank, job.work.due, now) <= new_key
+            len(job.waiting) for job in self.jobs.values() if self._job_key(job, now) <= new_key
         )
         pieces += sum(
-            item.pieces
-            for item in self.reserved.values()
-            if self._sort_key(item.pieces, item.rank, item.due, now) <= new_key
+            item.pieces for item in self.reserved.values() if self._sort_key(item, now) <= new_key
         )
         calls = pieces / self.limits.batch
         busy = calls * self.limits.call_s + pieces * self.limits.piece_s
@@ -190,18 +190,27 @@
         min_wait = MIN_LATE_WAIT * (job.work.deadline - job.queued_at)
         return max(job.work.due + LATE_RETENTION_S, job.queued_at + min_wait)
 
-    def _sort_key(self, pieces: int, rank: int, due: float, now: float) -> tuple[bool, int, float]:
-        """Return the sort key of work: in-time before late, then by rank, then by due time."""
-        late = now + self.expected_s(min(pieces, self.limits.batch)) > due
-        return late, rank, due
+    def _job_key(self, job: Job, now: float) -> tuple[bool, bool, int, float]:
+        return self._sort_key(
+            Reservation(len(job.waiting), job.work.rank, job.work.due, job.excess), now
+        )
+
+    def _sort_key(self, item: Reservation, now: float) -> tuple[bool, bool, int, float]:
+        """Return the sort key of work.
+
+        In-time work goes before late work, then tenants within their usual share before others,
+        then by rank, then by due time.
+        """
+        late = now + self.expected_s(min(item.pieces, self.limits.batch)) > item.due
+        return late, item.excess, item.rank, item.due
 
     def pop_batch(
         self, zone: str, zones: frozenset[str], free_bytes: float, idle: int, now: float
     ) -> tuple[Piece, ...]:
         """Remove and return the pieces of the next call to a replica.
 
-        Work that can still meet its due time goes before late work; then the most urgent requests
-        go first, then those that are due first. Work whose results are read in another zone waits
+        Work that can still meet its due time goes before late work; then tenants within their usual
+        share, then the most urgent requests, then those that are due first. Work whose results are read in another zone waits
         ``ZONE_WAIT_S`` for a replica there, or up to ``MAX_ZONE_WAIT_S`` if it still meets its
         due time.
 
@@ -218,9 +227,10 @@
             if job.waiting and not self._waits_for_zone(job, zone, zones, now)
         ]
 
-        def order(job: Job) -> tuple[bool, int, float]:
-            late, rank, due = self._sort_key(len(job.waiting), job.work.rank, job.work.due, now)
-            return late, rank, due - (ZONE_PREFERENCE_S if job.work.zone == zone else 0.0)
+        def order(job: Job) -> tuple[bool, bool, int, float]:
+            late, excess, rank, due = self._job_key(job, now)
+            preference_s = ZONE_PREFERENCE_S if job.work.zone == zone else 0.0
+            return late, excess, rank, due - preference_s
 
         ready.sort(key=order)
         waiting = sum(len(job.waiting) for job in ready)
