--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -144,12 +144,12 @@
 
         Reserved work counts as well: it arrives before or together with the new work.
         """
-        new_key = self._sort_key(new, now)
+        new_key = self._sort_key(*new, now)
         pieces = sum(
             len(job.waiting) for job in self.jobs.values() if self._job_key(job, now) <= new_key
         )
         pieces += sum(
-            item.pieces for item in self.reserved.values() if self._sort_key(item, now) <= new_key
+            item.pieces for item in self.reserved.values() if self._sort_key(*item, now) <= new_key
         )
         calls = pieces / self.limits.batch
         busy = calls * self.limits.call_s + pieces * self.limits.piece_s
@@ -191,18 +191,18 @@
         return max(job.work.due + LATE_RETENTION_S, job.queued_at + min_wait)
 
     def _job_key(self, job: Job, now: float) -> tuple[bool, bool, int, float]:
-        return self._sort_key(
-            Reservation(len(job.waiting), job.work.rank, job.work.due, job.excess), now
-        )
+        return self._sort_key(len(job.waiting), job.work.rank, job.work.due, job.excess, now)
 
-    def _sort_key(self, item: Reservation, now: float) -> tuple[bool, bool, int, float]:
+    def _sort_key(
+        self, pieces: int, rank: int, due: float, excess: bool, now: float
+    ) -> tuple[bool, bool, int, float]:
         """Return the sort key of work.
 
         In-time work goes before late work, then tenants within their usual share before others,
         then by rank, then by due time.
         """
-        late = now + self.expected_s(min(item.pieces, self.limits.batch)) > item.due
-        return late, item.excess, item.rank, item.due
+        late = now + self.expected_s(min(pieces, self.limits.batch)) > due
+        return late, excess, rank, due
 
     def pop_batch(
         self, zone: str, zones: frozenset[str], free_bytes: float, idle: int, now: float
