Know the hubs before the own entry is written

Cause: a daemon wrote its entry before it published the hubs. The platform does writes to one part one after another, 8 ms each, so that after a common restart of 100 or 195 daemons the hubs were known up to 1 s later (the time-out of a call); until then each daemon owned all pools and called their replicas alone. A registration that failed was not repeated while a hub still listed the former entry. Change: views of the members are published first; a daemon that has not read the members waits up to 1 s like one without a hub; registrations are spread over the time that the writes of all take, and repeated until they succeed.

--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -32,6 +32,8 @@
 MEMBER_PREFIX = "member/"
 # Members only change when machines are added or replaced, so the list is read rarely.
 POLL_PERIOD_S = 6.0
+# Time that the platform takes for one write to the list; writes are done one after another.
+WRITE_TIME_S = 0.008
 # Rows in one page of the list.
 PAGE_ROWS = 500
 # A member without a link for this long is removed from the list; if it still runs, it registers
@@ -92,6 +94,7 @@
         self.rng = rng
         self._listed: frozenset[str] = frozenset()
         self._held: HeldContent | None = None
+        self._registered = False
         self._unlinked_since: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -115,7 +118,9 @@
         return self._held if vm in self._listed else None
 
     async def _read(self) -> None:
-        step = await self.reads.next_step(self._held.token if self._held is not None else "")
+        # A daemon whose registration failed reads the list again, and then repeats it.
+        token = self._held.token if self._held is not None and self._registered else ""
+        step = await self.reads.next_step(token)
         ok = False
         match step:
             case Confirmed():
@@ -165,8 +170,6 @@
                 own_row = (row, member)
             else:
                 members[member.vm] = (row, member)
-        if own_row is None or own_row[1] != self.own:
-            await self._register(own_row[0].version if own_row else 0)
         all_members = (self.own, *(item for _, item in members.values()))
         hubs = choose_hubs(all_members)
         self.topology.links.value = choose_hub_links(self.own.vm, self.own.data_centre, all_members)
@@ -177,6 +180,11 @@
         token = hashlib.blake2b(content, digest_size=8).hexdigest()
         self._held = HeldContent(token, self.clock.monotonic(), content.decode())
         self.peers.tell(SetMembers(all_members))
+        # Last, because writes wait for each other when many daemons start at once, and stage work
+        # needs the hubs.
+        self._registered = own_row is not None and own_row[1] == self.own
+        if not self._registered:
+            await self._register(own_row[0].version if own_row else 0, len(all_members))
         await self._remove_dead(members)
 
     def _apply_hub_read(self, hubs: HubList, token: str) -> None:
@@ -190,6 +198,7 @@
 
     def _publish(self, hubs: frozenset[str], count: int) -> None:
         topology = self.topology
+        topology.known.value = True
         topology.hubs.value = hubs
         topology.shared.value = len(hubs) < count
         self.platform.tell(SetVmCount(count))
@@ -197,11 +206,18 @@
             log_event("members_changed", members=count)
         topology.count.value = count
 
-    async def _register(self, expected: int) -> None:
+    async def _register(self, expected: int, count: int) -> None:
+        """Write the own entry.
+
+        :param expected: version of the present entry, 0 if there is none.
+        :param count: number of members, which may all register now.
+        """
+        await self.clock.sleep(self.rng.uniform(0.0, count * WRITE_TIME_S))
         value = list(self.own)
         result = await self.platform.ask(WriteRow(MEMBER_PREFIX + self.own.vm, value, expected))
         match result:
             case Success(Written()):
+                self._registered = True
                 log_event("member_registered", vm=self.own.vm, address=self.own.address)
             case Success(Refused()):
                 log_event("member_registration_refused", "WARNING", expected=expected)
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -60,8 +60,9 @@
 # A peer that could not be sent to, or that has said that it stops, owns no pools for this long. By
 # then its heartbeat or the loss of its link shows its state.
 EXCLUDE_S = 1.0
-# A daemon that is no hub waits this long for a link to one before it runs its stage work alone, so
-# that the daemons do not all call the replicas of a pool after a common restart.
+# A daemon that is no hub, or does not know the hubs yet, waits this long for a link to one before it
+# runs its stage work alone, so that the daemons do not all call the replicas of a pool after a common
+# restart.
 HUB_WAIT_S = 1.0
 # Reason of a stage result whose work has gone back to its daemon, because the pool has a new owner.
 MOVED = "moved"
@@ -249,14 +250,16 @@
 
     def _owner_of(self, service: str) -> str:
         """Return the owner of a pool, or an empty string while this daemon waits for a hub."""
-        now, shared = self.clock.monotonic(), self.topology.shared.value
+        now, topology = self.clock.monotonic(), self.topology
         names = {vm for vm in self._ready_peers if self._excluded_until.get(vm, now) <= now}
-        may_own = True
-        if shared:
-            names &= self.topology.hubs.value
-            may_own = self.topology.is_hub(self.vm)
-            if not may_own and not names and now < self._without_hub_since + HUB_WAIT_S:
-                return ""
+        may_own = topology.is_hub(self.vm) or not topology.shared.value
+        if not topology.known.value:
+            names = set()
+        elif topology.shared.value:
+            names &= topology.hubs.value
+        waits = not topology.known.value or not may_own
+        if waits and not names and now < self._without_hub_since + HUB_WAIT_S:
+            return ""
         if not names or (may_own and not self._leaving):
             names |= {self.vm}
         return max(names, key=lambda name: rendezvous_rank(service, name))
--- a/greengagehoist/gateway/controllers/_topology.py
+++ b/greengagehoist/gateway/controllers/_topology.py
@@ -9,12 +9,14 @@
 class Topology(NamedTuple):
     """Views of the list of members, published by the members controller.
 
+    :param known: whether the list has been read.
     :param count: number of members, at least 1.
     :param links: members that this daemon links to.
     :param hubs: names of the members that all others link to.
     :param shared: whether hubs read the platform for other members.
     """
 
+    known: Published[bool]
     count: Published[int]
     links: Published[tuple[Member, ...]]
     hubs: Published[frozenset[str]]
@@ -27,4 +29,10 @@
 
 def topology_of(own: Member) -> Topology:
     """Return the topology of a daemon that has not read the list yet."""
-    return Topology(Published(1), Published(()), Published(frozenset({own.vm})), Published(False))
+    return Topology(
+        Published(False),
+        Published(1),
+        Published(()),
+        Published(frozenset({own.vm})),
+        Published(False),
+    )
