Log many changes of the list of replicas as one line

Cause: each daemon logs a line for each replica that it first sees, 51 us each on this machine: with 996 replicas a start on half a core takes 0.1 s longer, with 12,000 1.2 s. Change: more than 100 changes in one read are one line with their numbers.

--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -19,6 +19,10 @@
 from greengagehoist.replicas import Replica, ReplicaTable, apply_outage, apply_read
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
+# More changes than this in one read, as at the start, are logged as one line: lines for a thousand
+# replicas delay the first request of a small VM by 0.1 s.
+MAX_LOGGED_CHANGES = 100
+
 
 class ReplicasChanged(NamedTuple):
     """Tell followers that the list has changed."""
@@ -149,22 +153,34 @@
             self._held = held._replace(at=read.sent_at)
 
     def _log_changes(self, before: ReplicaTable, table: ReplicaTable) -> None:
-        for key, item in table.replicas.items():
-            old = before.replicas.get(key)
-            if old is None or old.leaving != item.leaving or old.born_ms != item.born_ms:
-                state = "leaving" if item.leaving else "ready"
-                log_event(
-                    "replica_seen",
-                    replica=key,
-                    service=item.service,
-                    address=item.address,
-                    state=state,
-                    zone=item.zone,
-                )
-        for key in before.replicas.keys() - table.replicas.keys():
+        changed = [item for key, item in table.replicas.items() if _is_news(before, key, item)]
+        gone = before.replicas.keys() - table.replicas.keys()
+        if len(changed) + len(gone) > MAX_LOGGED_CHANGES:
+            log_event(
+                "replica_list_changed",
+                seen=len(changed),
+                gone=len(gone),
+                replicas=len(table.replicas),
+            )
+            return
+        for item in changed:
+            log_event(
+                "replica_seen",
+                replica=item.replica_id,
+                service=item.service,
+                address=item.address,
+                state="leaving" if item.leaving else "ready",
+                zone=item.zone,
+            )
+        for key in gone:
             log_event("replica_gone", replica=key, service=before.replicas[key].service)
 
 
+def _is_news(before: ReplicaTable, key: str, item: Replica) -> bool:
+    old = before.replicas.get(key)
+    return old is None or old.leaving != item.leaving or old.born_ms != item.born_ms
+
+
 def encode_replicas(replicas: tuple[Replica, ...], at: float) -> HeldContent:
     """Return a list of replicas as other daemons read it; equal lists have equal tokens.
 
