Split the choice of pool owners and the retry budgets into modules

Change: PoolOwners decides which daemon owns a pool; RetryBudgets has its own module; the messages of peers are listed beside their conversions.

--- a/greengagehoist/gateway/controllers/_pool_messages.py
+++ b/greengagehoist/gateway/controllers/_pool_messages.py
@@ -3,9 +3,28 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from greengagehoist.peers import StageReserve, StageSubmit
+from greengagehoist.peers import (
+    Goodbye,
+    StageCancel,
+    StageFree,
+    StageReserve,
+    StageResult,
+    StageSubmit,
+    StageWaitTimes,
+)
 from greengagehoist.pieces import StageWork
 
+# Messages of peers that the pool controller handles.
+PEER_MESSAGES = (
+    StageReserve,
+    StageWaitTimes,
+    StageSubmit,
+    StageResult,
+    StageFree,
+    StageCancel,
+    Goodbye,
+)
+
 
 class SubmitStage(NamedTuple):
     """Ask for the results of a stage; replied by :class:`StageEnd`."""
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -8,6 +8,7 @@
 from greengagehoist.gateway.controllers._owned_pool import JobEnd, OwnedPool
 from greengagehoist.gateway.controllers._owned_pools import OwnedPools
 from greengagehoist.gateway.controllers._pool_messages import (
+    PEER_MESSAGES,
     CancelStages,
     FreeResults,
     Leave,
@@ -20,6 +21,7 @@
     to_submission,
     to_work,
 )
+from greengagehoist.gateway.controllers._pool_owners import PoolOwners
 from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker
 from greengagehoist.gateway.controllers._reach import Reach, ReachChanged
 from greengagehoist.gateway.controllers._replicas import ReplicasChanged
@@ -42,12 +44,8 @@
     StageWaitTimes,
     Subscribe,
 )
-from greengagehoist.pieces import (
-    Job,
-    JobKey,
-    StageWork,
-)
-from greengagehoist.replicas import Replica, ReplicaTable, rendezvous_rank
+from greengagehoist.pieces import Job, JobKey, StageWork
+from greengagehoist.replicas import Replica, ReplicaTable
 from greengagehoist.retries import RetryBudget
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, tick
 
@@ -57,13 +55,6 @@
 RESUBMIT_S = 0.6
 # Timeout of a reservation; allows for several round trips between data centres.
 RESERVE_TIMEOUT_S = 0.05
-# A peer that could not be sent to, or that has said that it stops, owns no pools for this long. By
-# then its heartbeat or the loss of its link shows its state.
-EXCLUDE_S = 1.0
-# A daemon that is no hub, or does not know the hubs yet, waits this long for a link to one before it
-# runs its stage work alone, so that the daemons do not all call the replicas of a pool after a common
-# restart.
-HUB_WAIT_S = 1.0
 # Reason of a stage result whose work has gone back to its daemon, because the pool has a new owner.
 MOVED = "moved"
 
@@ -113,12 +104,7 @@
         self.wire = wire
         self.clock = clock
         self.vm = vm
-        self.topology = topology
-        self._ready_peers: frozenset[str] = frozenset()
-        self._linked_peers: frozenset[str] = frozenset()
-        self._excluded_until: dict[str, float] = {}
-        self._without_hub_since = clock.monotonic()
-        self._leaving = False
+        self._owners = PoolOwners(vm, topology, clock)
         self._owned = OwnedPools(snapshot, table, make_retry_budget, self._make_worker)
         self._pending: dict[JobKey, _Pending] = {}
         # Stages by request whose results the request has received.
@@ -128,20 +114,7 @@
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        self.peers.tell(
-            Subscribe(
-                (
-                    StageReserve,
-                    StageWaitTimes,
-                    StageSubmit,
-                    StageResult,
-                    StageFree,
-                    StageCancel,
-                    Goodbye,
-                ),
-                self,
-            )
-        )
+        self.peers.tell(Subscribe(PEER_MESSAGES, self))
         self.start(tick(self, self.clock, TICK_S))
         self.start(self._results.run())
         try:
@@ -170,7 +143,7 @@
             case ReachChanged(reach):
                 self._set_reach(reach)
             case Leave():
-                self._leaving = True
+                self._owners.leaving = True
                 self._hand_over()
             case ResultsFreed(address, handles):
                 for pool in self._owned:
@@ -190,12 +163,12 @@
     def _reserve(self, message: ReserveStages, reply: Reply) -> None:
         plans_by_owner: dict[str, list[StagePlan]] = {}
         for plan in message.plans:
-            plans_by_owner.setdefault(self._owner_of(plan.service), []).append(plan)
+            plans_by_owner.setdefault(self._owners.owner_of(plan.service), []).append(plan)
         request_id = message.request_id
         self._reservations.open(request_id, [plan.service for plan in message.plans], reply)
         for owner, plans in plans_by_owner.items():
             if not owner:
-                wait_s = self._without_hub_since + HUB_WAIT_S - self.clock.monotonic()
+                wait_s = self._owners.hub_wait_s()
                 self._reservations.add_waits(request_id, ((p.service, wait_s) for p in plans))
                 continue
             if owner == self.vm:
@@ -219,7 +192,7 @@
                 "reservation_unanswered",
                 "WARNING",
                 request=request_id,
-                owners=",".join(sorted(self._owner_of(service) for service in missing)),
+                owners=",".join(sorted(self._owners.owner_of(service) for service in missing)),
             )
 
     def _submit(self, work: StageWork, reply: Reply) -> None:
@@ -229,7 +202,7 @@
 
     def _dispatch(self, pending: _Pending) -> None:
         work = pending.work
-        pending.owner = self._owner_of(work.service)
+        pending.owner = self._owners.owner_of(work.service)
         if pending.owner == self.vm:
             self._enqueue(work, "")
             return
@@ -241,29 +214,10 @@
 
     async def _send(self, pending: _Pending, sent: StageSubmit) -> None:
         if not await self.peers.ask(SendTo(pending.owner, sent)):
-            self._exclude(pending.owner)
+            self._owners.exclude(pending.owner)
             if JobKey(sent.request_id, sent.stage) in self._pending:
                 self._dispatch(pending)
 
-    def _exclude(self, vm: str) -> None:
-        self._excluded_until[vm] = self.clock.monotonic() + EXCLUDE_S
-
-    def _owner_of(self, service: str) -> str:
-        """Return the owner of a pool, or an empty string while this daemon waits for a hub."""
-        now, topology = self.clock.monotonic(), self.topology
-        names = {vm for vm in self._ready_peers if self._excluded_until.get(vm, now) <= now}
-        may_own = topology.is_hub(self.vm) or not topology.shared.value
-        if not topology.known.value:
-            names = set()
-        elif topology.shared.value:
-            names &= topology.hubs.value
-        waits = not topology.known.value or not may_own
-        if waits and not names and now < self._without_hub_since + HUB_WAIT_S:
-            return ""
-        if not names or (may_own and not self._leaving):
-            names |= {self.vm}
-        return max(names, key=lambda name: rendezvous_rank(service, name))
-
     def _is_awaited(self, key: JobKey, attempt: int) -> bool:
         pending = self._pending.get(key)
         return pending is not None and pending.work.attempt == attempt
@@ -319,25 +273,17 @@
                 self._free(self._owned.drop_request(request_id))
             case Goodbye():
                 # The peer still finishes the work that it has started.
-                self._exclude(vm)
+                self._owners.exclude(vm)
 
     def _set_reach(self, reach: Reach) -> None:
-        lost, had_hub = self._linked_peers - reach.linked, self._reaches_hub()
-        self._ready_peers, self._linked_peers = reach.ready, reach.linked
         self._owned.set_silent_zones(reach.silent_zones)
-        if had_hub and not self._reaches_hub():
-            self._without_hub_since = self.clock.monotonic()
-        for vm in lost:
-            self._excluded_until.pop(vm, None)
+        for vm in self._owners.set_reach(reach):
             self._free(self._owned.drop_origin(vm))
         for pending in list(self._pending.values()):
             if pending.owner != self.vm and pending.owner not in reach.linked:
                 self._move(pending)
         self._hand_over()
 
-    def _reaches_hub(self) -> bool:
-        return bool(self._ready_peers & self.topology.hubs.value)
-
     def _move(self, pending: _Pending) -> None:
         if pending.owner:
             log_event(
@@ -354,7 +300,7 @@
         Two owners would send the replicas calls that are not full and wait for each other.
         """
         for pool in self._owned:
-            if self._owner_of(pool.service) in ("", self.vm):
+            if self._owners.owner_of(pool.service) in ("", self.vm):
                 continue
             for job in pool.release_unstarted():
                 if job.origin:
@@ -443,14 +389,14 @@
 
     def _must_submit_again(self, pending: _Pending, now: float) -> bool:
         if not pending.owner:
-            return bool(self._owner_of(pending.work.service))
+            return bool(self._owners.owner_of(pending.work.service))
         return now - pending.sent_at > RESUBMIT_S
 
     def _free_results(self, service: str, handles: tuple[str, ...]) -> None:
         """Free results through the owner of their pool, which tracks the replicas' memory."""
         if not handles:
             return
-        owner = self._owner_of(service)
+        owner = self._owners.owner_of(service)
         if owner in ("", self.vm):
             self._free(handles)
         else:
--- a/greengagehoist/gateway/filters/__init__.py
+++ b/greengagehoist/gateway/filters/__init__.py
@@ -1,7 +1,8 @@
 """Filter chain of the gateway's requests."""
 
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
-from greengagehoist.gateway.filters._replica import ReplicaFilter, RetryBudgets
+from greengagehoist.gateway.filters._replica import ReplicaFilter
+from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
 from greengagehoist.gateway.filters._route import RouteFilter
 from greengagehoist.gateway.filters._stages import StageFilter
 
--- a/greengagehoist/gateway/tests/test_pools.py
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -14,7 +14,8 @@
     SubmitStage,
     Topology,
 )
-from greengagehoist.gateway.controllers._pools import EXCLUDE_S, HUB_WAIT_S, MOVED
+from greengagehoist.gateway.controllers._pool_owners import EXCLUDE_S, HUB_WAIT_S
+from greengagehoist.gateway.controllers._pools import MOVED
 from greengagehoist.gateway.controllers._reach import ReachChanged
 from greengagehoist.gateway.controllers._replicas import ReplicasChanged
 from greengagehoist.gateway.controllers._results import FreeHandles
@@ -244,7 +245,7 @@
 
     async def scenario():
         pools, _, _ = make_pools(OTHER, hubs=frozenset({OTHER}))
-        assert pools._owner_of("s") == OWNER
+        assert pools._owners.owner_of("s") == OWNER
 
     asyncio.run(scenario())
 
@@ -261,11 +262,11 @@
         peers.ask = fail
         deliver(pools, SubmitStage(work(clock)))
         await asyncio.sleep(0)
-        assert pools._owner_of("s") == OTHER
+        assert pools._owners.owner_of("s") == OTHER
         await clock.advance(EXCLUDE_S)
-        assert pools._owner_of("s") == OWNER
+        assert pools._owners.owner_of("s") == OWNER
         deliver(pools, FromPeer(OWNER, "z", 1, Goodbye("stopping")))
-        assert pools._owner_of("s") == OTHER
+        assert pools._owners.owner_of("s") == OTHER
 
     asyncio.run(scenario())
 
@@ -352,7 +353,7 @@
         set_reach(pools)
         deliver(pools, SubmitStage(work(clock)))
         assert not list(pools._owned)
-        pools.topology.known.value = True
+        pools._owners.topology.known.value = True
         pools._tick()
         (pool,) = pools._owned
         assert len(pool.queue.jobs) == 1
