--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -66,9 +66,10 @@
 
     Entries are written once and not renewed: the links between daemons show which of them run. A
     daemon that stops keeps its entry, because most of them start again soon: the others keep the
-    same hubs meanwhile, and remove the entry if the daemon does not come back. With
-    hubs, one hub of each data centre reads the list; the others learn from it which members are
-    hubs.
+    same hubs meanwhile, and remove the entry if the daemon does not come back.
+
+    With hubs, one hub of each data centre reads the list, and the others learn from it which
+    members are hubs.
 
     :param topology: published views, which this controller updates.
     :param reads: decides whether a hub or the platform is asked.
