Refuse work without a replica also late, and none before the list is read

Cause, found by reading the change: a pool whose last replica left during a call, or before a stage was submitted, let its work wait until it was late, since only a change of the list ended it. An owner that had just started and not read the list said that new work waits 60 s, so that it was refused. Work that a former owner returned late was queued again at its present owner, which would run its pieces twice. The list of members carried the time after its read, and not that at which the read was sent.

--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -43,11 +43,12 @@
 
 class _ReadEnded(NamedTuple):
     rows: tuple[Row, ...]
+    sent_at: float
 
 
 class _HubsRead(NamedTuple):
     hubs: "HubList"
-    token: str
+    held: HeldContent
 
 
 class HubList(NamedTuple):
@@ -109,10 +110,10 @@
         match message:
             case Tick():
                 self.start(self._read())
-            case _ReadEnded(rows):
-                self.start(self._apply(rows))
-            case _HubsRead(hubs, token):
-                self._apply_hub_read(hubs, token)
+            case _ReadEnded(rows, sent_at):
+                self.start(self._apply(rows, sent_at))
+            case _HubsRead(hubs, held):
+                self._apply_hub_read(hubs, held)
 
     def _held_for(self, vm: str) -> HeldContent | None:
         """Return the hubs for another daemon, or None if that daemon must register again."""
@@ -136,7 +137,7 @@
         self.tell(Tick())
 
     async def _read_platform(self) -> bool:
-        read_at = self.clock.monotonic()
+        sent_at = self.clock.monotonic()
         rows: tuple[Row, ...] = ()
         while True:
             after = rows[-1].key if rows else ""
@@ -147,9 +148,7 @@
             rows += page
             if len(page) < PAGE_ROWS:
                 break
-        if self._held is not None:
-            self._held = self._held._replace(at=read_at)
-        self.tell(_ReadEnded(rows))
+        self.tell(_ReadEnded(rows, sent_at))
         return True
 
     def _decode_hub_read(self, held: HeldContent) -> bool:
@@ -158,10 +157,10 @@
         except msgspec.MsgspecError as exc:
             log_event("hub_read_unreadable", "WARNING", topic="members", reason=str(exc))
             return False
-        self.tell(_HubsRead(hubs, held.token))
+        self.tell(_HubsRead(hubs, held))
         return True
 
-    async def _apply(self, rows: tuple[Row, ...]) -> None:
+    async def _apply(self, rows: tuple[Row, ...], sent_at: float) -> None:
         members, own_row = {}, None
         for row in rows:
             member = parse_member(row)
@@ -179,7 +178,7 @@
         listed_hubs = sorted(item for item in all_members if item.vm in hubs)
         content = msgspec.json.encode(HubList(len(all_members), tuple(listed_hubs)))
         token = hashlib.blake2b(content, digest_size=8).hexdigest()
-        self._held = HeldContent(token, self.clock.monotonic(), content.decode())
+        self._held = HeldContent(token, sent_at, content.decode())
         self.peers.tell(SetMembers(all_members))
         # Last, because writes wait for each other when many daemons start at once, and stage work
         # needs the hubs.
@@ -188,13 +187,13 @@
             await self._register(own_row[0].version if own_row else 0, len(all_members))
         await self._remove_dead(members)
 
-    def _apply_hub_read(self, hubs: HubList, token: str) -> None:
+    def _apply_hub_read(self, hubs: HubList, held: HeldContent) -> None:
         others = tuple(item for item in hubs.hubs if item.vm != self.own.vm)
         self.topology.links.value = others
         self._publish(frozenset(item.vm for item in hubs.hubs), hubs.count)
         # Daemons that this one does not know of are told to read the list themselves.
         self._listed = frozenset()
-        self._held = HeldContent(token, self.clock.monotonic())
+        self._held = held
         self.peers.tell(SetMembers((self.own, *others)))
 
     def _publish(self, hubs: frozenset[str], count: int) -> None:
--- a/greengagehoist/gateway/controllers/_owned_pools.py
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -51,6 +51,11 @@
     def __iter__(self) -> Iterator[OwnedPool]:
         return iter(list(self._pools.values()))
 
+    @property
+    def knows_replicas(self) -> bool:
+        """Whether the list of replicas has been read; before, no pool is known to be empty."""
+        return self.table.value.read_at is not None
+
     def get(self, service: str) -> OwnedPool | None:
         """Return the pool of a service with its newest limits, or None if it has no pool."""
         pool = self._pools.get(service)
@@ -89,7 +94,8 @@
             if pool is not None:
                 excess = pool.tenant_rates.is_excess(message.tenant, pieces, now)
                 new = Reservation(pieces, message.rank, due, excess)
-                waits[service] = pool.wait_s(new, now)
+                known = pool.members or self.knows_replicas
+                waits[service] = pool.wait_s(new, now) if known else 0.0
                 pool.queue.reserve(message.request_id, new)
         return waits
 
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -152,8 +152,6 @@
             case ReplicasChanged():
                 for pool in self._owned:
                     self._owned.sync(pool)
-                    for job_end in pool.fail_without_replicas():
-                        self._end_job(job_end)
                     self._start_calls(pool)
             case Tick():
                 self._tick()
@@ -254,10 +252,7 @@
                 key = JobKey(message.request_id, message.stage)
                 # The answer to a repeated submission names results in use, which must not be freed.
                 if self._is_awaited(key, message.attempt):
-                    if message.reason == MOVED:
-                        self._dispatch(self._pending[key])
-                    else:
-                        self._resolve(key, end)
+                    self._handle_stage_end(vm, key, end)
                 elif key.stage not in self._delivered.get(key.request_id, ()):
                     self._free_results(message.service, message.handles)
             case StageReserve(request_id, services):
@@ -275,6 +270,14 @@
                 # The peer still finishes the work that it has started.
                 self._owners.exclude(vm)
 
+    def _handle_stage_end(self, vm: str, key: JobKey, end: StageEnd) -> None:
+        pending = self._pending[key]
+        if end.reason != MOVED:
+            self._resolve(key, end)
+        elif pending.owner == vm:
+            # The return of a former owner must not restart the work of the present one.
+            self._move(pending)
+
     def _set_reach(self, reach: Reach) -> None:
         self._owned.set_silent_zones(reach.silent_zones)
         for vm in self._owners.set_reach(reach):
@@ -338,6 +341,9 @@
         self._start_calls(pool)
 
     def _start_calls(self, pool: OwnedPool) -> None:
+        if self._owned.knows_replicas:
+            for job_end in pool.fail_without_replicas():
+                self._end_job(job_end)
         for member in pool.next_calls(self.table.value.replicas, self.clock.monotonic()):
             self.start(member.worker.run_batch(member.pieces, member.expected_s))
 
