Remove a race from the test of freed stage results, and test a pool without replicas

Change: both stages have pieces, so that four results instead of two must be freed, the last two only after the engine got the request. A new test holds that a request for a pool without replicas submits no stage and is refused with a time to come back.

--- a/greengagehoist/daemon/tests/test_gateway_stages.py
+++ b/greengagehoist/daemon/tests/test_gateway_stages.py
@@ -42,9 +42,9 @@
     async def scenario(system):
         for engine in system.engines:
             engine.prefill_s = 0.5
-        headers = {"X_Greengagehoist_Segments": b"2,0", "X_Greengagehoist_Segment_Key": b"k"}
+        headers = {"X_Greengagehoist_Segments": b"2,2", "X_Greengagehoist_Segment_Key": b"k"}
         call = asyncio.ensure_future(system.call("/deep/", **headers))
-        await wait_until(lambda: sum(len(replica.freed) for replica in system.pool) == 2)
+        await wait_until(lambda: sum(len(replica.freed) for replica in system.pool) == 4)
         assert not call.done()
         assert any(engine.requests for engine in system.engines)
         assert (await call)[0] == 200
@@ -130,3 +130,23 @@
         assert {status for status, _, _ in results} == {200}
 
     run_scenario(scenario, bounds=BOUNDS._replace(retry_ratio=0.0, retry_slack=0.0))
+
+
+def test_request_for_a_pool_without_replicas_is_refused_at_once(run_scenario):
+    """Otherwise it waits until it is late, and its client learns too late to come back."""
+
+    async def scenario(system):
+        for replica in system.pool:
+            system.store.remove("servers", replica.replica_id)
+        table = system.daemons[0].replicas.table
+        await wait_until(lambda: not table.value.of_service("pool"))
+        headers = {"X_Greengagehoist_Segments": b"2,2", "X_Greengagehoist_Segment_Key": b"k"}
+        asked, pools = [], system.daemons[0].pools
+        ask = pools.ask
+        pools.ask = lambda message: (asked.append(message), ask(message))[1]
+        status, fields, _ = await system.call("/deep/", **headers)
+        assert [type(message) for message in asked] == [ReserveStages]
+        assert status == 503
+        assert float(get_header(fields, b"retry-after")) > 0
+
+    run_scenario(scenario)
