--- a/greengagehoist/daemon/tests/test_gateway_endless.py
+++ b/greengagehoist/daemon/tests/test_gateway_endless.py
@@ -123,29 +123,25 @@
     run_scenario(scenario)
 
 
-def test_conflict_that_says_not_run_is_no_loss_of_stage_results_without_stages(run_scenario):
-    """Guards against an assertion error: only a route with stages can have lost results."""
-
-    async def scenario(system):
-        conflict = (
-            b"HTTP/1.1 409 Conflict\r\nX-Greengagehoist-Request-Id: {id}\r\n"
-            b"X-Greengagehoist-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-        )
-        for desk in system.desks:
-            desk.behaviour = Endless(conflict, b" ", 10.0)
-        assert (await system.call("/book/"))[0] == 503
-
-    run_scenario(scenario)
-
-
-def test_refusal_of_another_request_is_no_proof_that_this_one_has_not_run(run_scenario):
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        # Guards against an assertion error: only a route with stages can have lost their results.
+        (
+            b"409 Conflict\r\nX-Greengagehoist-Request-Id: {id}\r\n"
+            b"X-Greengagehoist-Not-Executed: 1",
+            503,
+        ),
+        # The refusal belongs to another request, so it is no proof that this one has not run.
+        (b"421 Misdirected Request\r\nX-Greengagehoist-Request-Id: other", 502),
+    ],
+    ids=["conflict without stages", "refusal of another request"],
+)
+def test_refusal_of_a_replica_says_not_run_only_of_its_own_request(run_scenario, head, status):
     async def scenario(system):
-        refusal = (
-            b"HTTP/1.1 421 Misdirected Request\r\nX-Greengagehoist-Request-Id: other\r\n"
-            b"Content-Length: 0\r\n\r\n"
-        )
+        refusal = b"HTTP/1.1 " + head + b"\r\nContent-Length: 0\r\n\r\n"
         for desk in system.desks:
             desk.behaviour = Endless(refusal, b" ", 10.0)
-        assert (await system.call("/book/"))[0] == 502
+        assert (await system.call("/book/"))[0] == status
 
     run_scenario(scenario)
--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -23,18 +23,14 @@
         text = self._partial + data
         end = text.rfind(EVENT_END)
         if end < 0:
+            if len(text) > MAX_EVENT_BYTES:
+                raise ProtocolError(f"event of a stream exceeds {MAX_EVENT_BYTES} bytes")
             self._partial = text
-            self._check_size()
             return b""
         whole, self._partial = text[: end + 2], text[end + 2 :]
         self.last_id = _last_event_id(whole, self.last_id)
-        self._check_size()
         return whole
 
-    def _check_size(self) -> None:
-        if len(self._partial) > MAX_EVENT_BYTES:
-            raise ProtocolError(f"event of a stream exceeds {MAX_EVENT_BYTES} bytes")
-
     def discard_partial(self) -> None:
         """Discard an incomplete event after its replica has failed."""
         self._partial = b""
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -3,6 +3,7 @@
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController
+from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
 from greengagehoist.gateway.controllers._placement import (
     Choose,
     FindHome,
@@ -28,6 +29,7 @@
 
 __all__ = [
     "MEMBER_POLL_PERIOD_S",
+    "NO_REPLICA_WAIT_S",
     "CancelStages",
     "Choose",
     "DeploymentController",
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -37,6 +37,7 @@
 
     :param reads: decides whether a hub or the platform is asked.
     :param decode: decodes the configuration that a hub has read in a row version.
+    :ivar held: published configuration and when the platform held it, for other daemons.
     """
 
     def __init__(
@@ -52,13 +53,14 @@
         self.decode = decode
         self.clock = clock
         self.snapshot: Published[DeploymentSnapshot | None] = Published(None)
+        self.held: Published[HeldContent | None] = Published(None)
         self._row_version = 0
         self._source = ""
         self._failing = False
 
     async def run(self) -> None:
         """Read until cancelled."""
-        self.reads.relay.tell(AddSource("deployment", self._held_for))
+        self.reads.relay.tell(AddSource("deployment", self.held))
         self.tell(Tick())
         await super().run()
 
@@ -72,13 +74,6 @@
             case _ReadEnded(result, sent_at):
                 self._apply(result, sent_at)
 
-    def _held_for(self, vm: str) -> HeldContent | None:
-        """Return the newest configuration and when the platform held it, for other daemons."""
-        current = self.snapshot.value
-        if current is None:
-            return None
-        return HeldContent(str(self._row_version), current.confirmed_at, self._source)
-
     async def _read(self) -> None:
         row_version = self._row_version
         step = await self.reads.next_step(str(row_version) if row_version else "")
@@ -121,6 +116,9 @@
         current = self.snapshot.value
         if read.deployment is not None and read.row > self._row_version:
             self._row_version, self._source = read.row, read.source
+        if current is not None:
+            token = str(self._row_version)
+            self.held.value = HeldContent(token, current.confirmed_at, self._source)
         if current is not None and (
             held is None or held.deployment.version != current.deployment.version
         ):
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -27,7 +27,7 @@
     WriteRow,
     Written,
 )
-from greengagehoist.utils import Clock, Controller, Reply, Tick, log_event
+from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
 MEMBER_PREFIX = "member/"
 # Members only change when machines are added or replaced, so the list is read rarely.
@@ -74,6 +74,7 @@
 
     :param topology: published views, which this controller updates.
     :param reads: decides whether a hub or the platform is asked.
+    :ivar held: published hubs, for the daemons that are listed; another one must register first.
     """
 
     def __init__(
@@ -94,14 +95,13 @@
         self.reads = reads
         self.clock = clock
         self.rng = rng
-        self._listed: frozenset[str] = frozenset()
-        self._held: HeldContent | None = None
+        self.held: Published[HeldContent | None] = Published(None)
         self._registered = False
         self._unlinked_since: dict[str, float] = {}
 
     async def run(self) -> None:
         """Read until cancelled."""
-        self.reads.relay.tell(AddSource("members", self._held_for))
+        self.reads.relay.tell(AddSource("members", self.held))
         self.tell(Tick())
         await super().run()
 
@@ -115,13 +115,10 @@
             case _HubsRead(hubs, held):
                 self._apply_hub_read(hubs, held)
 
-    def _held_for(self, vm: str) -> HeldContent | None:
-        """Return the hubs for another daemon, or None if that daemon must register again."""
-        return self._held if vm in self._listed else None
-
     async def _read(self) -> None:
         # A daemon whose registration failed reads the list again, and then repeats it.
-        token = self._held.token if self._held is not None and self._registered else ""
+        known = self.held.value
+        token = known.token if known is not None and self._registered else ""
         step = await self.reads.next_step(token)
         ok = False
         match step:
@@ -174,11 +171,10 @@
         hubs = choose_hubs(all_members)
         self.topology.links.value = choose_hub_links(self.own.vm, self.own.data_centre, all_members)
         self._publish(hubs, len(all_members))
-        self._listed = frozenset(members)
         listed_hubs = sorted(item for item in all_members if item.vm in hubs)
         content = msgspec.json.encode(HubList(len(all_members), tuple(listed_hubs)))
         token = hashlib.blake2b(content, digest_size=8).hexdigest()
-        self._held = HeldContent(token, sent_at, content.decode())
+        self.held.value = HeldContent(token, sent_at, content.decode(), frozenset(members))
         self.peers.tell(SetMembers(all_members))
         # Last, because writes wait for each other when many daemons start at once, and stage work
         # needs the hubs.
@@ -191,9 +187,8 @@
         others = tuple(item for item in hubs.hubs if item.vm != self.own.vm)
         self.topology.links.value = others
         self._publish(frozenset(item.vm for item in hubs.hubs), hubs.count)
-        # Daemons that this one does not know of are told to read the list themselves.
-        self._listed = frozenset()
-        self._held = held
+        # This daemon does not know who is listed, so it tells nobody.
+        self.held.value = held._replace(readers=frozenset())
         self.peers.tell(SetMembers((self.own, *others)))
 
     def _publish(self, hubs: frozenset[str], count: int) -> None:
--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -1,6 +1,5 @@
 """Controller that exchanges platform reads with hubs, to save reads of this daemon."""
 
-from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from greengagehoist.gateway.controllers._reach import Reach
@@ -29,22 +28,24 @@
     :param token: identifies the content.
     :param at: time on the own clock, no later than the time at which the read was sent.
     :param content: encoded content; empty if it came from a hub that holds the token asked for.
+    :param readers: VMs of the daemons that may be told, None for all.
     """
 
     token: str
     at: float
     content: str = ""
+    readers: frozenset[str] | None = None
 
-
-# Returns what this daemon tells another one, whose name is given, about a topic.
-Source = Callable[[str], HeldContent | None]
+    def may_read(self, vm: str) -> bool:
+        """Return whether the daemon of ``vm`` may be told."""
+        return self.readers is None or vm in self.readers
 
 
 class AddSource(NamedTuple):
-    """Answer the queries of other daemons about a topic by ``source``."""
+    """Answer the queries of other daemons about a topic by what is published."""
 
     topic: str
-    source: Source
+    held: Published[HeldContent | None]
 
 
 class AskHub(NamedTuple):
@@ -97,7 +98,7 @@
         self.topology = topology
         self.reach = reach
         self.clock = clock
-        self._sources: dict[str, Source] = {}
+        self._sources: dict[str, Published[HeldContent | None]] = {}
         self._pending: dict[int, _PendingQuery] = {}
         self._last_number = 0
 
@@ -111,8 +112,8 @@
         match message:
             case AskHub():
                 self._ask(message, reply)
-            case AddSource(topic, source):
-                self._sources[topic] = source
+            case AddSource(topic, held):
+                self._sources[topic] = held
             case FromPeer(vm, _, _, SharedReadRequest(number, topic, token)):
                 self._answer(vm, number, topic, token)
             case FromPeer(_, _, _, SharedRead(number, token, age_s, content)):
@@ -162,9 +163,9 @@
 
     def _answer(self, vm: str, number: int, topic: str, known_token: str) -> None:
         source = self._sources.get(topic)
-        held = source(vm) if source is not None else None
+        held = source.value if source is not None else None
         token, age_s, content = "", 0.0, ""
-        if held is not None:
+        if held is not None and held.may_read(vm):
             token, age_s = held.token, self.clock.monotonic() - held.at
             content = held.content if token != known_token else ""
         self.peers.tell(SendTo(vm, SharedRead(number, token, age_s, content)))
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -43,6 +43,7 @@
 
     :param reads: decides whether a hub or the platform is asked.
     :param followers: controllers that receive :class:`ReplicasChanged`.
+    :ivar held: published list and when the platform held it, for other daemons.
     """
 
     def __init__(
@@ -59,12 +60,12 @@
         self.followers = followers
         self.table: Published[ReplicaTable] = Published(ReplicaTable())
         self._listed: tuple[Replica, ...] = ()
-        self._held: HeldContent | None = None
+        self.held: Published[HeldContent | None] = Published(None)
         self._unreadable = 0
 
     async def run(self) -> None:
         """Read until cancelled."""
-        self.reads.relay.tell(AddSource("replicas", self._held_for))
+        self.reads.relay.tell(AddSource("replicas", self.held))
         self.tell(Tick())
         await super().run()
 
@@ -78,12 +79,9 @@
             case _ReadEnded():
                 self._apply(message)
 
-    def _held_for(self, vm: str) -> HeldContent | None:
-        """Return the newest list and when the platform held it, for other daemons."""
-        return self._held
-
     async def _read(self) -> None:
-        step = await self.reads.next_step(self._held.token if self._held is not None else "")
+        known = self.held.value
+        step = await self.reads.next_step(known.token if known is not None else "")
         ok = False
         match step:
             case Confirmed(at):
@@ -145,12 +143,12 @@
                 follower.tell(ReplicasChanged(table))
 
     def _update_held(self, read: _ReadEnded) -> None:
-        held = self._held
+        held = self.held.value
         if held is None or read.replicas != self._listed:
             self._listed = read.replicas
-            self._held = encode_replicas(read.replicas, read.sent_at)
+            self.held.value = encode_replicas(read.replicas, read.sent_at)
         elif read.sent_at > held.at:
-            self._held = held._replace(at=read.sent_at)
+            self.held.value = held._replace(at=read.sent_at)
 
     def _log_changes(self, before: ReplicaTable, table: ReplicaTable) -> None:
         changed = [item for key, item in table.replicas.items() if _is_news(before, key, item)]
--- a/greengagehoist/gateway/filters/_stages.py
+++ b/greengagehoist/gateway/filters/_stages.py
@@ -14,6 +14,7 @@
     failure_reply,
 )
 from greengagehoist.gateway.controllers import (
+    NO_REPLICA_WAIT_S,
     CancelStages,
     FindHome,
     FreeResults,
@@ -170,24 +171,11 @@
             start_dependencies(exchange.route), service_times, [0.0] * len(stages)
         )
         can_be_in_time = now + fastest + first_event_s <= exchange.due
-        plans: dict[str, StagePlan] = {}
-        for number, stage in enumerate(stages):
-            if service_times[number]:
-                # A request that cannot be answered in time counts as late in all pools.
-                due = (
-                    exchange.due - self._remaining_time_s(exchange, number)
-                    if can_be_in_time
-                    else now
-                )
-                plan = plans.get(stage.service, StagePlan(stage.service, 0, due))
-                pieces = plan.pieces + req.piece_counts[number]
-                plans[stage.service] = StagePlan(stage.service, pieces, max(plan.due, due))
+        plans = self._plan_stages(exchange, service_times, can_be_in_time, now)
         if not plans:
             return None
         tenant = exchange.tenant.name if exchange.tenant is not None else ""
-        waits = await self.pools.ask(
-            ReserveStages(req.request_id, exchange.rank, tuple(plans.values()), tenant)
-        )
+        waits = await self.pools.ask(ReserveStages(req.request_id, exchange.rank, plans, tenant))
         longest_wait_s = max(waits.values(), default=0.0)
         completion_s = estimate_completion_s(
             start_dependencies(exchange.route),
@@ -198,17 +186,37 @@
         negligible_s = MIN_BACKLOG_S if can_be_in_time else MIN_LATE_BACKLOG_S
         if late_s <= LATE_TOLERANCE_S or longest_wait_s < negligible_s:
             return None
+        reason = "stage pools are overloaded"
+        detail = f"backlog of the stage pools is {longest_wait_s:.2f} s"
+        if longest_wait_s >= NO_REPLICA_WAIT_S:
+            reason = detail = "a stage pool has no replica"
         log_event(
             "request_refused",
             request=req.request_id,
-            reason="stage pools are overloaded",
+            reason=reason,
             rank=exchange.rank,
             backlog_ms=round(longest_wait_s * 1000),
             late_ms=round(late_s * 1000),
         )
-        return NotRun(
-            f"backlog of the stage pools is {longest_wait_s:.2f} s", OVERLOAD_RETRY_AFTER_S
-        )
+        return NotRun(detail, OVERLOAD_RETRY_AFTER_S)
+
+    def _plan_stages(
+        self, exchange: Exchange, service_times: list[float], can_be_in_time: bool, now: float
+    ) -> tuple[StagePlan, ...]:
+        """Return the work of a request at each service that it uses.
+
+        A request that cannot be answered in time counts as late in all pools.
+        """
+        plans: dict[str, StagePlan] = {}
+        for number, stage in enumerate(exchange.route.stages):
+            if service_times[number]:
+                due = now
+                if can_be_in_time:
+                    due = exchange.due - self._remaining_time_s(exchange, number)
+                plan = plans.get(stage.service, StagePlan(stage.service, 0, due))
+                pieces = plan.pieces + exchange.req.piece_counts[number]
+                plans[stage.service] = StagePlan(stage.service, pieces, max(plan.due, due))
+        return tuple(plans.values())
 
     def _service_time_s(self, exchange: Exchange, number: int) -> float:
         """Return the time of a stage without queueing, 0 if the request does not use the stage."""
--- a/greengagehoist/gateway/tests/test_members.py
+++ b/greengagehoist/gateway/tests/test_members.py
@@ -133,8 +133,8 @@
     """A daemon whose entry was removed must read the list, and registers again."""
     controller, _, _, _ = make_members(members(30))
     asyncio.run(run_for(controller, clock, 0.1))
-    assert controller._held_for("vm-001") is not None
-    assert controller._held_for("vm-999") is None
+    assert controller.held.value.may_read("vm-001")
+    assert not controller.held.value.may_read("vm-999")
 
 
 def test_daemon_that_is_not_listed_registers(make_members, clock):
@@ -192,7 +192,7 @@
         platform.write = fail
         task = asyncio.ensure_future(controller.run())
         await clock.advance(1.0)
-        hub.held = HeldContent(controller._held.token, clock.monotonic() + 60.0)
+        hub.held = HeldContent(controller.held.value.token, clock.monotonic() + 60.0)
         await clock.advance(10.0)
         task.cancel()
         assert sum(isinstance(call, WriteRow) for call in platform.calls) > 1
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -115,8 +115,8 @@
 def test_hub_answers_with_the_age_of_its_read_and_content_that_the_asker_lacks(make_relay, clock):
     relay, peers = make_relay("hub-a1")
     asyncio.run(clock.advance(5.0))
-    held = HeldContent("7", clock.monotonic() - 1.5, "text")
-    deliver(relay, AddSource("deployment", lambda vm: held if vm == "vm-1" else None))
+    held = HeldContent("7", clock.monotonic() - 1.5, "text", frozenset({"vm-1"}))
+    deliver(relay, AddSource("deployment", Published(held)))
     queries = [("vm-1", "deployment", "7"), ("vm-1", "deployment", "6")]
     queries += [("vm-2", "deployment", "6"), ("vm-1", "replicas", "")]
     for number, (vm, topic, token) in enumerate(queries):
