Log how each stream of a replica ended

Change: 'stream_ended' has the end, the framing, the last whole event and the bytes of an incomplete one. No decision changes.

--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -31,6 +31,11 @@
         self.last_id = _last_event_id(whole, self.last_id)
         return whole
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes after the last whole event."""
+        return len(self._partial)
+
     def discard_partial(self) -> None:
         """Discard an incomplete event after its replica has failed."""
         self._partial = b""
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -336,8 +336,10 @@
         except (IncompleteError, ProtocolError) as exc:
             if isinstance(exc, ProtocolError):
                 _log_invalid_response(exchange, replica, exc)
+            _log_stream_end(exchange, replica, reader, splitter, str(exc))
             splitter.discard_partial()
             return Broken()
+        _log_stream_end(exchange, replica, reader, splitter, "end of the response")
         rest = splitter.flush()
         if rest and resumable:
             await exchange.sink.send(rest)
@@ -354,6 +356,24 @@
     )
 
 
+def _log_stream_end(
+    exchange: Exchange,
+    replica: Replica,
+    reader: ResponseReader,
+    splitter: EventSplitter,
+    end: str,
+) -> None:
+    log_event(
+        "stream_ended",
+        request=exchange.req.request_id,
+        replica=replica.replica_id,
+        end=end,
+        framing="connection" if reader.ends_with_connection else "message",
+        last_event=splitter.last_id,
+        partial_bytes=splitter.partial_bytes,
+    )
+
+
 def model_of(exchange: Exchange) -> str:
     """Return the model of an engine request, empty for others."""
     return exchange.req.prompt.model if exchange.req.prompt is not None else ""
--- a/greengagehoist/http1/_response.py
+++ b/greengagehoist/http1/_response.py
@@ -41,6 +41,11 @@
         self._until_close = False
         self._keep_alive = False
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has neither a length nor chunks, so that only a close can end it."""
+        return self._until_close
+
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
--- a/greengagehoist/http1/tests/test_response.py
+++ b/greengagehoist/http1/tests/test_response.py
@@ -7,6 +7,7 @@
 from greengagehoist.http1 import IncompleteError, ProtocolError, ResponseReader
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 @pytest.fixture
@@ -36,6 +37,20 @@
     assert read(b"HTTP/1.1 200 OK\r\n\r\nab", b"cd", eof=True) == (200, b"abcd", False)
 
 
+@pytest.mark.parametrize(
+    "framing, expected", [(b"", True), (b"Content-Length: 4\r\n", False), (CHUNKED, False)]
+)
+def test_reader_says_whether_only_a_close_ends_the_answer(connected, framing, expected):
+    """The log line of a stream needs it, to tell a cut-off answer from a complete one."""
+
+    async def main():
+        reader = ResponseReader(connected(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n"))
+        await reader.head()
+        return reader.ends_with_connection
+
+    assert asyncio.run(main()) is expected
+
+
 def test_answer_without_a_length_that_is_reset_is_incomplete(read):
     with pytest.raises(IncompleteError):
         read(b"HTTP/1.1 200 OK\r\n\r\nabcd", reset=True)
