Reproduce streams that end early and reach the client as complete

Change: the stand-in of an engine can end its stream at any byte, by a close or with the last chunk.

--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -12,6 +12,7 @@
 from greengagehoist.standins._gateway_standins import (
     BreaksOff,
     Endless,
+    EndsStream,
     Full,
     Healthy,
     LosesAnswers,
@@ -36,6 +37,7 @@
 __all__ = [
     "BreaksOff",
     "Endless",
+    "EndsStream",
     "Full",
     "LosesAnswers",
     "MixesUp",
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -53,6 +53,19 @@
     after: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndsStream:
+    """Ends a stream without an error after some bytes, as a crash of the process may do.
+
+    :param after_bytes: number of bytes of the body, None for the whole body.
+    :param chunked: whether the last chunk follows; otherwise the body has neither a length nor
+        chunks and only the close ends it.
+    """
+
+    after_bytes: int | None = None
+    chunked: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class MixesUp:
     """Responds with the id and body of another request."""
@@ -78,7 +91,7 @@
 
 
 # The soak run writes these class names to its report.
-Behaviour = Healthy | Full | LosesAnswers | BreaksOff | MixesUp | Silent | Endless
+Behaviour = Healthy | Full | LosesAnswers | BreaksOff | EndsStream | MixesUp | Silent | Endless
 # Bytes that an endless response writes at once at full speed.
 ENDLESS_BLOCK_BYTES = 64 * 1024
 
@@ -140,6 +153,11 @@
     return sent
 
 
+def event(number: int) -> bytes:
+    """Return an event of a stand-in's stream."""
+    return b"id: %d\ndata: e%d\n\n" % (number, number)
+
+
 def send_response(sock: Socket, status: int, headers: tuple, body: bytes) -> None:
     """Send a response with a Content-Length."""
     framed = (*headers, (b"Content-Length", b"%d" % len(body)))
@@ -305,6 +323,10 @@
         last = get_header(request.head.headers, b"last-event-id")
         first = int(last) + 1 if last is not None else 0
         await asyncio.sleep(self.prefill_s)
+        match self.behaviour:
+            case EndsStream():
+                self._end_stream_at(sock, headers, first)
+                return
         coding = ((b"Transfer-Encoding", b"chunked"), (b"Content-Type", b"text/event-stream"))
         sock.write(encode_response_head(200, b"", headers + coding))
         for number in range(first, self.events):
@@ -314,10 +336,21 @@
                     await asyncio.sleep(0.02)
                     sock.abort()
                     return
-            sock.write(encode_chunk(b"id: %d\ndata: e%d\n\n" % (number, number)))
+            sock.write(encode_chunk(event(number)))
             await asyncio.sleep(self.pause_s)
         sock.write(LAST_CHUNK)
 
+    def _end_stream_at(self, sock: Socket, headers: tuple, first: int) -> None:
+        behaviour = self.behaviour
+        body = b"".join(event(number) for number in range(first, self.events))
+        body = body[: behaviour.after_bytes]
+        headers = (*headers, (b"Content-Type", b"text/event-stream"))
+        if behaviour.chunked:
+            headers = (*headers, (b"Transfer-Encoding", b"chunked"))
+            body = (encode_chunk(body) if body else b"") + LAST_CHUNK
+        sock.write(encode_response_head(200, b"", headers) + body)
+        sock.close()
+
     async def _run_stage(self, sock: Socket, request: Request) -> None:
         items = msgspec.json.decode(request.body)["items"]
         self.calls.append(len(items))
