Treat a stream that ends inside an event as broken off

Cause: an answer may have neither a length nor chunks. A crash then closes its connection without a reset, the reader takes the close for the end of the body, and the stream filter passed the end on without looking at the event it was in. The class of fault: the end of a connection taken for the end of a message. Ruled out: a reset reported as a close (resets and cut chunks were noticed before, as outcome=aborted shows). Change: at the end of an event stream with any framing, bytes of an incomplete event mean that it was broken off; so does a close before the first byte. It is resumed or aborted like any other broken stream. Events may end with any of the three line endings, so that the check does not reject streams with CR LF. Not provable: a close between two events without length or chunks looks like the end of a whole stream.

--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -1,8 +1,9 @@
 """Splits an event stream into whole events, so that another replica can resume it."""
 
-from greengagehoist.http1 import MAX_EVENT_BYTES, ProtocolError
+from greengagehoist.http1 import MAX_EVENT_BYTES, IncompleteError, ProtocolError
 
-EVENT_END = b"\n\n"
+# A blank line ends an event; a stream may use any of the three line endings.
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 
 
 class EventSplitter:
@@ -21,13 +22,13 @@
         :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``.
         """
         text = self._partial + data
-        end = text.rfind(EVENT_END)
-        if end < 0:
+        end = _end_of_events(text)
+        if end == 0:
             if len(text) > MAX_EVENT_BYTES:
                 raise ProtocolError(f"event of a stream exceeds {MAX_EVENT_BYTES} bytes")
             self._partial = text
             return b""
-        whole, self._partial = text[: end + 2], text[end + 2 :]
+        whole, self._partial = text[:end], text[end:]
         self.last_id = _last_event_id(whole, self.last_id)
         return whole
 
@@ -36,6 +37,14 @@
         """Number of bytes after the last whole event."""
         return len(self._partial)
 
+    def check_end(self) -> None:
+        """Check that the stream may end here.
+
+        :raises IncompleteError: if it ends inside an event.
+        """
+        if self._partial.strip(b"\r\n"):
+            raise IncompleteError("stream ended inside an event")
+
     def discard_partial(self) -> None:
         """Discard an incomplete event after its replica has failed."""
         self._partial = b""
@@ -46,8 +55,14 @@
         return rest
 
 
+def _end_of_events(text: bytes) -> int:
+    """Return the position after the last whole event, 0 if there is none."""
+    ends = ((text.rfind(end), len(end)) for end in EVENT_ENDS)
+    return max(at + length if at >= 0 else 0 for at, length in ends)
+
+
 def _last_event_id(events: bytes, default: int | None) -> int | None:
-    for line in reversed(events.split(b"\n")):
+    for line in reversed(events.splitlines()):
         if line.startswith(b"id:"):
             value = line[3:].strip()
             if value.isdigit():
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -55,6 +55,7 @@
 # An idempotent request goes to another replica after this multiple of its target latency.
 RESPONSE_TIMEOUT_FACTOR = 3.0
 SERVER_ERROR = 500
+EVENT_STREAM = b"text/event-stream"
 # Time that a replica needs to fetch the stage results: a few megabytes at 10 Gbit/s.
 INPUT_FETCH_S = 0.03
 
@@ -323,6 +324,8 @@
         resumable = is_retryable(exchange.route.kind)
         try:
             data = await reader.chunk()
+            if not data and reader.ends_with_connection:
+                raise IncompleteError("connection closed before the first byte of the stream")
             self._free_inputs(exchange)
             if not exchange.progress.started:
                 exchange.sink.start(head)
@@ -333,6 +336,8 @@
                 if ready:
                     await exchange.sink.send(ready)
                 data = await reader.chunk()
+            if _is_event_stream(head):
+                splitter.check_end()
         except (IncompleteError, ProtocolError) as exc:
             if isinstance(exc, ProtocolError):
                 _log_invalid_response(exchange, replica, exc)
@@ -346,6 +351,12 @@
         return StreamEnded()
 
 
+def _is_event_stream(head: ResponseHead) -> bool:
+    """Return whether the body consists of events, as it does unless the replica names a type."""
+    content_type = get_header(head.headers, b"content-type") or EVENT_STREAM
+    return content_type.strip().lower().startswith(EVENT_STREAM)
+
+
 def _log_invalid_response(exchange: Exchange, replica: Replica, exc: ProtocolError) -> None:
     log_event(
         "response_invalid",
--- /dev/null
+++ b/greengagehoist/gateway/tests/test_events.py
@@ -0,0 +1,49 @@
+"""Guards against events of a stream that are lost, torn or taken for whole."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagehoist.gateway._events import EventSplitter
+from greengagehoist.http1 import IncompleteError
+
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
+
+
+def encode_stream(events, line_end):
+    lines = (b"id: %d%bdata: x%b%b" % (n, line_end, line_end, line_end) for n in range(events))
+    return b"".join(lines)
+
+
+def is_whole(splitter):
+    try:
+        splitter.check_end()
+    except IncompleteError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+@given(st.data())
+def test_only_a_stream_that_ends_between_events_is_whole(line_end, data):
+    """A stream that was cut inside an event passed for a complete one."""
+    stream = encode_stream(3, line_end)
+    sizes = {len(encode_stream(n, line_end)): n for n in range(4)}
+    cut = data.draw(st.integers(0, len(stream)), "cut")
+    splits = sorted(data.draw(st.sets(st.integers(0, cut), max_size=6), "splits"))
+    splitter, whole = EventSplitter(), b""
+    for begin, end in zip([0, *splits], [*splits, cut], strict=True):
+        whole += splitter.feed(stream[begin:end])
+    assert is_whole(splitter) == (cut in sizes)
+    assert whole == stream[: max(size for size in sizes if size <= cut)]
+    events = sizes[len(whole)]
+    assert splitter.last_id == (events - 1 if events else None)
+
+
+def test_discarded_event_does_not_count_for_the_resumed_stream():
+    splitter = EventSplitter()
+    splitter.feed(b"id: 0\ndata: x\n\nid: 1\nda")
+    splitter.discard_partial()
+    splitter.feed(b"id: 1\ndata: x\n\n")
+    splitter.check_end()
+    assert splitter.last_id == 1
