Reset the stream to an HTTP/1.0 client if the daemon ends before it

The answer to an HTTP/1.0 client has no chunks, and a daemon that stopped or was killed closed the connection without a reset, so a stream that was under way looked complete. Stage calls and the store are not affected (cut JSON is rejected), nor the own interface (its streams end with a last line or event). Change: while such an answer is sent, the socket has a linger time of 0 s, so that any close but the one after the last byte is a reset, also the kernel's when the process is killed. Result: the new test failed before (the client saw a complete body) and passes; the daemon and http1 tests pass.

--- a/greengagehoist/daemon/tests/test_gateway_truncated.py
+++ b/greengagehoist/daemon/tests/test_gateway_truncated.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from greengagehoist.http1 import IncompleteError
+from greengagehoist.http1 import IncompleteError, ResponseReader
 from greengagehoist.standins import EndsStream
 from greengagehoist.standins._gateway_standins import event
 
@@ -65,3 +65,33 @@
         assert (await system.call(path))[::2] == (200, STREAM)
 
     run_scenario(scenario)
+
+
+def test_stream_to_an_http_1_0_client_is_reset_if_the_daemon_ends(run_scenario):
+    """Only a close ends such an answer, so that the daemon's end passed for the end of the stream."""
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.pause_s = 0.2
+        sock = await system.connect()
+        sock.write(system.encode(ONCE).replace(b"HTTP/1.1", b"HTTP/1.0"))
+        reader = ResponseReader(sock, b"POST")
+        await reader.head()
+        assert reader.ends_with_connection
+        assert await reader.chunk()
+        await system.daemons[0].abort()
+        with pytest.raises(IncompleteError):
+            await reader.whole_body()
+
+    run_scenario(scenario)
+
+
+def test_whole_stream_reaches_an_http_1_0_client(run_scenario):
+    async def scenario(system):
+        sock = await system.connect()
+        sock.write(system.encode(ONCE).replace(b"HTTP/1.1", b"HTTP/1.0"))
+        reader = ResponseReader(sock, b"POST")
+        await reader.head()
+        assert await reader.whole_body() == STREAM
+
+    run_scenario(scenario)
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -52,6 +52,10 @@
     def start(self, head: ResponseHead) -> None:
         """Send the status and headers."""
         self.started = True
+        if not self.chunked:
+            # Only a close ends the answer: one before its end, also by the end of this process, must
+            # be a reset.
+            self.sock.reset_on_close(True)
         framing = (b"Transfer-Encoding", b"chunked") if self.chunked else CLOSE
         extra = (framing,) if self.keep_alive or not self.chunked else (framing, CLOSE)
         headers = end_to_end(head.headers) + extra
@@ -66,6 +70,8 @@
         """Send the end of the body."""
         if self.chunked:
             self.sock.write(LAST_CHUNK)
+        else:
+            self.sock.reset_on_close(False)
 
 
 class GatewayFront:
--- a/greengagehoist/http1/_socket.py
+++ b/greengagehoist/http1/_socket.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 
 # Reading pauses while more received bytes than this are unread.
@@ -11,6 +12,9 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+# Values of SO_LINGER. With a linger time of 0 s, close discards unsent bytes and sends a reset.
+NO_LINGER = struct.pack("ii", 1, 0)
+DEFAULT_LINGER = struct.pack("ii", 0, 0)
 
 
 class Socket(asyncio.Protocol):
@@ -115,13 +119,19 @@
     def abort(self) -> None:
         """Reset the connection."""
         if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            if sock is not None and not self.transport.is_closing():
-                # With a zero linger time, close sends a reset, which no client mistakes for the
-                # end of an answer.
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            self.reset_on_close(True)
             self.transport.abort()
 
+    def reset_on_close(self, enabled: bool) -> None:
+        """Choose whether a close resets the connection, which no peer mistakes for the end of data.
+
+        It also holds for the close by the kernel when the process ends.
+        """
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and not self.transport.is_closing():
+            linger = NO_LINGER if enabled else DEFAULT_LINGER
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _set_gone(self) -> None:
         if not self.gone.done():
             self.gone.set_result(None)
