--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -56,6 +56,9 @@
 RESPONSE_TIMEOUT_FACTOR = 3.0
 SERVER_ERROR = 500
 EVENT_STREAM = b"text/event-stream"
+# Clients choose number and length of the ids of prompt parts.
+MAX_LOGGED_PARTS = 16
+MAX_LOGGED_ID_CHARS = 32
 # Time that a replica needs to fetch the stage results: a few megabytes at 10 Gbit/s.
 INPUT_FETCH_S = 0.03
 
@@ -134,6 +137,7 @@
                 sends=progress.sends,
                 left_ms=round(remaining_s * 1000),
                 decision=type(step).__name__,
+                shared_parts=_log_parts(exchange),
             )
             match step:
                 case SendAgain() if end == Rejected(inputs_gone=True) or progress.inputs_freed:
@@ -385,6 +389,15 @@
     )
 
 
+def _log_parts(exchange: Exchange) -> str:
+    """Return the ids of the first prompt parts that other requests may share."""
+    prompt = exchange.req.prompt
+    if prompt is None:
+        return ""
+    shared = prompt.parts[:-1][:MAX_LOGGED_PARTS]
+    return ",".join(part.part_id[:MAX_LOGGED_ID_CHARS] for part in shared)
+
+
 def model_of(exchange: Exchange) -> str:
     """Return the model of an engine request, empty for others."""
     return exchange.req.prompt.model if exchange.req.prompt is not None else ""
