--- a/greengagehoist/daemon/tests/conftest.py
+++ b/greengagehoist/daemon/tests/conftest.py
@@ -11,9 +11,9 @@
 def run_scenario():
     """Return a function that runs a scenario on a started system."""
 
-    def run(scenario, daemons=1, bounds=BOUNDS):
+    def run(scenario, daemons=1, bounds=BOUNDS, engines=2):
         async def main():
-            system = GatewaySystem(bounds)
+            system = GatewaySystem(bounds, engines)
             try:
                 await system.start(daemons)
                 await scenario(system)
--- a/greengagehoist/daemon/tests/gateway_system.py
+++ b/greengagehoist/daemon/tests/gateway_system.py
@@ -78,13 +78,14 @@
     """Gateway daemons connected to stand-ins of the store and of replicas.
 
     :param bounds: bounds of all daemons.
+    :param engines: number of engines.
     """
 
-    def __init__(self, bounds):
+    def __init__(self, bounds, engines=2):
         self.bounds = bounds
         self.store = StoreStandin()
         self.desks = [ReplicaStandin(f"d{n}", "desk", "a") for n in range(2)]
-        self.engines = [ReplicaStandin(f"e{n}", "llm", "a", "engine") for n in range(2)]
+        self.engines = [ReplicaStandin(f"e{n}", "llm", "a", "engine") for n in range(engines)]
         self.pool = [ReplicaStandin(f"p{n}", "pool", "a") for n in range(2)]
         self.daemons = []
         self.request_count = 0
--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -11,6 +11,7 @@
 )
 from greengagehoist.standins._gateway_standins import (
     BreaksOff,
+    CrashesOn,
     Endless,
     EndsStream,
     Full,
@@ -36,6 +37,7 @@
 
 __all__ = [
     "BreaksOff",
+    "CrashesOn",
     "Endless",
     "EndsStream",
     "Full",
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -26,6 +26,8 @@
 REQUEST_ID = b"X-Greengagehoist-Request-Id"
 STAMP = b"X-Greengagehoist-Server-Stamp"
 NOT_EXECUTED = b"X-Greengagehoist-Not-Executed"
+PREFIX_HASH = b"X-Greengagehoist-Prefix-Hash"
+CHUNKED = (b"Transfer-Encoding", b"chunked")
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,18 @@
     chunked: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CrashesOn:
+    """Ends when it begins to answer a prompt with a part, and starts again at the same address.
+
+    :param part_id: id of the part.
+    :param down_s: seconds until it starts again.
+    """
+
+    part_id: bytes
+    down_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class MixesUp:
     """Responds with the id and body of another request."""
@@ -104,9 +118,9 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await listen(self._accept, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port, by default on any free one."""
+        self._server = await listen(self._accept, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -244,6 +258,7 @@
     :ivar freed: handles that the gateway has freed.
     :ivar calls: number of items in each stage call.
     :ivar endless_bytes: number of bytes of each endless response.
+    :ivar crashes: number of times that it ended by :class:`CrashesOn`.
     """
 
     def __init__(self, replica_id: str, service: str, zone: str, kind: str = "plain"):
@@ -262,6 +277,8 @@
         self.freed: list[str] = []
         self.calls: list[int] = []
         self.endless_bytes: list[int] = []
+        self.crashes = 0
+        self._restart: asyncio.Task | None = None
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the replica's row value for the store's list of replicas."""
@@ -327,7 +344,14 @@
             case EndsStream():
                 self._end_stream_at(sock, headers, first)
                 return
-        coding = ((b"Transfer-Encoding", b"chunked"), (b"Content-Type", b"text/event-stream"))
+            case CrashesOn(part_id, down_s):
+                prompt = get_header(request.head.headers, PREFIX_HASH.lower()) or b""
+                if part_id in [part.partition(b":")[0] for part in prompt.split(b",")]:
+                    sock.write(encode_response_head(200, b"", (*headers, CHUNKED)))
+                    self._restart = asyncio.create_task(self._crash(down_s))
+                    await sock.gone
+                    return
+        coding = (CHUNKED, (b"Content-Type", b"text/event-stream"))
         sock.write(encode_response_head(200, b"", headers + coding))
         for number in range(first, self.events):
             match self.behaviour:
@@ -340,13 +364,25 @@
             await asyncio.sleep(self.pause_s)
         sock.write(LAST_CHUNK)
 
+    async def _crash(self, down_s: float) -> None:
+        self.crashes += 1
+        await HttpStandin.stop(self)
+        await asyncio.sleep(down_s)
+        await self.start(int(self.address.rpartition(":")[2]))
+
+    async def stop(self) -> None:
+        """Reset all connections, stop listening and do not start again."""
+        if self._restart is not None:
+            self._restart.cancel()
+        await super().stop()
+
     def _end_stream_at(self, sock: Socket, headers: tuple, first: int) -> None:
         behaviour = self.behaviour
         body = b"".join(event(number) for number in range(first, self.events))
         body = body[: behaviour.after_bytes]
         headers = (*headers, (b"Content-Type", b"text/event-stream"))
         if behaviour.chunked:
-            headers = (*headers, (b"Transfer-Encoding", b"chunked"))
+            headers = (*headers, CHUNKED)
             body = (encode_chunk(body) if body else b"") + LAST_CHUNK
         sock.write(encode_response_head(200, b"", headers) + body)
         sock.close()
