Keep garbage collection out of the parsing of modules in tests

Cause: test_only_the_gateway_program_imports_the_adapter failed twice beside other tests with 'SystemError: AST constructor recursion depth mismatch'. A collection within ast.parse ran StreamWriter.__del__ of an earlier test, whose error report parses source as well; CPython 3.11 counts the depth of both parsers together. Change: tests parse modules with collection disabled, in one function.

--- a/greengagehoist/tests/test_imports.py
+++ b/greengagehoist/tests/test_imports.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from greengagehoist.tests.parsing import parse_module
+
 ROOT = Path(__file__).parent.parent
 DECISION_PACKAGES = (
     "base",
@@ -51,7 +53,7 @@
 def imported_modules(path: Path) -> set[str]:
     """Return the names of all modules that a file imports."""
     found = set()
-    for node in ast.walk(ast.parse(path.read_text())):
+    for node in ast.walk(parse_module(path)):
         if isinstance(node, ast.Import):
             found.update(alias.name for alias in node.names)
         elif isinstance(node, ast.ImportFrom):
--- a/greengagehoist/tests/test_operations_page.py
+++ b/greengagehoist/tests/test_operations_page.py
@@ -12,6 +12,7 @@
 from greengagehoist.config._parse import DAYS, SECTIONS, parse_entry
 from greengagehoist.config._validation import Validator
 from greengagehoist.daemon import main as daemon
+from greengagehoist.tests.parsing import parse_module
 
 ROOT = Path(__file__).parents[2]
 PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text()
@@ -58,7 +59,7 @@
     found = {}
     for path in sorted((ROOT / "greengagehoist").rglob("*.py")):
         if not {"tests", "standins"} & set(path.parts[len(ROOT.parts) :]):
-            found[path] = ast.parse(path.read_text())
+            found[path] = parse_module(path)
     return found
 
 
