Do not blame a prompt part for replicas that end beside others without it

Crashes at one moment counted once, but still counted. Change: a part is not to blame for a crash if another replica ended within 0.25 s without a request with the part. For that, daemons report replicas that ended with begun answers only, too, without prompts.

--- a/greengagehoist/gateway/controllers/_quarantine.py
+++ b/greengagehoist/gateway/controllers/_quarantine.py
@@ -58,11 +58,11 @@
 
 
 class ReportBroken(NamedTuple):
-    """Report an answer that was broken off at its beginning.
+    """Report an answer that was broken off.
 
     Replied by whether its replica has ended, once that is known.
 
-    :param prompt: keys of the parts of its prompt, in order.
+    :param prompt: keys of the parts of its prompt, in order; empty if the answer had begun before.
     """
 
     service: str
@@ -208,14 +208,14 @@
     def _finish_check(self, replica: Replica, ended: bool) -> None:
         reports = self._checks.pop(replica)
         if ended:
+            prompts = frozenset(report.prompt for report, _ in reports if report.prompt)
             log_event(
                 "replica_crashed",
                 "WARNING",
                 replica=replica.replica_id,
                 service=replica.service,
-                prompts=len(reports),
+                prompts=len(prompts),
             )
-            prompts = frozenset(report.prompt for report, _ in reports)
             now = self.clock.monotonic()
             crash = Crash(replica.replica_id, replica.born_ms, now, prompts)
             self._record_crash(replica.service, crash, relay=True)
--- a/greengagehoist/gateway/filters/_quarantine.py
+++ b/greengagehoist/gateway/filters/_quarantine.py
@@ -66,16 +66,16 @@
         return failure_reply(progress, REASON, max(MIN_RETRY_AFTER_S, wait_s))
 
     async def report_broken(self, exchange: Exchange, replica: Replica) -> None:
-        """Report an answer that was broken off at its beginning, and wait for the conclusions.
+        """Report an answer that was broken off, and wait for the conclusions.
 
         A further send must not end another replica meanwhile.
         """
         prompt, begun_at = exchange.req.prompt, exchange.progress.answer_begun_at
-        if prompt is None or len(prompt.parts) < 2:
+        if prompt is None:
             return
-        if begun_at is not None and self.clock.monotonic() - begun_at > BEGINNING_S:
-            return
-        keys = prompt_keys(part.part_id for part in prompt.parts)
+        keys: tuple[int, ...] = ()
+        if begun_at is None or self.clock.monotonic() - begun_at <= BEGINNING_S:
+            keys = prompt_keys(part.part_id for part in prompt.parts)
         await self.quarantine.ask(ReportBroken(exchange.service, replica, keys))
 
     def report_answer(self, exchange: Exchange) -> None:
--- a/greengagehoist/quarantine/_attribution.py
+++ b/greengagehoist/quarantine/_attribution.py
@@ -5,7 +5,7 @@
 
 from greengagehoist.quarantine._evidence import Crash, ServiceEvidence
 
-# Crashes within this time count once: a rack or a data centre that fails ends many replicas.
+# Replicas that end within this time may have a cause in common, such as a rack or a data centre.
 COMMON_CAUSE_S = 0.25
 # Crashes under different prompts that suffice, if the service answers prompts without the part.
 MIN_CRASHES = 2
@@ -46,7 +46,7 @@
 
     The part with most crashes comes first, and crashes that it explains do not count against others.
     """
-    open_crashes = {part: frozenset(found) for part, found in evidence.open_crashes().items()}
+    open_crashes = _blamable_crashes(evidence)
     held: dict[int, HeldPart] = {}
     while True:
         blamed = [part for part, found in open_crashes.items() if _is_blamed(evidence, part, found)]
@@ -67,6 +67,29 @@
         }
 
 
+def _blamable_crashes(evidence: ServiceEvidence) -> dict[int, frozenset[Crash]]:
+    """Return for each part the crashes since its last answer for which it may be to blame.
+
+    It is not if another replica ended at the same moment without the part: what ended that one may
+    have ended both.
+    """
+    parts_of = {crash: crash.shared_parts for crash in evidence.crashes}
+    elsewhere: dict[Crash, list[frozenset[int]]] = {
+        crash: [
+            parts
+            for other, parts in parts_of.items()
+            if other is not crash and abs(other.at - crash.at) <= COMMON_CAUSE_S
+        ]
+        for crash in parts_of
+    }
+    return {
+        part: frozenset(
+            crash for crash in found if all(part in parts for parts in elsewhere[crash])
+        )
+        for part, found in evidence.open_crashes().items()
+    }
+
+
 def trial_delay_s(crashes: int) -> float:
     """Return the seconds after the last of some crashes until a part is tried again."""
     factor = TRIAL_DELAY_FACTOR ** max(0, crashes - MIN_CRASHES)
@@ -83,6 +106,8 @@
 
 
 def _is_blamed(evidence: ServiceEvidence, part: int, crashes: frozenset[Crash]) -> bool:
+    if not crashes:
+        return False
     count = count_incidents(crashes)
     if count >= MIN_UNCONFIRMED_CRASHES:
         return True
--- a/greengagehoist/quarantine/_evidence.py
+++ b/greengagehoist/quarantine/_evidence.py
@@ -1,4 +1,4 @@
-"""Evidence of one service: replicas that ended before an answer began, and complete answers."""
+"""Evidence of one service: replicas that ended, and complete answers."""
 
 from collections import defaultdict
 from typing import NamedTuple
@@ -15,12 +15,12 @@
 
 
 class Crash(NamedTuple):
-    """The end of a replica that had not begun to answer some requests.
+    """The end of a replica, with the requests that it had not begun to answer.
 
     :param born_ms: start of its incarnation in Unix milliseconds, 0 if unknown.
     :param at: time of its end in seconds on the own clock.
     :param prompts: keys of the parts of each of these requests, in order; the last key is that of a
-        part that other requests do not share.
+        part that other requests do not share. Empty if it had begun to answer all.
     """
 
     replica_id: str
@@ -68,8 +68,6 @@
             crash = known._replace(at=min(known.at, crash.at), prompts=prompts)
             if crash.prompts == known.prompts:
                 return None
-        if not crash.prompts:
-            return None
         others = [item for item in self._crashes if item is not known]
         self._crashes = tuple(sorted([*others, crash], key=lambda item: item.at)[-MAX_CRASHES:])
         return crash
--- a/greengagehoist/quarantine/tests/model.py
+++ b/greengagehoist/quarantine/tests/model.py
@@ -161,8 +161,9 @@
         lost, self.running[replica] = self.running[replica], {}
         by_daemon = {}
         for request, begin in lost.items():
+            prompts = by_daemon.setdefault(request.daemon, set())
             if begin + 0.05 >= now:
-                by_daemon.setdefault(request.daemon, set()).add(request.parts)
+                prompts.add(request.parts)
         for daemon, prompts in by_daemon.items():
             crash = Crash(f"r{replica}", int(now * 1000), now, frozenset(prompts))
             self.at(now + 0.004, self.learn_crash, daemon, crash, True)
--- a/greengagehoist/quarantine/tests/test_attribution.py
+++ b/greengagehoist/quarantine/tests/test_attribution.py
@@ -80,6 +80,15 @@
     assert attribute_crashes(evidence) == {}
 
 
+def test_part_is_not_to_blame_for_a_replica_that_ended_beside_others(evidence):
+    """Two racks that fail one after the other may both have requests of one document."""
+    for number in range(3):
+        evidence.record_crash(crash(number, 10.0 + number, (DOC, 1000 + number)))
+        evidence.record_crash(crash(10 + number, 10.1 + number))
+    evidence.record_answer(OTHERS, 13.0)
+    assert attribute_crashes(evidence) == {}
+
+
 def test_crashes_in_quick_succession_do_not_count_as_one(evidence):
     """Requests that come every 0.2 s would otherwise never be held back."""
     for number in range(10):
