Heed replicas that say they leave and replicas that ask for a pause

Server-Leaving and a replica's Retry-After were not read; only the list of replicas and the back-off after failures decided where requests go. Change: answers to requests and stage calls are decoded for both; ReplicaAvailability decides by incarnation from when on a replica may be sent to, for the placement and for stage pools. After a pause one request goes alone. A request that cannot wait for the end of all pauses is refused at once with that time.

--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -64,12 +64,17 @@
 
     :param not_executed: whether the replica states that it did not run the request.
     :param signed: whether the response carries the replica's signature.
+    :param leaving: whether the replica states that it is shutting down.
+    :param pause_s: seconds for which the replica wants no requests from this daemon, None if it does
+        not say.
     """
 
     request_id: str | None
     not_executed: bool
     signed: bool
     load: Load | None
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 class AnswerSink(Protocol):
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -5,9 +5,11 @@
 from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
 from greengagehoist.gateway.controllers._placement import (
+    AnswerObserved,
     Choose,
     FindHome,
     LoadReported,
+    NotBefore,
     PlacementController,
     RequestEnded,
 )
@@ -40,6 +42,7 @@
 __all__ = [
     "MEMBER_POLL_PERIOD_S",
     "NO_REPLICA_WAIT_S",
+    "AnswerObserved",
     "CancelStages",
     "Choose",
     "DeploymentController",
@@ -49,6 +52,7 @@
     "Leave",
     "LoadReported",
     "MemberController",
+    "NotBefore",
     "PlacementController",
     "PoolController",
     "QuarantineController",
--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -18,7 +18,7 @@
     TenantRates,
     TooLate,
 )
-from greengagehoist.replicas import Replica
+from greengagehoist.replicas import Replica, ReplicaAvailability
 from greengagehoist.retries import RetryBudget
 from greengagehoist.utils import log_event
 
@@ -133,10 +133,13 @@
         self.make_worker = make_worker
         self.members: dict[str, PoolReplica] = {}
         self.silent_zones: frozenset[str] = frozenset()
+        self.availability = ReplicaAvailability()
 
     def sync(self, replicas: Iterable[Replica]) -> None:
         """Apply the list of replicas; a replica with a call in progress changes after the call."""
-        listed = {item.replica_id: item for item in replicas}
+        listed = {
+            item.replica_id: item for item in replicas if not self.availability.is_leaving(item)
+        }
         for key in self.members.keys() - listed.keys():
             if self.members[key].pieces is None:
                 self.members.pop(key).worker.close()
@@ -154,6 +157,7 @@
             member
             for key, member in self.members.items()
             if member.avoid_until <= now and key in listed and not listed[key].leaving
+            if self.availability.sends_from(member.replica, now) <= now
         ]
         zones = frozenset(member.replica.zone for member in usable)
         idle, started = self._idle_by_speed(usable, now), []
@@ -164,6 +168,7 @@
             batch = self.queue.pop_batch(member.replica.zone, zones, free_bytes, others, now)
             if batch:
                 member.pieces, member.started, member.overdue = batch, now, False
+                self.availability.begin_send(member.replica, now)
                 member.expected_s = self.queue.expected_s(len(batch))
                 started.append(member)
         return started
@@ -182,6 +187,7 @@
             return None
         member.observe(end, now)
         member.pieces = None
+        self._observe_availability(member.replica, end, now)
         if end.failure == "unreachable":
             self._avoid_silent_zone(member.replica.zone, now)
         self._log_call(member, end, now)
@@ -220,6 +226,11 @@
                 ends.append(JobEnd(job, reason))
         return CallEffect(tuple(ends), tuple(orphaned))
 
+    def _observe_availability(self, replica: Replica, end: BatchEnded, now: float) -> None:
+        if self.availability.observe_answer(replica, end.leaving, end.pause_s, now):
+            log_event("replica_leaving", replica=replica.replica_id, service=self.service)
+        self.availability.end_send(replica, end.failure in ("", "rejected"), now)
+
     def _avoid_silent_zone(self, zone: str, now: float) -> None:
         """Avoid a data centre if neither its daemons nor one of its replicas can be reached.
 
@@ -295,9 +306,13 @@
         """Return the seconds until the pool has finished the work ahead of new work."""
         if not self.members:
             return NO_REPLICA_WAIT_S
-        usable = [item for item in self.members.values() if item.avoid_until <= now]
+        ready_at = {
+            item: max(item.avoid_until, self.availability.sends_from(item.replica, now))
+            for item in self.members.values()
+        }
+        usable = [item for item, at in ready_at.items() if at <= now]
         if not usable:
-            busy = min(item.avoid_until for item in self.members.values()) - now
+            busy = min(NO_REPLICA_WAIT_S, min(ready_at.values()) - now)
         elif any(item.pieces is None for item in usable):
             busy = 0.0
         else:
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -1,5 +1,6 @@
 """Controller that chooses replicas and tracks their load and failures."""
 
+import math
 from typing import Any, NamedTuple
 
 from greengagehoist.gateway.controllers._reach import Reach
@@ -8,6 +9,7 @@
     Load,
     Observed,
     Replica,
+    ReplicaAvailability,
     ReplicaTable,
     choose,
 )
@@ -27,9 +29,9 @@
 
 
 class Choose(NamedTuple):
-    """Ask for the replica of a request; replied by ``Replica | None``.
+    """Ask for the replica of a request; replied by ``Replica | NotBefore | None``.
 
-    The replica counts as busy with the request until :class:`RequestEnded`.
+    None means that there is no replica. The replica counts as busy with the request until :class:`RequestEnded`.
 
     :param exclude: ids of replicas that this request was already sent to.
     :param model: model that the replica must serve, empty for any.
@@ -41,6 +43,15 @@
     model: str = ""
 
 
+class NotBefore(NamedTuple):
+    """All replicas of a service want no requests at present.
+
+    :param at: time from which one of them may be sent a request.
+    """
+
+    at: float
+
+
 class FindHome(NamedTuple):
     """Ask which replica :class:`Choose` would return now; replied by ``Replica | None``.
 
@@ -70,6 +81,18 @@
     load: Load
 
 
+class AnswerObserved(NamedTuple):
+    """Report what a replica's answer says about further requests.
+
+    :param leaving: whether the replica is shutting down.
+    :param pause_s: seconds for which it wants no requests, None if it does not say.
+    """
+
+    replica: Replica
+    leaving: bool
+    pause_s: float | None
+
+
 class _Health:
     __slots__ = ("connect_failures", "error_rate", "observed", "samples")
 
@@ -98,6 +121,7 @@
         self.zone = zone
         self._health: dict[str, _Health] = {}
         self._zone_avoid_until: dict[str, float] = {}
+        self._availability = ReplicaAvailability()
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
@@ -105,9 +129,12 @@
             case Choose():
                 reply(self._choose(message))
             case FindHome(service, affinity, model):
-                reply(self._find(Choose(service, affinity, frozenset(), model)))
+                found = self._find(Choose(service, affinity, frozenset(), model))
+                reply(found if isinstance(found, Replica) else None)
             case RequestEnded():
                 self._record_end(message)
+            case AnswerObserved():
+                self._observe_answer(message)
             case LoadReported(replica_id, load):
                 health = self._health_of(replica_id)
                 health.observed = health.observed._replace(
@@ -117,20 +144,37 @@
     def _health_of(self, replica_id: str) -> _Health:
         return self._health.setdefault(replica_id, _Health())
 
-    def _find(self, query: Choose) -> Replica | None:
+    def _observe_answer(self, answer: AnswerObserved) -> None:
+        replica, now = answer.replica, self.clock.monotonic()
+        if self._availability.observe_answer(replica, answer.leaving, answer.pause_s, now):
+            log_event("replica_leaving", replica=replica.replica_id, service=replica.service)
+        if answer.pause_s is not None:
+            log_event(
+                "replica_paused",
+                "WARNING",
+                replica=replica.replica_id,
+                service=replica.service,
+                pause_s=round(answer.pause_s, 2),
+            )
+
+    def _find(self, query: Choose) -> Replica | NotBefore | None:
         candidates = [
             item
             for item in self.table.value.of_service(query.service)
             if not query.model or not item.models or query.model in item.models
         ]
-        untried = [item for item in candidates if item.replica_id not in query.exclude]
-        return choose(
-            untried,
-            self._observed_load,
-            query.affinity,
-            self.zone,
-            self.clock.monotonic(),
-        )
+        now = self.clock.monotonic()
+        sends_from = {
+            item: self._availability.sends_from(item, now)
+            for item in candidates
+            if item.replica_id not in query.exclude
+        }
+        available = [item for item, at in sends_from.items() if at <= now]
+        found = choose(available, self._observed_load, query.affinity, self.zone, now)
+        earliest = min(sends_from.values(), default=math.inf)
+        if found is None and earliest < math.inf:
+            return NotBefore(earliest)
+        return found
 
     def _observed_load(self, replica_id: str) -> Observed:
         health = self._health.get(replica_id)
@@ -153,9 +197,10 @@
         elif replica.zone in self.reach.value.silent_zones:
             self._zone_avoid_until[replica.zone] = now + ZONE_BACKOFF_S
 
-    def _choose(self, query: Choose) -> Replica | None:
+    def _choose(self, query: Choose) -> Replica | NotBefore | None:
         found = self._find(query)
-        if found is not None:
+        if isinstance(found, Replica):
+            self._availability.begin_send(found, self.clock.monotonic())
             health = self._health_of(found.replica_id)
             health.observed = health.observed._replace(
                 in_flight=health.observed.in_flight + 1,
@@ -168,6 +213,9 @@
         health = self._health_of(end.replica_id)
         observed = health.observed._replace(in_flight=max(0, health.observed.in_flight - 1))
         now = self.clock.monotonic()
+        replica = self.table.value.replicas.get(end.replica_id)
+        if replica is not None:
+            self._availability.end_send(replica, end.failure in ("", "rejected"), now)
         if end.failure != "cancelled":
             self._update_zone_backoff(end.replica_id, end.failure == "unreachable", now)
         match end.failure:
--- a/greengagehoist/gateway/controllers/_pool_worker.py
+++ b/greengagehoist/gateway/controllers/_pool_worker.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import NamedTuple
 
-from greengagehoist.gateway import WireFormat
+from greengagehoist.gateway import ReplicaReply, WireFormat
 from greengagehoist.gateway.controllers._kept_connection import KeptConnection
 from greengagehoist.http1 import IncompleteError, ProtocolError
 from greengagehoist.pieces import Piece, PieceOutcome
@@ -21,6 +21,8 @@
 
     :param outcomes: outcome of each piece, or None if the call failed.
     :param failure: ``""``, ``unreachable``, ``rejected`` or ``lost``.
+    :param leaving: whether the replica states that it is shutting down.
+    :param pause_s: seconds for which it wants no calls, None if it does not say.
     """
 
     replica_id: str
@@ -29,6 +31,8 @@
     failure: str
     duration_s: float
     load: Load | None = None
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 class PoolWorker:
@@ -48,11 +52,11 @@
         """Send a call and report its end to the owner."""
         started = self.clock.monotonic()
         timeout = max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * expected_s)
-        outcomes, load, failure = None, None, "lost"
+        outcomes, reply, failure = None, None, "lost"
         try:
             await self._connection.open()
             async with asyncio.timeout(timeout):
-                outcomes, load = await self._call(pieces)
+                outcomes, reply = await self._call(pieces)
             failure = "" if outcomes is not None else "rejected"
         except ConnectionRefusedError:
             failure = "unreachable"
@@ -69,18 +73,19 @@
             if failure in ("lost", "unreachable"):
                 self.close()
             duration = self.clock.monotonic() - started
-            self.owner.tell(
-                BatchEnded(self.replica.replica_id, pieces, outcomes, failure, duration, load)
-            )
+            end = BatchEnded(self.replica.replica_id, pieces, outcomes, failure, duration)
+            if reply is not None:
+                end = end._replace(load=reply.load, leaving=reply.leaving, pause_s=reply.pause_s)
+            self.owner.tell(end)
 
     async def _call(
         self, pieces: tuple[Piece, ...]
-    ) -> tuple[tuple[PieceOutcome, ...] | None, Load | None]:
+    ) -> tuple[tuple[PieceOutcome, ...] | None, ReplicaReply]:
         head, body = await self._connection.call(self.wire.stage_call(self.replica, pieces))
         reply = self.wire.read_reply(head)
         if head.status != 200:
-            return None, reply.load
-        return self.wire.read_pieces(body, len(pieces)), reply.load
+            return None, reply
+        return self.wire.read_pieces(body, len(pieces)), reply
 
     def close(self) -> None:
         """Close the connection."""
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -17,7 +17,14 @@
     failure_reply,
 )
 from greengagehoist.gateway._events import EventSplitter
-from greengagehoist.gateway.controllers import Choose, FreeResults, LoadReported, RequestEnded
+from greengagehoist.gateway.controllers import (
+    AnswerObserved,
+    Choose,
+    FreeResults,
+    LoadReported,
+    NotBefore,
+    RequestEnded,
+)
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
@@ -54,6 +61,7 @@
 # A connect takes a few milliseconds unless the replica is unreachable or overloaded.
 CONNECT_TIMEOUT_S = 0.25
 RETRY_AFTER_S = 0.4
+MIN_RETRY_AFTER_S = 0.1
 # An idempotent request goes to another replica after this multiple of its target latency.
 RESPONSE_TIMEOUT_FACTOR = 3.0
 FIRST_ERROR_STATUS = 400
@@ -119,6 +127,13 @@
                     model_of(exchange),
                 )
             )
+            if isinstance(replica, NotBefore):
+                wait_s = replica.at - self.clock.monotonic()
+                if wait_s + exchange.route.target_latency_s > remaining_s:
+                    reason = "all replicas have asked for a pause"
+                    return failure_reply(progress, reason, max(wait_s, MIN_RETRY_AFTER_S))
+                await self.clock.sleep(wait_s)
+                continue
             if replica is None:
                 log_event(
                     "no_replica",
@@ -277,6 +292,8 @@
         reply = self.wire.read_reply(head)
         if reply.load is not None:
             self.placement.tell(LoadReported(replica.replica_id, reply.load))
+        if reply.leaving or reply.pause_s is not None:
+            self.placement.tell(AnswerObserved(replica, reply.leaving, reply.pause_s))
         if reply.request_id not in (None, req.request_id):
             # The answer belongs to another request, so it says nothing about this one.
             return Lost()
--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -21,8 +21,9 @@
     get_header,
 )
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, PieceOutcome, TooLate
-from greengagehoist.replicas import Load, Replica
+from greengagehoist.replicas import MAX_PAUSE_S, Load, Replica
 
+SERVICE_UNAVAILABLE = 503
 READY_PATH = b"/greengagehoist/readyz"
 STAGE_RUN_PATH = b"/greengagehoist/stage-run"
 STAGE_FREE_PATH = b"/greengagehoist/stage-free"
@@ -46,6 +47,8 @@
 SERVER_STAMP = HEADER_PREFIX + b"Server-Stamp"
 LOAD_REPORT = HEADER_PREFIX + b"Load-Report"
 LAST_EVENT_ID = b"Last-Event-Id"
+SERVER_LEAVING = b"Server-Leaving"
+RETRY_AFTER = b"Retry-After"
 API_KEY = b"Api-Key"
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 
@@ -131,6 +134,8 @@
             not_executed=get_header(head.headers, NOT_EXECUTED.lower()) is not None,
             signed=get_header(head.headers, SERVER_STAMP.lower()) is not None,
             load=_load(head.headers),
+            leaving=_text(head.headers, SERVER_LEAVING) == "1",
+            pause_s=_pause(head),
         )
 
     def reply_headers(self, exchange: Exchange) -> Headers:
@@ -236,6 +241,19 @@
     return Prompt(model, tokens_in, tokens_out, tuple(parts))
 
 
+def _pause(head: ResponseHead) -> float | None:
+    """Return for how long a replica that turned a request away wants no others, in seconds.
+
+    A date or another malformed value is ignored: the replica's refusal is heeded all the same.
+    """
+    text = _text(head.headers, RETRY_AFTER) if head.status == SERVICE_UNAVAILABLE else None
+    try:
+        pause_s = float(text or "nan")
+    except ValueError:
+        return None
+    return min(pause_s, MAX_PAUSE_S) if pause_s > 0 else None
+
+
 def _load(headers: Headers) -> Load | None:
     text = _text(headers, LOAD_REPORT)
     parts = [item.strip() for item in text.split(",")] if text else []
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -1,5 +1,6 @@
 """Replicas: the table of known ones, their load, and the choice among them."""
 
+from greengagehoist.replicas._availability import MAX_PAUSE_S, ReplicaAvailability
 from greengagehoist.replicas._choice import (
     Affinity,
     AnyReplica,
@@ -15,6 +16,8 @@
 __all__ = [
     "Affinity",
     "AnyReplica",
+    "MAX_PAUSE_S",
+    "ReplicaAvailability",
     "ReplicaTable",
     "Load",
     "PromptAffinity",
--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -19,6 +19,7 @@
     LosesAnswers,
     MixesUp,
     ReplicaStandin,
+    Sheds,
     Silent,
     StoreStandin,
 )
@@ -44,6 +45,7 @@
     "LosesAnswers",
     "MixesUp",
     "ReplicaStandin",
+    "Sheds",
     "StoreStandin",
     "Silent",
     "Healthy",
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -26,6 +26,8 @@
 REQUEST_ID = b"X-Greengagehoist-Request-Id"
 STAMP = b"X-Greengagehoist-Server-Stamp"
 NOT_EXECUTED = b"X-Greengagehoist-Not-Executed"
+SERVER_LEAVING = b"Server-Leaving"
+RETRY_AFTER = b"Retry-After"
 PREFIX_HASH = b"X-Greengagehoist-Prefix-Hash"
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 
@@ -40,6 +42,16 @@
     """Responds to every request with 503 and the header ``NOT_EXECUTED``."""
 
 
+@dataclass(frozen=True, slots=True)
+class Sheds:
+    """Turns requests away and says when to come back.
+
+    :param retry_after: value of the header.
+    """
+
+    retry_after: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class LosesAnswers:
     """Runs requests, then resets the connection instead of responding."""
@@ -105,7 +117,18 @@
 
 
 # The soak run writes these class names to its report.
-Behaviour = Healthy | Full | LosesAnswers | BreaksOff | EndsStream | MixesUp | Silent | Endless
+Behaviour = (
+    Healthy
+    | Full
+    | Sheds
+    | LosesAnswers
+    | BreaksOff
+    | EndsStream
+    | CrashesOn
+    | MixesUp
+    | Silent
+    | Endless
+)
 # Bytes that an endless response writes at once at full speed.
 ENDLESS_BLOCK_BYTES = 64 * 1024
 
@@ -259,6 +282,8 @@
     :ivar calls: number of items in each stage call.
     :ivar endless_bytes: number of bytes of each endless response.
     :ivar crashes: number of times that it ended by :class:`CrashesOn`.
+    :ivar leaving: whether its answers say that it is leaving.
+    :ivar arrivals: number of requests and stage calls that have reached it.
     """
 
     def __init__(self, replica_id: str, service: str, zone: str, kind: str = "plain"):
@@ -278,6 +303,8 @@
         self.calls: list[int] = []
         self.endless_bytes: list[int] = []
         self.crashes = 0
+        self.leaving = False
+        self.arrivals = 0
         self._restart: asyncio.Task | None = None
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
@@ -296,6 +323,7 @@
     async def handle_request(self, sock: Socket, request: Request) -> None:
         """Handle a stage run, a stage free or any other request."""
         target = request.head.target
+        self.arrivals += not target.endswith(b"/stage-free")
         if target.endswith(b"/stage-run"):
             await self._run_stage(sock, request)
         elif target.endswith(b"/stage-free"):
@@ -311,6 +339,10 @@
             case Full():
                 send_response(sock, 503, ((REQUEST_ID, request_id), (NOT_EXECUTED, b"1")), b"")
                 return
+            case Sheds(retry_after):
+                headers = (REQUEST_ID, request_id), (NOT_EXECUTED, b"1"), (RETRY_AFTER, retry_after)
+                send_response(sock, 503, (*headers, *self._leaving_headers()), b"")
+                return
             case Silent():
                 self.ran.append(request_id.decode())
                 await sock.gone
@@ -330,12 +362,16 @@
                 return
         self.ran.append(request_id.decode())
         headers = ((REQUEST_ID, request_id), (STAMP, self.replica_id.encode()))
+        headers += self._leaving_headers()
         if self.kind == "engine":
             await self._stream(sock, request, headers)
         else:
             await asyncio.sleep(self.pause_s)
             send_response(sock, 200, headers, b"done " + request.body)
 
+    def _leaving_headers(self) -> tuple:
+        return ((SERVER_LEAVING, b"1"),) if self.leaving else ()
+
     async def _stream(self, sock: Socket, request: Request, headers: tuple) -> None:
         last = get_header(request.head.headers, b"last-event-id")
         first = int(last) + 1 if last is not None else 0
@@ -394,6 +430,10 @@
             case Full():
                 send_response(sock, 503, ((NOT_EXECUTED, b"1"),), b"")
                 return
+            case Sheds(retry_after):
+                headers = ((NOT_EXECUTED, b"1"), (RETRY_AFTER, retry_after))
+                send_response(sock, 503, headers, b"")
+                return
             case Silent():
                 await sock.gone
                 return
@@ -406,4 +446,4 @@
             handle = f"{self.address}/{len(self.stage_results)}"
             self.stage_results[handle] = item
             results.append({"handle": handle})
-        send_response(sock, 200, (), msgspec.json.encode({"items": results}))
+        send_response(sock, 200, self._leaving_headers(), msgspec.json.encode({"items": results}))
