Bound what evidence of crashes costs in large deployments, and merge late reports

Cause: found by reading. Each hub passed each report on to all daemons, although daemons tell all hubs themselves: with 195 daemons and 12 hubs a mass crash would have meant several hundred thousand messages. A report that was delayed, by a suspended daemon for example, counted as a second crash of the replica. Change: a hub passes news on within its data centre only. Reports of other daemons about one incarnation within 5 s are of one crash. 32 crashes of a service are kept instead of 64. Pauses of pool replicas are logged. Result: the two new tests fail without the change; tests of quarantine and gateway pass.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -143,9 +143,7 @@
             topology,
             self.budgets.pool_budget,
         )
-        self.quarantine = QuarantineController(
-            self.peers, settings.vm, topology, self.reach.reach, clock
-        )
+        self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
         gate = QuarantineGate(self.quarantine, self.quarantine.view, clock)
         self.replicas.followers = (self.pools,)
         self.reach.followers = (self.pools,)
--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -229,6 +229,14 @@
     def _observe_availability(self, replica: Replica, end: BatchEnded, now: float) -> None:
         if self.availability.observe_answer(replica, end.leaving, end.pause_s, now):
             log_event("replica_leaving", replica=replica.replica_id, service=self.service)
+        if end.pause_s is not None:
+            log_event(
+                "replica_paused",
+                "WARNING",
+                replica=replica.replica_id,
+                service=self.service,
+                pause_s=round(end.pause_s, 2),
+            )
         self.availability.end_send(replica, end.failure in ("", "rejected"), now)
 
     def _avoid_silent_zone(self, zone: str, now: float) -> None:
--- a/greengagehoist/gateway/controllers/_quarantine.py
+++ b/greengagehoist/gateway/controllers/_quarantine.py
@@ -6,6 +6,7 @@
 from greengagehoist.gateway.controllers._reach import Reach
 from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.http1 import open_socket
+from greengagehoist.membership import Member
 from greengagehoist.peers import (
     Broadcast,
     FromPeer,
@@ -18,7 +19,13 @@
     TrialReply,
     TrialRequest,
 )
-from greengagehoist.quarantine import Crash, HeldPart, ServiceEvidence, attribute_crashes
+from greengagehoist.quarantine import (
+    SAME_REPORTED_CRASH_S,
+    Crash,
+    HeldPart,
+    ServiceEvidence,
+    attribute_crashes,
+)
 from greengagehoist.replicas import Replica
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, tick
 
@@ -113,20 +120,25 @@
     """Collects evidence of all daemons and publishes which parts of prompts are held back.
 
     Evidence spreads as it is learnt: each daemon tells those that it is linked to, and hubs pass it
-    on. All judge the same evidence alike. Only trials have an owner, so that one request tries a part
+    on to the daemons of their data centre. All judge the same evidence alike. Only trials have an owner, so that one request tries a part
     and not one at each daemon.
 
-    :param vm: name of the own VM.
+    :param own: this daemon.
     :param reach: published set of daemons that can be reached.
     :ivar view: published state.
     """
 
     def __init__(
-        self, peers: Controller, vm: str, topology: Topology, reach: Published[Reach], clock: Clock
+        self,
+        peers: Controller,
+        own: Member,
+        topology: Topology,
+        reach: Published[Reach],
+        clock: Clock,
     ):
         super().__init__("quarantine")
         self.peers = peers
-        self.vm = vm
+        self.own = own
         self.topology = topology
         self.reach = reach
         self.clock = clock
@@ -136,6 +148,7 @@
         self._trials: dict[tuple[str, int], float] = {}
         self._asked: dict[int, Reply] = {}
         self._last_number = 0
+        self._near: set[str] = set()
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -155,6 +168,8 @@
                 self._record_answer(service, parts, self.clock.monotonic())
             case RequestTrial():
                 self._request_trial(message, reply)
+            case FromPeer(vm, data_centre, _, Hello()):
+                self._greet(vm, data_centre)
             case FromPeer(vm, _, _, received):
                 self._handle_peer(vm, received)
             case _OwnerTimedOut(number):
@@ -165,24 +180,37 @@
     def _handle_peer(self, vm: str, message: PeerMessage) -> None:
         now = self.clock.monotonic()
         match message:
-            case Hello():
-                for service, evidence in self._evidence.items():
-                    for crash in evidence.crashes:
-                        self.peers.tell(SendTo(vm, self._encode_crash(service, crash)))
             case ReplicaCrash(service, replica_id, born_ms, age_s, prompts):
                 crash = Crash(replica_id, born_ms, now - age_s, frozenset(prompts))
-                self._record_crash(service, crash, relay=self._is_relay())
+                self._record_crash(service, crash, origin=vm)
             case PromptAnswered(service, parts, age_s):
-                self._record_answer(service, frozenset(parts), now - age_s, relay=self._is_relay())
+                self._record_answer(service, frozenset(parts), now - age_s, origin=vm)
             case TrialRequest(number, service, parts):
                 decision = self._decide_trial(service, frozenset(parts))
                 self.peers.tell(SendTo(vm, TrialReply(number, *decision)))
             case TrialReply(number, granted, retry_after_s):
                 self._end_query(number, TrialDecision(granted, retry_after_s))
 
-    def _is_relay(self) -> bool:
-        """Return whether the peers of this daemon are not linked to each other."""
-        return self.topology.shared.value and self.topology.is_hub(self.vm)
+    def _greet(self, vm: str, data_centre: str) -> None:
+        """Tell a daemon with a new link what is known; it may have just started."""
+        if data_centre == self.own.data_centre:
+            self._near.add(vm)
+        for service, evidence in self._evidence.items():
+            for crash in evidence.crashes:
+                self.peers.tell(SendTo(vm, self._encode_crash(service, crash)))
+
+    def _spread(self, message: PeerMessage, origin: str) -> None:
+        """Pass news on: own ones to all peers; with hubs, a hub passes those of others on.
+
+        Every daemon has told all hubs itself, so each hub tells those of its own data centre only.
+
+        :param origin: daemon that has told this one, empty for own news.
+        """
+        if not origin:
+            self.peers.tell(Broadcast(message))
+        elif self.topology.shared.value and self.topology.is_hub(self.own.vm):
+            for vm in sorted(self._near & self.reach.value.linked - {origin}):
+                self.peers.tell(SendTo(vm, message))
 
     # Evidence.
 
@@ -218,21 +246,24 @@
             )
             now = self.clock.monotonic()
             crash = Crash(replica.replica_id, replica.born_ms, now, prompts)
-            self._record_crash(replica.service, crash, relay=True)
+            self._record_crash(replica.service, crash)
         for _, reply in reports:
             reply(ended)
 
-    def _record_crash(self, service: str, crash: Crash, relay: bool) -> None:
-        merged = self._evidence.setdefault(service, ServiceEvidence()).record_crash(crash)
+    def _record_crash(self, service: str, crash: Crash, origin: str = "") -> None:
+        evidence = self._evidence.setdefault(service, ServiceEvidence())
+        if origin:
+            merged = evidence.record_crash(crash, SAME_REPORTED_CRASH_S)
+        else:
+            merged = evidence.record_crash(crash)
         if merged is None:
             return
         self._forget_trials(service, merged.shared_parts)
         self._publish(service)
-        if relay:
-            self.peers.tell(Broadcast(self._encode_crash(service, merged)))
+        self._spread(self._encode_crash(service, merged), origin)
 
     def _record_answer(
-        self, service: str, parts: frozenset[int], at: float, relay: bool = True
+        self, service: str, parts: frozenset[int], at: float, origin: str = ""
     ) -> None:
         evidence = self._evidence.get(service)
         if evidence is None:
@@ -242,9 +273,8 @@
             return
         self._forget_trials(service, parts)
         self._publish(service)
-        if relay:
-            age_s = self.clock.monotonic() - at
-            self.peers.tell(Broadcast(PromptAnswered(service, tuple(sorted(parts)), age_s)))
+        age_s = self.clock.monotonic() - at
+        self._spread(PromptAnswered(service, tuple(sorted(parts)), age_s), origin)
 
     def _encode_crash(self, service: str, crash: Crash) -> ReplicaCrash:
         age_s = self.clock.monotonic() - crash.at
@@ -279,8 +309,8 @@
     # Trials.
 
     def _request_trial(self, request: RequestTrial, reply: Reply) -> None:
-        owner = choose_owner(self.vm, self.topology, self.reach.value, request.service)
-        if owner == self.vm:
+        owner = choose_owner(self.own.vm, self.topology, self.reach.value, request.service)
+        if owner == self.own.vm:
             reply(self._decide_trial(request.service, request.parts))
             return
         self._last_number += 1
--- a/greengagehoist/gateway/tests/test_quarantine.py
+++ b/greengagehoist/gateway/tests/test_quarantine.py
@@ -16,6 +16,7 @@
 )
 from greengagehoist.gateway.controllers._quarantine import OWNER_TIMEOUT_S, PENDING_RETRY_AFTER_S
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
+from greengagehoist.membership import Member
 from greengagehoist.peers import (
     Broadcast,
     FromPeer,
@@ -43,7 +44,8 @@
             Published(True), Published(2), Published(()), Published(hubs), Published(shared)
         )
         reach = Published(Reach(ready, ready))
-        return QuarantineController(peers, OWN, topology, reach, clock), peers
+        own = Member(OWN, "a", "x:1", 1)
+        return QuarantineController(peers, own, topology, reach, clock), peers
 
     return make
 
@@ -80,12 +82,26 @@
     assert held_parts(controller) == {BAD}
 
 
-def test_hub_passes_evidence_on_once(make_controller):
-    """In large deployments daemons have links to hubs only."""
-    controller, peers = make_controller(shared=True)
+def test_hub_passes_evidence_on_once_within_its_data_centre(make_controller):
+    """In large deployments daemons have links to hubs only, and tell all of them themselves."""
+    controller, peers = make_controller(frozenset({OTHER, "vm-3", "vm-4", "vm-5"}), shared=True)
+    for vm, data_centre in ((OTHER, "a"), ("vm-3", "a"), ("vm-4", "a"), ("vm-5", "b")):
+        deliver(controller, FromPeer(vm, data_centre, 1, Hello(vm, data_centre, 1, "x:1")))
     deliver(controller, from_peer(crash_message(0, BAD)))
     deliver(controller, from_peer(crash_message(0, BAD), "vm-3"))
-    assert len(broadcasts(peers, ReplicaCrash)) == 1
+    told = [(item.vm, type(item.message)) for item in peers.told if isinstance(item, SendTo)]
+    assert told == [("vm-3", ReplicaCrash), ("vm-4", ReplicaCrash)]
+    assert broadcasts(peers, ReplicaCrash) == []
+
+
+def test_late_report_is_not_a_second_crash(make_controller):
+    """A daemon that was suspended learns of a crash seconds later and passes that time on."""
+    controller, _ = make_controller()
+    for delay_s in (0.0, 3.0):
+        message = ReplicaCrash("llm", "r0", 1, 4.0 - delay_s, ((BAD, 100), (BAD, 101)))
+        deliver(controller, from_peer(message))
+    deliver(controller, from_peer(PromptAnswered("llm", (), 0.0)))
+    assert held_parts(controller) == set()
 
 
 def test_daemons_of_a_full_mesh_pass_nothing_on(make_controller):
--- a/greengagehoist/quarantine/_evidence.py
+++ b/greengagehoist/quarantine/_evidence.py
@@ -6,11 +6,13 @@
 # Evidence that is older is forgotten: replicas may have been replaced by a sound version.
 MAX_AGE_S = 900.0
 # Bounds of memory and messages; clients choose number and length of the parts of prompts.
-MAX_CRASHES = 64
+MAX_CRASHES = 32
 MAX_PROMPTS = 128
 MAX_KEYS = 4096
-# Reports of one crash by several daemons differ by less than this, two crashes of one replica by more.
+# A daemon notices one crash at several requests within this time. A report of another daemon may have
+# waited longer, while this daemon was suspended for example, and then seems to be of a later crash.
 SAME_CRASH_S = 0.25
+SAME_REPORTED_CRASH_S = 5.0
 NEVER = float("-inf")
 
 
@@ -56,13 +58,22 @@
         """Keys of all shared parts of the known crashes."""
         return frozenset(part for crash in self._crashes for part in crash.shared_parts)
 
-    def record_crash(self, crash: Crash) -> Crash | None:
+    def record_crash(self, crash: Crash, same_within_s: float = SAME_CRASH_S) -> Crash | None:
         """Add a crash, or what another daemon knows of it.
 
+        :param same_within_s: seconds within which reports of one incarnation are of the same crash;
+            a list of replicas that lags may give two incarnations the same start.
         :returns: the crash with all that is known of it, None if nothing is new.
         """
         crash = crash._replace(prompts=_limit(crash.prompts))
-        known = next((item for item in self._crashes if _is_same(item, crash)), None)
+        known = next(
+            (
+                item
+                for item in reversed(self._crashes)
+                if item[:2] == crash[:2] and abs(item.at - crash.at) < same_within_s
+            ),
+            None,
+        )
         if known is not None:
             prompts = _limit(known.prompts | crash.prompts)
             crash = known._replace(at=min(known.at, crash.at), prompts=prompts)
@@ -117,10 +128,6 @@
         return {part: crashes[0].at for part, crashes in self.open_crashes().items()}
 
 
-def _is_same(one: Crash, other: Crash) -> bool:
-    return one[:2] == other[:2] and abs(one.at - other.at) < SAME_CRASH_S
-
-
 def _limit(prompts: frozenset[tuple[int, ...]]) -> frozenset[tuple[int, ...]]:
     """Return as many prompts as fit the limits; the choice is the same at all daemons."""
     kept, keys = [], 0
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
@@ -405,8 +406,13 @@
     async def _crash(self, down_s: float) -> None:
         self.crashes.append(asyncio.get_running_loop().time())
         await HttpStandin.stop(self)
-        await asyncio.sleep(down_s)
-        await self.start(int(self.address.rpartition(":")[2]))
+        port = int(self.address.rpartition(":")[2])
+        while True:
+            await asyncio.sleep(down_s)
+            # An outgoing connection of another process may have taken the port meanwhile.
+            with contextlib.suppress(OSError):
+                await self.start(port)
+                return
 
     async def stop(self) -> None:
         """Reset all connections, stop listening and do not start again."""
