Split the sending of requests by step, and shorten lines of the change

Cause: reading the change as a newcomer: ReplicaFilter.__call__ had 80 lines, the crashes in the metrics left out all but one part of a service, a controller subscribed twice. Change: the choice of a replica and the end of a failed send are methods of their own; crashes of rivals are counted once. left_ms of send_failed is the time left after the send, as its name says. Result: tests of daemon, gateway, quarantine, replicas and peers pass.

--- a/benchmarks/_soak_checks.py
+++ b/benchmarks/_soak_checks.py
@@ -79,7 +79,7 @@
     by_id: dict[str, RequestRecord],
     left: list[tuple[str, float, float]],
 ) -> list[str]:
-    """Return the requests that reached a replica after their gateway had passed on that it leaves."""
+    """Return the requests that reached a replica after their gateway knew that it leaves."""
     findings = []
     replicas = {replica.replica_id: replica for replica in system.replicas}
     for replica_id, since, until in left:
--- a/benchmarks/_soak_system.py
+++ b/benchmarks/_soak_system.py
@@ -138,7 +138,7 @@
         await self.start()
 
     def is_in_touch(self, at: float, within_s: float) -> bool:
-        """Return whether no signal was sent from ``within_s`` before a time to one second after it."""
+        """Return whether no signal was sent from ``within_s`` before to 1 s after a time."""
         return not any(at - within_s < item < at + 1.0 for item in self.signalled_at)
 
     async def is_ready(self) -> bool:
--- a/greengagehoist/daemon/tests/test_gateway_truncated.py
+++ b/greengagehoist/daemon/tests/test_gateway_truncated.py
@@ -68,7 +68,7 @@
 
 
 def test_stream_to_an_http_1_0_client_is_reset_if_the_daemon_ends(run_scenario):
-    """Only a close ends such an answer, so that the daemon's end passed for the end of the stream."""
+    """Only a close ends such an answer: the daemon's end passed for the end of the stream."""
 
     async def scenario(system):
         for engine in system.engines:
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -31,7 +31,8 @@
 class Choose(NamedTuple):
     """Ask for the replica of a request; replied by ``Replica | NotBefore | None``.
 
-    None means that there is no replica. The replica counts as busy with the request until :class:`RequestEnded`.
+    The reply is None if there is no replica. The replica counts as busy with the request until
+    :class:`RequestEnded`.
 
     :param exclude: ids of replicas that this request was already sent to.
     :param model: model that the replica must serve, empty for any.
--- a/greengagehoist/gateway/controllers/_quarantine.py
+++ b/greengagehoist/gateway/controllers/_quarantine.py
@@ -120,8 +120,8 @@
     """Collects evidence of all daemons and publishes which parts of prompts are held back.
 
     Evidence spreads as it is learnt: each daemon tells those that it is linked to, and hubs pass it
-    on to the daemons of their data centre. All judge the same evidence alike. Only trials have an owner, so that one request tries a part
-    and not one at each daemon.
+    on to the daemons of their data centre. All judge the same evidence alike. Only trials have an
+    owner, so that one request tries a part and not one at each daemon.
 
     :param own: this daemon.
     :param reach: published set of daemons that can be reached.
@@ -152,8 +152,8 @@
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        self.peers.tell(Subscribe((Hello, ReplicaCrash, PromptAnswered, TrialRequest), self))
-        self.peers.tell(Subscribe((TrialReply,), self))
+        kinds = (Hello, ReplicaCrash, PromptAnswered, TrialRequest, TrialReply)
+        self.peers.tell(Subscribe(kinds, self))
         self.start(tick(self, self.clock, EXPIRE_PERIOD_S))
         await super().run()
 
@@ -300,11 +300,10 @@
             suspected = frozenset(evidence.open_crashes())
             services[service] = ServiceView(held, suspected, evidence.awaiting_others())
         _log_changes(service, before.held if before is not None else {}, held)
-        crashes = sum(
-            max((part.crashes for part in item.held.values()), default=0)
-            for item in services.values()
-        )
-        self.view.value = QuarantineView(services, crashes)
+        held_parts = [part for item in services.values() for part in item.held.values()]
+        # Rivals share their crashes.
+        crashes = sum(part.crashes / (1 + len(part.rivals)) for part in held_parts)
+        self.view.value = QuarantineView(services, round(crashes))
 
     # Trials.
 
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -112,6 +112,27 @@
         splitter = progress.splitter = progress.splitter or EventSplitter(
             exchange.req.last_event_id
         )
+        while True:
+            replica = await self._choose(exchange)
+            if not isinstance(replica, Replica):
+                return replica
+            end = await self._send(exchange, replica, splitter)
+            match end:
+                case Lost() | Broken():
+                    await self.gate.report_broken(exchange, replica)
+                case NotSent() | Rejected():
+                    pass
+                case _:
+                    if _is_answer(end):
+                        self.gate.report_answer(exchange)
+                    return end
+            reply = self._handle_failed_send(exchange, replica, end)
+            if reply is not None:
+                return reply
+
+    async def _choose(self, exchange: Exchange) -> Replica | Reply:
+        """Return the replica for the next send, or a reply if there will be none in time."""
+        progress = exchange.progress
         while True:
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
@@ -119,7 +140,7 @@
             refusal = self.gate.refuse_send(exchange)
             if refusal is not None:
                 return refusal
-            replica = await self.placement.ask(
+            found = await self.placement.ask(
                 Choose(
                     exchange.service,
                     affinity_of(exchange.req.prompt, exchange.inputs_zone),
@@ -127,59 +148,57 @@
                     model_of(exchange),
                 )
             )
-            if isinstance(replica, NotBefore):
-                wait_s = replica.at - self.clock.monotonic()
-                if wait_s + exchange.route.target_latency_s > remaining_s:
-                    reason = "all replicas have asked for a pause"
-                    return failure_reply(progress, reason, max(wait_s, MIN_RETRY_AFTER_S))
-                await self.clock.sleep(wait_s)
-                continue
-            if replica is None:
-                log_event(
-                    "no_replica",
-                    "WARNING",
-                    request=exchange.req.request_id,
-                    service=exchange.service,
-                    tried=len(progress.tried),
-                )
-                return failure_reply(progress, "no replica available", RETRY_AFTER_S)
-            end = await self._send(exchange, replica, splitter)
-            match end:
-                case Lost() | Broken():
-                    await self.gate.report_broken(exchange, replica)
-                case NotSent() | Rejected():
-                    pass
-                case _:
-                    if _is_answer(end):
-                        self.gate.report_answer(exchange)
-                    return end
-            progress.may_have_run += isinstance(end, Lost | Broken)
-            progress.sends += 1
-            progress.tried |= {replica.replica_id}
-            step = self._decide(exchange, end)
-            log_event(
-                "send_failed",
-                "WARNING",
-                request=exchange.req.request_id,
-                replica=replica.replica_id,
-                end=type(end).__name__,
-                may_have_run=progress.may_have_run,
-                sends=progress.sends,
-                left_ms=round(remaining_s * 1000),
-                decision=type(step).__name__,
-                shared_parts=_log_parts(exchange),
-            )
-            match step:
-                case SendAgain() if end == Rejected(inputs_gone=True) or progress.inputs_freed:
-                    return InputsLost()
-                case SendAgain():
-                    continue
-                case RefuseNotRun():
-                    return NotRun("all sends failed before the request ran", RETRY_AFTER_S)
-                case FailUnknown():
-                    return MayHaveRun("answer of the replica was lost", False)
-                case AbortAnswer():
-                    return StreamBroken("answer of the replica ended early")
+            match found:
+                case Replica():
+                    return found
+                case NotBefore(at):
+                    wait_s = at - self.clock.monotonic()
+                    if wait_s + exchange.route.target_latency_s > remaining_s:
+                        reason = "all replicas have asked for a pause"
+                        return failure_reply(progress, reason, max(wait_s, MIN_RETRY_AFTER_S))
+                    await self.clock.sleep(wait_s)
+                case None:
+                    log_event(
+                        "no_replica",
+                        "WARNING",
+                        request=exchange.req.request_id,
+                        service=exchange.service,
+                        tried=len(progress.tried),
+                    )
+                    return failure_reply(progress, "no replica available", RETRY_AFTER_S)
+
+    def _handle_failed_send(
+        self, exchange: Exchange, replica: Replica, end: SendEnd
+    ) -> Reply | None:
+        """Return the reply after a send without an answer, None if the request is sent again."""
+        progress = exchange.progress
+        progress.may_have_run += isinstance(end, Lost | Broken)
+        progress.sends += 1
+        progress.tried |= {replica.replica_id}
+        step = self._decide(exchange, end)
+        log_event(
+            "send_failed",
+            "WARNING",
+            request=exchange.req.request_id,
+            replica=replica.replica_id,
+            end=type(end).__name__,
+            may_have_run=progress.may_have_run,
+            sends=progress.sends,
+            left_ms=round((exchange.answer_deadline - self.clock.monotonic()) * 1000),
+            decision=type(step).__name__,
+            shared_parts=_log_parts(exchange),
+        )
+        match step:
+            case SendAgain() if end == Rejected(inputs_gone=True) or progress.inputs_freed:
+                return InputsLost()
+            case SendAgain():
+                return None
+            case RefuseNotRun():
+                return NotRun("all sends failed before the request ran", RETRY_AFTER_S)
+            case FailUnknown():
+                return MayHaveRun("answer of the replica was lost", False)
+            case AbortAnswer():
+                return StreamBroken("answer of the replica ended early")
 
     def _should_retry_error(self, exchange: Exchange, head: ResponseHead) -> bool:
         """Return whether a replica's server error is retried on another replica."""
--- a/greengagehoist/gateway/tests/test_quarantine.py
+++ b/greengagehoist/gateway/tests/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Guards against evidence that does not spread, and against a part that many daemons try at once."""
+"""Guards against evidence that does not spread, and a part that many daemons try at once."""
 
 import asyncio
 import socket
