--- a/greengagehoist/codec/tests/test_peer.py
+++ b/greengagehoist/codec/tests/test_peer.py
@@ -36,6 +36,9 @@
     tuple[float, ...]: st.lists(st.floats(allow_nan=False), max_size=3).map(tuple),
     tuple[int, ...]: st.lists(INT64, max_size=3).map(tuple),
     tuple[str, ...]: st.lists(st.text(), max_size=3).map(tuple),
+    tuple[tuple[int, ...], ...]: st.lists(st.lists(INT64, max_size=4).map(tuple), max_size=3).map(
+        tuple
+    ),
     tuple[tuple, ...]: st.lists(st.lists(st.text()).map(tuple), max_size=3).map(tuple),
 }
 
