--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -9,7 +9,7 @@
     run_stage,
     token_digest,
 )
-from greengagehoist.standins._gateway_standins import (
+from greengagehoist.standins._gateway_behaviours import (
     BreaksOff,
     CrashesOn,
     Endless,
@@ -18,11 +18,10 @@
     Healthy,
     LosesAnswers,
     MixesUp,
-    ReplicaStandin,
     Sheds,
     Silent,
-    StoreStandin,
 )
+from greengagehoist.standins._gateway_standins import ReplicaStandin, StoreStandin
 from greengagehoist.standins._lists import STAGES, credential_of, example_changes
 from greengagehoist.standins._main import main
 from greengagehoist.standins._platform import build_platform
