Log the requests that arrive during a stop, and those that its end cuts

Cause: the logs could not say on which connection a request came after SIGTERM, how much of the stop had passed, or that the end of the process cut it: such a request had no request_ended line. Change: request_taken_in_stop with the age of the stop and of the connection and the number of answers on it; request_ended with the outcome cut. No logic changes. Result: daemon/tests/test_gateway.py and tests/, 59 passed.

--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from greengagehoist.deployment import DeploymentSnapshot, Limits
 from greengagehoist.gateway import (
@@ -74,6 +75,18 @@
             self.sock.reset_on_close(False)
 
 
+class _Connection(NamedTuple):
+    """A client's connection.
+
+    :param accepted_at: time on the boot clock, in seconds.
+    :param answered: number of requests that have been answered on it.
+    """
+
+    sock: Socket
+    accepted_at: float
+    answered: int
+
+
 class GatewayFront:
     """Accepts clients' connections and runs each request through the filter chain.
 
@@ -98,7 +111,7 @@
         self.observe = observe
         self.in_flight = 0
         self.last_request_at = 0.0
-        self._stopping = False
+        self._stopping_at: float | None = None
         self._idle: set[Socket] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
@@ -117,9 +130,13 @@
         """Number of open connections."""
         return len(self._tasks)
 
+    @property
+    def _stopping(self) -> bool:
+        return self._stopping_at is not None
+
     def begin_stop(self) -> None:
         """Start closing each connection after its next answer."""
-        self._stopping = True
+        self._stopping_at = self.clock.monotonic()
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
@@ -147,6 +164,7 @@
 
     async def _serve(self, sock: Socket) -> None:
         reader = RequestReader(sock, self._limits)
+        conn = _Connection(sock, self.clock.monotonic(), 0)
         try:
             keep = True
             while keep and not sock.gone.done():
@@ -157,7 +175,8 @@
                     self._idle.discard(sock)
                 if request is None:
                     return
-                keep = await self._answer(sock, request)
+                keep = await self._answer(conn, request)
+                conn = conn._replace(answered=conn.answered + 1)
         except ProtocolError as exc:
             log_event("request_rejected", reason=str(exc), status=exc.status)
             self._write(sock, exc.status, (), b"", False)
@@ -167,19 +186,24 @@
         finally:
             sock.close()
 
-    async def _answer(self, sock: Socket, request: Request) -> bool:
+    async def _answer(self, conn: _Connection, request: Request) -> bool:
         """Answer one request; returns whether the connection stays open."""
-        arrived = self.clock.monotonic()
+        sock, arrived = conn.sock, self.clock.monotonic()
         self.in_flight += 1
         self.last_request_at = arrived
         try:
             req = self.wire.read_request(request.head, request.body)
+            if self._stopping:
+                self._log_taken(conn, req.request_id, arrived)
             keep = request.head.keep_alive and not self._stopping
             sink = ClientAnswer(sock, keep, request.head.version == "1.1")
             exchange = Exchange(req, sink, arrived, Progress())
             chain = asyncio.get_running_loop().create_task(self.chain(exchange))
             try:
                 await asyncio.wait((chain, sock.gone), return_when=asyncio.FIRST_COMPLETED)
+            except asyncio.CancelledError:
+                self._log_end(exchange, "cut", "the process ends")
+                raise
             finally:
                 if not chain.done():
                     chain.cancel()
@@ -243,6 +267,15 @@
     def _write(sock: Socket, status: int, headers: Headers, body: bytes, keep: bool) -> None:
         write_answer(sock, ResponseHead(status, b"", headers), body, keep)
 
+    def _log_taken(self, conn: _Connection, request_id: str, now: float) -> None:
+        log_event(
+            "request_taken_in_stop",
+            request=request_id,
+            stopping_ms=round((now - self._stopping_at) * 1000),
+            connection_ms=round((now - conn.accepted_at) * 1000),
+            answered=conn.answered,
+        )
+
     def _log_end(self, exchange: Exchange, outcome: str, reason: str, status: int = 0) -> None:
         took = self.clock.monotonic() - exchange.arrived
         self.observe(outcome, took)
