Send during a stop only requests whose answers can end before the process

Cause: work is begun until a fixed end without regard to whether it can be finished by then. A request's own deadline was the only limit checked before a send.

Change: the end of the stop is known from the SIGTERM on. The new pure package shutdown keeps an upper estimate of the answers of each route, and the ShutdownFilter refuses (503, not run, Retry-After 0.1 s, connection closed) what would end too late: on arrival, after the reservation of its stages, before each send. What waits for stages or a replica is handed back when it becomes too late. Requests that a replica has received run to the end; then those without the beginning of an answer get 502 instead of a closed connection, and begun answers are reset. Only 0.4 s instead of 0.8 s are kept for the exit, as what a request needs in addition is part of its estimate.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -29,6 +29,8 @@
     ReplicaFilter,
     RetryBudgets,
     RouteFilter,
+    ShutdownFilter,
+    ShutdownGate,
     StageFilter,
 )
 from greengagehoist.gateway.front import GatewayFront, ProbeFront
@@ -41,7 +43,7 @@
 # one a second, and the duration of the second check.
 LOAD_BALANCER_DELAY_S = 2.6
 # Part of the grace period that is reserved for the exit of the process.
-EXIT_MARGIN_S = 0.8
+EXIT_MARGIN_S = 0.4
 STOP_POLL_PERIOD_S = 0.1
 # A silent peer has missed three heartbeats when it is declared dead.
 PEER_HEARTBEAT_PERIOD_S = 0.4
@@ -145,6 +147,7 @@
         )
         self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
         gate = QuarantineGate(self.quarantine, self.quarantine.view, clock)
+        self.shutdown = ShutdownGate(clock)
         self.replicas.followers = (self.pools,)
         self.reach.followers = (self.pools,)
         snapshot = self.deployments.snapshot
@@ -154,12 +157,25 @@
         chain = compose(
             [
                 self.route_filter,
+                ShutdownFilter(self.shutdown),
                 QuarantineFilter(gate),
                 StageFilter(
-                    self.pools, self.placement, self.replicas.table, first_event_latency, clock
+                    self.pools,
+                    self.placement,
+                    self.replicas.table,
+                    first_event_latency,
+                    self.shutdown,
+                    clock,
                 ),
                 ReplicaFilter(
-                    self.placement, self.pools, gate, self.budgets, first_event_latency, wire, clock
+                    self.placement,
+                    self.pools,
+                    gate,
+                    self.shutdown,
+                    self.budgets,
+                    first_event_latency,
+                    wire,
+                    clock,
                 ),
             ]
         )
@@ -251,16 +267,21 @@
         return 200, self.measurements.text()
 
     async def stop(self) -> None:
-        """Stop gracefully: let requests in flight finish within the grace period."""
+        """Stop gracefully: let requests in flight finish within the grace period.
+
+        New requests are served as long as their answers are expected to end in time; the load
+        balancer may send them until the process ends.
+        """
         started_at = self.clock.monotonic()
+        finish_by = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
         self._stopping = True
         log_event("stopping", in_flight=self.front.in_flight, connections=self.front.connections)
         self.front.begin_stop()
+        self.shutdown.begin_stop(finish_by)
         self.pools.tell(Leave())
         self.peers.tell(UpdateHeartbeat(ready=False))
         self.peers.tell(Broadcast(Goodbye("stopping")))
-        deadline = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
-        while self.clock.monotonic() < deadline:
+        while self.clock.monotonic() < finish_by:
             await self.clock.sleep(STOP_POLL_PERIOD_S)
             if self.clock.monotonic() - started_at < LOAD_BALANCER_DELAY_S:
                 continue
@@ -268,6 +289,7 @@
             if not self.front.in_flight:
                 break
         log_event("stopped", in_flight=self.front.in_flight)
+        await self.front.end_requests()
         await self.abort()
 
     async def abort(self) -> None:
--- a/greengagehoist/daemon/tests/test_gateway_stop.py
+++ b/greengagehoist/daemon/tests/test_gateway_stop.py
@@ -1,12 +1,15 @@
 """Guards against requests that a stopping daemon takes and cannot finish."""
 
 import asyncio
+import random
 from typing import NamedTuple
 
 import pytest
 
+from greengagehoist.daemon.tests.gateway_system import wait_until
 from greengagehoist.gateway import Bounds
 from greengagehoist.http1 import IncompleteError, ResponseReader, get_header
+from greengagehoist.standins import Silent
 
 STOP_BOUNDS = Bounds(grace_s=4.0, revoke_s=9.0)
 SEND_PERIOD_S = 0.05
@@ -28,7 +31,7 @@
     retry_after: bytes | None = None
 
 
-async def send_request(system, path, stopped_at):
+async def send_request(system, path, stopped_at=0.0):
     """Send one request on a new connection; returns None if it could not be sent."""
     now = asyncio.get_running_loop().time
     try:
@@ -49,17 +52,21 @@
     return Outcome(request_id, head.status, sent_s, get_header(head.headers, b"retry-after"))
 
 
-async def send_during_stop(system, path, before=5):
-    """Send requests on new connections until the daemon has stopped; returns the outcomes."""
+async def send_during_stop(system, paths, period_s=SEND_PERIOD_S):
+    """Send requests on new connections until the daemon has stopped; returns the outcomes.
+
+    :param paths: path of each request in turn.
+    """
     loop = asyncio.get_running_loop()
-    for _ in range(before):
+    for path in set(paths):
         assert (await system.call(path, **PIECES))[0] == 200
     stopped_at = loop.time()
     stopping = asyncio.ensure_future(system.daemons[0].stop())
     tasks = []
     while not stopping.done():
+        path = paths[len(tasks) % len(paths)]
         tasks.append(asyncio.ensure_future(send_request(system, path, stopped_at)))
-        await asyncio.sleep(SEND_PERIOD_S)
+        await asyncio.sleep(period_s)
     ended_s = loop.time() - stopped_at
     outcomes = [item for item in await asyncio.gather(*tasks) if item is not None]
     await stopping
@@ -89,8 +96,100 @@
     async def scenario(system):
         for replica in system.replicas:
             replica.pause_s = pause_s
-        outcomes, ended_s = await send_during_stop(system, path)
+        outcomes, ended_s = await send_during_stop(system, [path])
         assert_none_is_cut(system, outcomes, ended_s)
         assert {item.status for item in outcomes if item.sent_s < 0.5} == {200}
 
     run_scenario(scenario, bounds=STOP_BOUNDS)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_any_mix_of_requests_in_the_stop_is_answered_or_refused(run_scenario, seed):
+    """Guards against cut answers over random mixes of routes, speeds, slow-downs and grace times."""
+    rng = random.Random(seed)
+    bounds = STOP_BOUNDS._replace(grace_s=rng.uniform(3.0, 4.5))
+
+    async def slow_down(system, after_s):
+        await asyncio.sleep(after_s)
+        for desk in system.desks:
+            desk.pause_s *= 3
+
+    async def scenario(system):
+        for desk in system.desks:
+            desk.pause_s = rng.uniform(0.0, 0.4)
+        for engine in system.engines:
+            engine.pause_s, engine.prefill_s = rng.uniform(0.0, 0.15), rng.uniform(0.0, 0.2)
+        for pool in system.pool:
+            pool.pause_s = rng.uniform(0.0, 0.1)
+        paths = rng.choices(["/book/", "/look/", "/once/", "/text/", "/deep/"], k=20)
+        slowing = asyncio.ensure_future(slow_down(system, rng.uniform(0.0, 4.0)))
+        assert_none_is_cut(system, *await send_during_stop(system, paths, rng.uniform(0.02, 0.1)))
+        slowing.cancel()
+
+    run_scenario(scenario, bounds=bounds)
+
+
+def test_request_that_waits_for_its_stages_is_handed_back_in_the_stop(run_scenario):
+    """Guards against stage work that is awaited until the process ends."""
+
+    async def scenario(system):
+        for replica in system.pool:
+            replica.behaviour = Silent()
+        waiting = asyncio.ensure_future(send_request(system, "/deep/"))
+        await wait_until(lambda: any(replica.calls for replica in system.pool))
+        await system.daemons[0].stop()
+        assert (await waiting).status == 503
+        assert not requests_passed_on(system)
+
+    run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=1.0))
+
+
+@pytest.mark.parametrize("path", ["/book/", "/once/", "/look/"])
+def test_request_that_outlives_the_stop_may_have_run(run_scenario, path):
+    """Guards against closing connections without an answer, and against a false "not run"."""
+
+    async def scenario(system):
+        for replica in system.desks + system.engines:
+            replica.behaviour = Silent()
+        waiting = asyncio.ensure_future(send_request(system, path))
+        await wait_until(lambda: requests_passed_on(system))
+        await system.daemons[0].stop()
+        assert (await waiting).status == 502
+
+    run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=0.8))
+
+
+def test_stream_that_outlives_the_stop_does_not_look_complete(run_scenario):
+    """Guards against a stream that the end of the process cuts and that looks complete."""
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.pause_s = 0.3
+        waiting = asyncio.ensure_future(send_request(system, "/once/"))
+        await wait_until(lambda: requests_passed_on(system))
+        await system.daemons[0].stop()
+        assert (await waiting).status == 0
+
+    run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=0.8))
+
+
+def test_request_on_a_kept_connection_is_served_in_the_stop_and_closes_it(run_scenario):
+    """Guards against requests on kept connections that the stop cuts or leaves unanswered."""
+
+    async def scenario(system):
+        sock = await system.connect()
+        sock.write(system.encode("/look/"))
+        reader = ResponseReader(sock, b"POST")
+        await reader.head()
+        await reader.whole_body()
+        stopping = asyncio.ensure_future(system.daemons[0].stop())
+        await asyncio.sleep(0.1)
+        sock.write(system.encode("/look/"))
+        reader = ResponseReader(sock, b"POST")
+        head = await reader.head()
+        assert head.status == 200
+        assert get_header(head.headers, b"connection") == b"close"
+        await reader.whole_body()
+        await stopping
+
+    run_scenario(scenario)
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -91,6 +91,7 @@
     """Progress of one request over all its sends.
 
     :ivar may_have_run: number of replicas that may have run the request.
+    :ivar in_send: whether a replica may have received the request in a send that has not ended.
     :ivar sends: number of sends.
     :ivar tried: ids of the replicas that the request was sent to.
     :ivar started: whether the client has received the beginning of the answer.
@@ -103,6 +104,7 @@
 
     def __init__(self):
         self.may_have_run = 0
+        self.in_send = False
         self.sends = 0
         self.tried: frozenset[str] = frozenset()
         self.started = False
@@ -221,7 +223,7 @@
     """
     if progress.started:
         return StreamBroken(reason)
-    if progress.may_have_run:
+    if progress.may_have_run or progress.in_send:
         return MayHaveRun(reason, timed_out)
     return NotRun(reason, retry_after_s)
 
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -28,6 +28,7 @@
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
+from greengagehoist.gateway.filters._shutdown import ShutdownGate
 from greengagehoist.gateway.filters._stages import affinity_of
 from greengagehoist.gateway.filters._stream_relay import log_invalid_response, relay_stream
 from greengagehoist.http1 import (
@@ -82,6 +83,7 @@
     :param placement: controller that chooses the replicas.
     :param pools: controller that frees stage results.
     :param gate: learns which prompts replicas end on, and refuses those in quarantine.
+    :param shutdown: refuses sends whose answers would outlive the process.
     :param budgets: limit the retries of each service.
     :param first_event_latency: receives the measured times from send to first event.
     """
@@ -91,6 +93,7 @@
         placement: Controller,
         pools: Controller,
         gate: QuarantineGate,
+        shutdown: ShutdownGate,
         budgets: RetryBudgets,
         first_event_latency: FirstEventLatency,
         wire: WireFormat,
@@ -100,6 +103,7 @@
         self.placement = placement
         self.pools = pools
         self.gate = gate
+        self.shutdown = shutdown
         self.budgets = budgets
         self.wire = wire
         self.clock = clock
@@ -137,7 +141,7 @@
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
                 return failure_reply(progress, "request timed out", RETRY_AFTER_S, timed_out=True)
-            refusal = self.gate.refuse_send(exchange)
+            refusal = self.shutdown.refuse(exchange) or self.gate.refuse_send(exchange)
             if refusal is not None:
                 return refusal
             found = await self.placement.ask(
@@ -173,6 +177,7 @@
         """Return the reply after a send without an answer, None if the request is sent again."""
         progress = exchange.progress
         progress.may_have_run += isinstance(end, Lost | Broken)
+        progress.in_send = False
         progress.sends += 1
         progress.tried |= {replica.replica_id}
         step = self._decide(exchange, end)
@@ -189,10 +194,10 @@
             shared_parts=_log_parts(exchange),
         )
         match step:
-            case SendAgain() if end == Rejected(inputs_gone=True) or progress.inputs_freed:
-                return InputsLost()
             case SendAgain():
-                return None
+                self.shutdown.resume_wait(exchange)
+                inputs_lost = end == Rejected(inputs_gone=True) or progress.inputs_freed
+                return InputsLost() if inputs_lost else None
             case RefuseNotRun():
                 return NotRun("all sends failed before the request ran", RETRY_AFTER_S)
             case FailUnknown():
@@ -228,10 +233,13 @@
         self, exchange: Exchange, replica: Replica, splitter: EventSplitter
     ) -> Reply | SendEnd:
         """Send the request once and always report the outcome to the placement controller."""
-        failure = "failed"
+        failure, answered = "failed", False
         try:
             end = await self._connect_and_send(exchange, replica, splitter)
+            answered = not isinstance(end, NotSent | Rejected | Lost | Broken)
             match end:
+                case NotRun():
+                    failure = "cancelled"
                 case NotSent():
                     failure = "unreachable"
                 case Rejected():
@@ -247,6 +255,7 @@
             failure = "cancelled"
             raise
         finally:
+            self.shutdown.end_send(exchange, answered)
             self.placement.tell(RequestEnded(replica.replica_id, failure))
 
     async def _connect_and_send(
@@ -263,6 +272,9 @@
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
                 return NotSent()
+            refusal = self.shutdown.begin_send(exchange)
+            if refusal is not None:
+                return refusal
             async with asyncio.timeout(remaining_s):
                 return await self._send_on(exchange, replica, sock, remaining_s, splitter)
         except TimeoutError:
@@ -325,7 +337,7 @@
         if isinstance(exchange.route.kind, Streaming) and head.status < 300:
             self.first_event_latency.observe(exchange.route, self.clock.monotonic() - sent_at)
             return await relay_stream(
-                exchange, replica, head, reader, self.clock, lambda: self._free_inputs(exchange)
+                exchange, replica, head, reader, self.clock, lambda: self._begin_body(exchange)
             )
         if exchange.progress.started:
             # The client already has the beginning of another replica's answer.
@@ -364,6 +376,10 @@
             await self.clock.sleep(INPUT_FETCH_S)
             self._free_inputs(exchange)
 
+    def _begin_body(self, exchange: Exchange) -> None:
+        self._free_inputs(exchange)
+        self.shutdown.begin_body(exchange)
+
     def _free_inputs(self, exchange: Exchange) -> None:
         if exchange.progress.inputs_freed:
             return
--- a/greengagehoist/gateway/filters/_stages.py
+++ b/greengagehoist/gateway/filters/_stages.py
@@ -24,6 +24,7 @@
     SubmitStage,
 )
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
+from greengagehoist.gateway.filters._shutdown import ShutdownGate
 from greengagehoist.pieces import StageWork, estimate_completion_s
 from greengagehoist.replicas import Affinity, AnyReplica, PromptAffinity, ReplicaTable
 from greengagehoist.utils import Clock, Controller, Published, log_event
@@ -55,6 +56,7 @@
     :param placement: controller that chooses the replica that reads the results.
     :param table: the known replicas.
     :param first_event_latency: estimates the time from send to first event.
+    :param shutdown: refuses requests whose answers would outlive the process.
     """
 
     def __init__(
@@ -63,9 +65,11 @@
         placement: Controller,
         table: Published[ReplicaTable],
         first_event_latency: FirstEventLatency,
+        shutdown: ShutdownGate,
         clock: Clock,
     ):
         self.pools = pools
+        self.shutdown = shutdown
         self.first_event_latency = first_event_latency
         self.table = table
         self.placement = placement
@@ -159,7 +163,7 @@
         zone, size = max(bytes_by_zone.items(), key=lambda item: item[1], default=("", 0))
         return zone if size >= LARGE_RESULT_BYTES else ""
 
-    async def _refuse_overload(self, exchange: Exchange) -> NotRun | None:
+    async def _refuse_overload(self, exchange: Exchange) -> Reply | None:
         """Reserve capacity for the stages; returns a refusal if the answer would be late."""
         stages, req = exchange.route.stages, exchange.req
         service_times = [self._service_time_s(exchange, number) for number in range(len(stages))]
@@ -182,6 +186,9 @@
             service_times,
             [waits.get(item.service, 0.0) for item in stages],
         )
+        refusal = self.shutdown.refuse(exchange, completion_s)
+        if refusal is not None:
+            return refusal
         late_s = now + completion_s + first_event_s - exchange.due
         negligible_s = MIN_BACKLOG_S if can_be_in_time else MIN_LATE_BACKLOG_S
         if late_s <= LATE_TOLERANCE_S or longest_wait_s < negligible_s:
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -19,6 +19,7 @@
     StreamBroken,
     StreamEnded,
     WireFormat,
+    failure_reply,
 )
 from greengagehoist.gateway.front._listen import CLOSE, listen, write_answer
 from greengagehoist.http1 import (
@@ -39,6 +40,9 @@
 
 # Delay before the close, in which a client can read the answer to a malformed request.
 LINGER_S = 0.2
+# Time for the final answers when the process ends.
+END_TIMEOUT_S = 0.2
+END_RETRY_AFTER_S = 0.1
 
 
 class ClientAnswer:
@@ -112,6 +116,7 @@
         self.in_flight = 0
         self.last_request_at = 0.0
         self._stopping_at: float | None = None
+        self._chains: set[asyncio.Task] = set()
         self._idle: set[Socket] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
@@ -143,6 +148,19 @@
         for sock in list(self._idle):
             sock.close()
 
+    async def end_requests(self) -> None:
+        """Stop accepting and end the requests in progress with an answer that says why.
+
+        Answers that have begun cannot be replaced; their connections are reset.
+        """
+        if self._server is not None:
+            self._server.close()
+        self.close_idle()
+        for chain in self._chains:
+            chain.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=END_TIMEOUT_S)
+
     async def stop(self) -> None:
         """Stop accepting and close all connections."""
         if self._server is not None:
@@ -199,6 +217,8 @@
             sink = ClientAnswer(sock, keep, request.head.version == "1.1")
             exchange = Exchange(req, sink, arrived, Progress())
             chain = asyncio.get_running_loop().create_task(self.chain(exchange))
+            self._chains.add(chain)
+            chain.add_done_callback(self._chains.discard)
             try:
                 await asyncio.wait((chain, sock.gone), return_when=asyncio.FIRST_COMPLETED)
             except asyncio.CancelledError:
@@ -218,6 +238,8 @@
 
     @staticmethod
     def _result(chain: asyncio.Task, exchange: Exchange) -> Reply:
+        if chain.cancelled():
+            return failure_reply(exchange.progress, "the process ends", END_RETRY_AFTER_S)
         exc = chain.exception()
         if exc is None:
             return chain.result()
--- a/greengagehoist/tests/test_imports.py
+++ b/greengagehoist/tests/test_imports.py
@@ -26,6 +26,7 @@
     "membership",
     "orders",
     "scaling",
+    "shutdown",
     "tracing",
 )
 ALLOWED_OWN = {*DECISION_PACKAGES, "utils._validation"}
