Check in the soak that stops cut no plain answer

Cause: the soak stopped gateways but did not look at what became of the requests that they had taken. Change: a request of a plain service that reached a replica while its gateway was stopping must have an answer. Half of the stops come while plain answers take 0.8 s.

--- a/benchmarks/_soak_checks.py
+++ b/benchmarks/_soak_checks.py
@@ -5,6 +5,7 @@
 
 from benchmarks._soak_system import BOUNDS, CRASHING_SERVICE, SoakSystem
 
+PLAIN_KINDS = ("book", "look")
 AT_MOST_ONCE_KINDS = ("book", "once", "deep", "part")
 # A replica may still run a request with a revoked key if the client sent it within this time of
 # the revocation. The bound applies to the send time.
@@ -22,6 +23,7 @@
     :param took_s: seconds until the response or the failure.
     :param bad: whether the prompt has the part that ends engines.
     :param leaving: id of the replica that said in the answer that it leaves, or empty.
+    :param gave_up: whether the client left early.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     gateway: int
     bad: bool
     leaving: str
+    gave_up: bool
 
 
 def check_results(
@@ -51,6 +54,7 @@
     findings = _check_runs(system, by_id, revoked)
     findings += _check_leaving(system, by_id, left)
     findings += _check_crashing_part(system, by_id)
+    findings += _check_stops(system, by_id)
     return findings + _check_pieces(system)
 
 
@@ -100,6 +104,29 @@
     return findings
 
 
+def _check_stops(system: SoakSystem, by_id: dict[str, RequestRecord]) -> list[str]:
+    """Return the requests without an answer that a stopping gateway had passed on.
+
+    A plain answer that is not ready when the process ends is replaced by another final answer.
+    """
+    findings = []
+    ran = {request_id for replica in system.replicas for request_id in replica.ran}
+    for sent in by_id.values():
+        if (
+            sent.status
+            or sent.gave_up
+            or sent.kind not in PLAIN_KINDS
+            or sent.request_id not in ran
+        ):
+            continue
+        for begun, ended in system.gateways[sent.gateway].stops:
+            if begun < sent.sent_at < ended:
+                findings.append(
+                    f"{sent.request_id}: cut {ended - sent.sent_at:.1f} s before the end"
+                )
+    return findings
+
+
 def _check_crashing_part(system: SoakSystem, by_id: dict[str, RequestRecord]) -> list[str]:
     """Return a finding if too many requests with the part reached engines after the fifth crash."""
     engines = [item for item in system.replicas if item.service == CRASHING_SERVICE]
--- a/benchmarks/_soak_system.py
+++ b/benchmarks/_soak_system.py
@@ -31,6 +31,8 @@
 CRASHING_SERVICE = "gen"
 BAD_PART = b"bad"
 CRASH_DOWN_S = 1.0
+# Seconds before a response, or after each event of a stream.
+USUAL_ANSWER_S = 0.02
 
 
 def route(name: str, kind: str, service: str, attempts: int, **fields: Any) -> dict[str, Any]:
@@ -88,6 +90,8 @@
         self.ports = [_free_port() for _ in range(4)]
         self.paused = False
         self.disturbed_at: list[float] = []
+        # Time of each SIGTERM and of the end of the process.
+        self.stops: list[tuple[float, float]] = []
 
     @property
     def address(self) -> str:
@@ -135,8 +139,11 @@
 
     async def restart(self, number: signal.Signals) -> None:
         """Send a terminating signal, wait for the exit and start the process again."""
+        sent_at = time.monotonic()
         self.send(number)
         await self.process.wait()
+        if number is signal.SIGTERM:
+            self.stops.append((sent_at, time.monotonic()))
         await self.start()
 
     def is_in_touch(self, at: float, within_s: float) -> bool:
@@ -184,7 +191,7 @@
         await self.store.start()
         for replica in self.replicas:
             await replica.start()
-            replica.pause_s = 0.02
+            replica.pause_s = USUAL_ANSWER_S
             if replica.service == CRASHING_SERVICE:
                 # Without a proxy, so that its address refuses connections while it is down.
                 replica.behaviour = CrashesOn(BAD_PART, CRASH_DOWN_S)
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -24,7 +24,14 @@
     Resetting,
     Silencing,
 )
-from benchmarks._soak_system import BAD_PART, CRASHING_SERVICE, HOST, SoakSystem
+from benchmarks._soak_system import (
+    BAD_PART,
+    CRASHING_SERVICE,
+    HOST,
+    USUAL_ANSWER_S,
+    Gateway,
+    SoakSystem,
+)
 from greengagehoist.http1 import (
     IncompleteError,
     ProtocolError,
@@ -53,6 +60,7 @@
 LATE_MARGIN_S = 1.0
 MAX_PAUSE_S = 0.05
 SETTLE_S = 6.0
+SLOW_ANSWER_S = 0.8
 KINDS = ("book", "look", "text", "once", "deep", "part")
 BAD_PART_SHARE = 0.15
 STAMP = b"x-greengagehoist-server-stamp"
@@ -140,7 +148,17 @@
             self.findings.append(f"{request_id}: malformed response: {exc}")
         took = time.monotonic() - began
         sent = RequestRecord(
-            request_id, kind, key, began, status, received, took, gateway, bad, leaving
+            request_id,
+            kind,
+            key,
+            began,
+            status,
+            received,
+            took,
+            gateway,
+            bad,
+            leaving,
+            disconnects_early,
         )
         self.sent.append(sent)
         self._check(sent, body)
@@ -200,7 +218,7 @@
                 case "kill":
                     await gateway.restart(signal.SIGKILL)
                 case "term":
-                    await gateway.restart(signal.SIGTERM)
+                    await self._stop(gateway)
                 case "pause":
                     gateway.send(signal.SIGSTOP)
                     await asyncio.sleep(self.rng.uniform(0.2, 4.5))
@@ -210,6 +228,16 @@
         finally:
             self._busy.discard(gateway.vm)
 
+    async def _stop(self, gateway: Gateway) -> None:
+        """Stop a gateway and start it again, perhaps while plain answers take long."""
+        plain = [item for item in self.system.replicas if item.kind == "plain"]
+        slow = self.rng.random() < 0.5
+        for replica in plain if slow else ():
+            replica.pause_s = SLOW_ANSWER_S
+        await gateway.restart(signal.SIGTERM)
+        for replica in plain if slow else ():
+            replica.pause_s = USUAL_ANSWER_S
+
     async def _proxy_fault(self) -> None:
         proxies = [gateway.store_proxy for gateway in self.system.gateways]
         proxy: FaultProxy = self.rng.choice([*proxies, *self.system.proxies.values()])
