Keep new connections open during a stop until their requests can arrive

Callers whose connection was accepted late in a stop could find it closed before their request was read.

Cause: 2.6 s after the SIGTERM the daemon closes the connections without a request in progress, each 0.1 s, also those that were accepted a moment before. A request takes milliseconds to follow its connection. Result: test_new_connection_is_not_closed_before_its_request_arrives failed before (connection closed before the end of the response) and passes; daemon/tests/test_gateway_stop.py and test_gateway.py pass.

--- a/greengagehoist/daemon/tests/test_gateway_stop.py
+++ b/greengagehoist/daemon/tests/test_gateway_stop.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from greengagehoist.daemon._gateway import LOAD_BALANCER_DELAY_S, STOP_POLL_PERIOD_S
 from greengagehoist.daemon.tests.gateway_system import wait_until
 from greengagehoist.gateway import Bounds
 from greengagehoist.http1 import IncompleteError, ResponseReader, get_header
@@ -193,3 +194,24 @@
         await stopping
 
     run_scenario(scenario)
+
+
+def test_new_connection_is_not_closed_before_its_request_arrives(run_scenario):
+    """Guards against a periodic close of idle connections that races with requests on their way."""
+
+    async def scenario(system):
+        daemon = system.daemons[0]
+        for desk in system.desks:
+            desk.pause_s = 1.2
+        stopping = asyncio.ensure_future(daemon.stop())
+        await asyncio.sleep(LOAD_BALANCER_DELAY_S - 0.3)
+        pending = asyncio.ensure_future(send_request(system, "/book/"))
+        await asyncio.sleep(0.5)
+        sock = await system.connect()
+        await asyncio.sleep(3 * STOP_POLL_PERIOD_S)
+        sock.write(system.encode("/book/"))
+        assert (await ResponseReader(sock, b"POST").head()).status in (200, 503)
+        assert (await pending).status == 200
+        await stopping
+
+    run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=6.0))
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -117,7 +117,8 @@
         self.last_request_at = 0.0
         self._stopping_at: float | None = None
         self._chains: set[asyncio.Task] = set()
-        self._idle: set[Socket] = set()
+        # Connections without a request in progress, and since when.
+        self._idle: dict[Socket, float] = {}
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
 
@@ -143,10 +144,15 @@
         """Start closing each connection after its next answer."""
         self._stopping_at = self.clock.monotonic()
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
-        for sock in list(self._idle):
-            sock.close()
+    def close_idle(self, idle_s: float = 0.0) -> None:
+        """Close the connections without a request in progress.
+
+        :param idle_s: least seconds for which they have had none.
+        """
+        now = self.clock.monotonic()
+        for sock, since in list(self._idle.items()):
+            if now - since >= idle_s:
+                sock.close()
 
     async def end_requests(self) -> None:
         """Stop accepting and end the requests in progress with an answer that says why.
@@ -186,11 +192,11 @@
         try:
             keep = True
             while keep and not sock.gone.done():
-                self._idle.add(sock)
+                self._idle[sock] = self.clock.monotonic()
                 try:
                     request = await reader.read()
                 finally:
-                    self._idle.discard(sock)
+                    self._idle.pop(sock, None)
                 if request is None:
                     return
                 keep = await self._answer(conn, request)
