Estimate answers during a stop by answers of similar requests

Cause: the pace of a body was its time divided by the most tokens that the request might have got. Answers are often far shorter than that, so a request with a small limit was estimated too short and cut; one answer of a single token made long answers look endless. Time-outs counted as answers for the next 64. Change: the body is the longest of the answers with a similar limit of tokens, or of all if these are few, and longer for requests with a larger limit than any. Only complete answers count; awaited ones are kept by route, oldest first. At most 1,024 routes are kept. Result: test_answers_below_their_limit_of_tokens_do_not_shorten_the_estimate (a cut stream, status 0) and test_silent_replica_of_the_past_does_not_refuse_a_route (503) failed before; both and shutdown/tests pass.

--- a/greengagehoist/daemon/tests/test_gateway_stop.py
+++ b/greengagehoist/daemon/tests/test_gateway_stop.py
@@ -10,7 +10,7 @@
 from greengagehoist.daemon.tests.gateway_system import wait_until
 from greengagehoist.gateway import Bounds
 from greengagehoist.http1 import IncompleteError, ResponseReader, get_header
-from greengagehoist.standins import Silent
+from greengagehoist.standins import Healthy, Silent
 
 STOP_BOUNDS = Bounds(grace_s=4.0, revoke_s=9.0)
 SEND_PERIOD_S = 0.05
@@ -215,3 +215,49 @@
         await stopping
 
     run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=6.0))
+
+
+async def send_prompt(system, tokens_out):
+    """Send a prompt with a limit of tokens and return the status, 0 if the answer was cut."""
+    prompt = {
+        "X_Greengagehoist_Model": b"m",
+        "X_Greengagehoist_Prefix_Hash": b"aa:10",
+        "X_Greengagehoist_Token_Count": b"10,%d" % tokens_out,
+    }
+    try:
+        return (await system.call("/once/", **prompt))[0]
+    except IncompleteError:
+        return 0
+
+
+def test_answers_below_their_limit_of_tokens_do_not_shorten_the_estimate(run_scenario):
+    """Guards against cut streams where earlier answers were far shorter than their limit."""
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.events, engine.pause_s = 20, 0.05
+        assert await send_prompt(system, 400) == 200
+        stopping = asyncio.ensure_future(system.daemons[0].stop())
+        await asyncio.sleep(2.4)
+        assert await send_prompt(system, 20) == 503
+        await stopping
+
+    run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=3.7))
+
+
+def test_silent_replica_of_the_past_does_not_refuse_a_route(run_scenario):
+    """Guards against a time-out that counts as the time of an answer."""
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.behaviour = Silent()
+        assert (await system.call("/once/"))[0] == 504
+        for engine in system.engines:
+            engine.behaviour = Healthy()
+        assert (await system.call("/once/"))[0] == 200
+        stopping = asyncio.ensure_future(system.daemons[0].stop())
+        await asyncio.sleep(0.05)
+        assert (await system.call("/once/"))[0] == 200
+        await stopping
+
+    run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=2.0))
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -236,10 +236,8 @@
         failure, answered = "failed", False
         try:
             end = await self._connect_and_send(exchange, replica, splitter)
-            answered = not isinstance(end, NotSent | Rejected | Lost | Broken)
+            answered = isinstance(end, Relayed | StreamEnded)
             match end:
-                case NotRun():
-                    failure = "cancelled"
                 case NotSent():
                     failure = "unreachable"
                 case Rejected():
--- a/greengagehoist/gateway/filters/_shutdown.py
+++ b/greengagehoist/gateway/filters/_shutdown.py
@@ -36,6 +36,7 @@
         self.times = AnswerTimes()
         self._finish_by: float | None = None
         self._waiting: dict[Progress, _Waiting] = {}
+        # Of all requests in the chain, also of those that a replica may have received.
         self._timeouts: dict[Progress, asyncio.Timeout] = {}
 
     def begin_stop(self, finish_by: float) -> None:
@@ -99,14 +100,16 @@
 
     def begin_body(self, exchange: Exchange) -> None:
         """Record the first bytes of an answer."""
-        self.times.begin_body(exchange.progress, self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.times.begin_body(exchange.progress, exchange.route.name, now)
 
     def end_send(self, exchange: Exchange, answered: bool) -> None:
         """Record the end of a send, if it was begun.
 
-        :param answered: whether its answer has ended.
+        :param answered: whether the client has the complete answer of the replica.
         """
-        self.times.end_send(exchange.progress, answered, self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.times.end_send(exchange.progress, exchange.route.name, answered, now)
 
     def forget(self, exchange: Exchange) -> None:
         """Forget a request that has ended."""
--- a/greengagehoist/shutdown/_answer_times.py
+++ b/greengagehoist/shutdown/_answer_times.py
@@ -1,48 +1,50 @@
 """Upper estimates of the time from the send of a request to the end of its answer."""
 
-from collections import defaultdict, deque
+from collections import OrderedDict, deque
 from typing import NamedTuple
 
-# Answers of each route whose times are kept.
+# Answers of each route whose times are kept, and routes.
 KEPT_ANSWERS = 64
-# Pace of the answer's body before the first answer of a route.
+KEPT_ROUTES = 1024
+# Body of an answer with a known limit of its tokens, before the first answer of a route.
 INITIAL_PACE_S_PER_TOKEN = 0.02
+# Limits of tokens within this factor of each other lead to answers of like length. Answers are often
+# far shorter than their limit, so the limit alone does not give the length.
+SIMILAR_FACTOR = 2.0
+MIN_SIMILAR_ANSWERS = 4
 
 
-class _Sent(NamedTuple):
-    """A request whose answer has not ended.
+class _AnswerTime(NamedTuple):
+    """Time of an answer that has ended.
 
-    :param tokens: most tokens that the answer may have, at least 1.
-    :param begun_at: time of the first bytes of the body, None before them.
+    :param tokens: most tokens that it might have had, at least 1.
+    :param begin_s: seconds from the send to the first bytes of the body.
+    :param body_s: seconds from there to the end.
     """
 
-    route: str
     tokens: int
-    sent_at: float
-    begun_at: float | None = None
-
+    begin_s: float
+    body_s: float
 
-class _AnswerTime(NamedTuple):
-    """Time of an answer.
 
-    :param begin_s: seconds from the send to the first bytes of the body.
-    :param pace_s: seconds of the body for each token that it may have.
-    """
+class _Sent(NamedTuple):
+    tokens: int
+    sent_at: float
 
-    begin_s: float
-    pace_s: float
 
+class _RouteTimes:
+    """Answers of one route: those that have ended, and those that are awaited, oldest first."""
 
-def _time_of(sent: _Sent, now: float) -> _AnswerTime:
-    if sent.begun_at is None:
-        return _AnswerTime(now - sent.sent_at, 0.0)
-    return _AnswerTime(sent.begun_at - sent.sent_at, (now - sent.begun_at) / sent.tokens)
+    def __init__(self):
+        self.ended: deque[_AnswerTime] = deque(maxlen=KEPT_ANSWERS)
+        self.sent: dict[object, _Sent] = {}
+        self.begun: dict[object, tuple[_Sent, float]] = {}
 
 
 class AnswerTimes:
     """Estimates how long the answers of each route take.
 
-    An estimate is the largest of the last answers and of those that are awaited now, so that it
+    An estimate is the largest of the last answers and of the oldest that is awaited now, so that it
     follows replicas that turn slow. The beginning and the body of an answer are estimated apart,
     because the length of the body depends on the request.
 
@@ -50,30 +52,38 @@
     """
 
     def __init__(self):
-        self._ended: dict[str, deque[_AnswerTime]] = defaultdict(lambda: deque(maxlen=KEPT_ANSWERS))
-        self._sent: dict[object, _Sent] = {}
+        self._routes: OrderedDict[str, _RouteTimes] = OrderedDict()
 
     def begin_send(self, key: object, route: str, tokens: int, now: float) -> None:
         """Record the send of a request.
 
         :param tokens: most tokens that the answer may have, 0 if it is unknown.
         """
-        self._sent[key] = _Sent(route, max(1, tokens), now)
+        times = self._routes.setdefault(route, _RouteTimes())
+        times.sent[key] = _Sent(max(1, tokens), now)
+        self._routes.move_to_end(route)
+        if len(self._routes) > KEPT_ROUTES:
+            self._routes.popitem(last=False)
 
-    def begin_body(self, key: object, now: float) -> None:
+    def begin_body(self, key: object, route: str, now: float) -> None:
         """Record the first bytes of an answer's body."""
-        sent = self._sent.get(key)
+        times = self._routes.get(route)
+        sent = times.sent.pop(key, None) if times is not None else None
         if sent is not None:
-            self._sent[key] = sent._replace(begun_at=now)
+            times.begun[key] = (sent, now)
 
-    def end_send(self, key: object, answered: bool, now: float) -> None:
+    def end_send(self, key: object, route: str, answered: bool, now: float) -> None:
         """Record the end of a send.
 
-        :param answered: whether its answer has ended; otherwise its time says nothing.
+        :param answered: whether its answer is complete; otherwise its time says nothing.
         """
-        sent = self._sent.pop(key, None)
+        times = self._routes.get(route)
+        if times is None:
+            return
+        sent, begun_at = times.begun.pop(key, None) or (times.sent.pop(key, None), now)
         if sent is not None and answered:
-            self._ended[sent.route].append(_time_of(sent, now))
+            begin_s, body_s = begun_at - sent.sent_at, now - begun_at
+            times.ended.append(_AnswerTime(sent.tokens, begin_s, body_s))
 
     def expected_s(self, route: str, tokens: int, initial_s: float, now: float) -> float:
         """Return an upper estimate of the seconds from a send to the end of its answer.
@@ -81,11 +91,26 @@
         :param tokens: most tokens that the answer may have, 0 if it is unknown.
         :param initial_s: estimate of the beginning while no answer of the route is known.
         """
-        awaited = [_time_of(item, now) for item in self._sent.values() if item.route == route]
-        ended = self._ended.get(route)
-        if not ended:
-            pace_s = INITIAL_PACE_S_PER_TOKEN if tokens else 0.0
-            awaited.append(_AnswerTime(initial_s, pace_s))
-        known = [*(ended or ()), *awaited]
-        begin_s = max(item.begin_s for item in known)
-        return begin_s + max(item.pace_s for item in known) * max(1, tokens)
+        times = self._routes.get(route) or _RouteTimes()
+        begin_s = max((item.begin_s for item in times.ended), default=initial_s)
+        body_s = _longest_body_s(times.ended, tokens)
+        oldest = next(iter(times.sent.values()), None)
+        if oldest is not None:
+            begin_s = max(begin_s, now - oldest.sent_at)
+        _, begun_at = next(iter(times.begun.values()), (None, now))
+        return begin_s + max(body_s, now - begun_at)
+
+
+def _longest_body_s(ended: deque[_AnswerTime], tokens: int) -> float:
+    """Return the longest body of the answers to similar requests, or of all if these are few."""
+    if not ended:
+        return INITIAL_PACE_S_PER_TOKEN * tokens
+    tokens = max(1, tokens)
+    similar = [
+        item
+        for item in ended
+        if item.tokens / SIMILAR_FACTOR <= tokens <= item.tokens * SIMILAR_FACTOR
+    ]
+    known = similar if len(similar) >= MIN_SIMILAR_ANSWERS else ended
+    most_tokens = max(item.tokens for item in known)
+    return max(item.body_s for item in known) * max(1.0, tokens / most_tokens)
--- a/greengagehoist/shutdown/tests/test_answer_times.py
+++ b/greengagehoist/shutdown/tests/test_answer_times.py
@@ -20,8 +20,8 @@
         key = object()
         times.begin_send(key, route, tokens, 100.0)
         if body_s:
-            times.begin_body(key, 100.0 + begin_s)
-        times.end_send(key, True, 100.0 + begin_s + body_s)
+            times.begin_body(key, route, 100.0 + begin_s)
+        times.end_send(key, route, True, 100.0 + begin_s + body_s)
 
     return record
 
@@ -48,6 +48,20 @@
     assert expected(times, tokens=200) == pytest.approx(4.2)
 
 
+def test_short_limit_of_tokens_does_not_shorten_the_estimate_without_evidence(times, observe):
+    """Answers may be far shorter than their limit, so a limit says little of the time of the body."""
+    observe(0.2, body_s=1.5, tokens=400)
+    assert expected(times, tokens=30) == pytest.approx(1.7)
+
+
+def test_answers_of_few_tokens_do_not_raise_the_estimate_of_long_ones(times, observe):
+    observe(0.1, body_s=0.05, tokens=1)
+    for _ in range(4):
+        observe(0.1, body_s=0.2, tokens=200)
+    assert expected(times, tokens=200) == pytest.approx(0.3)
+    assert expected(times, tokens=150) == pytest.approx(0.3)
+
+
 def test_body_of_unknown_length_is_estimated_by_its_time(times, observe):
     observe(0.2, body_s=1.0)
     assert expected(times) == pytest.approx(1.2)
@@ -59,7 +73,7 @@
     times.begin_send("key", "r", 0, 10.0)
     assert expected(times, now=10.05) == pytest.approx(0.1)
     assert expected(times, now=13.0) == pytest.approx(3.0)
-    times.end_send("key", False, 13.0)
+    times.end_send("key", "r", False, 13.0)
     assert expected(times, now=13.0) == pytest.approx(0.1)
 
 
@@ -68,3 +82,18 @@
     for _ in range(64):
         observe(0.1)
     assert expected(times) == pytest.approx(0.1)
+
+
+def test_awaited_body_raises_the_estimate(times, observe):
+    """Engines that turn slow in the middle of their streams are seen by those streams."""
+    observe(0.1, body_s=0.5)
+    times.begin_send("key", "r", 0, 10.0)
+    times.begin_body("key", "r", 10.1)
+    assert expected(times, now=13.1) == pytest.approx(3.1)
+
+
+def test_routes_that_are_not_used_any_more_are_forgotten(times, observe):
+    """Guards against memory that grows with each change of the configuration."""
+    for number in range(3000):
+        observe(0.1, route=f"r{number}")
+    assert len(times._routes) <= 1024
