Wait in a stop for requests that are being received

Cause: a connection counted as idle until its request was complete, by the time since its last answer, and the stop ended as soon as no complete request was in progress. Change: a connection with a part of a request, or accepted less than 0.5 s ago, is neither closed nor ignored; the end of the stop and the time limits of requests bound the wait.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -45,8 +45,8 @@
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.4
 STOP_POLL_PERIOD_S = 0.1
-# The request of a new connection arrives within this time.
-MIN_IDLE_S = 0.5
+# The first bytes of a request follow its connection within this time.
+REQUEST_ARRIVAL_S = 0.5
 # A silent peer has missed three heartbeats when it is declared dead.
 PEER_HEARTBEAT_PERIOD_S = 0.4
 PEER_DEAD_AFTER_S = 1.5
@@ -287,8 +287,7 @@
             await self.clock.sleep(STOP_POLL_PERIOD_S)
             if self.clock.monotonic() - started_at < LOAD_BALANCER_DELAY_S:
                 continue
-            self.front.close_idle(MIN_IDLE_S)
-            if not self.front.in_flight:
+            if not self.front.close_idle(REQUEST_ARRIVAL_S) and not self.front.in_flight:
                 break
         log_event("stopped", in_flight=self.front.in_flight)
         await self.front.end_requests()
--- a/greengagehoist/daemon/tests/test_gateway_stop.py
+++ b/greengagehoist/daemon/tests/test_gateway_stop.py
@@ -261,3 +261,26 @@
         await stopping
 
     run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=2.0))
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_request_that_arrives_slowly_is_answered_in_the_stop(run_scenario, busy):
+    """Guards against closing a connection, or ending the stop, while a request is received."""
+
+    async def scenario(system):
+        for desk in system.desks:
+            desk.pause_s = 1.2
+        stopping = asyncio.ensure_future(system.daemons[0].stop())
+        await asyncio.sleep(LOAD_BALANCER_DELAY_S - 0.2)
+        pending = asyncio.ensure_future(send_request(system, "/book/")) if busy else None
+        sock = await system.connect()
+        data = system.encode("/once/", b"x" * 300)
+        for part in (data[:-200], data[-200:-100], data[-100:]):
+            sock.write(part)
+            await asyncio.sleep(0.4)
+        assert (await ResponseReader(sock, b"POST").head()).status == 200
+        if pending is not None:
+            assert (await pending).status == 200
+        await stopping
+
+    run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=6.0))
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -91,6 +91,24 @@
     answered: int
 
 
+class _Idle(NamedTuple):
+    """A connection without a request in progress.
+
+    :param reader: receives the next request.
+    :param since: time on the boot clock at which it began to wait for it.
+    """
+
+    reader: RequestReader
+    since: float
+
+    def may_receive(self, now: float, arrival_s: float) -> bool:
+        """Return whether a request may be on its way.
+
+        :param arrival_s: seconds within which a request begins to arrive.
+        """
+        return self.reader.has_partial or now - self.since < arrival_s
+
+
 class GatewayFront:
     """Accepts clients' connections and runs each request through the filter chain.
 
@@ -117,8 +135,7 @@
         self.last_request_at = 0.0
         self._stopping_at: float | None = None
         self._chains: set[asyncio.Task] = set()
-        # Connections without a request in progress, and since when.
-        self._idle: dict[Socket, float] = {}
+        self._idle: dict[Socket, _Idle] = {}
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
 
@@ -144,15 +161,18 @@
         """Start closing each connection after its next answer."""
         self._stopping_at = self.clock.monotonic()
 
-    def close_idle(self, idle_s: float = 0.0) -> None:
-        """Close the connections without a request in progress.
+    def close_idle(self, arrival_s: float) -> bool:
+        """Close the connections on which no request can be on its way; returns whether some stay.
 
-        :param idle_s: least seconds for which they have had none.
+        :param arrival_s: seconds within which a request begins to arrive.
         """
-        now = self.clock.monotonic()
-        for sock, since in list(self._idle.items()):
-            if now - since >= idle_s:
+        now, stay = self.clock.monotonic(), False
+        for sock, idle in list(self._idle.items()):
+            if idle.may_receive(now, arrival_s):
+                stay = True
+            else:
                 sock.close()
+        return stay
 
     async def end_requests(self) -> None:
         """Stop accepting and end the requests in progress with an answer that says why.
@@ -161,7 +181,7 @@
         """
         if self._server is not None:
             self._server.close()
-        self.close_idle()
+        self._close_all_idle()
         for chain in self._chains:
             chain.cancel()
         if self._tasks:
@@ -171,11 +191,15 @@
         """Stop accepting and close all connections."""
         if self._server is not None:
             self._server.close()
-        self.close_idle()
+        self._close_all_idle()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _close_all_idle(self) -> None:
+        for sock in list(self._idle):
+            sock.close()
+
     def _accept(self, sock: Socket) -> None:
         task = asyncio.get_running_loop().create_task(self._serve(sock))
         self._tasks.add(task)
@@ -192,7 +216,7 @@
         try:
             keep = True
             while keep and not sock.gone.done():
-                self._idle[sock] = self.clock.monotonic()
+                self._idle[sock] = _Idle(reader, self.clock.monotonic())
                 try:
                     request = await reader.read()
                 finally:
--- a/greengagehoist/http1/_request.py
+++ b/greengagehoist/http1/_request.py
@@ -89,6 +89,11 @@
         self._callbacks = _ParserCallbacks()
         self._error: ProtocolError | None = None
 
+    @property
+    def has_partial(self) -> bool:
+        """Whether a part of a request has been received."""
+        return bool(self._callbacks.requests)
+
     async def read(self) -> Request | None:
         """Return the next request, or None if the connection ends or stays idle before it.
 
