Count a request as in flight until its answer is sent

Cause: a request counted as ended when its answer was written to the buffer of the connection, so that the process could end with unsent bytes. Change: the connection's task waits until the operating system has taken the bytes, before it ends the request.

--- a/greengagehoist/daemon/tests/test_gateway_stop.py
+++ b/greengagehoist/daemon/tests/test_gateway_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from typing import NamedTuple
 
 import pytest
@@ -16,6 +17,7 @@
 SEND_PERIOD_S = 0.05
 # A request that arrives this late may be reset by the close of the listening socket.
 CLOSE_SLACK_S = 0.2
+LARGE_BODY = b"x" * 3_000_000
 PIECES = {"X_Greengagehoist_Segments": b"1,1", "X_Greengagehoist_Segment_Key": b"k"}
 
 
@@ -284,3 +286,38 @@
         await stopping
 
     run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=6.0))
+
+
+async def read_slowly(system, path):
+    """Send a request and read the answer over a slow link; returns the number of bytes."""
+    loop = asyncio.get_running_loop()
+    host, _, port = system.daemons[0].address.partition(":")
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+        await loop.sock_connect(sock, (host, int(port)))
+        await loop.sock_sendall(sock, system.encode(path))
+        received = 0
+        while received <= len(LARGE_BODY):
+            received += len(await loop.sock_recv(sock, 65536))
+            await asyncio.sleep(0.03)
+    return received
+
+
+def test_request_is_in_flight_until_its_answer_is_sent(run_scenario):
+    """Guards against the end of a stop that loses answers in the buffers of the process."""
+
+    async def scenario(system):
+        for desk in system.desks:
+            desk.padding = LARGE_BODY
+        (listener,) = system.daemons[0].front._server.sockets
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+        reading = asyncio.ensure_future(read_slowly(system, "/look/"))
+        await wait_until(lambda: any(desk.ran for desk in system.desks))
+        front = system.daemons[0].front
+        await asyncio.sleep(0.3)
+        assert front.in_flight == 1
+        assert await reading > len(LARGE_BODY)
+        await wait_until(lambda: front.in_flight == 0)
+
+    run_scenario(scenario)
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -262,7 +262,9 @@
                 self._log_end(exchange, "client_gone", "")
                 return False
             reply = self._result(chain, exchange)
-            return self._finish(sock, exchange, sink, reply, keep and not self._stopping)
+            keep = self._finish(sock, exchange, sink, reply, keep and not self._stopping)
+            await sock.flush()
+            return keep
         finally:
             self.in_flight -= 1
 
--- a/greengagehoist/http1/_socket.py
+++ b/greengagehoist/http1/_socket.py
@@ -111,6 +111,13 @@
             self._drain_waiter = asyncio.get_running_loop().create_future()
             await self._drain_waiter
 
+    async def flush(self) -> None:
+        """Wait until the operating system has taken all written bytes, or the connection has ended."""
+        if self.transport.get_write_buffer_size():
+            self.transport.set_write_buffer_limits(high=0)
+            await self.drain()
+            self.transport.set_write_buffer_limits()
+
     def close(self) -> None:
         """Close the connection after the queued bytes are sent."""
         if self.transport is not None:
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -201,6 +201,7 @@
     :ivar born: start of its incarnation in its list entry.
     :ivar leaving: whether its answers say that it is leaving.
     :ivar arrivals: number of requests and stage calls that have reached it.
+    :ivar padding: bytes at the end of each plain answer.
     """
 
     def __init__(self, replica_id: str, service: str, zone: str, kind: str = "plain"):
@@ -223,6 +224,7 @@
         self.leaving = False
         self.born = 1
         self.arrivals = 0
+        self.padding = b""
         self._restart: asyncio.Task | None = None
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
@@ -285,7 +287,7 @@
             await self._stream(sock, request, headers)
         else:
             await asyncio.sleep(self.pause_s)
-            send_response(sock, 200, headers, b"done " + request.body)
+            send_response(sock, 200, headers, b"done " + request.body + self.padding)
 
     def _leaving_headers(self) -> tuple:
         return ((SERVER_LEAVING, b"1"),) if self.leaving else ()
