--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -283,13 +283,15 @@
         self.pools.tell(Leave())
         self.peers.tell(UpdateHeartbeat(ready=False))
         self.peers.tell(Broadcast(Goodbye("stopping")))
-        while self.clock.monotonic() < finish_by:
-            await self.clock.sleep(STOP_POLL_PERIOD_S)
+        while (left_s := finish_by - self.clock.monotonic()) > 0:
+            await self.clock.sleep(min(STOP_POLL_PERIOD_S, left_s))
             if self.clock.monotonic() - started_at < LOAD_BALANCER_DELAY_S:
                 continue
             if not self.front.close_idle(REQUEST_ARRIVAL_S) and not self.front.in_flight:
                 break
         log_event("stopped", in_flight=self.front.in_flight)
+        # Requests that are still to arrive are refused.
+        self.shutdown.begin_stop(self.clock.monotonic())
         await self.front.end_requests()
         await self.abort()
 
--- a/greengagehoist/gateway/__init__.py
+++ b/greengagehoist/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from greengagehoist.gateway._settings import Bounds, GatewaySettings
 from greengagehoist.gateway._types import (
+    STOPPING_RETRY_AFTER_S,
     AnswerSink,
     BadKey,
     Exchange,
@@ -42,6 +43,7 @@
     "Prompt",
     "PromptPart",
     "Relayed",
+    "STOPPING_RETRY_AFTER_S",
     "ReplicaReply",
     "Reply",
     "StageCall",
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -13,6 +13,8 @@
 # Number of route priorities that are distinguished within a tenant priority. Engines support ten
 # ranks in total.
 ROUTE_RANKS = 3
+# Retry-After of a daemon that stops; another one can take the request at once.
+STOPPING_RETRY_AFTER_S = 0.1
 
 
 class PromptPart(NamedTuple):
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -244,6 +244,8 @@
                     failure = "rejected"
                 case Lost() | Broken():
                     failure = "failed"
+                case _ if not exchange.progress.in_send:
+                    failure = "cancelled"
                 case Relayed(head, _) if head.status >= SERVER_ERROR:
                     failure = "failed"
                 case _:
--- a/greengagehoist/gateway/filters/_shutdown.py
+++ b/greengagehoist/gateway/filters/_shutdown.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from greengagehoist.gateway import (
+    STOPPING_RETRY_AFTER_S,
     Exchange,
     Proceed,
     Progress,
@@ -13,8 +14,6 @@
 from greengagehoist.shutdown import AnswerTimes, begin_by
 from greengagehoist.utils import Clock, log_event
 
-# Another daemon can take the request at once.
-RETRY_AFTER_S = 0.1
 REASON = "the daemon stops before the answer could end"
 
 
@@ -66,7 +65,7 @@
             before_send_ms=round(before_send_s * 1000),
             left_ms=round((self._finish_by - self.clock.monotonic()) * 1000),
         )
-        return failure_reply(exchange.progress, REASON, RETRY_AFTER_S)
+        return failure_reply(exchange.progress, REASON, STOPPING_RETRY_AFTER_S)
 
     def begin_wait(self, exchange: Exchange, timeout: asyncio.Timeout) -> None:
         """Let a request wait for its first send.
@@ -155,7 +154,7 @@
             if not timeout.expired():
                 raise
             log_event("request_handed_back", request=exchange.req.request_id)
-            return failure_reply(exchange.progress, REASON, RETRY_AFTER_S)
+            return failure_reply(exchange.progress, REASON, STOPPING_RETRY_AFTER_S)
         finally:
             self.gate.forget(exchange)
 
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -6,6 +6,7 @@
 
 from greengagehoist.deployment import DeploymentSnapshot, Limits
 from greengagehoist.gateway import (
+    STOPPING_RETRY_AFTER_S,
     BadKey,
     Exchange,
     InputsLost,
@@ -42,7 +43,6 @@
 LINGER_S = 0.2
 # Time for the final answers when the process ends.
 END_TIMEOUT_S = 0.2
-END_RETRY_AFTER_S = 0.1
 
 
 class ClientAnswer:
@@ -271,7 +271,7 @@
     @staticmethod
     def _result(chain: asyncio.Task, exchange: Exchange) -> Reply:
         if chain.cancelled():
-            return failure_reply(exchange.progress, "the process ends", END_RETRY_AFTER_S)
+            return failure_reply(exchange.progress, "the process ends", STOPPING_RETRY_AFTER_S)
         exc = chain.exception()
         if exc is None:
             return chain.result()
