Log the era of the platform's store and the revisions of the configuration's row

After a restore of the store from a copy, the logs could not tell whether reads of the configuration returned an old row, a row version that was given out again or no answer of the restored store. Responses' Store-Era header is now decoded by the store's codec; store_era_changed and configuration_row_read show it. Revision (era and version) is the type for the state of the table or of a row. No decision uses the era yet.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -14,7 +14,7 @@
     ReadNow,
     SharedReads,
 )
-from greengagehoist.platform_client import DeploymentRead, ReadDeployment
+from greengagehoist.platform_client import DeploymentRead, ReadDeployment, Revision
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
 
@@ -36,7 +36,7 @@
     a given time proves that no key was revoked before that time.
 
     :param reads: decides whether a hub or the platform is asked.
-    :param decode: decodes the configuration that a hub has read in a row version.
+    :param decode: decodes the configuration that a hub has read in a revision of its row.
     :ivar held: published configuration and when the platform held it, for other daemons.
     """
 
@@ -44,7 +44,7 @@
         self,
         platform: Controller,
         reads: SharedReads,
-        decode: Callable[[str, int], DeploymentRead],
+        decode: Callable[[str, Revision], DeploymentRead],
         clock: Clock,
     ):
         super().__init__("deployment")
@@ -54,7 +54,8 @@
         self.clock = clock
         self.snapshot: Published[DeploymentSnapshot | None] = Published(None)
         self.held: Published[HeldContent | None] = Published(None)
-        self._row_version = 0
+        self._row = Revision()
+        self._last_read = Revision()
         self._source = ""
         self._failing = False
 
@@ -75,18 +76,18 @@
                 self._apply(result, sent_at)
 
     async def _read(self) -> None:
-        row_version = self._row_version
-        step = await self.reads.next_step(str(row_version) if row_version else "")
+        row = self._row
+        step = await self.reads.next_step(str(row.version) if row.version else "")
         ok = False
         match step:
             case Confirmed(at):
-                self.tell(_ReadEnded(Success(DeploymentRead(None, row_version)), at))
+                self.tell(_ReadEnded(Success(DeploymentRead(None, row)), at))
                 ok = True
             case Changed(held):
                 ok = self._apply_hub_read(held)
             case ReadNow():
                 sent_at = self.clock.monotonic()
-                result = await self.platform.ask(ReadDeployment(row_version))
+                result = await self.platform.ask(ReadDeployment(row))
                 self.tell(_ReadEnded(result, sent_at))
                 ok = isinstance(result, Success) and self.snapshot.value is not None
             case HubStale():
@@ -96,7 +97,7 @@
 
     def _apply_hub_read(self, held: HeldContent) -> bool:
         try:
-            read = self.decode(held.content, int(held.token))
+            read = self.decode(held.content, Revision(0, int(held.token)))
         except ValueError as exc:
             log_event("hub_read_unreadable", "WARNING", topic="deployment", reason=str(exc))
             return False
@@ -110,14 +111,15 @@
         self._set_failing(False, "")
         read = result.unwrap()
         held = self.snapshot.value
-        if read.deployment is None and read.row != self._row_version:
+        self._log_row(read)
+        if read.deployment is None and read.row.version != self._row.version:
             return
         self.snapshot.value = merge(held, read.deployment, sent_at)
         current = self.snapshot.value
-        if read.deployment is not None and read.row > self._row_version:
-            self._row_version, self._source = read.row, read.source
+        if read.deployment is not None and read.row.version > self._row.version:
+            self._row, self._source = read.row, read.source
         if current is not None:
-            token = str(self._row_version)
+            token = str(self._row.version)
             self.held.value = HeldContent(token, current.confirmed_at, self._source)
         if current is not None and (
             held is None or held.deployment.version != current.deployment.version
@@ -126,10 +128,25 @@
                 "configuration_changed",
                 version=current.deployment.version,
                 before=held.deployment.version if held else "",
-                row=read.row,
+                era=read.row.era,
+                row=read.row.version,
                 routes=sum(len(item) for item in current.deployment.routes.values()),
             )
 
+    def _log_row(self, read: DeploymentRead) -> None:
+        if read.row == self._last_read:
+            return
+        self._last_read, held = read.row, self.snapshot.value
+        log_event(
+            "configuration_row_read",
+            era=read.row.era,
+            row=read.row.version,
+            version="same row" if read.deployment is None else read.deployment.version,
+            held_era=self._row.era,
+            held_row=self._row.version,
+            held_version=held.deployment.version if held else "",
+        )
+
     def _set_failing(self, failing: bool, reason: str) -> None:
         if failing == self._failing:
             return
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from collections.abc import Mapping
 from typing import Any
 from urllib.parse import quote
 
@@ -18,6 +19,7 @@
     ReadRange,
     Refused,
     ReplicaPage,
+    Revision,
     Row,
     Rows,
     WriteRow,
@@ -28,6 +30,9 @@
 # Table of the rows that the daemons write.
 DAEMON_TABLE = "greengagehoist"
 MAX_PAGE_ROWS = 500
+# Number of times that the store was restored from a copy.
+ERA_HEADER = "Store-Era"
+MAX_ERA_DIGITS = 15
 
 
 class StoreCodec:
@@ -61,30 +66,41 @@
             case _:
                 raise ValueError(f"unknown platform call {message!r}")
 
-    def decode(self, message: Any, status: int, content: bytes) -> Any:
+    def read_era(self, headers: Mapping[str, str]) -> int:
+        """Return the era of the store that a response states, 0 if it states none.
+
+        :raises ValueError: if the statement is malformed.
+        """
+        stated = headers.get(ERA_HEADER, "0")
+        if not (stated.isascii() and stated.isdigit() and len(stated) <= MAX_ERA_DIGITS):
+            raise ValueError(f"{ERA_HEADER} is malformed: {stated[:MAX_ERA_DIGITS]!r}")
+        return int(stated)
+
+    def decode(self, message: Any, status: int, content: bytes, era: int = 0) -> Any:
         """Return the reply to a message.
 
+        :param era: era of the store that the response states.
         :raises ValueError: if the content is malformed.
         :raises KeyError: if a field is missing.
         """
         body = msgspec.json.decode(content)
         match message:
             case ReadDeployment(known_row):
-                return _deployment(body["rows"], known_row)
+                return _deployment(body["rows"], known_row, era)
             case ListReplicas():
-                return _replica_page(body)
+                return _replica_page(body)._replace(era=era)
             case ReadRange():
                 now = body["now_ms"] / 1000
-                return Rows(tuple(_row(row) for row in body["rows"]), now)
+                return Rows(tuple(_row(row, era) for row in body["rows"]), now, era)
             case _:
                 now = body.get("now_ms", 0) / 1000
                 if status == 200:
                     return Written(body["ver"], now)
                 rows = [row for row in body["rows"] if row.get("value") is not None]
-                return Refused(_row(rows[0]) if rows else None, now)
+                return Refused(_row(rows[0], era) if rows else None, now)
 
-    def read_deployment(self, source: str, row: int) -> DeploymentRead:
-        """Decode a configuration that another daemon has read in the row version ``row``.
+    def read_deployment(self, source: str, row: Revision) -> DeploymentRead:
+        """Decode a configuration that another daemon has read in the row's revision ``row``.
 
         :raises ValueError: if it is malformed.
         """
@@ -107,8 +123,8 @@
     return HttpCall("POST", "/greengagehoist/rows-tx", json=payload, accept=(200, 412))
 
 
-def _row(raw: dict[str, Any]) -> Row:
-    return Row(raw["key"], raw["ver"], _value(raw), 0.0)
+def _row(raw: dict[str, Any], era: int) -> Row:
+    return Row(raw["key"], raw["ver"], _value(raw), 0.0, era)
 
 
 def _value(raw: dict[str, Any]) -> Any:
@@ -119,29 +135,31 @@
         return None
 
 
-def _deployment(rows: list[dict[str, Any]], known_row: int) -> DeploymentRead:
+def _deployment(rows: list[dict[str, Any]], known_row: Revision, era: int) -> DeploymentRead:
     """Decode the configuration row.
 
     :raises ValueError: if its value is malformed.
     """
     found = [row for row in rows if row["key"] == "config"]
     if not found:
-        return DeploymentRead(None, 0)
-    version = found[0]["ver"]
-    if version == known_row:
-        return DeploymentRead(None, version)
+        return DeploymentRead(None, Revision(era, 0))
+    revision = Revision(era, found[0]["ver"])
+    if revision.version == known_row.version:
+        return DeploymentRead(None, revision)
     try:
         source = base64.b64decode(found[0]["value"]).decode()
     except (binascii.Error, TypeError, UnicodeDecodeError) as exc:
-        raise ValueError(f"row version {version} is malformed: {exc!r}") from exc
-    return DeploymentRead(_parse_deployment(source, version), version, source)
+        raise ValueError(f"row version {revision.version} is malformed: {exc!r}") from exc
+    return DeploymentRead(_parse_deployment(source, revision), revision, source)
 
 
-def _parse_deployment(source: str, version: int) -> Deployment:
+def _parse_deployment(source: str, row: Revision) -> Deployment:
     try:
         return decode_deployment(msgspec.json.decode(source))
     except (AttributeError, LookupError, TypeError, ValueError) as exc:
-        raise ValueError(f"configuration in row version {version} is malformed: {exc!r}") from exc
+        raise ValueError(
+            f"configuration in row version {row.version} is malformed: {exc!r}"
+        ) from exc
 
 
 def _replica_page(body: dict[str, Any]) -> ReplicaPage:
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -17,6 +17,7 @@
     ReadDeployment,
     ReadRange,
     Refused,
+    Revision,
     WriteRow,
     Written,
 )
@@ -88,7 +89,7 @@
 def test_configuration_is_decoded(calls):
     read = calls.decode(ReadDeployment(), 200, body(rows=[row("config", CONFIG)]))
     deployment = read.deployment
-    assert (read.row, deployment.version) == (5, 7)
+    assert (read.row, deployment.version) == (Revision(0, 5), 7)
     streaming = find_route(deployment, "h.example", "/a/x")
     assert streaming.kind == Streaming(True, 0.4)
     assert streaming.timeout_s == 8.0
@@ -100,12 +101,25 @@
 
 
 def test_unchanged_row_is_not_decoded_again(calls):
-    read = calls.decode(ReadDeployment(5), 200, body(rows=[row("config", CONFIG)]))
-    assert (read.deployment, read.row) == (None, 5)
+    known = Revision(0, 5)
+    read = calls.decode(ReadDeployment(known), 200, body(rows=[row("config", CONFIG)]))
+    assert (read.deployment, read.row) == (None, known)
+
+
+@pytest.mark.parametrize(("headers", "era"), [({}, 0), ({"Store-Era": "3"}, 3)])
+def test_era_of_the_store_is_decoded(calls, headers, era):
+    assert calls.read_era(headers) == era
+
+
+@pytest.mark.parametrize("stated", ["", "-1", "1.0", "\u0663", "x", "9" * 400])
+def test_malformed_era_is_an_error(calls, stated):
+    """An era that is guessed could make all later answers look old."""
+    with pytest.raises(ValueError, match="Store-Era"):
+        calls.read_era({"Store-Era": stated})
 
 
 def test_missing_configuration_row_is_decoded(calls):
-    assert calls.decode(ReadDeployment(), 200, body(rows=[])).row == 0
+    assert calls.decode(ReadDeployment(), 200, body(rows=[])).row == Revision(0, 0)
 
 
 def test_page_of_replicas_counts_unreadable_entries(calls):
@@ -182,4 +196,4 @@
     encoded = base64.b64encode(msgspec.json.encode(value)).decode()
     body = {"rows": [{"key": "config", "value": encoded, "ver": 7}], "ver": 7, "now_ms": 1}
     with pytest.raises(ValueError, match="row version 7"):
-        StoreCodec().decode(ReadDeployment(0), 200, msgspec.json.encode(body))
+        StoreCodec().decode(ReadDeployment(), 200, msgspec.json.encode(body))
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 from typing import Any, NamedTuple, Protocol
 
 import aiosonic
@@ -29,6 +30,7 @@
 )
 from greengagehoist.platform_client._types import (
     DeploymentRead,
+    Revision,
     SetVmCount,
 )
 from greengagehoist.platform_client._wire import TABLE_CODEC, HttpCall
@@ -66,9 +68,16 @@
         :raises ValueError: if the message is unknown.
         """
 
-    def decode(self, message: Any, status: int, content: bytes) -> Any:
+    def read_era(self, headers: Mapping[str, str]) -> int:
+        """Return the era of the table that a response states.
+
+        :raises ValueError: if the statement is malformed.
+        """
+
+    def decode(self, message: Any, status: int, content: bytes, era: int = 0) -> Any:
         """Return the reply to a message.
 
+        :param era: era of the table that the response states.
         :raises ValueError: if the content is malformed.
         """
 
@@ -76,11 +85,11 @@
 class DeploymentCodec(CallCodec, Protocol):
     """Also decodes the operator's configuration that another daemon has read."""
 
-    def read_deployment(self, source: str, row: int) -> DeploymentRead:
+    def read_deployment(self, source: str, row: Revision) -> DeploymentRead:
         """Decode a configuration.
 
         :param source: the configuration as the operator wrote it.
-        :param row: version of its row.
+        :param row: revision of its row.
         :raises ValueError: if it is malformed.
         """
 
@@ -114,6 +123,7 @@
             False: Bucket(READS_PER_S, READS_PER_S, clock.monotonic()),
         }
         self._waiting = 0
+        self._era: int | None = None
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Start a call or process the end of one."""
@@ -176,9 +186,16 @@
         timeouts = Timeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
         url = f"http://{self.address}{call.path}"
         response = await client.request(url, call.method, timeouts=timeouts, **content)
+        era = self.codec.read_era(response.headers)
+        self._note_era(era)
         if response.status_code not in call.accept:
             raise ValueError(f"unexpected status {response.status_code}")
-        return self.codec.decode(message, response.status_code, await response.content())
+        return self.codec.decode(message, response.status_code, await response.content(), era)
+
+    def _note_era(self, era: int) -> None:
+        if era != self._era:
+            log_event("store_era_changed", before="" if self._era is None else self._era, era=era)
+            self._era = era
 
     def _record_end(self, message: _CallEnded) -> None:
         now, previous = self.clock.monotonic(), self._breaker.state
--- a/greengagehoist/platform_client/_types.py
+++ b/greengagehoist/platform_client/_types.py
@@ -6,27 +6,46 @@
 from greengagehoist.replicas import Replica
 
 
+class Revision(NamedTuple):
+    """State of the platform's table, or of one row in it; a later state compares greater.
+
+    Versions of different eras say nothing about each other: a table that is restored from a copy
+    gives out again the versions that it had given out since the copy was made.
+
+    :param era: incremented each time that the table is restored from a copy; 0 for tables without
+        eras.
+    :param version: version within the era, 0 if there is no such row.
+    """
+
+    era: int = 0
+    version: int = 0
+
+
 class Row(NamedTuple):
     """A table row.
 
     :param version: incremented by each write.
     :param written_at: time of the write on the table's clock, in seconds.
+    :param era: era of the table in which the row was read.
     """
 
     key: str
     version: int
     value: Any
     written_at: float
+    era: int = 0
 
 
 class Rows(NamedTuple):
     """Rows that were read.
 
     :param now: time of the read on the table's clock, in seconds.
+    :param era: era of the table in which they were read.
     """
 
     rows: tuple[Row, ...]
     now: float
+    era: int = 0
 
 
 class Written(NamedTuple):
@@ -127,22 +146,23 @@
 class ReadDeployment(NamedTuple):
     """Ask for the operator's configuration; replied by ``Result[DeploymentRead, StepError]``.
 
-    :param known_row: version of the row at the previous read, 0 if it has not been read.
+    :param known_row: revision of the row whose content is held; the same revision is not decoded
+        again.
     """
 
-    known_row: int = 0
+    known_row: Revision = Revision()
 
 
 class DeploymentRead(NamedTuple):
     """The operator's configuration.
 
-    :param deployment: None if there is none yet or the row still has the version ``known_row``.
-    :param row: version of the row, 0 if there is none.
+    :param deployment: None if there is none yet or the row still has the revision ``known_row``.
+    :param row: revision of the row, with version 0 if there is none.
     :param source: the configuration as the operator wrote it, empty if ``deployment`` is None.
     """
 
     deployment: Deployment | None
-    row: int
+    row: Revision
     source: str = ""
 
 
@@ -160,11 +180,13 @@
 
     :param unreadable: number of entries that could not be decoded.
     :param last: id to continue after, empty if this is the last page.
+    :param era: era of the table in which the page was read.
     """
 
     replicas: tuple[Replica, ...]
     unreadable: int
     last: str
+    era: int = 0
 
 
 class DeleteRow(NamedTuple):
--- a/greengagehoist/platform_client/_wire.py
+++ b/greengagehoist/platform_client/_wire.py
@@ -1,5 +1,6 @@
 """Encoding of platform calls as HTTP requests, and decoding of the responses."""
 
+from collections.abc import Mapping
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 from urllib.parse import quote
@@ -70,7 +71,12 @@
             raise ValueError(f"unknown platform call {message!r}")
 
 
-def decode(message: Any, status: int, content: bytes) -> Any:
+def read_era(headers: Mapping[str, str]) -> int:
+    """Return the era of the table, which is never restored from a copy."""
+    return 0
+
+
+def decode(message: Any, status: int, content: bytes, era: int = 0) -> Any:
     """Return the reply to a message.
 
     :raises ValueError: if the content is malformed.
@@ -105,4 +111,4 @@
 
 
 # Codec of the HTTP interface of the project's own stand-in for the platform.
-TABLE_CODEC = SimpleNamespace(is_write=is_write, encode=encode, decode=decode)
+TABLE_CODEC = SimpleNamespace(is_write=is_write, encode=encode, read_era=read_era, decode=decode)
