Follow the configuration across restores of the platform's store

After a drill a confirmed change was not in force in time, and keys were checked by a configuration that reads of the restored store kept confirming.

Cause: the version of the configuration's row was taken for a clock that only rises and an equal one for equal content. A store that comes back from a copy gives versions out again. Class: an identity that is valid within one history only is compared across histories.

Revision (era and version) is now what is compared: in the codec's known row, in the tokens of hubs and in the conditions of writes, which are not sent in another era than the one in which they were read. Responses of a lower era than the newest count as failed. Daemons tell their version in the heartbeat, and one that reads an older one, as one that starts on the copy does, gets the newer one from its peer. Each daemon reads the members' table again at a random time after a restore and writes its entry if the copy lacks it.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -127,7 +127,11 @@
         )
         period_s = read_period(bounds)
         self.deployments = DeploymentController(
-            self.platform, reads("deployment", period_s), call_codec.read_deployment, clock
+            self.platform,
+            self.peers,
+            reads("deployment", period_s),
+            call_codec.read_deployment,
+            clock,
         )
         self.replicas = ReplicaController(self.platform, reads("replicas", period_s), clock)
         self.placement = PlacementController(
@@ -145,6 +149,7 @@
         )
         self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
         gate = QuarantineGate(self.quarantine, self.quarantine.view, clock)
+        self.platform.followers = (self.members,)
         self.replicas.followers = (self.pools,)
         self.reach.followers = (self.pools,)
         snapshot = self.deployments.snapshot
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -5,8 +5,17 @@
 
 from returns.result import Result, Success
 
-from greengagehoist.deployment import DeploymentSnapshot, merge
-from greengagehoist.gateway.controllers._relay import AddSource, HeldContent
+from greengagehoist.deployment import DeploymentSnapshot
+from greengagehoist.gateway.controllers._held_deployment import (
+    HeldDeployment,
+    InForce,
+    NoConfiguration,
+    ReadOutcome,
+    apply_confirmation,
+    apply_own_read,
+    apply_shared_read,
+)
+from greengagehoist.gateway.controllers._relay import AddSource, AskPeer, HeldContent
 from greengagehoist.gateway.controllers._shared_reads import (
     Changed,
     Confirmed,
@@ -14,9 +23,20 @@
     ReadNow,
     SharedReads,
 )
-from greengagehoist.platform_client import DeploymentRead, ReadDeployment, Revision
+from greengagehoist.peers import GetPeers, Peer, UpdateHeartbeat
+from greengagehoist.platform_client import (
+    DeploymentRead,
+    ReadDeployment,
+    Revision,
+    parse_revision,
+)
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
+# Longest wait of a daemon that starts for a peer that may hold a newer configuration than the
+# platform, which may have been restored from a copy.
+PEER_WAIT_S = 0.5
+PEER_POLL_PERIOD_S = 0.05
+
 
 class SetReadPeriod(NamedTuple):
     """Set the seconds between reads of the platform."""
@@ -29,12 +49,23 @@
     sent_at: float
 
 
+class _SharedReadEnded(NamedTuple):
+    read: DeploymentRead
+    confirmed_at: float
+
+
+class _ConfirmationReceived(NamedTuple):
+    row: Revision
+    confirmed_at: float
+
+
 class DeploymentController(Controller):
     """Reads the configuration periodically and publishes the newest version and its confirmation.
 
     It polls instead of using a change feed, because only the answer to a read that was sent after
     a given time proves that no key was revoked before that time.
 
+    :param peers: controller of the links, by which daemons tell each other their versions.
     :param reads: decides whether a hub or the platform is asked.
     :param decode: decodes the configuration that a hub has read in a revision of its row.
     :ivar held: published configuration and when the platform held it, for other daemons.
@@ -43,20 +74,22 @@
     def __init__(
         self,
         platform: Controller,
+        peers: Controller,
         reads: SharedReads,
         decode: Callable[[str, Revision], DeploymentRead],
         clock: Clock,
     ):
         super().__init__("deployment")
         self.platform = platform
+        self.peers = peers
         self.reads = reads
         self.decode = decode
         self.clock = clock
         self.snapshot: Published[DeploymentSnapshot | None] = Published(None)
         self.held: Published[HeldContent | None] = Published(None)
-        self._row = Revision()
+        self._deployment = HeldDeployment()
+        self._outcome: ReadOutcome = NoConfiguration()
         self._last_read = Revision()
-        self._source = ""
         self._failing = False
 
     async def run(self) -> None:
@@ -73,78 +106,137 @@
             case SetReadPeriod(seconds):
                 self.reads.period_s = seconds
             case _ReadEnded(result, sent_at):
-                self._apply(result, sent_at)
+                reply(self._apply(result, sent_at))
+            case _SharedReadEnded(read, confirmed_at):
+                now = self.clock.monotonic()
+                reply(self._hold(*apply_shared_read(self._deployment, read, confirmed_at, now)))
+            case _ConfirmationReceived(row, confirmed_at):
+                reply(self._hold(*apply_confirmation(self._deployment, row, confirmed_at)))
 
     async def _read(self) -> None:
-        row = self._row
-        step = await self.reads.next_step(str(row.version) if row.version else "")
-        ok = False
+        row, era = self._deployment.row, self._deployment.era or 0
+        step = await self.reads.next_step(row.token if row.version else "", era)
+        outcome: ReadOutcome | None = None
         match step:
             case Confirmed(at):
-                self.tell(_ReadEnded(Success(DeploymentRead(None, row)), at))
-                ok = True
+                outcome = await self.ask(_ConfirmationReceived(row, at))
             case Changed(held):
-                ok = self._apply_hub_read(held)
+                outcome = await self._apply_shared(held)
             case ReadNow():
                 sent_at = self.clock.monotonic()
                 result = await self.platform.ask(ReadDeployment(row))
-                self.tell(_ReadEnded(result, sent_at))
-                ok = isinstance(result, Success) and self.snapshot.value is not None
+                if isinstance(result, Success):
+                    await self._ask_peer_ahead(result.unwrap())
+                outcome = await self.ask(_ReadEnded(result, sent_at))
             case HubStale():
                 pass
-        await self.reads.pause(step, ok)
+        await self.reads.pause(step, isinstance(outcome, InForce))
         self.tell(Tick())
 
-    def _apply_hub_read(self, held: HeldContent) -> bool:
+    async def _apply_shared(self, held: HeldContent) -> ReadOutcome | None:
         try:
-            read = self.decode(held.content, Revision(0, int(held.token)))
+            read = self.decode(held.content, parse_revision(held.token))
         except ValueError as exc:
             log_event("hub_read_unreadable", "WARNING", topic="deployment", reason=str(exc))
-            return False
-        self.tell(_ReadEnded(Success(read), held.at))
-        return True
-
-    def _apply(self, result: Result, sent_at: float) -> None:
+            return None
+        return await self.ask(_SharedReadEnded(read, held.at))
+
+    async def _ask_peer_ahead(self, read: DeploymentRead) -> None:
+        """Get the configuration of a peer that holds a newer one than the platform shows.
+
+        The platform shows an older one after a restore. A daemon that starts then knows no other,
+        so it waits until the daemons that it links to have told their versions.
+        """
+        if self.snapshot.value is None:
+            await self._wait_for_peers()
+        shown = read.deployment.version if read.deployment else 0
+        version = max(self._deployment.version, shown)
+        ahead = [item for item in await self._informed_peers() if _version_of(item) > version]
+        if not ahead:
+            return
+        newest = max(ahead, key=_version_of)
+        log_event(
+            "configuration_older_than_peers",
+            version=version,
+            peer=newest.vm,
+            peer_version=_version_of(newest),
+            era=read.row.era,
+        )
+        held = await self.reads.relay.ask(AskPeer("deployment", newest.vm))
+        if held is not None and held.content:
+            await self._apply_shared(held)
+
+    async def _wait_for_peers(self) -> None:
+        topology, deadline = self.reads.topology, self.clock.monotonic() + PEER_WAIT_S
+        while self.clock.monotonic() < deadline:
+            informed = await self._informed_peers()
+            wanted = {item.vm for item in topology.links.value}
+            answered = {item.vm for item in informed}
+            if any(map(_version_of, informed)) or (topology.known.value and wanted <= answered):
+                return
+            await self.clock.sleep(PEER_POLL_PERIOD_S)
+
+    async def _informed_peers(self) -> list[Peer]:
+        return [item for item in await self.peers.ask(GetPeers()) if item.heartbeat is not None]
+
+    def _apply(self, result: Result, sent_at: float) -> ReadOutcome | None:
         if not isinstance(result, Success):
             self._set_failing(True, result.failure().message)
-            return
+            return None
         self._set_failing(False, "")
         read = result.unwrap()
-        held = self.snapshot.value
         self._log_row(read)
-        if read.deployment is None and read.row.version != self._row.version:
-            return
-        self.snapshot.value = merge(held, read.deployment, sent_at)
-        current = self.snapshot.value
-        if read.deployment is not None and read.row.version > self._row.version:
-            self._row, self._source = read.row, read.source
-        if current is not None:
-            token = str(self._row.version)
-            self.held.value = HeldContent(token, current.confirmed_at, self._source)
-        if current is not None and (
-            held is None or held.deployment.version != current.deployment.version
-        ):
+        now = self.clock.monotonic()
+        return self._hold(*apply_own_read(self._deployment, read, sent_at, now))
+
+    def _hold(self, deployment: HeldDeployment, outcome: ReadOutcome) -> ReadOutcome:
+        before, self._deployment = self._deployment, deployment
+        snapshot = self.snapshot.value = deployment.snapshot
+        self._log_outcome(outcome)
+        if snapshot is None:
+            return outcome
+        self.held.value = HeldContent(
+            deployment.row.token, snapshot.confirmed_at, deployment.source, era=deployment.era or 0
+        )
+        if before.version != deployment.version:
+            self.peers.tell(UpdateHeartbeat(config_version=deployment.version))
             log_event(
                 "configuration_changed",
-                version=current.deployment.version,
-                before=held.deployment.version if held else "",
-                era=read.row.era,
-                row=read.row.version,
-                routes=sum(len(item) for item in current.deployment.routes.values()),
+                version=deployment.version,
+                before=before.version or "",
+                era=deployment.row.era,
+                row=deployment.row.version,
+                routes=sum(len(item) for item in snapshot.deployment.routes.values()),
             )
+        return outcome
+
+    def _log_outcome(self, outcome: ReadOutcome) -> None:
+        if outcome == self._outcome:
+            return
+        self._outcome, held = outcome, self._deployment
+        if isinstance(outcome, NoConfiguration) and held.snapshot is None:
+            return
+        log_event(
+            "configuration_read_judged",
+            outcome=type(outcome).__name__,
+            era=held.era,
+            held_era=held.row.era,
+            held_row=held.row.version,
+            held_version=held.version,
+        )
 
     def _log_row(self, read: DeploymentRead) -> None:
         if read.row == self._last_read:
             return
-        self._last_read, held = read.row, self.snapshot.value
+        self._last_read, held = read.row, self._deployment
         log_event(
             "configuration_row_read",
             era=read.row.era,
             row=read.row.version,
             version="same row" if read.deployment is None else read.deployment.version,
-            held_era=self._row.era,
-            held_row=self._row.version,
-            held_version=held.deployment.version if held else "",
+            held_era=held.row.era,
+            held_row=held.row.version,
+            held_version=held.version or "",
         )
 
     def _set_failing(self, failing: bool, reason: str) -> None:
@@ -155,3 +247,7 @@
             log_event("configuration_reads_failing", "WARNING", reason=reason)
         else:
             log_event("configuration_reads_restored")
+
+
+def _version_of(peer: Peer) -> int:
+    return peer.heartbeat.config_version if peer.heartbeat else 0
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -20,8 +20,10 @@
 from greengagehoist.peers import GetPeers, SetMembers
 from greengagehoist.platform_client import (
     DeleteRow,
+    EraChanged,
     ReadRange,
     Refused,
+    Revision,
     Row,
     SetVmCount,
     WriteRow,
@@ -44,6 +46,7 @@
 class _ReadEnded(NamedTuple):
     rows: tuple[Row, ...]
     sent_at: float
+    era: int
 
 
 class _HubsRead(NamedTuple):
@@ -97,6 +100,7 @@
         self.rng = rng
         self.held: Published[HeldContent | None] = Published(None)
         self._registered = False
+        self._era: int | None = None
         self._unlinked_since: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -110,8 +114,10 @@
         match message:
             case Tick():
                 self.start(self._read())
-            case _ReadEnded(rows, sent_at):
-                self.start(self._apply(rows, sent_at))
+            case _ReadEnded():
+                self.start(self._apply(message))
+            case EraChanged(era):
+                self._enter_era(era)
             case _HubsRead(hubs, held):
                 self._apply_hub_read(hubs, held)
 
@@ -119,12 +125,14 @@
         # A daemon whose registration failed reads the list again, and then repeats it.
         known = self.held.value
         token = known.token if known is not None and self._registered else ""
-        step = await self.reads.next_step(token)
+        step = await self.reads.next_step(token, self._era or 0)
         ok = False
         match step:
-            case Confirmed():
+            case Confirmed(_, era):
+                self._enter_era(era)
                 ok = True
             case Changed(held):
+                self._enter_era(held.era)
                 ok = self._decode_hub_read(held)
             case ReadNow():
                 ok = await self._read_platform()
@@ -141,13 +149,28 @@
             result = await self.platform.ask(ReadRange(MEMBER_PREFIX, after, PAGE_ROWS))
             if not isinstance(result, Success):
                 return False
-            page = result.unwrap().rows
-            rows += page
-            if len(page) < PAGE_ROWS:
+            page = result.unwrap()
+            if page.era < (self._era or 0) or (rows and page.era != rows[-1].era):
+                # Pages of different eras are no list.
+                return False
+            rows += page.rows
+            if len(page.rows) < PAGE_ROWS:
                 break
-        self.tell(_ReadEnded(rows, sent_at))
+        self.tell(_ReadEnded(rows, sent_at, page.era))
         return True
 
+    def _enter_era(self, era: int) -> None:
+        """Register again if the platform was restored, as the copy may lack the own entry."""
+        if self._era is not None and era > self._era:
+            self._registered = False
+            self.start(self._read_again())
+        self._era = max(era, self._era or 0)
+
+    async def _read_again(self) -> None:
+        # At a random time, because all daemons learn of the restore at once.
+        await self.clock.sleep(self.rng.uniform(0.0, self.topology.count.value * WRITE_TIME_S))
+        await self._read_platform()
+
     def _decode_hub_read(self, held: HeldContent) -> bool:
         try:
             hubs = msgspec.json.decode(held.content, type=HubList)
@@ -157,9 +180,12 @@
         self.tell(_HubsRead(hubs, held))
         return True
 
-    async def _apply(self, rows: tuple[Row, ...], sent_at: float) -> None:
+    async def _apply(self, read: _ReadEnded) -> None:
+        if self._era is not None and read.era < self._era:
+            return
+        self._era = read.era
         members, own_row = {}, None
-        for row in rows:
+        for row in read.rows:
             member = parse_member(row)
             if member is None:
                 log_event("member_unreadable", "WARNING", key=row.key)
@@ -174,13 +200,16 @@
         listed_hubs = sorted(item for item in all_members if item.vm in hubs)
         content = msgspec.json.encode(HubList(len(all_members), tuple(listed_hubs)))
         token = hashlib.blake2b(content, digest_size=8).hexdigest()
-        self.held.value = HeldContent(token, sent_at, content.decode(), frozenset(members))
+        self.held.value = HeldContent(
+            token, read.sent_at, content.decode(), frozenset(members), read.era
+        )
         self.peers.tell(SetMembers(all_members))
         # Last, because writes wait for each other when many daemons start at once, and stage work
         # needs the hubs.
         self._registered = own_row is not None and own_row[1] == self.own
         if not self._registered:
-            await self._register(own_row[0].version if own_row else 0, len(all_members))
+            expected = own_row[0].version if own_row else 0
+            await self._register(Revision(read.era, expected), len(all_members))
         await self._remove_dead(members)
 
     def _apply_hub_read(self, hubs: HubList, held: HeldContent) -> None:
@@ -201,21 +230,22 @@
             log_event("members_changed", members=count)
         topology.count.value = count
 
-    async def _register(self, expected: int, count: int) -> None:
+    async def _register(self, expected: Revision, count: int) -> None:
         """Write the own entry.
 
-        :param expected: version of the present entry, 0 if there is none.
+        :param expected: revision of the present entry, with version 0 if there is none.
         :param count: number of members, which may all register now.
         """
         await self.clock.sleep(self.rng.uniform(0.0, count * WRITE_TIME_S))
         value = list(self.own)
-        result = await self.platform.ask(WriteRow(MEMBER_PREFIX + self.own.vm, value, expected))
+        write = WriteRow(MEMBER_PREFIX + self.own.vm, value, expected.version, expected.era)
+        result = await self.platform.ask(write)
         match result:
             case Success(Written()):
-                self._registered = True
+                self._registered = expected.era == self._era
                 log_event("member_registered", vm=self.own.vm, address=self.own.address)
             case Success(Refused()):
-                log_event("member_registration_refused", "WARNING", expected=expected)
+                log_event("member_registration_refused", "WARNING", expected=expected.token)
             case _:
                 log_event("member_registration_failed", "WARNING", reason=result.failure().message)
 
@@ -233,7 +263,7 @@
             since = self._unlinked_since.setdefault(vm, now)
             # The random factor spreads the removals, so that one daemon removes the entry first.
             if now - since > REMOVE_AFTER_S * self.rng.uniform(1.0, 2.0):
-                await self.platform.ask(DeleteRow(row.key, row.version))
+                await self.platform.ask(DeleteRow(row.key, row.version, row.era))
                 log_event("member_removed", vm=vm, unlinked_s=round(now - since, 1))
 
 
--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -29,12 +29,14 @@
     :param at: time on the own clock, no later than the time at which the read was sent.
     :param content: encoded content; empty if it came from a hub that holds the token asked for.
     :param readers: VMs of the daemons that may be told, None for all.
+    :param era: newest era of the platform's table that its holder knows of.
     """
 
     token: str
     at: float
     content: str = ""
     readers: frozenset[str] | None = None
+    era: int = 0
 
     def may_read(self, vm: str) -> bool:
         """Return whether the daemon of ``vm`` may be told."""
@@ -61,6 +63,13 @@
     skipped: int = 0
 
 
+class AskPeer(NamedTuple):
+    """Ask a linked daemon for what it holds of a topic; replied by ``HeldContent | None``."""
+
+    topic: str
+    vm: str
+
+
 class _TimedOut(NamedTuple):
     number: int
 
@@ -112,15 +121,18 @@
         match message:
             case AskHub():
                 self._ask(message, reply)
+            case AskPeer(topic, vm):
+                self._query(vm, topic, "", reply)
             case AddSource(topic, held):
                 self._sources[topic] = held
             case FromPeer(vm, _, _, SharedReadRequest(number, topic, token)):
                 self._answer(vm, number, topic, token)
-            case FromPeer(_, _, _, SharedRead(number, token, age_s, content)):
+            case FromPeer(_, _, _, SharedRead(number, token, age_s, content, era)):
                 pending = self._pending.pop(number, None)
                 if pending is not None:
                     at = pending.asked_at - age_s
-                    pending.reply(HeldContent(token, at, content) if token else None)
+                    held = HeldContent(token, at, content, era=era)
+                    pending.reply(held if token else None)
             case _TimedOut(number):
                 pending = self._pending.pop(number, None)
                 if pending is not None:
@@ -132,11 +144,12 @@
         if query.skipped >= len(hubs):
             reply(None)
             return
-        hub = hubs[query.skipped]
+        self._query(hubs[query.skipped], query.topic, query.token, reply)
+
+    def _query(self, vm: str, topic: str, token: str, reply: Reply) -> None:
         self._last_number += 1
-        self._pending[self._last_number] = _PendingQuery(hub, self.clock.monotonic(), reply)
-        request = SharedReadRequest(self._last_number, query.topic, query.token)
-        self.peers.tell(SendTo(hub, request))
+        self._pending[self._last_number] = _PendingQuery(vm, self.clock.monotonic(), reply)
+        self.peers.tell(SendTo(vm, SharedReadRequest(self._last_number, topic, token)))
         self.start(self._start_timeout(self._last_number))
 
     async def _start_timeout(self, number: int) -> None:
@@ -164,11 +177,11 @@
     def _answer(self, vm: str, number: int, topic: str, known_token: str) -> None:
         source = self._sources.get(topic)
         held = source.value if source is not None else None
-        token, age_s, content = "", 0.0, ""
+        token, age_s, content, era = "", 0.0, "", 0
         if held is not None and held.may_read(vm):
-            token, age_s = held.token, self.clock.monotonic() - held.at
+            token, era, age_s = held.token, held.era, self.clock.monotonic() - held.at
             content = held.content if token != known_token else ""
-        self.peers.tell(SendTo(vm, SharedRead(number, token, age_s, content)))
+        self.peers.tell(SendTo(vm, SharedRead(number, token, age_s, content, era)))
 
 
 def _reader_rank(vm: str) -> bytes:
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -28,9 +28,11 @@
     """A hub holds the same content.
 
     :param at: time at which the platform held it.
+    :param era: newest era of the platform's table that the hub knows of.
     """
 
     at: float
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,16 +84,17 @@
         self.period_s = period_s
         self._read_at = float("-inf")
 
-    async def next_step(self, token: str) -> HubAnswer:
+    async def next_step(self, token: str, era: int = 0) -> HubAnswer:
         """Return what a hub holds, or :class:`ReadNow` if this daemon must read the platform.
 
         :param token: token of the newest content that this daemon holds, empty if there is none.
+        :param era: newest era of the platform's table that this daemon knows of.
         """
         if not token:
             answer: HubAnswer = ReadNow()
         else:
             max_age_s = MAX_AGE_PERIODS * self.period_s
-            answer = await ask_hubs(self.relay, self.topic, token, self.clock, max_age_s)
+            answer = await ask_hubs(self.relay, self.topic, token, self.clock, max_age_s, era)
         now = self.clock.monotonic()
         if not should_read_platform(answer, now - self._read_at, self.topology.is_hub(self.vm)):
             return answer
@@ -109,22 +112,24 @@
 
 
 async def ask_hubs(
-    relay: Controller, topic: str, token: str, clock: Clock, max_age_s: float
+    relay: Controller, topic: str, token: str, clock: Clock, max_age_s: float, era: int = 0
 ) -> HubAnswer:
     """Return a hub's newest read of the platform, or why this daemon has to read itself.
 
     :param token: token of the newest content that this daemon holds, empty if there is none.
     :param max_age_s: age above which a read is too old.
+    :param era: newest era of the platform's table that this daemon knows of; what hubs of an
+        earlier era hold is too old.
     """
     answer: HubAnswer = ReadNow()
     for skipped in range(MAX_HUBS_ASKED):
         held = await relay.ask(AskHub(topic, token, skipped))
         if held is None:
             continue
-        if clock.monotonic() - held.at > max_age_s:
+        if held.era < era or clock.monotonic() - held.at > max_age_s:
             answer = HubStale()
         elif held.token == token:
-            return Confirmed(held.at)
+            return Confirmed(held.at, held.era)
         elif held.content:
             return Changed(held)
     return answer
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -25,6 +25,7 @@
 class Heartbeat(NamedTuple):
     """Liveness and state of a daemon, sent each second.
 
+    :param config_version: version of the configuration that the sender holds, 0 if it has none.
     :param in_flight: requests that the sender is serving.
     :param load: load of the sender, from 0.0 (idle) to 1.0 (full).
     :param leave_marks: marks that the sender has recently received.
@@ -137,12 +138,14 @@
     :param token: identifies the content, empty if the sender has read nothing yet.
     :param age_s: seconds since the read request was sent to the platform.
     :param content: encoded content, empty if the asking daemon holds it already.
+    :param era: newest era of the platform's table that the sender knows of.
     """
 
     number: int
     token: str
     age_s: float
     content: str
+    era: int = 0
 
 
 class ReplicaCrash(NamedTuple):
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -56,11 +56,11 @@
             case ReadRange(prefix, after, limit):
                 end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
                 return _rows_request(DAEMON_TABLE, after + "\x00" if after else prefix, end, limit)
-            case WriteRow(key, value, expect):
+            case WriteRow(key=key, value=value, expect=expect):
                 stored = base64.b64encode(msgspec.json.encode(value)).decode()
                 writes = [{"table": DAEMON_TABLE, "part": "", "key": key, "value": stored}]
                 return _transaction_request(key, expect, writes, [])
-            case DeleteRow(key, expect):
+            case DeleteRow(key=key, expect=expect):
                 removals = [{"table": DAEMON_TABLE, "part": "", "key": key}]
                 return _transaction_request(key, expect, [], removals)
             case _:
@@ -144,7 +144,7 @@
     if not found:
         return DeploymentRead(None, Revision(era, 0))
     revision = Revision(era, found[0]["ver"])
-    if revision.version == known_row.version:
+    if revision == known_row:
         return DeploymentRead(None, revision)
     try:
         source = base64.b64decode(found[0]["value"]).decode()
--- a/greengagehoist/platform_client/__init__.py
+++ b/greengagehoist/platform_client/__init__.py
@@ -9,6 +9,7 @@
 from greengagehoist.platform_client._types import (
     DeleteRow,
     DeploymentRead,
+    EraChanged,
     FetchWeights,
     GetObject,
     ListObjects,
@@ -27,6 +28,7 @@
     Vm,
     WriteRow,
     Written,
+    parse_revision,
 )
 from greengagehoist.platform_client._wire import HttpCall
 
@@ -35,6 +37,7 @@
     "DeploymentCodec",
     "DeleteRow",
     "DeploymentRead",
+    "EraChanged",
     "FetchWeights",
     "GetObject",
     "HttpCall",
@@ -56,4 +59,5 @@
     "WriteRow",
     "Written",
     "full_jitter",
+    "parse_revision",
 ]
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -29,9 +29,12 @@
     try_acquire,
 )
 from greengagehoist.platform_client._types import (
+    DeleteRow,
     DeploymentRead,
+    EraChanged,
     Revision,
     SetVmCount,
+    WriteRow,
 )
 from greengagehoist.platform_client._wire import TABLE_CODEC, HttpCall
 from greengagehoist.utils import Clock, Controller, Reply, log_event
@@ -100,6 +103,7 @@
     :param address: ``ip:port`` of the platform.
     :param codec: encoding of the calls.
     :param max_open_s: maximum time that the circuit breaker stays open before a probe, in seconds.
+    :param followers: controllers that receive :class:`EraChanged`.
     """
 
     def __init__(
@@ -109,6 +113,7 @@
         rng: random.Random,
         codec: CallCodec = TABLE_CODEC,
         max_open_s: float = MAX_OPEN_S,
+        followers: tuple[Controller, ...] = (),
     ):
         super().__init__("platform")
         self.address = address
@@ -116,6 +121,7 @@
         self.rng = rng
         self.codec = codec
         self.max_open_s = max_open_s
+        self.followers = followers
         self._client: aiosonic.HTTPClient | None = None
         self._breaker = Breaker()
         self._buckets = {
@@ -124,6 +130,7 @@
         }
         self._waiting = 0
         self._era: int | None = None
+        self._rejecting = False
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Start a call or process the end of one."""
@@ -140,6 +147,9 @@
 
     def _admit(self, message: Any, reply: Reply) -> None:
         now = self.clock.monotonic()
+        if self._conditional_on_other_era(message):
+            reply(self._refused(message, "its condition was read in another era"))
+            return
         if not admit(self._breaker, now)[1]:
             # A refused call takes no token of the rate limit.
             reply(self._refused(message, f"circuit breaker is {self._breaker.state}"))
@@ -158,6 +168,12 @@
             self._client = _open_client()
         self.start(self._call(self._client, message, reply))
 
+    def _conditional_on_other_era(self, message: Any) -> bool:
+        match message:
+            case WriteRow(era=era) | DeleteRow(era=era):
+                return self._era is not None and era != self._era
+        return False
+
     async def _wait_for_rate(self, message: Any, reply: Reply, wait: float) -> None:
         await self.clock.sleep(wait)
         self.tell(_WaitElapsed(message, reply))
@@ -186,16 +202,34 @@
         timeouts = Timeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
         url = f"http://{self.address}{call.path}"
         response = await client.request(url, call.method, timeouts=timeouts, **content)
-        era = self.codec.read_era(response.headers)
-        self._note_era(era)
+        era = self._check_era(response.headers)
         if response.status_code not in call.accept:
             raise ValueError(f"unexpected status {response.status_code}")
         return self.codec.decode(message, response.status_code, await response.content(), era)
 
-    def _note_era(self, era: int) -> None:
+    def _check_era(self, headers: Mapping[str, str]) -> int:
+        """Return the era of a response.
+
+        :raises ValueError: if it is malformed, or lower than that of an earlier response: a late
+            response of an earlier era says nothing about the present one.
+        """
+        try:
+            era = self.codec.read_era(headers)
+            if self._era is not None and era < self._era:
+                raise ValueError(f"response of era {era}, the newest is {self._era}")
+        except ValueError as exc:
+            if not self._rejecting:
+                log_event("store_response_rejected", "WARNING", reason=str(exc))
+            self._rejecting = True
+            raise
+        self._rejecting = False
         if era != self._era:
             log_event("store_era_changed", before="" if self._era is None else self._era, era=era)
+            if self._era is not None:
+                for follower in self.followers:
+                    follower.tell(EraChanged(era))
             self._era = era
+        return era
 
     def _record_end(self, message: _CallEnded) -> None:
         now, previous = self.clock.monotonic(), self._breaker.state
--- a/greengagehoist/platform_client/_types.py
+++ b/greengagehoist/platform_client/_types.py
@@ -20,6 +20,20 @@
     era: int = 0
     version: int = 0
 
+    @property
+    def token(self) -> str:
+        """The revision as a short text."""
+        return f"{self.era}.{self.version}"
+
+
+def parse_revision(token: str) -> Revision:
+    """Return the revision of a token.
+
+    :raises ValueError: if the token is malformed.
+    """
+    era, _, version = token.partition(".")
+    return Revision(int(era), int(version))
+
 
 class Row(NamedTuple):
     """A table row.
@@ -107,11 +121,13 @@
     """Ask for a conditional write; replied by ``Result[Written | Refused, StepError]``.
 
     :param expect: version the row must have, 0 if it must not exist.
+    :param era: era of the table in which that was read; in another one the write is not sent.
     """
 
     key: str
     value: Any
     expect: int
+    era: int = 0
 
 
 class PutObject(NamedTuple):
@@ -193,10 +209,18 @@
     """Ask for a conditional delete; replied by ``Result[Written | Refused, StepError]``.
 
     :param expect: version that the row must have.
+    :param era: era of the table in which that was read; in another one the delete is not sent.
     """
 
     key: str
     expect: int
+    era: int = 0
+
+
+class EraChanged(NamedTuple):
+    """Tell followers that the table was restored from a copy: later writes may be gone."""
+
+    era: int
 
 
 class SetVmCount(NamedTuple):
