Keep the list of replicas over a restore of the platform's store

After a restore the list names replicas that have left since the copy was made, and lacks those that started since. A daemon dropped the latter at once and sent requests to the former, also to replicas that it had seen leaving.

Cause: the list that is read was taken for newer than the one that is held.

Lists of an earlier era and pages of two eras are not applied.

--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -16,7 +16,7 @@
     SharedReads,
 )
 from greengagehoist.platform_client import ListReplicas
-from greengagehoist.replicas import Replica, ReplicaTable, apply_outage, apply_read
+from greengagehoist.replicas import Replica, ReplicaTable, apply_outage, apply_read, apply_restore
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
 
 # More changes than this in one read, as at the start, are logged as one line: lines for a thousand
@@ -34,6 +34,7 @@
     replicas: tuple[Replica, ...] | None
     unreadable: int
     sent_at: float
+    era: int = 0
 
 
 class ReplicaController(Controller):
@@ -62,6 +63,7 @@
         self._listed: tuple[Replica, ...] = ()
         self.held: Published[HeldContent | None] = Published(None)
         self._unreadable = 0
+        self._era: int | None = None
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -81,11 +83,11 @@
 
     async def _read(self) -> None:
         known = self.held.value
-        step = await self.reads.next_step(known.token if known is not None else "")
+        step = await self.reads.next_step(known.token if known is not None else "", self._era or 0)
         ok = False
         match step:
-            case Confirmed(at):
-                self.tell(_ReadEnded(self._listed, self._unreadable, at))
+            case Confirmed(at, era):
+                self.tell(_ReadEnded(self._listed, self._unreadable, at, era))
                 ok = True
             case Changed(held):
                 ok = self._apply_hub_read(held)
@@ -100,19 +102,24 @@
     async def _read_platform(self) -> bool:
         sent_at = self.clock.monotonic()
         replicas: list[Replica] = []
-        unreadable, after, ok = 0, "", True
+        unreadable, after, ok, era = 0, "", True, None
         while ok:
             result: Result = await self.platform.ask(ListReplicas(after))
             ok = isinstance(result, Success)
             if not ok:
                 break
             page = result.unwrap()
+            # Pages of different eras are no list.
+            ok = era is None or era == page.era
+            era = page.era
+            if not ok:
+                break
             replicas.extend(page.replicas)
             unreadable += page.unreadable
             after = page.last
             if not after:
                 break
-        self.tell(_ReadEnded(tuple(replicas) if ok else None, unreadable, sent_at))
+        self.tell(_ReadEnded(tuple(replicas) if ok else None, unreadable, sent_at, era or 0))
         return bool(ok and replicas)
 
     def _apply_hub_read(self, held: HeldContent) -> bool:
@@ -121,7 +128,7 @@
         except msgspec.MsgspecError as exc:
             log_event("hub_read_unreadable", "WARNING", topic="replicas", reason=str(exc))
             return False
-        self.tell(_ReadEnded(replicas, self._unreadable, held.at))
+        self.tell(_ReadEnded(replicas, self._unreadable, held.at, held.era))
         return True
 
     def _apply(self, read: _ReadEnded) -> None:
@@ -131,6 +138,12 @@
                 log_event("replica_list_unavailable", "WARNING", replicas=len(before.replicas))
             self.table.value = apply_outage(before, self.clock.monotonic())
             return
+        if self._era is not None and read.era < self._era:
+            return
+        if self._era is not None and read.era > self._era:
+            log_event("replica_list_restored", "WARNING", era=read.era, replicas=len(read.replicas))
+            before = apply_restore(before, self.clock.monotonic())
+        self._era = read.era
         if read.unreadable != self._unreadable:
             log_event("replica_entries_unreadable", "WARNING", count=read.unreadable)
             self._unreadable = read.unreadable
@@ -146,9 +159,9 @@
         held = self.held.value
         if held is None or read.replicas != self._listed:
             self._listed = read.replicas
-            self.held.value = encode_replicas(read.replicas, read.sent_at)
+            self.held.value = encode_replicas(read.replicas, read.sent_at)._replace(era=read.era)
         elif read.sent_at > held.at:
-            self.held.value = held._replace(at=read.sent_at)
+            self.held.value = held._replace(at=read.sent_at, era=read.era)
 
     def _log_changes(self, before: ReplicaTable, table: ReplicaTable) -> None:
         changed = [item for key, item in table.replicas.items() if _is_news(before, key, item)]
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -10,7 +10,7 @@
     rendezvous_rank,
     utilization,
 )
-from greengagehoist.replicas._table import ReplicaTable, apply_outage, apply_read
+from greengagehoist.replicas._table import ReplicaTable, apply_outage, apply_read, apply_restore
 from greengagehoist.replicas._types import Load, Replica
 
 __all__ = [
@@ -25,6 +25,7 @@
     "Replica",
     "apply_outage",
     "apply_read",
+    "apply_restore",
     "choose",
     "rendezvous_rank",
     "utilization",
