Let daemons that start learn from a peer whether the restored store is proven

Histories drawn at random (writes, restores, late answers, relays, restarts) found keys confirmed by a copy in two ways. A daemon that started between a restore and the operator's next write believed its first read and passed the confirmation on to daemons that knew of the restore. After several restores within seconds a copy can have any of several row versions, so that another version of the row did not prove that the operator had written again.

A daemon that starts now asks one peer in any case and takes over what it knows of the era. The row version that a copy must have is used as evidence only if the store was not restored within the 20 s before and no restore was missed.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -51,7 +51,7 @@
 
 class _SharedReadEnded(NamedTuple):
     read: DeploymentRead
-    confirmed_at: float
+    held: HeldContent
 
 
 class _ConfirmationReceived(NamedTuple):
@@ -107,9 +107,8 @@
                 self.reads.period_s = seconds
             case _ReadEnded(result, sent_at):
                 reply(self._apply(result, sent_at))
-            case _SharedReadEnded(read, confirmed_at):
-                now = self.clock.monotonic()
-                reply(self._hold(*apply_shared_read(self._deployment, read, confirmed_at, now)))
+            case _SharedReadEnded(read, held):
+                reply(self._apply_shared_read(read, held))
             case _ConfirmationReceived(row, confirmed_at):
                 reply(self._hold(*apply_confirmation(self._deployment, row, confirmed_at)))
 
@@ -121,50 +120,53 @@
             case Confirmed(at):
                 outcome = await self.ask(_ConfirmationReceived(row, at))
             case Changed(held):
-                outcome = await self._apply_shared(held)
+                outcome = await self._decode_shared(held)
             case ReadNow():
                 sent_at = self.clock.monotonic()
                 result = await self.platform.ask(ReadDeployment(row))
                 if isinstance(result, Success):
-                    await self._ask_peer_ahead(result.unwrap())
+                    await self._ask_peer(result.unwrap())
                 outcome = await self.ask(_ReadEnded(result, sent_at))
             case HubStale():
                 pass
         await self.reads.pause(step, isinstance(outcome, InForce))
         self.tell(Tick())
 
-    async def _apply_shared(self, held: HeldContent) -> ReadOutcome | None:
+    async def _decode_shared(self, held: HeldContent) -> ReadOutcome | None:
         try:
             read = self.decode(held.content, parse_revision(held.token))
         except ValueError as exc:
             log_event("hub_read_unreadable", "WARNING", topic="deployment", reason=str(exc))
             return None
-        return await self.ask(_SharedReadEnded(read, held.at))
+        return await self.ask(_SharedReadEnded(read, held))
 
-    async def _ask_peer_ahead(self, read: DeploymentRead) -> None:
+    async def _ask_peer(self, read: DeploymentRead) -> None:
         """Get the configuration of a peer that holds a newer one than the platform shows.
 
-        The platform shows an older one after a restore. A daemon that starts then knows no other,
-        so it waits until the daemons that it links to have told their versions.
+        The platform shows an older one after a restore. A daemon that starts does not know of the
+        restore, so it waits until the daemons that it links to have told their versions, and asks
+        one in any case.
         """
-        if self.snapshot.value is None:
+        starting = self.snapshot.value is None
+        if starting:
             await self._wait_for_peers()
         shown = read.deployment.version if read.deployment else 0
         version = max(self._deployment.version, shown)
-        ahead = [item for item in await self._informed_peers() if _version_of(item) > version]
-        if not ahead:
+        newest = max(await self._informed_peers(), key=_version_of, default=None)
+        newest_version = _version_of(newest) if newest else 0
+        if newest_version > version:
+            log_event(
+                "configuration_older_than_peers",
+                version=version,
+                peer=newest.vm,
+                peer_version=newest_version,
+                era=read.row.era,
+            )
+        elif not (starting and newest_version):
             return
-        newest = max(ahead, key=_version_of)
-        log_event(
-            "configuration_older_than_peers",
-            version=version,
-            peer=newest.vm,
-            peer_version=_version_of(newest),
-            era=read.row.era,
-        )
         held = await self.reads.relay.ask(AskPeer("deployment", newest.vm))
         if held is not None and held.content:
-            await self._apply_shared(held)
+            await self._decode_shared(held)
 
     async def _wait_for_peers(self) -> None:
         topology, deadline = self.reads.topology, self.clock.monotonic() + PEER_WAIT_S
@@ -179,6 +181,11 @@
     async def _informed_peers(self) -> list[Peer]:
         return [item for item in await self.peers.ask(GetPeers()) if item.heartbeat is not None]
 
+    def _apply_shared_read(self, read: DeploymentRead, held: HeldContent) -> ReadOutcome:
+        now, known = self.clock.monotonic(), self._deployment
+        applied = apply_shared_read(known, read, held.at, now, held.era, held.proven_era)
+        return self._hold(*applied)
+
     def _apply(self, result: Result, sent_at: float) -> ReadOutcome | None:
         if not isinstance(result, Success):
             self._set_failing(True, result.failure().message)
@@ -196,7 +203,11 @@
         if snapshot is None:
             return outcome
         self.held.value = HeldContent(
-            deployment.row.token, snapshot.confirmed_at, deployment.source, era=deployment.era or 0
+            deployment.row.token,
+            snapshot.confirmed_at,
+            deployment.source,
+            era=deployment.era or 0,
+            proven_era=deployment.proven_era,
         )
         if before.version != deployment.version:
             self.peers.tell(UpdateHeartbeat(config_version=deployment.version))
--- a/greengagehoist/gateway/controllers/_held_deployment.py
+++ b/greengagehoist/gateway/controllers/_held_deployment.py
@@ -13,6 +13,8 @@
 
 # The operator writes again within about this time after the return of a store that was restored.
 OPERATOR_RETURN_S = 2.0
+# Copies are some seconds old.
+MAX_COPY_AGE_S = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,20 +51,21 @@
     :param snapshot: None before the first configuration.
     :param source: the configuration as the operator wrote it.
     :param row: revision of the row with this configuration.
-    :param row_versions: all versions of the row in which this configuration was read.
     :param era: newest era of the store that is known, None before the first read.
     :param era_since: time at which it became known.
-    :param first_row: revision of the row at the first read in that era.
+    :param first_row: revision of the row at the first own read in that era, None before it.
+    :param copied_row: revision that the row with this configuration has if the store shows it as
+        it was before the restore, None if that is not known.
     :param proven_era: newest era in which reads are known to show what the operator wrote last.
     """
 
     snapshot: DeploymentSnapshot | None = None
     source: str = ""
     row: Revision = Revision()
-    row_versions: frozenset[int] = frozenset()
     era: int | None = None
     era_since: float = 0.0
-    first_row: Revision = Revision()
+    first_row: Revision | None = None
+    copied_row: Revision | None = None
     proven_era: int = 0
 
     @property
@@ -78,7 +81,10 @@
     era = read.row.era
     if held.era is not None and era < held.era:
         return held, EarlierEra()
-    held = _enter_era(held, read.row, now)
+    # What the first read shows has to be believed if no other daemon knows more.
+    held = _enter_era(held, era, now, proven_era=era)
+    if held.first_row is None:
+        held = held._replace(first_row=read.row)
     if not read.row.version:
         return held, NoConfiguration()
     deployment = read.deployment
@@ -98,13 +104,20 @@
 
 
 def apply_shared_read(
-    held: HeldDeployment, read: DeploymentRead, confirmed_at: float, now: float
+    held: HeldDeployment,
+    read: DeploymentRead,
+    confirmed_at: float,
+    now: float,
+    era: int,
+    proven_era: int,
 ) -> tuple[HeldDeployment, ReadOutcome]:
     """Return what is held after another daemon has passed on what it holds.
 
     :param confirmed_at: time of the read by which the other daemon has confirmed it.
+    :param era: newest era that the other daemon knows of.
+    :param proven_era: newest era of which it knows that reads show what the operator wrote last.
     """
-    held = _enter_era(held, read.row, now)
+    held = _enter_era(held, era, now, proven_era)
     if read.deployment is None or read.deployment.version < held.version:
         return held, Older()
     current = held.snapshot
@@ -130,18 +143,22 @@
     return held._replace(snapshot=merge(held.snapshot, None, confirmed_at)), InForce()
 
 
-def _enter_era(held: HeldDeployment, row: Revision, now: float) -> HeldDeployment:
+def _enter_era(held: HeldDeployment, era: int, now: float, proven_era: int) -> HeldDeployment:
     if held.era is None:
-        return held._replace(era=row.era, era_since=now, first_row=row, proven_era=row.era)
-    if row.era > held.era:
-        return held._replace(era=row.era, era_since=now, first_row=row)
-    return held
+        return held._replace(era=era, era_since=now, proven_era=proven_era)
+    if era <= held.era:
+        return held
+    # After another restore shortly before, the copy may have any of several rows.
+    calm = now - held.era_since >= MAX_COPY_AGE_S
+    known = calm and held.row.era == held.era == era - 1
+    copied_row = held.row._replace(era=era) if known else None
+    return held._replace(era=era, era_since=now, first_row=None, copied_row=copied_row)
 
 
 def _take_content(held: HeldDeployment, read: DeploymentRead) -> HeldDeployment:
-    same = read.deployment.version == held.version
-    versions = (held.row_versions if same else frozenset()) | {read.row.version}
-    return held._replace(source=read.source, row=read.row, row_versions=versions)
+    if read.deployment.version != held.version:
+        held = held._replace(copied_row=None)
+    return held._replace(source=read.source, row=read.row)
 
 
 def _is_proven(held: HeldDeployment, row: Revision, version: int, sent_at: float) -> bool:
@@ -149,6 +166,6 @@
 
     In the copy a configuration has the version of the row that it had before.
     """
-    written_again = version == held.version and row.version not in held.row_versions
-    changed = row.version != held.first_row.version
+    written_again = version == held.version and held.copied_row not in (None, row)
+    changed = held.first_row is not None and row.version > held.first_row.version
     return written_again or changed or sent_at >= held.era_since + OPERATOR_RETURN_S
--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -30,6 +30,8 @@
     :param content: encoded content; empty if it came from a hub that holds the token asked for.
     :param readers: VMs of the daemons that may be told, None for all.
     :param era: newest era of the platform's table that its holder knows of.
+    :param proven_era: newest era of which its holder knows that the table lacks nothing that was
+        written before the restore.
     """
 
     token: str
@@ -37,6 +39,7 @@
     content: str = ""
     readers: frozenset[str] | None = None
     era: int = 0
+    proven_era: int = 0
 
     def may_read(self, vm: str) -> bool:
         """Return whether the daemon of ``vm`` may be told."""
@@ -127,18 +130,23 @@
                 self._sources[topic] = held
             case FromPeer(vm, _, _, SharedReadRequest(number, topic, token)):
                 self._answer(vm, number, topic, token)
-            case FromPeer(_, _, _, SharedRead(number, token, age_s, content, era)):
-                pending = self._pending.pop(number, None)
-                if pending is not None:
-                    at = pending.asked_at - age_s
-                    held = HeldContent(token, at, content, era=era)
-                    pending.reply(held if token else None)
+            case FromPeer(_, _, _, SharedRead() as answer):
+                self._receive(answer)
             case _TimedOut(number):
                 pending = self._pending.pop(number, None)
                 if pending is not None:
                     log_event("hub_silent", "WARNING", hub=pending.hub, waited_s=ANSWER_TIMEOUT_S)
                     pending.reply(None)
 
+    def _receive(self, answer: SharedRead) -> None:
+        pending = self._pending.pop(answer.number, None)
+        if pending is None:
+            return
+        at = pending.asked_at - answer.age_s
+        eras = {"era": answer.era, "proven_era": answer.proven_era}
+        held = HeldContent(answer.token, at, answer.content, **eras)
+        pending.reply(held if answer.token else None)
+
     def _ask(self, query: AskHub, reply: Reply) -> None:
         hubs = self._hubs_to_ask()
         if query.skipped >= len(hubs):
@@ -177,11 +185,12 @@
     def _answer(self, vm: str, number: int, topic: str, known_token: str) -> None:
         source = self._sources.get(topic)
         held = source.value if source is not None else None
-        token, age_s, content, era = "", 0.0, "", 0
+        answer = SharedRead(number, "", 0.0, "")
         if held is not None and held.may_read(vm):
-            token, era, age_s = held.token, held.era, self.clock.monotonic() - held.at
-            content = held.content if token != known_token else ""
-        self.peers.tell(SendTo(vm, SharedRead(number, token, age_s, content, era)))
+            age_s = self.clock.monotonic() - held.at
+            content = held.content if held.token != known_token else ""
+            answer = SharedRead(number, held.token, age_s, content, held.era, held.proven_era)
+        self.peers.tell(SendTo(vm, answer))
 
 
 def _reader_rank(vm: str) -> bytes:
--- a/greengagehoist/gateway/tests/test_held_deployment.py
+++ b/greengagehoist/gateway/tests/test_held_deployment.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from greengagehoist.deployment import Deployment, Limits
+from greengagehoist.deployment import Deployment, DeploymentSnapshot, Limits
 from greengagehoist.gateway.controllers._held_deployment import (
+    MAX_COPY_AGE_S,
     OPERATOR_RETURN_S,
     EarlierEra,
     HeldDeployment,
@@ -30,7 +31,9 @@
 @pytest.fixture
 def held():
     """Return version 11 in row version 36 of the first era, confirmed at 10 s."""
-    return apply(HeldDeployment(), 10.0, 1, 36, 11)[0]
+    return apply(HeldDeployment(), -MAX_COPY_AGE_S, 1, 36, 11)[0]._replace(
+        snapshot=DeploymentSnapshot(read(1, 36, 11).deployment, 10.0)
+    )
 
 
 @pytest.mark.parametrize(
@@ -70,11 +73,15 @@
 
 
 def test_each_restore_must_be_proven_anew(held):
-    """Also one to a copy that was made before the first restore."""
+    """A copy that was made before the first restore has yet another version of the row."""
     after, _ = apply(held, 20.0, 2, 35, 11)
-    assert apply(after, 21.0, 3, 36, 11)[1] == Unproven()
-    assert apply(after, 21.0, 3, 35, 11)[1] == Unproven()
-    assert apply(after, 21.0, 3, 34, 11)[1] == InForce()
+    assert [apply(after, 21.0, 3, row, 11)[1] for row in (34, 35, 36)] == [Unproven()] * 3
+    assert apply(after, 20.0 + MAX_COPY_AGE_S, 3, 35, 11)[1] == Unproven()
+    assert apply(after, 20.0 + MAX_COPY_AGE_S, 3, 36, 11)[1] == InForce()
+
+
+def test_restores_that_were_not_seen_leave_the_copy_unknown(held):
+    assert apply(held, 20.0, 3, 35, 11)[1] == Unproven()
 
 
 def test_read_of_an_earlier_era_changes_nothing(held):
@@ -90,7 +97,7 @@
 def test_newer_version_of_a_peer_is_taken_from_any_era():
     """A daemon that starts on the copy has read an older one."""
     copy, _ = apply(HeldDeployment(), 20.0, 2, 34, 4)
-    after, seen = apply_shared_read(copy, read(1, 36, 11), 10.0, 20.0)
+    after, seen = apply_shared_read(copy, read(1, 36, 11), 10.0, 20.0, 2, 1)
     assert (seen, after.version, after.snapshot.confirmed_at) == (InForce(), 11, 10.0)
     assert apply(after, 20.3, 2, 34, 4)[1] == Older()
     assert apply(after, 20.6, 2, 35, 11)[1] == InForce()
@@ -98,7 +105,17 @@
 
 def test_hub_of_an_earlier_era_confirms_nothing(held):
     after, _ = apply(held, 20.0, 2, 35, 11)
-    assert apply_shared_read(after, read(1, 36, 11), 21.0, 21.0) == (after, EarlierEra())
+    assert apply_shared_read(after, read(1, 36, 11), 21.0, 21.0, 1, 1) == (after, EarlierEra())
     assert apply_confirmation(after, Revision(1, 36), 21.0) == (after, EarlierEra())
     confirmed, seen = apply_confirmation(after, Revision(2, 35), 21.0)
     assert (seen, confirmed.snapshot.confirmed_at) == (InForce(), 21.0)
+
+
+def test_daemon_that_starts_learns_from_a_peer_that_the_copy_is_not_proven():
+    """It would confirm keys by the copy, and the others would believe it."""
+    peer = read(2, 36, 11)
+    started, _ = apply_shared_read(HeldDeployment(), peer, 10.0, 20.0, era=2, proven_era=1)
+    after, seen = apply(started, 20.0, 2, 36, 0)
+    assert (seen, after.snapshot.confirmed_at) == (Unproven(), 10.0)
+    proven, _ = apply_shared_read(HeldDeployment(), peer, 10.0, 20.0, era=2, proven_era=2)
+    assert apply(proven, 20.0, 2, 36, 0)[1] == InForce()
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -139,6 +139,8 @@
     :param age_s: seconds since the read request was sent to the platform.
     :param content: encoded content, empty if the asking daemon holds it already.
     :param era: newest era of the platform's table that the sender knows of.
+    :param proven_era: newest era of which the sender knows that the table lacks nothing that was
+        written before the restore.
     """
 
     number: int
@@ -146,6 +148,7 @@
     age_s: float
     content: str
     era: int = 0
+    proven_era: int = 0
 
 
 class ReplicaCrash(NamedTuple):
