Test eras in the controllers of members, replicas and shared reads

Guards against entries that are not written again, lists of pages of two eras, late lists of an earlier era and hubs of an earlier era that are believed. A daemon that starts waits for peers only if the platform has a configuration, so that the first one is not delayed.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -148,7 +148,7 @@
         one in any case.
         """
         starting = self.snapshot.value is None
-        if starting:
+        if starting and read.row.version:
             await self._wait_for_peers()
         shown = read.deployment.version if read.deployment else 0
         version = max(self._deployment.version, shown)
--- a/greengagehoist/gateway/tests/test_members.py
+++ b/greengagehoist/gateway/tests/test_members.py
@@ -9,12 +9,25 @@
 
 from greengagehoist.base import ErrorCode, not_run
 from greengagehoist.gateway.controllers import MemberController, SharedReads, topology_of
-from greengagehoist.gateway.controllers._members import PAGE_ROWS, REMOVE_AFTER_S, HubList
+from greengagehoist.gateway.controllers._members import (
+    PAGE_ROWS,
+    REMOVE_AFTER_S,
+    WRITE_TIME_S,
+    HubList,
+)
 from greengagehoist.gateway.controllers._relay import HeldContent
 from greengagehoist.gateway.tests.recorder import Recorder
 from greengagehoist.membership import Member
 from greengagehoist.peers import GetPeers, Peer, SetMembers
-from greengagehoist.platform_client import DeleteRow, ReadRange, Row, Rows, WriteRow, Written
+from greengagehoist.platform_client import (
+    DeleteRow,
+    EraChanged,
+    ReadRange,
+    Row,
+    Rows,
+    WriteRow,
+    Written,
+)
 from greengagehoist.utils import Controller
 
 OWN = Member("vm-000", "a", "10.0.0.0:1", 1)
@@ -32,6 +45,7 @@
     def __init__(self, listed):
         super().__init__("platform")
         self.rows = [Row(f"member/{item.vm}", 1, list(item), 0.0) for item in listed]
+        self.era = 0
         self.calls = []
 
     def tell(self, message):
@@ -44,8 +58,8 @@
         self.calls.append(message)
         match message:
             case ReadRange(_, after, limit):
-                found = [row for row in self.rows if row.key > after]
-                return Success(Rows(tuple(found[:limit]), 0.0))
+                found = [row._replace(era=self.era) for row in self.rows if row.key > after]
+                return Success(Rows(tuple(found[:limit]), 0.0, self.era))
             case WriteRow():
                 return await self.write()
             case DeleteRow(key):
@@ -198,3 +212,69 @@
         assert sum(isinstance(call, WriteRow) for call in platform.calls) > 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("count", [4, 400])
+def test_lost_entry_is_written_again_soon_after_a_restore(make_members, clock, count):
+    """At a random time, because all daemons learn of the restore at once."""
+
+    async def scenario():
+        controller, platform, _, _ = make_members(members(count))
+        task = asyncio.ensure_future(controller.run())
+        await clock.advance(1.0)
+        assert not any(isinstance(call, WriteRow) for call in platform.calls)
+        platform.era = 2
+        platform.rows = [row for row in platform.rows if row.key != f"member/{OWN.vm}"]
+        controller.tell(EraChanged(2))
+        await clock.advance(2 * count * WRITE_TIME_S + 0.1)
+        task.cancel()
+        (written,) = [call for call in platform.calls if isinstance(call, WriteRow)]
+        assert (written.value, written.expect, written.era) == (list(OWN), 0, 2)
+
+    asyncio.run(scenario())
+
+
+def test_daemon_that_is_no_hub_learns_of_the_restore_from_a_hub(make_members, clock):
+    """It calls the platform too rarely to learn of it by itself."""
+    large = OWN._replace(vm="hub-1", capacity=9.0, address="x:900")
+
+    async def scenario():
+        controller, platform, _, hub = make_members([*members(30), large])
+        task = asyncio.ensure_future(controller.run())
+        await clock.advance(0.1)
+        token = controller.held.value.token
+        hub.held = HeldContent(token, clock.monotonic() + 60.0)
+        await clock.advance(5.0)
+        reads = len(platform.calls)
+        platform.era = 2
+        platform.rows = [row for row in platform.rows if row.key != f"member/{OWN.vm}"]
+        hub.held = hub.held._replace(era=2)
+        await clock.advance(5.0)
+        task.cancel()
+        calls = platform.calls[reads:]
+        assert any(isinstance(call, WriteRow) and call.era == 2 for call in calls)
+
+    asyncio.run(scenario())
+
+
+def test_pages_of_different_eras_are_no_list(make_members, clock):
+    """Members between the pages could be missing, and with them hubs."""
+    controller, platform, _, _ = make_members(members(PAGE_ROWS + 20))
+    ask = platform.ask
+
+    async def restore_after_first_page(message):
+        reply = await ask(message)
+        platform.era = 2
+        return reply
+
+    platform.ask = restore_after_first_page
+
+    async def scenario():
+        task = asyncio.ensure_future(controller.run())
+        await clock.advance(0.1)
+        assert not controller.topology.known.value
+        await clock.advance(1.0)
+        assert controller.topology.count.value == PAGE_ROWS + 20
+        task.cancel()
+
+    asyncio.run(scenario())
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -156,6 +156,7 @@
         ((SAME._replace(at=-3.0), None, SAME), Confirmed(-1.0)),
         ((SAME._replace(at=-3.0), None, None), HubStale()),
         ((NEW._replace(content=""),), ReadNow()),
+        ((SAME._replace(era=3),), Confirmed(-1.0, 3)),
     ],
 )
 def test_only_a_fresh_read_of_a_hub_replaces_an_own_one(found, answer, clock):
@@ -197,3 +198,12 @@
     held = encode_replicas((one,), 1.0)
     assert held == encode_replicas((Replica(*one),), 1.0)
     assert held.token != encode_replicas((one._replace(leaving=True),), 1.0).token
+
+
+def test_hub_of_an_earlier_era_is_not_believed(clock):
+    """Its read may be of the time before the store was restored."""
+    relay = FixedAnswers(SAME._replace(era=1), NEW._replace(era=2))
+    answer = asyncio.run(ask_hubs(relay, "deployment", "7", clock, 2.0, era=2))
+    assert answer == Changed(NEW._replace(era=2))
+    only_early = FixedAnswers(SAME._replace(era=1))
+    assert asyncio.run(ask_hubs(only_early, "deployment", "7", clock, 2.0, era=2)) == HubStale()
--- a/greengagehoist/gateway/tests/test_replicas.py
+++ b/greengagehoist/gateway/tests/test_replicas.py
@@ -1,4 +1,4 @@
-"""Guards against a start that is delayed by a log line for each of a thousand replicas."""
+"""Guards against a start that logs too much, and against lists of another era of the store."""
 
 import random
 
@@ -47,3 +47,21 @@
     deliver(controller, _ReadEnded(replicas(MAX_LOGGED_CHANGES + 1), 0, 1.0))
     deliver(controller, _ReadEnded(replicas(MAX_LOGGED_CHANGES), 0, 2.0))
     assert events[1:] == ["replica_gone"]
+
+
+def test_list_of_an_earlier_era_is_not_applied(controller):
+    """A late answer could bring replicas back that have left."""
+    deliver(controller, _ReadEnded(replicas(2), 0, 1.0, 2))
+    deliver(controller, _ReadEnded(replicas(3), 0, 2.0, 1))
+    assert len(controller.table.value.replicas) == 2
+    assert controller.held.value.era == 2
+
+
+def test_new_era_counts_as_an_outage_of_the_list(controller, events):
+    """Replicas that the copy lacks run; they write their entries again."""
+    deliver(controller, _ReadEnded(replicas(3), 0, 1.0, 1))
+    deliver(controller, _ReadEnded(replicas(2), 0, 2.0, 2))
+    assert len(controller.table.value.replicas) == 3
+    assert "replica_list_restored" in events
+    deliver(controller, _ReadEnded(replicas(2), 0, 3.0, 2))
+    assert len(controller.table.value.replicas) == 2
