Restore the store from a copy in the soak

The soak's store was away at times but never lost anything. Half of these faults now end with a store that goes back by up to 5 s; the operator and the replicas write again within 1.5 s.

--- a/benchmarks/_soak_system.py
+++ b/benchmarks/_soak_system.py
@@ -178,6 +178,8 @@
         self.gateways: list[Gateway] = []
         self.version = 1
         self.keys = ("key0",)
+        self.config: dict[str, Any] = {}
+        self.entries: dict[str, dict[str, Any]] = {}
 
     async def start(self) -> None:
         """Start everything and wait until all gateways are ready."""
@@ -209,11 +211,19 @@
         entry = replica.entry(state)
         if replica.replica_id in self.proxies:
             entry["address"] = self.proxies[replica.replica_id].address
+        self.entries[replica.replica_id] = entry
         self.store.put("servers", replica.replica_id, entry)
 
+    def write_again(self) -> None:
+        """Write what the operator and the replicas wrote last, after a restore of the store."""
+        self.store.put("op", "config", self.config)
+        for replica_id, entry in self.entries.items():
+            self.store.put("servers", replica_id, entry)
+
     def write_config(self) -> None:
         """Write the configuration with the current API keys as the next version."""
-        self.store.put("op", "config", configuration(self.version, self.keys))
+        self.config = configuration(self.version, self.keys)
+        self.store.put("op", "config", self.config)
         self.version += 1
 
     async def stop(self) -> None:
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -58,6 +58,10 @@
 STAMP = b"x-greengagehoist-server-stamp"
 EVENTS = b"".join(event(number) for number in range(5))
 STREAMING_KINDS = ("text", "once", "deep", "part")
+# A restored store goes back by at most this, and the others write again within the second time.
+RESTORED_SHARE = 0.5
+MAX_COPY_AGE_S = 5.0
+MAX_REWRITE_S = 1.5
 # Requests sent after all faults have ended, which must succeed.
 RECOVERY_REQUESTS = 20
 MAX_FINDINGS_SHOWN = 10
@@ -255,10 +259,19 @@
         return self.rng.choice(usable)
 
     async def _store_fault(self) -> None:
-        self.applied["store away"] += 1
-        self.system.store.available = False
+        store, restored = self.system.store, self.rng.random() < RESTORED_SHARE
+        self.applied["store restored" if restored else "store away"] += 1
+        copy = store.copy()
+        if restored:
+            await asyncio.sleep(self.rng.uniform(0.0, MAX_COPY_AGE_S))
+        store.available = False
         await asyncio.sleep(self.rng.uniform(0.3, 5.0))
-        self.system.store.available = True
+        if restored:
+            store.restore(copy)
+        store.available = True
+        if restored:
+            await asyncio.sleep(self.rng.uniform(0.0, MAX_REWRITE_S))
+            self.system.write_again()
 
     async def _revoke(self) -> None:
         self.applied["revoke"] += 1
