--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -29,12 +29,17 @@
     :param at: time on the own clock, no later than the time at which the read was sent.
     :param content: encoded content; empty if it came from a hub that holds the token asked for.
     :param readers: VMs of the daemons that may be told, None for all.
+    :param era: newest era of the platform's table that its holder knows of.
+    :param proven_era: newest era of which its holder knows that the table lacks nothing that was
+        written before the restore.
     """
 
     token: str
     at: float
     content: str = ""
     readers: frozenset[str] | None = None
+    era: int = 0
+    proven_era: int = 0
 
     def may_read(self, vm: str) -> bool:
         """Return whether the daemon of ``vm`` may be told."""
@@ -61,6 +66,13 @@
     skipped: int = 0
 
 
+class AskPeer(NamedTuple):
+    """Ask a linked daemon for what it holds of a topic; replied by ``HeldContent | None``."""
+
+    topic: str
+    vm: str
+
+
 class _TimedOut(NamedTuple):
     number: int
 
@@ -112,31 +124,40 @@
         match message:
             case AskHub():
                 self._ask(message, reply)
+            case AskPeer(topic, vm):
+                self._query(vm, topic, "", reply)
             case AddSource(topic, held):
                 self._sources[topic] = held
             case FromPeer(vm, _, _, SharedReadRequest(number, topic, token)):
                 self._answer(vm, number, topic, token)
-            case FromPeer(_, _, _, SharedRead(number, token, age_s, content)):
-                pending = self._pending.pop(number, None)
-                if pending is not None:
-                    at = pending.asked_at - age_s
-                    pending.reply(HeldContent(token, at, content) if token else None)
+            case FromPeer(_, _, _, SharedRead() as answer):
+                self._receive(answer)
             case _TimedOut(number):
                 pending = self._pending.pop(number, None)
                 if pending is not None:
                     log_event("hub_silent", "WARNING", hub=pending.hub, waited_s=ANSWER_TIMEOUT_S)
                     pending.reply(None)
 
+    def _receive(self, answer: SharedRead) -> None:
+        pending = self._pending.pop(answer.number, None)
+        if pending is None:
+            return
+        at = pending.asked_at - answer.age_s
+        eras = {"era": answer.era, "proven_era": answer.proven_era}
+        held = HeldContent(answer.token, at, answer.content, **eras)
+        pending.reply(held if answer.token else None)
+
     def _ask(self, query: AskHub, reply: Reply) -> None:
         hubs = self._hubs_to_ask()
         if query.skipped >= len(hubs):
             reply(None)
             return
-        hub = hubs[query.skipped]
+        self._query(hubs[query.skipped], query.topic, query.token, reply)
+
+    def _query(self, vm: str, topic: str, token: str, reply: Reply) -> None:
         self._last_number += 1
-        self._pending[self._last_number] = _PendingQuery(hub, self.clock.monotonic(), reply)
-        request = SharedReadRequest(self._last_number, query.topic, query.token)
-        self.peers.tell(SendTo(hub, request))
+        self._pending[self._last_number] = _PendingQuery(vm, self.clock.monotonic(), reply)
+        self.peers.tell(SendTo(vm, SharedReadRequest(self._last_number, topic, token)))
         self.start(self._start_timeout(self._last_number))
 
     async def _start_timeout(self, number: int) -> None:
@@ -164,11 +185,12 @@
     def _answer(self, vm: str, number: int, topic: str, known_token: str) -> None:
         source = self._sources.get(topic)
         held = source.value if source is not None else None
-        token, age_s, content = "", 0.0, ""
+        answer = SharedRead(number, "", 0.0, "")
         if held is not None and held.may_read(vm):
-            token, age_s = held.token, self.clock.monotonic() - held.at
-            content = held.content if token != known_token else ""
-        self.peers.tell(SendTo(vm, SharedRead(number, token, age_s, content)))
+            age_s = self.clock.monotonic() - held.at
+            content = held.content if held.token != known_token else ""
+            answer = SharedRead(number, held.token, age_s, content, held.era, held.proven_era)
+        self.peers.tell(SendTo(vm, answer))
 
 
 def _reader_rank(vm: str) -> bytes:
--- a/greengagehoist/platform_client/__init__.py
+++ b/greengagehoist/platform_client/__init__.py
@@ -9,6 +9,7 @@
 from greengagehoist.platform_client._types import (
     DeleteRow,
     DeploymentRead,
+    EraChanged,
     FetchWeights,
     GetObject,
     ListObjects,
@@ -20,12 +21,14 @@
     ReadRow,
     Refused,
     ReplicaPage,
+    Revision,
     Row,
     Rows,
     SetVmCount,
     Vm,
     WriteRow,
     Written,
+    parse_revision,
 )
 from greengagehoist.platform_client._wire import HttpCall
 
@@ -34,6 +37,7 @@
     "DeploymentCodec",
     "DeleteRow",
     "DeploymentRead",
+    "EraChanged",
     "FetchWeights",
     "GetObject",
     "HttpCall",
@@ -47,6 +51,7 @@
     "ReadRow",
     "Refused",
     "ReplicaPage",
+    "Revision",
     "Row",
     "Rows",
     "SetVmCount",
@@ -54,4 +59,5 @@
     "WriteRow",
     "Written",
     "full_jitter",
+    "parse_revision",
 ]
