Skip an entry of the replicas' list that cannot be decoded

Seen: another program's entry of 10,000 nested brackets, or with a port of 5,000 digits or a superscript digit, failed the read of the whole list. Each later read failed too, so that the daemon stopped following the list.

Cause: msgspec raises RecursionError for deep nesting, and int() raises ValueError for long numbers and for characters that isdigit() accepts. Neither was caught for the row, so the exception left the decoding of the page. Class: an error of one row ends the work on all rows.

Change: the value of a row is None after each error of its decoding, and a port is one to five ASCII digits.

Evidence: test_odd_entry_does_not_cost_the_others failed before in 4 of 6 cases: nested, nested_field: RecursionError: maximum recursion depth exceeded long_port: ValueError: Exceeds the limit (4300 digits) superscript_port: ValueError: invalid literal for int() with base 10: '8²' All pass after; platform/tests/test_store.py passes.

--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -28,6 +28,7 @@
 # Table of the rows that the daemons write.
 DAEMON_TABLE = "greengagehoist"
 MAX_PAGE_ROWS = 500
+MAX_PORT_DIGITS = 5
 
 
 class StoreCodec:
@@ -112,10 +113,10 @@
 
 
 def _value(raw: dict[str, Any]) -> Any:
-    """Return the decoded value of a row, or None if it is malformed."""
+    """Return the decoded value of a row, or None if it is malformed or nested too deeply."""
     try:
         return msgspec.json.decode(base64.b64decode(raw["value"]))
-    except (binascii.Error, msgspec.MsgspecError, ValueError, TypeError, KeyError):
+    except (LookupError, RecursionError, TypeError, ValueError):
         return None
 
 
@@ -167,7 +168,8 @@
             slots, born = raw.get("slots", 1), raw.get("born", 0)
             models = raw.get("models") or ()
             valid = type(slots) is int and type(born) is int and isinstance(models, list | tuple)
-            if not valid or not host or not port.isdigit():
+            digits = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+            if not valid or not host or not digits:
                 return None
             names = tuple(
                 item["name"] for item in models if isinstance(item, dict) and "name" in item
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -132,6 +132,40 @@
     assert decode_replica("i", {**ENTRY, **change}) is None
 
 
+NESTED = 10_000
+
+
+def raw_row(key, text):
+    """Return a row whose value is ``text``, which need not be JSON."""
+    return {"key": key, "value": base64.b64encode(text.encode()).decode(), "ver": 5}
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[" * NESTED + "]" * NESTED,
+        json.dumps(ENTRY)[:-1] + ',"extra":' + "[" * NESTED + "]" * NESTED + "}",
+        json.dumps({**ENTRY, "address": "10.0.0.9:" + "8" * 5000}),
+        json.dumps({**ENTRY, "address": "10.0.0.9:8\u00b2"}),
+        json.dumps(ENTRY)[:-1] + ',"slots":' + "9" * 5000 + "}",
+        json.dumps({**ENTRY, "service": "s\ud800"}),
+    ],
+    ids=[
+        "nested",
+        "nested_field",
+        "long_port",
+        "superscript_port",
+        "long_number",
+        "lone_surrogate",
+    ],
+)
+def test_odd_entry_does_not_cost_the_others(calls, text):
+    """One entry failed each read of the list, so that the daemon stopped following it."""
+    rows = [row("i-1", ENTRY), raw_row("i-2", text), row("i-3", ENTRY)]
+    page = calls.decode(ListReplicas(), 200, body(rows=rows))
+    assert [item.replica_id for item in page.replicas] == ["i-1", "i-3"]
+
+
 def test_draining_replica_is_leaving():
     assert decode_replica("i", {**ENTRY, "state": "draining"}).leaving
 
