Use only listed replicas whose fields are in range

Seen: entries of the list with port 0, 65536 or 99999, a port in digits of another script, a host that is no IPv4 address, negative slots, a number of 400 digits, an id with a newline or a model name that is no text were taken as replicas.

Cause: decode_replica checked types, but no ranges. The event loop connects to a port above 65535 at its lowest 16 bits, so that another program could get the request; the id goes into a header. The shared check_address read ports with int(), which takes signs, spaces, underscores and digits of other scripts. Class: a value from outside is used unchecked.

Change: check_replica in the package replicas holds the rule, for the adapter and for lists of other daemons; check_label and a stricter check_address in utils.

--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -23,12 +23,11 @@
     WriteRow,
     Written,
 )
-from greengagehoist.replicas import Replica
+from greengagehoist.replicas import Replica, check_replica, parse_address
 
 # Table of the rows that the daemons write.
 DAEMON_TABLE = "greengagehoist"
 MAX_PAGE_ROWS = 500
-MAX_PORT_DIGITS = 5
 
 
 class StoreCodec:
@@ -164,16 +163,22 @@
             "zone": str(zone),
             "state": "ready" | "draining" as state,
         }:
-            host, _, port = address.rpartition(":")
-            slots, born = raw.get("slots", 1), raw.get("born", 0)
             models = raw.get("models") or ()
-            valid = type(slots) is int and type(born) is int and isinstance(models, list | tuple)
-            digits = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
-            if not valid or not host or not digits:
+            try:
+                host, port = parse_address(address)
+                return check_replica(
+                    Replica(
+                        replica_id=replica_id,
+                        service=service,
+                        host=host,
+                        port=port,
+                        zone=zone,
+                        slots=raw.get("slots", 1),
+                        born_ms=raw.get("born", 0),
+                        leaving=state == "draining",
+                        models=tuple(item["name"] for item in models),
+                    )
+                )
+            except (LookupError, TypeError, ValueError):
                 return None
-            names = tuple(
-                item["name"] for item in models if isinstance(item, dict) and "name" in item
-            )
-            leaving = state == "draining"
-            return Replica(replica_id, service, host, int(port), zone, slots, born, leaving, names)
     return None
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -166,6 +166,50 @@
     assert [item.replica_id for item in page.replicas] == ["i-1", "i-3"]
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:65536"},
+        {"address": "10.0.0.9:99999"},
+        {"address": "10.0.0.9:+80"},
+        {"address": "10.0.0.9:\u0668\u0660"},
+        {"address": "10.0.0.9:8\u00b2"},
+        {"address": "a" * 300 + ":80"},
+        {"address": "[::1]:80"},
+        {"address": "[10.0.0.9]:80"},
+        {"address": "0.0.0.0:80"},
+        {"address": "224.0.0.1:80"},
+        {"address": "10.0.0.256:80"},
+        {"slots": -1},
+        {"slots": True},
+        {"slots": 10**400},
+        {"born": -1},
+        {"born": False},
+        {"born": 10**400},
+        {"service": ""},
+        {"service": "s\nt"},
+        {"service": "s" * 300},
+        {"zone": "z\x00"},
+        {"zone": "\ud800"},
+        {"models": [{"name": 3}]},
+        {"models": [{"name": "m\n"}]},
+        {"models": ["m"]},
+        {"models": "m"},
+    ],
+    ids=repr,
+)
+def test_entry_with_a_field_out_of_range_gives_no_replica(change):
+    """Such replicas were used: a port above 65535 is connected to at its lowest 16 bits."""
+    assert decode_replica("i", {**ENTRY, **change}) is None
+
+
+@pytest.mark.parametrize("key", ["", "i\r\nX-Other: 1", " i", "i" * 300, "\ud800", None, 3])
+def test_entry_whose_id_no_header_can_hold_gives_no_replica(key):
+    """Requests name the replica's id in a header."""
+    assert decode_replica(key, ENTRY) is None
+
+
 def test_draining_replica_is_leaving():
     assert decode_replica("i", {**ENTRY, "state": "draining"}).leaving
 
@@ -184,6 +228,47 @@
     assert found is None or (found.host and found.port >= 0)
 
 
+ODD_TEXTS = st.sampled_from(
+    [
+        "[" * NESTED,
+        "[" * NESTED + "]" * NESTED,
+        '{"a":' * NESTED + "1" + "}" * NESTED,
+        "9" * 5000,
+        "1e999",
+        "NaN",
+        "",
+        '"\\ud800"',
+    ]
+)
+ODD_VALUES = st.sampled_from(
+    [10**400, -1, 2.5, True, None, "\ud800", "a\nb", "", "x" * 1000, [[]], {"name": []}]
+)
+ODD_ENTRIES = (
+    ODD_TEXTS
+    | st.tuples(st.sampled_from(["service", "address", "zone", "state"]), ODD_VALUES).map(
+        lambda change: json.dumps({**ENTRY, change[0]: change[1]})
+    )
+    | st.sampled_from(["slots", "born", "address"]).flatmap(
+        lambda field: ODD_TEXTS.map(lambda text: json.dumps({**ENTRY, field: [text]}))
+    )
+    | ODD_TEXTS.map(lambda text: json.dumps(ENTRY)[:-1] + ',"slots":' + (text or "[") + "}")
+)
+
+
+@property_settings(200)
+@given(st.lists(st.none() | ODD_ENTRIES, max_size=6))
+def test_page_holds_exactly_the_sound_entries(entries):
+    """No entry of another program may cost another one."""
+    keys = [f"i-{number}" for number in range(len(entries))]
+    rows = [
+        row(key, ENTRY) if text is None else raw_row(key, text)
+        for key, text in zip(keys, entries, strict=True)
+    ]
+    page = StoreCodec().decode(ListReplicas(), 200, body(rows=rows))
+    sound = [key for key, text in zip(keys, entries, strict=True) if text is None]
+    assert [item.replica_id for item in page.replicas] == sound
+
+
 def test_write_names_the_expected_version(calls):
     call = calls.encode(WriteRow("member/x", [1], 4))
     assert call.json["expected_revision"][0]["ver"] == 4
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -12,6 +12,7 @@
 )
 from greengagehoist.replicas._table import ReplicaTable, apply_outage, apply_read
 from greengagehoist.replicas._types import Load, Replica
+from greengagehoist.replicas._validation import check_replica, parse_address
 
 __all__ = [
     "Affinity",
@@ -25,7 +26,9 @@
     "Replica",
     "apply_outage",
     "apply_read",
+    "check_replica",
     "choose",
+    "parse_address",
     "rendezvous_rank",
     "utilization",
 ]
--- a/greengagehoist/utils/_validation.py
+++ b/greengagehoist/utils/_validation.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._:-]{0,63}")
+_PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
 _MAX_SHOWN_CHARS = 80
 _shortener = reprlib.Repr()
 _shortener.maxstring = _shortener.maxother = _MAX_SHOWN_CHARS
@@ -79,6 +81,19 @@
     return value
 
 
+def check_label(field: str, value: Any, max_bytes: int) -> str:
+    """Return ``value`` if it is text that a header and a log line can hold.
+
+    :raises ValidationError: if it is empty, longer than ``max_bytes`` in UTF-8, begins or ends with
+        a space, or holds control characters or lone surrogates.
+    """
+    sound = isinstance(value, str) and value.isprintable() and value == value.strip() and value
+    if not sound or len(value.encode()) > max_bytes:
+        accepted = f"1 to {max_bytes} bytes of printable text without spaces at its ends"
+        raise ValidationError(field, value, accepted)
+    return value
+
+
 def check_address(field: str, value: Any) -> tuple[str, int]:
     """Parse ``ip:port``.
 
@@ -89,11 +104,11 @@
     if not isinstance(value, str) or ":" not in value:
         raise ValidationError(field, value, accepted)
     host, _, port = value.rpartition(":")
+    # int() also accepts signs, spaces, underscores and the digits of other scripts.
+    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
+        raise ValidationError(field, value, accepted)
     try:
         ipaddress.ip_address(host.strip("[]"))
-        number = int(port)
     except ValueError as exc:
         raise ValidationError(field, value, accepted) from exc
-    if not 0 <= number <= 65535:
-        raise ValidationError(field, value, accepted)
-    return host, number
+    return host, int(port)
