Name the unreadable entries of the replicas' list in the log

Seen: the line for entries that cannot be decoded gave their number only, so that an operator could not find the writer, and no line came if another entry became unreadable instead of the first one.

Cause: the decoded page held a count.

Change: the page holds the keys; up to five of them are logged, shortened, when their set changes.

Tests changed: test_page_of_replicas_counts_unreadable_entries compares the keys now, which is stricter, and is named for it; two fixtures of test_replicas.py pass () for the count 0.

--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -17,11 +17,13 @@
 )
 from greengagehoist.platform_client import ListReplicas
 from greengagehoist.replicas import Replica, ReplicaTable, apply_outage, apply_read
-from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
+from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, show_value
 
 # More changes than this in one read, as at the start, are logged as one line: lines for a thousand
 # replicas delay the first request of a small VM by 0.1 s.
 MAX_LOGGED_CHANGES = 100
+# Other programs write the entries, so that their keys may be many.
+MAX_LOGGED_KEYS = 5
 
 
 class ReplicasChanged(NamedTuple):
@@ -32,7 +34,7 @@
 
 class _ReadEnded(NamedTuple):
     replicas: tuple[Replica, ...] | None
-    unreadable: int
+    unreadable: tuple[str, ...]
     sent_at: float
 
 
@@ -61,7 +63,7 @@
         self.table: Published[ReplicaTable] = Published(ReplicaTable())
         self._listed: tuple[Replica, ...] = ()
         self.held: Published[HeldContent | None] = Published(None)
-        self._unreadable = 0
+        self._unreadable: tuple[str, ...] = ()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -93,14 +95,15 @@
                 ok = await self._read_platform()
             case HubStale():
                 # An entry that lapses meanwhile may belong to a replica that runs.
-                self.tell(_ReadEnded(None, 0, self.clock.monotonic()))
+                self.tell(_ReadEnded(None, (), self.clock.monotonic()))
         await self.reads.pause(step, ok)
         self.tell(Tick())
 
     async def _read_platform(self) -> bool:
         sent_at = self.clock.monotonic()
         replicas: list[Replica] = []
-        unreadable, after, ok = 0, "", True
+        unreadable: tuple[str, ...] = ()
+        after, ok = "", True
         while ok:
             result: Result = await self.platform.ask(ListReplicas(after))
             ok = isinstance(result, Success)
@@ -132,7 +135,10 @@
             self.table.value = apply_outage(before, self.clock.monotonic())
             return
         if read.unreadable != self._unreadable:
-            log_event("replica_entries_unreadable", "WARNING", count=read.unreadable)
+            names = ",".join(show_value(key) for key in read.unreadable[:MAX_LOGGED_KEYS])
+            log_event(
+                "replica_entries_unreadable", "WARNING", count=len(read.unreadable), keys=names
+            )
             self._unreadable = read.unreadable
         table = apply_read(before, read.replicas, read.sent_at)
         self.table.value = table
--- a/greengagehoist/gateway/tests/test_replicas.py
+++ b/greengagehoist/gateway/tests/test_replicas.py
@@ -1,4 +1,4 @@
-"""Guards against a start that is delayed by a log line for each of a thousand replicas."""
+"""Guards against log lines for each of a thousand replicas, and for an odd entry at each read."""
 
 import random
 
@@ -38,12 +38,27 @@
     [(3, ["replica_seen"] * 3), (MAX_LOGGED_CHANGES + 1, ["replica_list_changed"])],
 )
 def test_many_changes_of_the_list_are_one_line(controller, events, count, expected):
-    deliver(controller, _ReadEnded(replicas(count), 0, 1.0))
+    deliver(controller, _ReadEnded(replicas(count), (), 1.0))
     assert events == expected
     assert len(controller.table.value.replicas) == count
 
 
 def test_replicas_that_leave_the_list_are_logged_one_by_one(controller, events):
-    deliver(controller, _ReadEnded(replicas(MAX_LOGGED_CHANGES + 1), 0, 1.0))
-    deliver(controller, _ReadEnded(replicas(MAX_LOGGED_CHANGES), 0, 2.0))
+    deliver(controller, _ReadEnded(replicas(MAX_LOGGED_CHANGES + 1), (), 1.0))
+    deliver(controller, _ReadEnded(replicas(MAX_LOGGED_CHANGES), (), 2.0))
     assert events[1:] == ["replica_gone"]
+
+
+def test_unreadable_entries_are_named_once(controller, monkeypatch):
+    """The line gave a number only, and not at all if another entry became unreadable instead."""
+    logged = []
+    monkeypatch.setattr(
+        module, "log_event", lambda event, *args, **fields: logged.append((event, fields))
+    )
+    for at, keys in enumerate([("i-1",), ("i-1",), ("i-2",), ("x" * 300, *"abcdefgh")]):
+        deliver(controller, _ReadEnded((), keys, float(at)))
+    assert [event for event, _ in logged] == ["replica_entries_unreadable"] * 3
+    assert [fields["count"] for _, fields in logged] == [1, 1, 9]
+    assert "i-1" in logged[0][1]["keys"]
+    assert "i-2" in logged[1][1]["keys"]
+    assert len(logged[2][1]["keys"]) < 200
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -145,10 +145,11 @@
 
 
 def _replica_page(body: dict[str, Any]) -> ReplicaPage:
-    found = [decode_replica(row["key"], _value(row)) for row in body["rows"]]
-    replicas = tuple(item for item in found if item is not None)
+    found = {row["key"]: decode_replica(row["key"], _value(row)) for row in body["rows"]}
+    replicas = tuple(item for item in found.values() if item is not None)
+    unreadable = tuple(str(key) for key, item in found.items() if item is None)
     last = body["rows"][-1]["key"] if body.get("has_more") and body["rows"] else ""
-    return ReplicaPage(replicas, len(found) - len(replicas), last)
+    return ReplicaPage(replicas, unreadable, last)
 
 
 def decode_replica(replica_id: str, raw: Any) -> Replica | None:
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -108,11 +108,11 @@
     assert calls.decode(ReadDeployment(), 200, body(rows=[])).row == 0
 
 
-def test_page_of_replicas_counts_unreadable_entries(calls):
+def test_page_of_replicas_names_unreadable_entries(calls):
     rows = [row("i-1", ENTRY), row("i-2", {"service": 3}), {"key": "i-3", "value": "%%", "ver": 1}]
     page = calls.decode(ListReplicas(), 200, body(rows=rows, has_more=True))
     assert [item.replica_id for item in page.replicas] == ["i-1"]
-    assert (page.unreadable, page.last) == (2, "i-3")
+    assert (page.unreadable, page.last) == (("i-2", "i-3"), "i-3")
     assert page.replicas[0].models == ("m",)
 
 
@@ -267,6 +267,7 @@
     page = StoreCodec().decode(ListReplicas(), 200, body(rows=rows))
     sound = [key for key, text in zip(keys, entries, strict=True) if text is None]
     assert [item.replica_id for item in page.replicas] == sound
+    assert page.unreadable == tuple(key for key in keys if key not in sound)
 
 
 def test_write_names_the_expected_version(calls):
--- a/greengagehoist/platform_client/_types.py
+++ b/greengagehoist/platform_client/_types.py
@@ -158,12 +158,12 @@
 class ReplicaPage(NamedTuple):
     """A page of the list of replicas.
 
-    :param unreadable: number of entries that could not be decoded.
+    :param unreadable: keys of the entries that could not be decoded or describe no usable replica.
     :param last: id to continue after, empty if this is the last page.
     """
 
     replicas: tuple[Replica, ...]
-    unreadable: int
+    unreadable: tuple[str, ...]
     last: str
 
 
