Treat a configuration that cannot be decoded as a failed read

Seen: a configuration nested too deeply raised RecursionError and one with a timeout of 400 digits OverflowError; a version that is no integer was accepted and then compared with integers.

Cause: the decoding converted only some errors to the ValueError that its callers expect. For a configuration that a hub had read, the other errors ended the task that follows it, for good. Class: a decoder raises errors that its callers do not know.

Change: each error of the decoding becomes a ValueError, also for a response of the store that is nested too deeply; the version must be an integer.

--- a/greengagehoist/platform/_config.py
+++ b/greengagehoist/platform/_config.py
@@ -17,8 +17,10 @@
     Tenant,
     index_routes,
 )
+from greengagehoist.utils import check_int
 
 BYTES_PER_MB = 1_000_000
+MAX_VERSION = 2**63 - 1
 
 
 def decode_deployment(raw: dict[str, Any]) -> Deployment:
@@ -29,7 +31,7 @@
     """
     tenants = raw.get("tenants")
     return Deployment(
-        version=raw["version"],
+        version=check_int("version", raw["version"], 0, MAX_VERSION),
         routes=index_routes(_route(item) for item in raw["routes"]),
         services={item["name"]: _service(item) for item in raw["services"]},
         tenants={
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -1,7 +1,6 @@
 """Encoding of platform calls as requests to the platform's store, and decoding of its rows."""
 
 import base64
-import binascii
 from typing import Any
 from urllib.parse import quote
 
@@ -67,7 +66,10 @@
         :raises ValueError: if the content is malformed.
         :raises KeyError: if a field is missing.
         """
-        body = msgspec.json.decode(content)
+        try:
+            body = msgspec.json.decode(content)
+        except RecursionError as exc:
+            raise ValueError("response is nested too deeply") from exc
         match message:
             case ReadDeployment(known_row):
                 return _deployment(body["rows"], known_row)
@@ -132,7 +134,7 @@
         return DeploymentRead(None, version)
     try:
         source = base64.b64decode(found[0]["value"]).decode()
-    except (binascii.Error, TypeError, UnicodeDecodeError) as exc:
+    except (LookupError, TypeError, ValueError) as exc:
         raise ValueError(f"row version {version} is malformed: {exc!r}") from exc
     return DeploymentRead(_parse_deployment(source, version), version, source)
 
@@ -140,7 +142,14 @@
 def _parse_deployment(source: str, version: int) -> Deployment:
     try:
         return decode_deployment(msgspec.json.decode(source))
-    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as exc:
         raise ValueError(f"configuration in row version {version} is malformed: {exc!r}") from exc
 
 
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -303,3 +303,33 @@
     body = {"rows": [{"key": "config", "value": encoded, "ver": 7}], "ver": 7, "now_ms": 1}
     with pytest.raises(ValueError, match="row version 7"):
         StoreCodec().decode(ReadDeployment(0), 200, msgspec.json.encode(body))
+
+
+@pytest.mark.parametrize(
+    "source",
+    [
+        "[" * NESTED + "]" * NESTED,
+        json.dumps({**CONFIG, "version": 10**400}),
+        json.dumps({**CONFIG, "version": "7"}),
+        json.dumps({**CONFIG, "version": True}),
+        json.dumps({**CONFIG, "version": None}),
+        json.dumps({**CONFIG, "routes": [{**CONFIG["routes"][0], "timeout_ms": 10**400}]}),
+        json.dumps({**CONFIG, "tenants": [{"name": "t", "api_keys": [[]]}]}),
+        "9" * 5000,
+        "",
+    ],
+    ids=["nested", "huge", "text", "bool", "null", "huge_timeout", "key", "number", "empty"],
+)
+def test_configuration_that_cannot_be_decoded_is_a_failed_read(calls, source):
+    """Another error ended the task that follows the configuration, if it came from a hub."""
+    with pytest.raises(ValueError, match="row version 7"):
+        calls.read_deployment(source, 7)
+    content = msgspec.json.encode({"rows": [raw_row("config", source) | {"ver": 7}], "ver": 7})
+    with pytest.raises(ValueError, match="row version 7"):
+        calls.decode(ReadDeployment(), 200, content)
+
+
+def test_response_of_the_store_that_is_nested_too_deeply_is_a_failed_read(calls):
+    """RecursionError is no error that callers of the platform expect."""
+    with pytest.raises(ValueError, match="nested"):
+        calls.decode(ListReplicas(), 200, b"[" * NESTED + b"]" * NESTED)
