Go on with the periodic reads after an unexpected error

Seen: an error that the reader of the configuration, of the list of replicas or of the members does not expect ended its task. Nothing started another one, so that the daemon never read this topic again.

Cause: the next read is started at the end of the last one. Class: a task that nothing restarts.

Change: SharedReads.guard waits for a read, logs such an error as periodic_read_crashed, and repeats the read after the usual delay of a failed one.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -68,7 +68,7 @@
         """Process one message."""
         match message:
             case Tick():
-                self.start(self._read())
+                self.start(self.reads.guard(self._read(), lambda: self.tell(Tick())))
             case SetReadPeriod(seconds):
                 self.reads.period_s = seconds
             case _ReadEnded(result, sent_at):
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -109,7 +109,7 @@
         """Process one message."""
         match message:
             case Tick():
-                self.start(self._read())
+                self.start(self.reads.guard(self._read(), lambda: self.tell(Tick())))
             case _ReadEnded(rows, sent_at):
                 self.start(self._apply(rows, sent_at))
             case _HubsRead(hubs, held):
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -1,11 +1,12 @@
 """Periodic reads of the platform that daemons share through hubs."""
 
 import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from greengagehoist.gateway.controllers._relay import MAX_HUBS_ASKED, AskHub, HeldContent
 from greengagehoist.gateway.controllers._topology import Topology
-from greengagehoist.utils import Clock, Controller
+from greengagehoist.utils import Clock, Controller, log_event
 
 # With hubs, the ages of two reads add up: that of the hub that reads the platform and that of the
 # daemon that asks it. The usual period is divided between them. Queries cost less than reads.
@@ -107,6 +108,19 @@
         shared = self.topology.shared.value
         await self.clock.sleep(next_read_delay_s(step, ok, self.period_s, shared, self.rng))
 
+    async def guard(self, read: Awaitable[None], repeat: Callable[[], None]) -> None:
+        """Wait for a read, and repeat it after a delay if it raises an unexpected error.
+
+        :param read: one read, which starts the next one itself unless it raises.
+        """
+        try:
+            await read
+        except Exception as exc:
+            reason = f"{type(exc).__name__} {exc}"
+            log_event("periodic_read_crashed", "ERROR", topic=self.topic, reason=reason)
+            await self.pause(ReadNow(), False)
+            repeat()
+
 
 async def ask_hubs(
     relay: Controller, topic: str, token: str, clock: Clock, max_age_s: float
