Refuse client headers with digits that int() does not read

Seen: a client whose deadline, number of pieces or tokens held a superscript digit got no answer; its connection was closed. The same for a prompt part with a token count of 5,000 digits.

Cause: str.isdigit() accepts superscript digits of Latin-1, and int() raises ValueError for them, and for more than 4,300 digits. Class: a check that accepts more than the conversion.

Change: numbers are a bounded number of ASCII digits. A malformed number gives 400, a malformed prompt part is ignored, as before.

Evidence: test_number_that_is_no_ascii_digits_does_not_end_the_request before: 11 cases failed, 10 of them with ValueError (one had a wrong expectation and was corrected before this commit); platform/tests/test_headers.py after: 46 passed.

--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -73,6 +73,10 @@
 )
 # Larger numbers mean lower priority.
 LOWEST_PRIORITY = 9
+# Digits of the numbers in headers.
+MAX_NUMBER_DIGITS = 12
+MAX_COUNT_DIGITS = 5
+MAX_TOKEN_DIGITS = 9
 
 
 class PlatformWireFormat:
@@ -207,11 +211,16 @@
     return None if value is None else value.strip().decode("latin-1")
 
 
+def _is_number(text: str, max_digits: int) -> bool:
+    # isdigit() alone also accepts superscript digits, which int() rejects.
+    return text.isascii() and text.isdigit() and len(text) <= max_digits
+
+
 def _number(headers: Headers, name: bytes) -> int | None:
     text = _text(headers, name)
     if text is None:
         return None
-    if not text.isdigit() or len(text) > 12:
+    if not _is_number(text, MAX_NUMBER_DIGITS):
         raise ProtocolError(f"{name.decode()}: got {text[:40]!r}, accepted: a whole number")
     return int(text)
 
@@ -221,7 +230,7 @@
     if not text:
         return ()
     parts = [item.strip() for item in text.split(",")]
-    if not all(item.isdigit() and len(item) < 6 for item in parts):
+    if not all(_is_number(item, MAX_COUNT_DIGITS) for item in parts):
         raise ProtocolError(f"{name.decode()}: got {text[:40]!r}, accepted: whole numbers")
     return tuple(int(item) for item in parts)
 
@@ -235,7 +244,7 @@
     parts = []
     for entry in (_text(headers, PREFIX_HASH) or "").split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        if part_id and tokens.isdigit():
+        if part_id and _is_number(tokens, MAX_TOKEN_DIGITS):
             parts.append(PromptPart(part_id, int(tokens)))
     tokens_in, tokens_out = counts if len(counts) == 2 else (0, 0)
     return Prompt(model, tokens_in, tokens_out, tuple(parts))
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -14,7 +14,7 @@
     Stage,
     Tenant,
 )
-from greengagehoist.gateway import Exchange, Progress
+from greengagehoist.gateway import Exchange, Progress, PromptPart
 from greengagehoist.http1 import ProtocolError, RequestHead, ResponseHead
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, TooLate
 from greengagehoist.platform import PlatformWireFormat
@@ -189,3 +189,22 @@
     for status in (200, 404, 500, 503):
         head = ResponseHead(status, b"", ((b"Server-Leaving", value),))
         assert wire.read_reply(head).leaving is expected
+
+
+@pytest.mark.parametrize("value", [b"\xb2", b"1\xb2,2", b"9" * 5000, b"1,\xb9"])
+@pytest.mark.parametrize("name", [b"Token-Count", b"Segments", b"Deadline-Ms", b"Prefix-Hash"])
+def test_number_that_is_no_ascii_digits_does_not_end_the_request(wire, name, value):
+    """A superscript digit raised ValueError, so that the client's connection was closed."""
+    headers = (
+        (b"Host", b"h"),
+        (b"X-Greengagehoist-Request-Id", b"r"),
+        (b"X-Greengagehoist-Model", b"m"),
+        (b"X-Greengagehoist-" + name, b"a:" + value if name == b"Prefix-Hash" else value),
+    )
+    head = RequestHead(b"POST", b"/", "1.1", headers, True)
+    if name == b"Prefix-Hash":
+        expected = (PromptPart("a", 1),) if value.startswith(b"1,") else ()
+        assert wire.read_request(head, b"").prompt.parts == expected
+    else:
+        with pytest.raises(ProtocolError):
+            wire.read_request(head, b"")
