Ignore a load report whose numbers int() does not read

Seen: a replica's answer with a superscript digit or 5,000 digits in its load report was lost, though the replica had run the request.

Cause: the same as for clients' headers: isdigit() accepts more than int().

Change: the report's numbers are a bounded number of ASCII digits; another report is ignored, as before.

Evidence: test_odd_load_report_is_ignored before: 2 of 4 cases failed (ValueError); after: passes.

--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -77,6 +77,7 @@
 MAX_NUMBER_DIGITS = 12
 MAX_COUNT_DIGITS = 5
 MAX_TOKEN_DIGITS = 9
+MAX_LOAD_DIGITS = 9
 
 
 class PlatformWireFormat:
@@ -266,6 +267,6 @@
 def _load(headers: Headers) -> Load | None:
     text = _text(headers, LOAD_REPORT)
     parts = [item.strip() for item in text.split(",")] if text else []
-    if len(parts) != 3 or not all(item.isdigit() for item in parts):
+    if len(parts) != 3 or not all(_is_number(item, MAX_LOAD_DIGITS) for item in parts):
         return None
     return Load(*(int(item) for item in parts))
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -208,3 +208,10 @@
     else:
         with pytest.raises(ProtocolError):
             wire.read_request(head, b"")
+
+
+@pytest.mark.parametrize("value", [b"\xb2,0,8", b"1,0," + b"9" * 5000, b"-1,0,8", b"1,0"])
+def test_odd_load_report_is_ignored(wire, value):
+    """A superscript digit or 5,000 digits raised ValueError, and the answer was lost."""
+    headers = ((b"X-Greengagehoist-Load-Report", value),)
+    assert wire.read_reply(ResponseHead(200, b"OK", headers)).load is None
