Refuse result handles that no header or call can name

Seen: a stage replica's handle with a comma, a newline, a port out of range or no address was accepted. It went into the header with all inputs of a request, and the results' address was taken from it. An answer that is nested too deeply raised RecursionError in the task of the call.

Cause: only a slash was asked for. Class: a value from outside is used unchecked.

Change: a handle is printable ASCII "host:port/id" of at most 512 characters; another one makes the call's answer malformed, as do too many levels of nesting.

--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -1,5 +1,6 @@
 """Headers and bodies of the calls between clients, daemons and replicas."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -22,6 +23,7 @@
 )
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, PieceOutcome, TooLate
 from greengagehoist.replicas import MAX_PAUSE_S, Load, Replica
+from greengagehoist.utils import MAX_PORT, show_value
 
 SERVICE_UNAVAILABLE = 503
 READY_PATH = b"/greengagehoist/readyz"
@@ -73,6 +75,9 @@
 )
 # Larger numbers mean lower priority.
 LOWEST_PRIORITY = 9
+# "host:port/id" without the comma that separates handles in a header.
+_HANDLE = re.compile(r"[!-+\--.0-~]+:([0-9]{1,5})/[!-+\--~]+")
+MAX_HANDLE_CHARS = 512
 # Digits of the numbers in headers.
 MAX_NUMBER_DIGITS = 12
 MAX_COUNT_DIGITS = 5
@@ -162,7 +167,10 @@
 
         :raises ValueError: if the body is malformed.
         """
-        raw = msgspec.json.decode(body)
+        try:
+            raw = msgspec.json.decode(body)
+        except RecursionError as exc:
+            raise ValueError("response is nested too deeply") from exc
         items = raw.get("items") if isinstance(raw, dict) else None
         if not isinstance(items, list) or len(items) != count:
             raise ValueError(f"accepted: {count} items")
@@ -191,7 +199,7 @@
 
 def _piece_end(raw: Any) -> PieceOutcome:
     match raw:
-        case {"handle": str(handle)} if "/" in handle:
+        case {"handle": str(handle)} if _is_handle(handle):
             return Made(handle)
         case {"reason": "gone"}:
             return InputGone()
@@ -199,7 +207,13 @@
             return TooLate()
         case {"reason": str(reason)}:
             return NotMade(reason)
-    raise ValueError(f"accepted: a handle or a reason, got {raw!r}")
+    raise ValueError(f"accepted: a handle or a reason, got {show_value(raw)}")
+
+
+def _is_handle(handle: str) -> bool:
+    """Return whether a header can list the handle, and its results can be freed at its address."""
+    found = _HANDLE.fullmatch(handle)
+    return found is not None and 1 <= int(found[1]) <= MAX_PORT and len(handle) <= MAX_HANDLE_CHARS
 
 
 def _host(headers: Headers) -> str:
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -215,3 +215,33 @@
     """A superscript digit or 5,000 digits raised ValueError, and the answer was lost."""
     headers = ((b"X-Greengagehoist-Load-Report", value),)
     assert wire.read_reply(ResponseHead(200, b"OK", headers)).load is None
+
+
+@pytest.mark.parametrize(
+    "handle",
+    [
+        "nowhere/x",
+        "a:0/x",
+        "a:99999/x",
+        "a:" + "9" * 5000 + "/x",
+        "a:8\u00b2/x",
+        "a:1/x,b:1/y",
+        "a:1/x\r\nX-Other: 1",
+        "a:1/ x",
+        "a:1/",
+        "/x",
+        "a:1/\ud800",
+        "a:1/" + "x" * 1000,
+    ],
+)
+def test_handle_that_no_header_or_call_can_name_is_refused(wire, handle):
+    """Handles go into a header, and their address is where results are freed."""
+    body = json.dumps({"items": [{"handle": handle}]}).encode()
+    with pytest.raises(ValueError):
+        wire.read_pieces(body, 1)
+
+
+def test_outcomes_that_are_nested_too_deeply_are_refused(wire):
+    """RecursionError is no error that callers of a replica expect."""
+    with pytest.raises(ValueError, match="nested"):
+        wire.read_pieces(b"[" * 10_000 + b"]" * 10_000, 1)
--- a/greengagehoist/replicas/_validation.py
+++ b/greengagehoist/replicas/_validation.py
@@ -4,7 +4,7 @@
 from functools import lru_cache
 
 from greengagehoist.replicas._types import Replica
-from greengagehoist.utils import ValidationError, check_address, check_int, check_label
+from greengagehoist.utils import MAX_PORT, ValidationError, check_address, check_int, check_label
 
 MAX_NAME_BYTES = 200
 # Daemons read the whole list every second, and parsing an address takes most of the check's time.
@@ -27,7 +27,7 @@
     check_label("zone", replica.zone, MAX_NAME_BYTES)
     for name in replica.models:
         check_label("model", name, MAX_NAME_BYTES)
-    check_int("port", replica.port, 1, 65535)
+    check_int("port", replica.port, 1, MAX_PORT)
     _check_host(replica.host)
     check_int("slots", replica.slots, 0, MAX_SLOTS)
     check_int("born", replica.born_ms, 0, MAX_BORN_MS)
--- a/greengagehoist/utils/__init__.py
+++ b/greengagehoist/utils/__init__.py
@@ -9,6 +9,7 @@
 from greengagehoist.utils._published import Published
 from greengagehoist.utils._tls import TlsFiles, check_tls, client_context, server_context
 from greengagehoist.utils._validation import (
+    MAX_PORT,
     ValidationError,
     check_address,
     check_float,
@@ -32,6 +33,7 @@
     "SystemClock",
     "Tick",
     "TlsFiles",
+    "MAX_PORT",
     "ValidationError",
     "check_address",
     "check_float",
