Free results although another handle names no port

Seen: one handle without a valid port in a message ended the handling of the whole message, so that results named after it were not freed. Later messages with the same address failed too.

Cause: int() of the port raised ValueError after the handle had been queued. Class: an error of one entry ends the work on all entries.

Change: the port is parsed first; a handle without one is logged as results_not_freed and skipped. parse_port holds the rule of check_address.

--- a/greengagehoist/gateway/controllers/_results.py
+++ b/greengagehoist/gateway/controllers/_results.py
@@ -4,7 +4,15 @@
 
 from greengagehoist.gateway import WireFormat
 from greengagehoist.gateway.controllers._pool_worker import ResultFreer
-from greengagehoist.utils import Clock, Controller, Reply, log_event
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Reply,
+    ValidationError,
+    log_event,
+    parse_port,
+    show_value,
+)
 
 
 class FreeHandles(NamedTuple):
@@ -53,17 +61,25 @@
         match message:
             case FreeHandles(handles):
                 for handle in handles:
-                    address, _, _ = handle.partition("/")
-                    self._queued.setdefault(address, []).append(handle)
-                    self._start_call(address)
+                    self._free_handle(handle)
             case _FreeEnded():
                 self._handle_freed(message)
 
-    def _start_call(self, address: str) -> None:
-        freer = self._freers.get(address)
-        if freer is None:
+    def _free_handle(self, handle: str) -> None:
+        address, _, _ = handle.partition("/")
+        if address not in self._freers:
             host, _, port = address.rpartition(":")
-            freer = self._freers[address] = ResultFreer(host, int(port), self.wire, self.clock)
+            try:
+                freer = ResultFreer(host, parse_port(port), self.wire, self.clock)
+            except ValidationError:
+                log_event("results_not_freed", "WARNING", peer=show_value(address), results=1)
+                return
+            self._freers[address] = freer
+        self._queued.setdefault(address, []).append(handle)
+        self._start_call(address)
+
+    def _start_call(self, address: str) -> None:
+        freer = self._freers[address]
         if not freer.busy and address in self._queued:
             freer.busy = True
             self.start(self._free(freer, address))
@@ -78,6 +94,7 @@
         else:
             # The replica frees the results itself when their lifetime ends.
             log_event("results_not_freed", "WARNING", peer=end.address, results=len(end.handles))
-            self._freers.pop(end.address, None)
+            if end.address not in self._queued:
+                self._freers.pop(end.address, None)
         if end.address in self._queued:
             self._start_call(end.address)
--- a/greengagehoist/utils/__init__.py
+++ b/greengagehoist/utils/__init__.py
@@ -17,6 +17,7 @@
     check_label,
     check_name,
     check_text,
+    parse_port,
     show_value,
 )
 
@@ -47,6 +48,7 @@
     "log_event",
     "new_id",
     "parse_pairs",
+    "parse_port",
     "server_context",
     "setup_logging",
     "show_value",
--- a/greengagehoist/utils/_validation.py
+++ b/greengagehoist/utils/_validation.py
@@ -94,6 +94,17 @@
     return value
 
 
+def parse_port(text: str) -> int:
+    """Return the port that ``text`` names; 0 is accepted.
+
+    :raises ValidationError: unless it is one to five ASCII digits, at most ``MAX_PORT``.
+    """
+    # int() also accepts signs, spaces, underscores and the digits of other scripts.
+    if not _PORT.fullmatch(text) or int(text) > MAX_PORT:
+        raise ValidationError("port", text, f"a number from 0 to {MAX_PORT}")
+    return int(text)
+
+
 def check_address(field: str, value: Any) -> tuple[str, int]:
     """Parse ``ip:port``.
 
@@ -104,11 +115,8 @@
     if not isinstance(value, str) or ":" not in value:
         raise ValidationError(field, value, accepted)
     host, _, port = value.rpartition(":")
-    # int() also accepts signs, spaces, underscores and the digits of other scripts.
-    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
-        raise ValidationError(field, value, accepted)
     try:
         ipaddress.ip_address(host.strip("[]"))
+        return host, parse_port(port)
     except ValueError as exc:
         raise ValidationError(field, value, accepted) from exc
-    return host, int(port)
