Treat an address that cannot be connected to as unreachable

Seen: a host of 300 characters raised UnicodeError from the event loop, which no sender expects, so that the request failed instead of going elsewhere. uvloop connected to a port above 65535 at its lowest 16 bits, so that another program got the request.

Cause: open_socket promised OSError only, and passed each address on. Class: a library raises errors outside the set that callers handle.

Change: open_socket raises OSError for a port out of range and for each ValueError of the connection.

Evidence: http1/tests/test_socket.py on both event loops before: 10 failed, 6 passed; http1 after: all pass.

--- a/greengagehoist/http1/_socket.py
+++ b/greengagehoist/http1/_socket.py
@@ -1,10 +1,13 @@
 """A TCP connection that one task reads and writes."""
 
 import asyncio
+import errno
 import socket
 import struct
 from collections import deque
 
+from greengagehoist.utils import MAX_PORT, show_value
+
 # Reading pauses while more received bytes than this are unread.
 MAX_UNREAD_BYTES = 256 * 1024
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long.
@@ -142,12 +145,18 @@
 async def open_socket(host: str, port: int, timeout_s: float) -> Socket:
     """Connect to a peer.
 
-    :raises OSError: if the peer refuses or cannot be reached.
+    :raises OSError: if the peer refuses or cannot be reached, or the address is invalid.
     :raises TimeoutError: if it does not answer in time.
     """
+    # An event loop may connect to a port above the range at its lowest 16 bits.
+    if not 1 <= port <= MAX_PORT:
+        raise OSError(errno.EINVAL, f"port: accepted: 1 to {MAX_PORT}")
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
-        _, sock = await loop.create_connection(Socket, host, port)
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, sock = await loop.create_connection(Socket, host, port)
+    except ValueError as exc:
+        raise OSError(errno.EINVAL, f"host {show_value(host)}: {type(exc).__name__}") from exc
     return sock
 
 
