Import only the pure validation module in the package replicas

Cause: replicas imported the package utils, which holds tasks and logging.

Change: it imports utils._validation, as the other packages of decisions may.

--- a/greengagehoist/replicas/_validation.py
+++ b/greengagehoist/replicas/_validation.py
@@ -4,7 +4,13 @@
 from functools import lru_cache
 
 from greengagehoist.replicas._types import Replica
-from greengagehoist.utils import MAX_PORT, ValidationError, check_address, check_int, check_label
+from greengagehoist.utils._validation import (
+    MAX_PORT,
+    ValidationError,
+    check_address,
+    check_int,
+    check_label,
+)
 
 MAX_NAME_BYTES = 200
 # Daemons read the whole list every second, and parsing an address takes most of the check's time.
