Take only members whose fields are in range from the daemons' table

Seen: a row with a port out of range, a capacity that is no number, a huge incarnation, a control character in a name or the name of another VM was taken as a member. One with a capacity of 400 digits raised OverflowError, which ended the work on all rows of the read.

Cause: parse_member checked types only. Class: a value from outside is used unchecked.

Change: check_member in the package membership holds the rule; a row counts only under the key of its own VM.

--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -16,7 +16,7 @@
     SharedReads,
 )
 from greengagehoist.gateway.controllers._topology import Topology
-from greengagehoist.membership import Member, choose_hub_links, choose_hubs
+from greengagehoist.membership import Member, check_member, choose_hub_links, choose_hubs
 from greengagehoist.peers import GetPeers, SetMembers
 from greengagehoist.platform_client import (
     DeleteRow,
@@ -27,7 +27,15 @@
     WriteRow,
     Written,
 )
-from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Published,
+    Reply,
+    Tick,
+    ValidationError,
+    log_event,
+)
 
 MEMBER_PREFIX = "member/"
 # Members only change when machines are added or replaced, so the list is read rarely.
@@ -238,8 +246,13 @@
 
 
 def parse_member(row: Row) -> Member | None:
-    """Return the member that a row describes, or None if the row is malformed."""
+    """Return the member that a row describes, or None if the row is malformed or another's."""
     match row.value:
         case [str(vm), str(data_centre), str(address), int(incarnation), int() | float() as size]:
-            return Member(vm, data_centre, address, incarnation, float(size))
+            try:
+                member = check_member(Member(vm, data_centre, address, incarnation, size))
+                member = member._replace(capacity=float(size))
+            except ValidationError:
+                return None
+            return member if row.key == MEMBER_PREFIX + vm else None
     return None
--- a/greengagehoist/gateway/tests/test_members.py
+++ b/greengagehoist/gateway/tests/test_members.py
@@ -9,7 +9,12 @@
 
 from greengagehoist.base import ErrorCode, not_run
 from greengagehoist.gateway.controllers import MemberController, SharedReads, topology_of
-from greengagehoist.gateway.controllers._members import PAGE_ROWS, REMOVE_AFTER_S, HubList
+from greengagehoist.gateway.controllers._members import (
+    PAGE_ROWS,
+    REMOVE_AFTER_S,
+    HubList,
+    parse_member,
+)
 from greengagehoist.gateway.controllers._relay import HeldContent
 from greengagehoist.gateway.tests.recorder import Recorder
 from greengagehoist.membership import Member
@@ -198,3 +203,38 @@
         assert sum(isinstance(call, WriteRow) for call in platform.calls) > 1
 
     asyncio.run(scenario())
+
+
+SOUND_ROW = ["vm-1", "a", "10.0.0.1:7740", 5, 2.0]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        (0, ""),
+        (0, "vm-2"),
+        (0, "vm-1\n"),
+        (0, "v" * 300),
+        (1, "a\x00"),
+        (1, ""),
+        (2, "10.0.0.1"),
+        (2, "10.0.0.1:0"),
+        (2, "10.0.0.1:99999"),
+        (2, "10.0.0.1:" + "9" * 5000),
+        (2, "10.0.0.1/x:80"),
+        (2, ":80"),
+        (3, -1),
+        (3, True),
+        (3, 2**64),
+        (4, float("nan")),
+        (4, float("inf")),
+        (4, -1.0),
+        (4, True),
+        (4, 10**400),
+    ],
+)
+def test_odd_row_gives_no_member(field, value):
+    """Such a member was dialled, replaced another one, or made its order undefined."""
+    assert parse_member(Row("member/vm-1", 1, SOUND_ROW, 0.0)) == Member(*SOUND_ROW)
+    odd = [value if index == field else item for index, item in enumerate(SOUND_ROW)]
+    assert parse_member(Row("member/vm-1", 1, odd, 0.0)) is None
--- a/greengagehoist/membership/__init__.py
+++ b/greengagehoist/membership/__init__.py
@@ -14,6 +14,7 @@
     choose_peers,
 )
 from greengagehoist.membership._roster import LeaveMarks, Listing, Mark, TargetRoster, TargetStatus
+from greengagehoist.membership._validation import check_member
 
 __all__ = [
     "LeaveMarks",
@@ -27,6 +28,7 @@
     "TargetStatus",
     "VM_LIFECYCLE",
     "VmState",
+    "check_member",
     "choose_hub_links",
     "choose_hubs",
     "choose_peers",
