Replace an unreadable entry of the own VM in the daemons' table

Seen: a daemon whose entry was odd wrote its entry on the condition that there was none, so that each registration was refused and no other daemon learned of it.

Cause: the version of the own row was taken only from a row that could be decoded.

Change: the own row is found by its key.

Evidence: test_odd_entry_of_the_own_vm_is_replaced failed before (it expected version 0), gateway/tests/test_members.py after: 28 passed.

--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -166,14 +166,14 @@
         return True
 
     async def _apply(self, rows: tuple[Row, ...], sent_at: float) -> None:
-        members, own_row = {}, None
+        members, own_version, registered = {}, 0, False
         for row in rows:
             member = parse_member(row)
             if member is None:
                 log_event("member_unreadable", "WARNING", key=row.key)
-            elif member.vm == self.own.vm:
-                own_row = (row, member)
-            else:
+            if row.key == MEMBER_PREFIX + self.own.vm:
+                own_version, registered = row.version, member == self.own
+            elif member is not None:
                 members[member.vm] = (row, member)
         all_members = (self.own, *(item for _, item in members.values()))
         hubs = choose_hubs(all_members)
@@ -186,9 +186,9 @@
         self.peers.tell(SetMembers(all_members))
         # Last, because writes wait for each other when many daemons start at once, and stage work
         # needs the hubs.
-        self._registered = own_row is not None and own_row[1] == self.own
-        if not self._registered:
-            await self._register(own_row[0].version if own_row else 0, len(all_members))
+        self._registered = registered
+        if not registered:
+            await self._register(own_version, len(all_members))
         await self._remove_dead(members)
 
     def _apply_hub_read(self, hubs: HubList, held: HeldContent) -> None:
--- a/greengagehoist/gateway/tests/test_members.py
+++ b/greengagehoist/gateway/tests/test_members.py
@@ -238,3 +238,11 @@
     assert parse_member(Row("member/vm-1", 1, SOUND_ROW, 0.0)) == Member(*SOUND_ROW)
     odd = [value if index == field else item for index, item in enumerate(SOUND_ROW)]
     assert parse_member(Row("member/vm-1", 1, odd, 0.0)) is None
+
+
+def test_odd_entry_of_the_own_vm_is_replaced(make_members, clock):
+    """The daemon expected no entry, so that each registration was refused."""
+    controller, platform, _, _ = make_members(members(3))
+    platform.rows[0] = Row(f"member/{OWN.vm}", 7, "odd", 0.0)
+    asyncio.run(run_for(controller, clock, 1.0))
+    assert [call.expect for call in platform.calls if isinstance(call, WriteRow)] == [7]
