Log an unreadable entry of the daemons' table once

Seen: an odd entry gave a line at each read, and its key went into the line as it was.

Cause: the controller did not remember which entries it had reported.

Change: up to five new keys are logged, shortened, when they become unreadable.

Evidence: test_unreadable_members_are_logged_once before: 6 lines in 30 s (assert 6 == 1), after: passes; gateway and the page test: 128 passed.

--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -35,6 +35,7 @@
     Tick,
     ValidationError,
     log_event,
+    show_value,
 )
 
 MEMBER_PREFIX = "member/"
@@ -44,6 +45,8 @@
 WRITE_TIME_S = 0.008
 # Rows in one page of the list.
 PAGE_ROWS = 500
+# Other programs may write rows too, so that the keys may be many.
+MAX_LOGGED_KEYS = 5
 # A member without a link for this long is removed from the list; if it still runs, it registers
 # again with its next read.
 REMOVE_AFTER_S = 30.0
@@ -105,6 +108,7 @@
         self.rng = rng
         self.held: Published[HeldContent | None] = Published(None)
         self._registered = False
+        self._unreadable: set[str] = set()
         self._unlinked_since: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -166,15 +170,16 @@
         return True
 
     async def _apply(self, rows: tuple[Row, ...], sent_at: float) -> None:
-        members, own_version, registered = {}, 0, False
+        members, own_version, registered, unreadable = {}, 0, False, set()
         for row in rows:
             member = parse_member(row)
             if member is None:
-                log_event("member_unreadable", "WARNING", key=row.key)
+                unreadable.add(row.key)
             if row.key == MEMBER_PREFIX + self.own.vm:
                 own_version, registered = row.version, member == self.own
             elif member is not None:
                 members[member.vm] = (row, member)
+        self._log_unreadable(unreadable)
         all_members = (self.own, *(item for _, item in members.values()))
         hubs = choose_hubs(all_members)
         self.topology.links.value = choose_hub_links(self.own.vm, self.own.data_centre, all_members)
@@ -191,6 +196,11 @@
             await self._register(own_version, len(all_members))
         await self._remove_dead(members)
 
+    def _log_unreadable(self, keys: set[str]) -> None:
+        for key in sorted(keys - self._unreadable)[:MAX_LOGGED_KEYS]:
+            log_event("member_unreadable", "WARNING", key=show_value(key))
+        self._unreadable = keys
+
     def _apply_hub_read(self, hubs: HubList, held: HeldContent) -> None:
         others = tuple(item for item in hubs.hubs if item.vm != self.own.vm)
         self.topology.links.value = others
--- a/greengagehoist/gateway/tests/test_members.py
+++ b/greengagehoist/gateway/tests/test_members.py
@@ -9,6 +9,7 @@
 
 from greengagehoist.base import ErrorCode, not_run
 from greengagehoist.gateway.controllers import MemberController, SharedReads, topology_of
+from greengagehoist.gateway.controllers import _members as module
 from greengagehoist.gateway.controllers._members import (
     PAGE_ROWS,
     REMOVE_AFTER_S,
@@ -246,3 +247,18 @@
     platform.rows[0] = Row(f"member/{OWN.vm}", 7, "odd", 0.0)
     asyncio.run(run_for(controller, clock, 1.0))
     assert [call.expect for call in platform.calls if isinstance(call, WriteRow)] == [7]
+
+
+def test_unreadable_members_are_logged_once(make_members, clock, monkeypatch):
+    """A line at each read hides others."""
+    logged = []
+    monkeypatch.setattr(
+        module, "log_event", lambda event, *args, **fields: logged.append((event, fields))
+    )
+    controller, platform, _, _ = make_members(members(3))
+    platform.rows[1] = Row("member/odd\n", 7, "odd", 0.0)
+    asyncio.run(run_for(controller, clock, 30.0))
+    found = [fields for event, fields in logged if event == "member_unreadable"]
+    assert len([call for call in platform.calls if isinstance(call, ReadRange)]) > 3
+    assert len(found) == 1
+    assert "member/odd" in found[0]["key"]
