Ignore a hub's answer whose age is not a number from 0

Seen: an answer with a negative age made an old read look newer than the question, so that revoked keys stayed valid; NaN made each later comparison of ages false.

Cause: the age was used unchecked. Class: a value from outside is used unchecked.

Change: such an answer counts as none and is logged as hub_read_unreadable.

Evidence: test_answer_with_an_impossible_age_is_no_answer before: 4 failed (a read was returned), 19 passed; gateway/tests/test_relay.py after: 23 passed.

--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -1,5 +1,6 @@
 """Controller that exchanges platform reads with hubs, to save reads of this daemon."""
 
+import math
 from typing import Any, NamedTuple
 
 from greengagehoist.gateway.controllers._reach import Reach
@@ -120,7 +121,12 @@
                 pending = self._pending.pop(number, None)
                 if pending is not None:
                     at = pending.asked_at - age_s
-                    pending.reply(HeldContent(token, at, content) if token else None)
+                    # A negative age would make the read look newer than the question.
+                    valid = 0.0 <= age_s < math.inf
+                    if not valid:
+                        reason = f"age of {age_s} s"
+                        log_event("hub_read_unreadable", "WARNING", topic="", reason=reason)
+                    pending.reply(HeldContent(token, at, content) if token and valid else None)
             case _TimedOut(number):
                 pending = self._pending.pop(number, None)
                 if pending is not None:
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -197,3 +197,18 @@
     held = encode_replicas((one,), 1.0)
     assert held == encode_replicas((Replica(*one),), 1.0)
     assert held.token != encode_replicas((one._replace(leaving=True),), 1.0).token
+
+
+@pytest.mark.parametrize("age_s", [float("nan"), float("inf"), -1.0, -1e300])
+def test_answer_with_an_impossible_age_is_no_answer(make_relay, age_s):
+    """A negative age made an old read look newer than the question, and keys stayed valid."""
+
+    async def scenario():
+        relay, peers = make_relay()
+        replies = deliver(relay, AskHub("deployment", "6"))
+        (question,) = peers.sent(SharedReadRequest)
+        answer = SharedRead(question.number, "6", age_s, "")
+        deliver(relay, FromPeer("hub-a1", "a", 1, answer))
+        assert replies == [None]
+
+    asyncio.run(scenario())
