Check the replicas and members that a hub passes on

Seen: a daemon used what a hub had read as it was: replicas with a port of 99999, a long host or an id with a newline, hubs with such addresses, and a number of members of -1 or 10^15, which divides the rate of its platform calls.

Cause: only the types were decoded. Class: a value from outside is used unchecked.

Change: check_replica and check_member are used for lists of hubs too. A replica out of range is left out; a list of hubs with a field out of range is a failed read, as is one nested too deeply.

--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -34,6 +34,7 @@
     Reply,
     Tick,
     ValidationError,
+    check_int,
     log_event,
     show_value,
 )
@@ -43,6 +44,7 @@
 POLL_PERIOD_S = 6.0
 # Time that the platform takes for one write to the list; writes are done one after another.
 WRITE_TIME_S = 0.008
+MAX_MEMBERS = 100_000
 # Rows in one page of the list.
 PAGE_ROWS = 500
 # Other programs may write rows too, so that the keys may be many.
@@ -163,7 +165,10 @@
     def _decode_hub_read(self, held: HeldContent) -> bool:
         try:
             hubs = msgspec.json.decode(held.content, type=HubList)
-        except msgspec.MsgspecError as exc:
+            check_int("count", hubs.count, len(hubs.hubs), MAX_MEMBERS)
+            for member in hubs.hubs:
+                check_member(member)
+        except (RecursionError, ValueError) as exc:
             log_event("hub_read_unreadable", "WARNING", topic="members", reason=str(exc))
             return False
         self.tell(_HubsRead(hubs, held))
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -16,8 +16,17 @@
     SharedReads,
 )
 from greengagehoist.platform_client import ListReplicas
-from greengagehoist.replicas import Replica, ReplicaTable, apply_outage, apply_read
-from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, show_value
+from greengagehoist.replicas import Replica, ReplicaTable, apply_outage, apply_read, check_replica
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Published,
+    Reply,
+    Tick,
+    ValidationError,
+    log_event,
+    show_value,
+)
 
 # More changes than this in one read, as at the start, are logged as one line: lines for a thousand
 # replicas delay the first request of a small VM by 0.1 s.
@@ -121,10 +130,13 @@
     def _apply_hub_read(self, held: HeldContent) -> bool:
         try:
             replicas = msgspec.json.decode(held.content, type=tuple[Replica, ...])
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             log_event("hub_read_unreadable", "WARNING", topic="replicas", reason=str(exc))
             return False
-        self.tell(_ReadEnded(replicas, self._unreadable, held.at))
+        checked = {item: _is_usable(item) for item in replicas}
+        usable = tuple(item for item, is_usable in checked.items() if is_usable)
+        odd = tuple(item.replica_id for item, is_usable in checked.items() if not is_usable)
+        self.tell(_ReadEnded(usable, odd or self._unreadable, held.at))
         return True
 
     def _apply(self, read: _ReadEnded) -> None:
@@ -180,6 +192,14 @@
             log_event("replica_gone", replica=key, service=before.replicas[key].service)
 
 
+def _is_usable(replica: Replica) -> bool:
+    try:
+        check_replica(replica)
+    except ValidationError:
+        return False
+    return True
+
+
 def _is_news(before: ReplicaTable, key: str, item: Replica) -> bool:
     old = before.replicas.get(key)
     return old is None or old.leaving != item.leaving or old.born_ms != item.born_ms
--- a/greengagehoist/gateway/tests/test_members.py
+++ b/greengagehoist/gateway/tests/test_members.py
@@ -262,3 +262,17 @@
     assert len([call for call in platform.calls if isinstance(call, ReadRange)]) > 3
     assert len(found) == 1
     assert "member/odd" in found[0]["key"]
+
+
+@pytest.mark.parametrize(
+    "change", [{"address": "10.0.0.1:99999"}, {"vm": "hub\n"}, {"incarnation": -1}]
+)
+@pytest.mark.parametrize("count", [31, -1, 10**15])
+def test_hubs_out_of_range_are_a_failed_read(make_members, change, count):
+    """They were dialled, and their number divided this daemon's rate of platform calls."""
+    controller, *_ = make_members(members(3))
+    hub = OWN._replace(vm="hub-1", address="x:900")
+    odd = HubList(count, (hub, hub._replace(**change)))
+    held = HeldContent("t", 1.0, msgspec.json.encode(odd).decode())
+    assert not controller._decode_hub_read(held)
+    assert not controller._decode_hub_read(held._replace(content="[" * 10_000))
--- a/greengagehoist/gateway/tests/test_replicas.py
+++ b/greengagehoist/gateway/tests/test_replicas.py
@@ -6,7 +6,12 @@
 
 from greengagehoist.gateway.controllers import ReplicaController, SharedReads, topology_of
 from greengagehoist.gateway.controllers import _replicas as module
-from greengagehoist.gateway.controllers._replicas import MAX_LOGGED_CHANGES, _ReadEnded
+from greengagehoist.gateway.controllers._relay import HeldContent
+from greengagehoist.gateway.controllers._replicas import (
+    MAX_LOGGED_CHANGES,
+    _ReadEnded,
+    encode_replicas,
+)
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
 from greengagehoist.membership import Member
 from greengagehoist.replicas import Replica
@@ -62,3 +67,20 @@
     assert "i-1" in logged[0][1]["keys"]
     assert "i-2" in logged[1][1]["keys"]
     assert len(logged[2][1]["keys"]) < 200
+
+
+@pytest.mark.parametrize(
+    "change", [{"port": 99999}, {"host": "x" * 300}, {"replica_id": "i\n"}, {"slots": -1}]
+)
+def test_hubs_list_costs_only_the_replicas_out_of_range(controller, change):
+    """Hubs of an earlier version pass on entries with such fields."""
+    sound = replicas(2)
+    held = encode_replicas((sound[0], sound[1]._replace(**change)), 1.0)
+    assert controller._apply_hub_read(held)
+    (read,) = [controller._mailbox.get_nowait().message]
+    assert read.replicas == sound[:1]
+
+
+@pytest.mark.parametrize("content", ["[" * 10_000, "{", '[["i",3]]', "[" * 10_000 + "]" * 10_000])
+def test_hubs_list_that_cannot_be_decoded_is_a_failed_read(controller, content):
+    assert not controller._apply_hub_read(HeldContent("t", 1.0, content))
