Back off from a peer's address that is invalid

Seen: an attempt to connect to an address with a port out of range, a long host or a malformed IPv6 address ended its task with ValueError or UnicodeError; it was never reported as failed and stayed marked as active.

Cause: only network errors were expected. Class: a library raises errors outside the set that callers handle.

Change: these errors count as a failed attempt.

--- a/greengagehoist/peers/_controller.py
+++ b/greengagehoist/peers/_controller.py
@@ -247,7 +247,8 @@
                 proxy=None,
                 **_CONNECTION_OPTIONS,
             )
-        except (WebSocketException, OSError, TimeoutError, EOFError):
+        except (WebSocketException, OSError, TimeoutError, EOFError, OverflowError, ValueError):
+            # The last two are raised for addresses that are invalid.
             self.tell(_DialFailed(address))
             return
         await PeerLink(connection, self._hello(), self, address, self.dead_after).run()
