Treat an event whose id has thousands of digits as malformed

Seen: a replica's event with an id of 5,000 digits crashed the request, so that its stream was neither resumed nor reported as the replica's fault.

Cause: int() raises ValueError for more than 4,300 digits. Class: a library raises errors outside the set that callers handle.

Change: an id of more than 1,000 digits is a ProtocolError, as other malformed bytes.

Evidence: test_event_id_that_no_number_holds_is_malformed failed before (ValueError), gateway/tests/test_events.py after: 5 passed.

--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -4,6 +4,8 @@
 
 # A blank line ends an event; a stream may use any of the three line endings.
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+# int() rejects several thousand digits.
+MAX_ID_DIGITS = 1000
 
 
 class EventSplitter:
@@ -19,7 +21,8 @@
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that ``data`` completes.
 
-        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``.
+        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``, or its id has more digits
+            than ``MAX_ID_DIGITS``.
         """
         text = self._partial + data
         end = _end_of_events(text)
@@ -66,5 +69,7 @@
         if line.startswith(b"id:"):
             value = line[3:].strip()
             if value.isdigit():
+                if len(value) > MAX_ID_DIGITS:
+                    raise ProtocolError(f"id of an event exceeds {MAX_ID_DIGITS} digits")
                 return int(value)
     return default
--- a/greengagehoist/gateway/tests/test_events.py
+++ b/greengagehoist/gateway/tests/test_events.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from greengagehoist.gateway._events import EventSplitter
-from greengagehoist.http1 import IncompleteError
+from greengagehoist.http1 import IncompleteError, ProtocolError
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 
@@ -47,3 +47,11 @@
     splitter.feed(b"id: 1\ndata: x\n\n")
     splitter.check_end()
     assert splitter.last_id == 1
+
+
+def test_event_id_that_no_number_holds_is_malformed():
+    """int() raised ValueError, so that the request crashed instead of being sent again."""
+    splitter = EventSplitter(4)
+    with pytest.raises(ProtocolError, match="id"):
+        splitter.feed(b"id: " + b"9" * 5000 + b"\ndata: x\n\n")
+    assert splitter.last_id == 4
