Reply to a call of a target whose answer is nested too deeply

Seen: an answer nested 10,000 levels left the call without a reply: a request waited for its deadline, and the task of each such load report stayed for good.

Cause: the JSON decoder raises RecursionError, also in fields that it skips; it was not among the errors of a call. Class: a library raises errors outside the set that callers handle.

Change: it is one of them.

Evidence: targets/tests/test_odd_answer.py before: 4 failed (no reply in 2 s; with longer tracebacks pytest itself ended with an INTERNALERROR of Python's ast.parse); targets after: 45 passed.

--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -55,7 +55,16 @@
 
 # Errors raised before any byte of the request is sent.
 _NOT_SENT = (NotSentError, ConnectTimeout, ConnectionRefusedError, ConnectionPoolAcquireTimeout)
-_CALL_ERRORS = (AiosonicError, OSError, EOFError, ValueError, LookupError, msgspec.MsgspecError)
+# A body that is nested too deeply raises RecursionError.
+_CALL_ERRORS = (
+    AiosonicError,
+    OSError,
+    EOFError,
+    ValueError,
+    LookupError,
+    RecursionError,
+    msgspec.MsgspecError,
+)
 
 
 class ReadLoad:
