--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -16,7 +16,7 @@
     SharedReads,
 )
 from greengagehoist.gateway.controllers._topology import Topology
-from greengagehoist.membership import Member, choose_hub_links, choose_hubs
+from greengagehoist.membership import Member, check_member, choose_hub_links, choose_hubs
 from greengagehoist.peers import GetPeers, SetMembers
 from greengagehoist.platform_client import (
     DeleteRow,
@@ -29,15 +29,28 @@
     WriteRow,
     Written,
 )
-from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Published,
+    Reply,
+    Tick,
+    ValidationError,
+    check_int,
+    log_event,
+    show_value,
+)
 
 MEMBER_PREFIX = "member/"
 # Members only change when machines are added or replaced, so the list is read rarely.
 POLL_PERIOD_S = 6.0
 # Time that the platform takes for one write to the list; writes are done one after another.
 WRITE_TIME_S = 0.008
+MAX_MEMBERS = 100_000
 # Rows in one page of the list.
 PAGE_ROWS = 500
+# Other programs may write rows too, so that the keys may be many.
+MAX_LOGGED_KEYS = 5
 # A member without a link for this long is removed from the list; if it still runs, it registers
 # again with its next read.
 REMOVE_AFTER_S = 30.0
@@ -101,6 +114,7 @@
         self.held: Published[HeldContent | None] = Published(None)
         self._registered = False
         self._era: int | None = None
+        self._unreadable: set[str] = set()
         self._unlinked_since: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -113,7 +127,7 @@
         """Process one message."""
         match message:
             case Tick():
-                self.start(self._read())
+                self.start(self.reads.guard(self._read(), lambda: self.tell(Tick())))
             case _ReadEnded():
                 self.start(self._apply(message))
             case EraChanged(era):
@@ -174,7 +188,10 @@
     def _decode_hub_read(self, held: HeldContent) -> bool:
         try:
             hubs = msgspec.json.decode(held.content, type=HubList)
-        except msgspec.MsgspecError as exc:
+            check_int("count", hubs.count, len(hubs.hubs), MAX_MEMBERS)
+            for member in hubs.hubs:
+                check_member(member)
+        except (RecursionError, ValueError) as exc:
             log_event("hub_read_unreadable", "WARNING", topic="members", reason=str(exc))
             return False
         self.tell(_HubsRead(hubs, held))
@@ -184,15 +201,16 @@
         if self._era is not None and read.era < self._era:
             return
         self._era = read.era
-        members, own_row = {}, None
+        members, own_version, registered, unreadable = {}, 0, False, set()
         for row in read.rows:
             member = parse_member(row)
             if member is None:
-                log_event("member_unreadable", "WARNING", key=row.key)
-            elif member.vm == self.own.vm:
-                own_row = (row, member)
-            else:
+                unreadable.add(row.key)
+            if row.key == MEMBER_PREFIX + self.own.vm:
+                own_version, registered = row.version, member == self.own
+            elif member is not None:
                 members[member.vm] = (row, member)
+        self._log_unreadable(unreadable)
         all_members = (self.own, *(item for _, item in members.values()))
         hubs = choose_hubs(all_members)
         self.topology.links.value = choose_hub_links(self.own.vm, self.own.data_centre, all_members)
@@ -206,12 +224,16 @@
         self.peers.tell(SetMembers(all_members))
         # Last, because writes wait for each other when many daemons start at once, and stage work
         # needs the hubs.
-        self._registered = own_row is not None and own_row[1] == self.own
-        if not self._registered:
-            expected = own_row[0].version if own_row else 0
-            await self._register(Revision(read.era, expected), len(all_members))
+        self._registered = registered
+        if not registered:
+            await self._register(Revision(read.era, own_version), len(all_members))
         await self._remove_dead(members)
 
+    def _log_unreadable(self, keys: set[str]) -> None:
+        for key in sorted(keys - self._unreadable)[:MAX_LOGGED_KEYS]:
+            log_event("member_unreadable", "WARNING", key=show_value(key))
+        self._unreadable = keys
+
     def _apply_hub_read(self, hubs: HubList, held: HeldContent) -> None:
         others = tuple(item for item in hubs.hubs if item.vm != self.own.vm)
         self.topology.links.value = others
@@ -268,8 +290,13 @@
 
 
 def parse_member(row: Row) -> Member | None:
-    """Return the member that a row describes, or None if the row is malformed."""
+    """Return the member that a row describes, or None if the row is malformed or another's."""
     match row.value:
         case [str(vm), str(data_centre), str(address), int(incarnation), int() | float() as size]:
-            return Member(vm, data_centre, address, incarnation, float(size))
+            try:
+                member = check_member(Member(vm, data_centre, address, incarnation, size))
+                member = member._replace(capacity=float(size))
+            except ValidationError:
+                return None
+            return member if row.key == MEMBER_PREFIX + vm else None
     return None
--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -1,5 +1,6 @@
 """Controller that exchanges platform reads with hubs, to save reads of this daemon."""
 
+import math
 from typing import Any, NamedTuple
 
 from greengagehoist.gateway.controllers._reach import Reach
@@ -145,7 +146,12 @@
         at = pending.asked_at - answer.age_s
         eras = {"era": answer.era, "proven_era": answer.proven_era}
         held = HeldContent(answer.token, at, answer.content, **eras)
-        pending.reply(held if answer.token else None)
+        # A negative age would make the read look newer than the question.
+        valid = 0.0 <= answer.age_s < math.inf
+        if not valid:
+            reason = f"age of {answer.age_s} s"
+            log_event("hub_read_unreadable", "WARNING", topic="", reason=reason)
+        pending.reply(held if answer.token and valid else None)
 
     def _ask(self, query: AskHub, reply: Reply) -> None:
         hubs = self._hubs_to_ask()
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -16,12 +16,30 @@
     SharedReads,
 )
 from greengagehoist.platform_client import ListReplicas
-from greengagehoist.replicas import Replica, ReplicaTable, apply_outage, apply_read, apply_restore
-from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
+from greengagehoist.replicas import (
+    Replica,
+    ReplicaTable,
+    apply_outage,
+    apply_read,
+    apply_restore,
+    check_replica,
+)
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Published,
+    Reply,
+    Tick,
+    ValidationError,
+    log_event,
+    show_value,
+)
 
 # More changes than this in one read, as at the start, are logged as one line: lines for a thousand
 # replicas delay the first request of a small VM by 0.1 s.
 MAX_LOGGED_CHANGES = 100
+# Other programs write the entries, so that their keys may be many.
+MAX_LOGGED_KEYS = 5
 
 
 class ReplicasChanged(NamedTuple):
@@ -32,7 +50,7 @@
 
 class _ReadEnded(NamedTuple):
     replicas: tuple[Replica, ...] | None
-    unreadable: int
+    unreadable: tuple[str, ...]
     sent_at: float
     era: int = 0
 
@@ -62,7 +80,7 @@
         self.table: Published[ReplicaTable] = Published(ReplicaTable())
         self._listed: tuple[Replica, ...] = ()
         self.held: Published[HeldContent | None] = Published(None)
-        self._unreadable = 0
+        self._unreadable: tuple[str, ...] = ()
         self._era: int | None = None
 
     async def run(self) -> None:
@@ -75,7 +93,7 @@
         """Process one message."""
         match message:
             case Tick():
-                self.start(self._read())
+                self.start(self.reads.guard(self._read(), lambda: self.tell(Tick())))
             case SetReadPeriod(seconds):
                 self.reads.period_s = seconds
             case _ReadEnded():
@@ -95,14 +113,15 @@
                 ok = await self._read_platform()
             case HubStale():
                 # An entry that lapses meanwhile may belong to a replica that runs.
-                self.tell(_ReadEnded(None, 0, self.clock.monotonic()))
+                self.tell(_ReadEnded(None, (), self.clock.monotonic()))
         await self.reads.pause(step, ok)
         self.tell(Tick())
 
     async def _read_platform(self) -> bool:
         sent_at = self.clock.monotonic()
         replicas: list[Replica] = []
-        unreadable, after, ok, era = 0, "", True, None
+        unreadable: tuple[str, ...] = ()
+        after, ok, era = "", True, None
         while ok:
             result: Result = await self.platform.ask(ListReplicas(after))
             ok = isinstance(result, Success)
@@ -125,10 +144,13 @@
     def _apply_hub_read(self, held: HeldContent) -> bool:
         try:
             replicas = msgspec.json.decode(held.content, type=tuple[Replica, ...])
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             log_event("hub_read_unreadable", "WARNING", topic="replicas", reason=str(exc))
             return False
-        self.tell(_ReadEnded(replicas, self._unreadable, held.at, held.era))
+        checked = {item: _is_usable(item) for item in replicas}
+        usable = tuple(item for item, is_usable in checked.items() if is_usable)
+        odd = tuple(item.replica_id for item, is_usable in checked.items() if not is_usable)
+        self.tell(_ReadEnded(usable, odd or self._unreadable, held.at, held.era))
         return True
 
     def _apply(self, read: _ReadEnded) -> None:
@@ -145,7 +167,10 @@
             before = apply_restore(before, self.clock.monotonic())
         self._era = read.era
         if read.unreadable != self._unreadable:
-            log_event("replica_entries_unreadable", "WARNING", count=read.unreadable)
+            names = ",".join(show_value(key) for key in read.unreadable[:MAX_LOGGED_KEYS])
+            log_event(
+                "replica_entries_unreadable", "WARNING", count=len(read.unreadable), keys=names
+            )
             self._unreadable = read.unreadable
         table = apply_read(before, read.replicas, read.sent_at)
         self.table.value = table
@@ -187,6 +212,14 @@
             log_event("replica_gone", replica=key, service=before.replicas[key].service)
 
 
+def _is_usable(replica: Replica) -> bool:
+    try:
+        check_replica(replica)
+    except ValidationError:
+        return False
+    return True
+
+
 def _is_news(before: ReplicaTable, key: str, item: Replica) -> bool:
     old = before.replicas.get(key)
     return old is None or old.leaving != item.leaving or old.born_ms != item.born_ms
--- a/greengagehoist/gateway/tests/test_members.py
+++ b/greengagehoist/gateway/tests/test_members.py
@@ -9,11 +9,13 @@
 
 from greengagehoist.base import ErrorCode, not_run
 from greengagehoist.gateway.controllers import MemberController, SharedReads, topology_of
+from greengagehoist.gateway.controllers import _members as module
 from greengagehoist.gateway.controllers._members import (
     PAGE_ROWS,
     REMOVE_AFTER_S,
     WRITE_TIME_S,
     HubList,
+    parse_member,
 )
 from greengagehoist.gateway.controllers._relay import HeldContent
 from greengagehoist.gateway.tests.recorder import Recorder
@@ -278,3 +280,75 @@
         task.cancel()
 
     asyncio.run(scenario())
+
+
+SOUND_ROW = ["vm-1", "a", "10.0.0.1:7740", 5, 2.0]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        (0, ""),
+        (0, "vm-2"),
+        (0, "vm-1\n"),
+        (0, "v" * 300),
+        (1, "a\x00"),
+        (1, ""),
+        (2, "10.0.0.1"),
+        (2, "10.0.0.1:0"),
+        (2, "10.0.0.1:99999"),
+        (2, "10.0.0.1:" + "9" * 5000),
+        (2, "10.0.0.1/x:80"),
+        (2, ":80"),
+        (3, -1),
+        (3, True),
+        (3, 2**64),
+        (4, float("nan")),
+        (4, float("inf")),
+        (4, -1.0),
+        (4, True),
+        (4, 10**400),
+    ],
+)
+def test_odd_row_gives_no_member(field, value):
+    """Such a member was dialled, replaced another one, or made its order undefined."""
+    assert parse_member(Row("member/vm-1", 1, SOUND_ROW, 0.0)) == Member(*SOUND_ROW)
+    odd = [value if index == field else item for index, item in enumerate(SOUND_ROW)]
+    assert parse_member(Row("member/vm-1", 1, odd, 0.0)) is None
+
+
+def test_odd_entry_of_the_own_vm_is_replaced(make_members, clock):
+    """The daemon expected no entry, so that each registration was refused."""
+    controller, platform, _, _ = make_members(members(3))
+    platform.rows[0] = Row(f"member/{OWN.vm}", 7, "odd", 0.0)
+    asyncio.run(run_for(controller, clock, 1.0))
+    assert [call.expect for call in platform.calls if isinstance(call, WriteRow)] == [7]
+
+
+def test_unreadable_members_are_logged_once(make_members, clock, monkeypatch):
+    """A line at each read hides others."""
+    logged = []
+    monkeypatch.setattr(
+        module, "log_event", lambda event, *args, **fields: logged.append((event, fields))
+    )
+    controller, platform, _, _ = make_members(members(3))
+    platform.rows[1] = Row("member/odd\n", 7, "odd", 0.0)
+    asyncio.run(run_for(controller, clock, 30.0))
+    found = [fields for event, fields in logged if event == "member_unreadable"]
+    assert len([call for call in platform.calls if isinstance(call, ReadRange)]) > 3
+    assert len(found) == 1
+    assert "member/odd" in found[0]["key"]
+
+
+@pytest.mark.parametrize(
+    "change", [{"address": "10.0.0.1:99999"}, {"vm": "hub\n"}, {"incarnation": -1}]
+)
+@pytest.mark.parametrize("count", [31, -1, 10**15])
+def test_hubs_out_of_range_are_a_failed_read(make_members, change, count):
+    """They were dialled, and their number divided this daemon's rate of platform calls."""
+    controller, *_ = make_members(members(3))
+    hub = OWN._replace(vm="hub-1", address="x:900")
+    odd = HubList(count, (hub, hub._replace(**change)))
+    held = HeldContent("t", 1.0, msgspec.json.encode(odd).decode())
+    assert not controller._decode_hub_read(held)
+    assert not controller._decode_hub_read(held._replace(content="[" * 10_000))
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -207,3 +207,18 @@
     assert answer == Changed(NEW._replace(era=2))
     only_early = FixedAnswers(SAME._replace(era=1))
     assert asyncio.run(ask_hubs(only_early, "deployment", "7", clock, 2.0, era=2)) == HubStale()
+
+
+@pytest.mark.parametrize("age_s", [float("nan"), float("inf"), -1.0, -1e300])
+def test_answer_with_an_impossible_age_is_no_answer(make_relay, age_s):
+    """A negative age made an old read look newer than the question, and keys stayed valid."""
+
+    async def scenario():
+        relay, peers = make_relay()
+        replies = deliver(relay, AskHub("deployment", "6"))
+        (question,) = peers.sent(SharedReadRequest)
+        answer = SharedRead(question.number, "6", age_s, "")
+        deliver(relay, FromPeer("hub-a1", "a", 1, answer))
+        assert replies == [None]
+
+    asyncio.run(scenario())
--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -1,5 +1,6 @@
 """Headers and bodies of the calls between clients, daemons and replicas."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -22,6 +23,7 @@
 )
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, PieceOutcome, TooLate
 from greengagehoist.replicas import MAX_PAUSE_S, Load, Replica
+from greengagehoist.utils import MAX_PORT, show_value
 
 SERVICE_UNAVAILABLE = 503
 READY_PATH = b"/greengagehoist/readyz"
@@ -73,6 +75,14 @@
 )
 # Larger numbers mean lower priority.
 LOWEST_PRIORITY = 9
+# "host:port/id" without the comma that separates handles in a header.
+_HANDLE = re.compile(r"[!-+\--.0-~]+:([0-9]{1,5})/[!-+\--~]+")
+MAX_HANDLE_CHARS = 512
+# Digits of the numbers in headers.
+MAX_NUMBER_DIGITS = 12
+MAX_COUNT_DIGITS = 5
+MAX_TOKEN_DIGITS = 9
+MAX_LOAD_DIGITS = 9
 
 
 class PlatformWireFormat:
@@ -157,7 +167,10 @@
 
         :raises ValueError: if the body is malformed.
         """
-        raw = msgspec.json.decode(body)
+        try:
+            raw = msgspec.json.decode(body)
+        except RecursionError as exc:
+            raise ValueError("response is nested too deeply") from exc
         items = raw.get("items") if isinstance(raw, dict) else None
         if not isinstance(items, list) or len(items) != count:
             raise ValueError(f"accepted: {count} items")
@@ -186,7 +199,7 @@
 
 def _piece_end(raw: Any) -> PieceOutcome:
     match raw:
-        case {"handle": str(handle)} if "/" in handle:
+        case {"handle": str(handle)} if _is_handle(handle):
             return Made(handle)
         case {"reason": "gone"}:
             return InputGone()
@@ -194,7 +207,13 @@
             return TooLate()
         case {"reason": str(reason)}:
             return NotMade(reason)
-    raise ValueError(f"accepted: a handle or a reason, got {raw!r}")
+    raise ValueError(f"accepted: a handle or a reason, got {show_value(raw)}")
+
+
+def _is_handle(handle: str) -> bool:
+    """Return whether a header can list the handle, and its results can be freed at its address."""
+    found = _HANDLE.fullmatch(handle)
+    return found is not None and 1 <= int(found[1]) <= MAX_PORT and len(handle) <= MAX_HANDLE_CHARS
 
 
 def _host(headers: Headers) -> str:
@@ -207,11 +226,16 @@
     return None if value is None else value.strip().decode("latin-1")
 
 
+def _is_number(text: str, max_digits: int) -> bool:
+    # isdigit() alone also accepts superscript digits, which int() rejects.
+    return text.isascii() and text.isdigit() and len(text) <= max_digits
+
+
 def _number(headers: Headers, name: bytes) -> int | None:
     text = _text(headers, name)
     if text is None:
         return None
-    if not text.isdigit() or len(text) > 12:
+    if not _is_number(text, MAX_NUMBER_DIGITS):
         raise ProtocolError(f"{name.decode()}: got {text[:40]!r}, accepted: a whole number")
     return int(text)
 
@@ -221,7 +245,7 @@
     if not text:
         return ()
     parts = [item.strip() for item in text.split(",")]
-    if not all(item.isdigit() and len(item) < 6 for item in parts):
+    if not all(_is_number(item, MAX_COUNT_DIGITS) for item in parts):
         raise ProtocolError(f"{name.decode()}: got {text[:40]!r}, accepted: whole numbers")
     return tuple(int(item) for item in parts)
 
@@ -235,7 +259,7 @@
     parts = []
     for entry in (_text(headers, PREFIX_HASH) or "").split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        if part_id and tokens.isdigit():
+        if part_id and _is_number(tokens, MAX_TOKEN_DIGITS):
             parts.append(PromptPart(part_id, int(tokens)))
     tokens_in, tokens_out = counts if len(counts) == 2 else (0, 0)
     return Prompt(model, tokens_in, tokens_out, tuple(parts))
@@ -257,6 +281,6 @@
 def _load(headers: Headers) -> Load | None:
     text = _text(headers, LOAD_REPORT)
     parts = [item.strip() for item in text.split(",")] if text else []
-    if len(parts) != 3 or not all(item.isdigit() for item in parts):
+    if len(parts) != 3 or not all(_is_number(item, MAX_LOAD_DIGITS) for item in parts):
         return None
     return Load(*(int(item) for item in parts))
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -1,7 +1,6 @@
 """Encoding of platform calls as requests to the platform's store, and decoding of its rows."""
 
 import base64
-import binascii
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import quote
@@ -25,7 +24,7 @@
     WriteRow,
     Written,
 )
-from greengagehoist.replicas import Replica
+from greengagehoist.replicas import Replica, check_replica, parse_address
 
 # Table of the rows that the daemons write.
 DAEMON_TABLE = "greengagehoist"
@@ -83,7 +82,10 @@
         :raises ValueError: if the content is malformed.
         :raises KeyError: if a field is missing.
         """
-        body = msgspec.json.decode(content)
+        try:
+            body = msgspec.json.decode(content)
+        except RecursionError as exc:
+            raise ValueError("response is nested too deeply") from exc
         match message:
             case ReadDeployment(known_row):
                 return _deployment(body["rows"], known_row, era)
@@ -128,10 +130,10 @@
 
 
 def _value(raw: dict[str, Any]) -> Any:
-    """Return the decoded value of a row, or None if it is malformed."""
+    """Return the decoded value of a row, or None if it is malformed or nested too deeply."""
     try:
         return msgspec.json.decode(base64.b64decode(raw["value"]))
-    except (binascii.Error, msgspec.MsgspecError, ValueError, TypeError, KeyError):
+    except (LookupError, RecursionError, TypeError, ValueError):
         return None
 
 
@@ -148,7 +150,7 @@
         return DeploymentRead(None, revision)
     try:
         source = base64.b64decode(found[0]["value"]).decode()
-    except (binascii.Error, TypeError, UnicodeDecodeError) as exc:
+    except (LookupError, TypeError, ValueError) as exc:
         raise ValueError(f"row version {revision.version} is malformed: {exc!r}") from exc
     return DeploymentRead(_parse_deployment(source, revision), revision, source)
 
@@ -156,17 +158,25 @@
 def _parse_deployment(source: str, row: Revision) -> Deployment:
     try:
         return decode_deployment(msgspec.json.decode(source))
-    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as exc:
         raise ValueError(
             f"configuration in row version {row.version} is malformed: {exc!r}"
         ) from exc
 
 
 def _replica_page(body: dict[str, Any]) -> ReplicaPage:
-    found = [decode_replica(row["key"], _value(row)) for row in body["rows"]]
-    replicas = tuple(item for item in found if item is not None)
+    found = {row["key"]: decode_replica(row["key"], _value(row)) for row in body["rows"]}
+    replicas = tuple(item for item in found.values() if item is not None)
+    unreadable = tuple(str(key) for key, item in found.items() if item is None)
     last = body["rows"][-1]["key"] if body.get("has_more") and body["rows"] else ""
-    return ReplicaPage(replicas, len(found) - len(replicas), last)
+    return ReplicaPage(replicas, unreadable, last)
 
 
 def decode_replica(replica_id: str, raw: Any) -> Replica | None:
@@ -181,15 +191,22 @@
             "zone": str(zone),
             "state": "ready" | "draining" as state,
         }:
-            host, _, port = address.rpartition(":")
-            slots, born = raw.get("slots", 1), raw.get("born", 0)
             models = raw.get("models") or ()
-            valid = type(slots) is int and type(born) is int and isinstance(models, list | tuple)
-            if not valid or not host or not port.isdigit():
+            try:
+                host, port = parse_address(address)
+                return check_replica(
+                    Replica(
+                        replica_id=replica_id,
+                        service=service,
+                        host=host,
+                        port=port,
+                        zone=zone,
+                        slots=raw.get("slots", 1),
+                        born_ms=raw.get("born", 0),
+                        leaving=state == "draining",
+                        models=tuple(item["name"] for item in models),
+                    )
+                )
+            except (LookupError, TypeError, ValueError):
                 return None
-            names = tuple(
-                item["name"] for item in models if isinstance(item, dict) and "name" in item
-            )
-            leaving = state == "draining"
-            return Replica(replica_id, service, host, int(port), zone, slots, born, leaving, names)
     return None
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -14,7 +14,7 @@
     Stage,
     Tenant,
 )
-from greengagehoist.gateway import Exchange, Progress
+from greengagehoist.gateway import Exchange, Progress, PromptPart
 from greengagehoist.http1 import ProtocolError, RequestHead, ResponseHead
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, TooLate
 from greengagehoist.platform import PlatformWireFormat
@@ -189,3 +189,59 @@
     for status in (200, 404, 500, 503):
         head = ResponseHead(status, b"", ((b"Server-Leaving", value),))
         assert wire.read_reply(head).leaving is expected
+
+
+@pytest.mark.parametrize("value", [b"\xb2", b"1\xb2,2", b"9" * 5000, b"1,\xb9"])
+@pytest.mark.parametrize("name", [b"Token-Count", b"Segments", b"Deadline-Ms", b"Prefix-Hash"])
+def test_number_that_is_no_ascii_digits_does_not_end_the_request(wire, name, value):
+    """A superscript digit raised ValueError, so that the client's connection was closed."""
+    headers = (
+        (b"Host", b"h"),
+        (b"X-Greengagehoist-Request-Id", b"r"),
+        (b"X-Greengagehoist-Model", b"m"),
+        (b"X-Greengagehoist-" + name, b"a:" + value if name == b"Prefix-Hash" else value),
+    )
+    head = RequestHead(b"POST", b"/", "1.1", headers, True)
+    if name == b"Prefix-Hash":
+        expected = (PromptPart("a", 1),) if value.startswith(b"1,") else ()
+        assert wire.read_request(head, b"").prompt.parts == expected
+    else:
+        with pytest.raises(ProtocolError):
+            wire.read_request(head, b"")
+
+
+@pytest.mark.parametrize("value", [b"\xb2,0,8", b"1,0," + b"9" * 5000, b"-1,0,8", b"1,0"])
+def test_odd_load_report_is_ignored(wire, value):
+    """A superscript digit or 5,000 digits raised ValueError, and the answer was lost."""
+    headers = ((b"X-Greengagehoist-Load-Report", value),)
+    assert wire.read_reply(ResponseHead(200, b"OK", headers)).load is None
+
+
+@pytest.mark.parametrize(
+    "handle",
+    [
+        "nowhere/x",
+        "a:0/x",
+        "a:99999/x",
+        "a:" + "9" * 5000 + "/x",
+        "a:8\u00b2/x",
+        "a:1/x,b:1/y",
+        "a:1/x\r\nX-Other: 1",
+        "a:1/ x",
+        "a:1/",
+        "/x",
+        "a:1/\ud800",
+        "a:1/" + "x" * 1000,
+    ],
+)
+def test_handle_that_no_header_or_call_can_name_is_refused(wire, handle):
+    """Handles go into a header, and their address is where results are freed."""
+    body = json.dumps({"items": [{"handle": handle}]}).encode()
+    with pytest.raises(ValueError):
+        wire.read_pieces(body, 1)
+
+
+def test_outcomes_that_are_nested_too_deeply_are_refused(wire):
+    """RecursionError is no error that callers of a replica expect."""
+    with pytest.raises(ValueError, match="nested"):
+        wire.read_pieces(b"[" * 10_000 + b"]" * 10_000, 1)
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -122,11 +122,11 @@
     assert calls.decode(ReadDeployment(), 200, body(rows=[])).row == Revision(0, 0)
 
 
-def test_page_of_replicas_counts_unreadable_entries(calls):
+def test_page_of_replicas_names_unreadable_entries(calls):
     rows = [row("i-1", ENTRY), row("i-2", {"service": 3}), {"key": "i-3", "value": "%%", "ver": 1}]
     page = calls.decode(ListReplicas(), 200, body(rows=rows, has_more=True))
     assert [item.replica_id for item in page.replicas] == ["i-1"]
-    assert (page.unreadable, page.last) == (2, "i-3")
+    assert (page.unreadable, page.last) == (("i-2", "i-3"), "i-3")
     assert page.replicas[0].models == ("m",)
 
 
@@ -146,6 +146,84 @@
     assert decode_replica("i", {**ENTRY, **change}) is None
 
 
+NESTED = 10_000
+
+
+def raw_row(key, text):
+    """Return a row whose value is ``text``, which need not be JSON."""
+    return {"key": key, "value": base64.b64encode(text.encode()).decode(), "ver": 5}
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[" * NESTED + "]" * NESTED,
+        json.dumps(ENTRY)[:-1] + ',"extra":' + "[" * NESTED + "]" * NESTED + "}",
+        json.dumps({**ENTRY, "address": "10.0.0.9:" + "8" * 5000}),
+        json.dumps({**ENTRY, "address": "10.0.0.9:8\u00b2"}),
+        json.dumps(ENTRY)[:-1] + ',"slots":' + "9" * 5000 + "}",
+        json.dumps({**ENTRY, "service": "s\ud800"}),
+    ],
+    ids=[
+        "nested",
+        "nested_field",
+        "long_port",
+        "superscript_port",
+        "long_number",
+        "lone_surrogate",
+    ],
+)
+def test_odd_entry_does_not_cost_the_others(calls, text):
+    """One entry failed each read of the list, so that the daemon stopped following it."""
+    rows = [row("i-1", ENTRY), raw_row("i-2", text), row("i-3", ENTRY)]
+    page = calls.decode(ListReplicas(), 200, body(rows=rows))
+    assert [item.replica_id for item in page.replicas] == ["i-1", "i-3"]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:65536"},
+        {"address": "10.0.0.9:99999"},
+        {"address": "10.0.0.9:+80"},
+        {"address": "10.0.0.9:\u0668\u0660"},
+        {"address": "10.0.0.9:8\u00b2"},
+        {"address": "a" * 300 + ":80"},
+        {"address": "[::1]:80"},
+        {"address": "[10.0.0.9]:80"},
+        {"address": "0.0.0.0:80"},
+        {"address": "224.0.0.1:80"},
+        {"address": "10.0.0.256:80"},
+        {"slots": -1},
+        {"slots": True},
+        {"slots": 10**400},
+        {"born": -1},
+        {"born": False},
+        {"born": 10**400},
+        {"service": ""},
+        {"service": "s\nt"},
+        {"service": "s" * 300},
+        {"zone": "z\x00"},
+        {"zone": "\ud800"},
+        {"models": [{"name": 3}]},
+        {"models": [{"name": "m\n"}]},
+        {"models": ["m"]},
+        {"models": "m"},
+    ],
+    ids=repr,
+)
+def test_entry_with_a_field_out_of_range_gives_no_replica(change):
+    """Such replicas were used: a port above 65535 is connected to at its lowest 16 bits."""
+    assert decode_replica("i", {**ENTRY, **change}) is None
+
+
+@pytest.mark.parametrize("key", ["", "i\r\nX-Other: 1", " i", "i" * 300, "\ud800", None, 3])
+def test_entry_whose_id_no_header_can_hold_gives_no_replica(key):
+    """Requests name the replica's id in a header."""
+    assert decode_replica(key, ENTRY) is None
+
+
 def test_draining_replica_is_leaving():
     assert decode_replica("i", {**ENTRY, "state": "draining"}).leaving
 
@@ -164,6 +242,48 @@
     assert found is None or (found.host and found.port >= 0)
 
 
+ODD_TEXTS = st.sampled_from(
+    [
+        "[" * NESTED,
+        "[" * NESTED + "]" * NESTED,
+        '{"a":' * NESTED + "1" + "}" * NESTED,
+        "9" * 5000,
+        "1e999",
+        "NaN",
+        "",
+        '"\\ud800"',
+    ]
+)
+ODD_VALUES = st.sampled_from(
+    [10**400, -1, 2.5, True, None, "\ud800", "a\nb", "", "x" * 1000, [[]], {"name": []}]
+)
+ODD_ENTRIES = (
+    ODD_TEXTS
+    | st.tuples(st.sampled_from(["service", "address", "zone", "state"]), ODD_VALUES).map(
+        lambda change: json.dumps({**ENTRY, change[0]: change[1]})
+    )
+    | st.sampled_from(["slots", "born", "address"]).flatmap(
+        lambda field: ODD_TEXTS.map(lambda text: json.dumps({**ENTRY, field: [text]}))
+    )
+    | ODD_TEXTS.map(lambda text: json.dumps(ENTRY)[:-1] + ',"slots":' + (text or "[") + "}")
+)
+
+
+@property_settings(200)
+@given(st.lists(st.none() | ODD_ENTRIES, max_size=6))
+def test_page_holds_exactly_the_sound_entries(entries):
+    """No entry of another program may cost another one."""
+    keys = [f"i-{number}" for number in range(len(entries))]
+    rows = [
+        row(key, ENTRY) if text is None else raw_row(key, text)
+        for key, text in zip(keys, entries, strict=True)
+    ]
+    page = StoreCodec().decode(ListReplicas(), 200, body(rows=rows))
+    sound = [key for key, text in zip(keys, entries, strict=True) if text is None]
+    assert [item.replica_id for item in page.replicas] == sound
+    assert page.unreadable == tuple(key for key in keys if key not in sound)
+
+
 def test_write_names_the_expected_version(calls):
     call = calls.encode(WriteRow("member/x", [1], 4))
     assert call.json["expected_revision"][0]["ver"] == 4
@@ -204,3 +324,33 @@
     found = body(rows=[row("config", CONFIG)])
     read = calls.decode(ReadDeployment(Revision(1, 5)), 200, found, era=2)
     assert (read.row, read.deployment.version) == (Revision(2, 5), 7)
+
+
+@pytest.mark.parametrize(
+    "source",
+    [
+        "[" * NESTED + "]" * NESTED,
+        json.dumps({**CONFIG, "version": 10**400}),
+        json.dumps({**CONFIG, "version": "7"}),
+        json.dumps({**CONFIG, "version": True}),
+        json.dumps({**CONFIG, "version": None}),
+        json.dumps({**CONFIG, "routes": [{**CONFIG["routes"][0], "timeout_ms": 10**400}]}),
+        json.dumps({**CONFIG, "tenants": [{"name": "t", "api_keys": [[]]}]}),
+        "9" * 5000,
+        "",
+    ],
+    ids=["nested", "huge", "text", "bool", "null", "huge_timeout", "key", "number", "empty"],
+)
+def test_configuration_that_cannot_be_decoded_is_a_failed_read(calls, source):
+    """Another error ended the task that follows the configuration, if it came from a hub."""
+    with pytest.raises(ValueError, match="row version 7"):
+        calls.read_deployment(source, Revision(0, 7))
+    content = msgspec.json.encode({"rows": [raw_row("config", source) | {"ver": 7}], "ver": 7})
+    with pytest.raises(ValueError, match="row version 7"):
+        calls.decode(ReadDeployment(), 200, content)
+
+
+def test_response_of_the_store_that_is_nested_too_deeply_is_a_failed_read(calls):
+    """RecursionError is no error that callers of the platform expect."""
+    with pytest.raises(ValueError, match="nested"):
+        calls.decode(ListReplicas(), 200, b"[" * NESTED + b"]" * NESTED)
--- a/greengagehoist/utils/__init__.py
+++ b/greengagehoist/utils/__init__.py
@@ -9,12 +9,15 @@
 from greengagehoist.utils._published import Published
 from greengagehoist.utils._tls import TlsFiles, check_tls, client_context, server_context
 from greengagehoist.utils._validation import (
+    MAX_PORT,
     ValidationError,
     check_address,
     check_float,
     check_int,
+    check_label,
     check_name,
     check_text,
+    parse_port,
     show_value,
 )
 
@@ -31,10 +34,12 @@
     "SystemClock",
     "Tick",
     "TlsFiles",
+    "MAX_PORT",
     "ValidationError",
     "check_address",
     "check_float",
     "check_int",
+    "check_label",
     "check_name",
     "check_text",
     "check_tls",
@@ -43,6 +48,7 @@
     "log_event",
     "new_id",
     "parse_pairs",
+    "parse_port",
     "server_context",
     "setup_logging",
     "show_value",
