Resume a stream only with an event stream

Callers saw the text of an error in the middle of their stream, or a stream that ended as complete after its second event of five: a stream had broken off, and the next replica answered the request that resumed it with a page or JSON of status 200, or with 201 or 204. Of the classes of wrong answers that were tried, failures and refusals (400, 421, 500, 503), unsigned, encoded and foreign answers did not get into the stream before either.

Cause: any signed 2xx with the request's id counted as the rest of the stream. The check for events applied to the type of the next answer, so that a page needed no events, and an empty body of any type ended the stream. A first answer of 204 was followed by the end of a chunked body. The class of fault: an answer is taken for the one expected by its place, not by what it says.

Change: the answer to a request that resumes a stream must be a 200 of an event stream; an empty one must also name its type. Anything else counts as broken off, so that the stream is resumed elsewhere or aborted. Only a 200 is relayed as a stream. The replica stand-in can write any bytes as its answer.

--- /dev/null
+++ b/greengagehoist/daemon/tests/test_gateway_resumed.py
@@ -0,0 +1,146 @@
+"""Guards against bytes of another answer in a stream, with stand-ins on loopback.
+
+After a stream had broken off, clients of another system found the error of the next replica in the
+middle of it, or the stream ended as if it were complete.
+"""
+
+import pytest
+
+from greengagehoist.http1 import IncompleteError, ResponseReader
+from greengagehoist.standins import Writes
+from greengagehoist.standins._gateway_standins import event
+
+EVENTS = 5
+STREAM = b"".join(event(number) for number in range(EVENTS))
+WHOLE_EVENTS = [b"".join(event(n) for n in range(count)) for count in range(EVENTS)]
+ONCE, RESUMABLE = "/once/", "/text/"
+SIGNED = b"X-Greengagehoist-Request-Id: {id}\r\nX-Greengagehoist-Server-Stamp: s\r\n"
+STREAM_TYPE = b"Content-Type: text/event-stream\r\n"
+NOT_EXECUTED = b"X-Greengagehoist-Not-Executed: 1\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+HTML = b"<html>\n\n<p>Service unavailable</p>\n\n</html>\n\n"
+REST = b"".join(event(number) for number in range(2, EVENTS))
+ERROR_HEAD = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+
+
+def encode(status, headers=b"", body=b"", length=None):
+    length = len(body) if length is None else length
+    head = b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n" % (status, headers, length)
+    return head + body
+
+
+# Answers to a request that resumes a stream after event 1.
+WRONG_ANSWERS = {
+    "json": encode(200, SIGNED + b"Content-Type: application/json\r\n", b'{"error":"x"}'),
+    "html": encode(200, SIGNED + b"Content-Type: text/html\r\n", HTML),
+    "html chunked": b"HTTP/1.1 200 OK\r\n%bContent-Type: text/html\r\n%b\r\n%x\r\n%b\r\n0\r\n\r\n"
+    % (SIGNED, CHUNKED, len(HTML), HTML),
+    "json without type": encode(200, SIGNED, b'{"error":"x"}'),
+    "empty without type": encode(200, SIGNED),
+    "empty json": encode(200, SIGNED + b"Content-Type: application/json\r\n"),
+    "201": encode(201, SIGNED + STREAM_TYPE, REST),
+    "204": b"HTTP/1.1 204 No Content\r\n%b\r\n" % SIGNED,
+    "206": encode(206, SIGNED + STREAM_TYPE, REST[:-10]),
+    "304": b"HTTP/1.1 304 Not Modified\r\n%b\r\n" % SIGNED,
+    "400": encode(400, SIGNED, HTML),
+    "421": encode(421, b"X-Greengagehoist-Instance-Id: i\r\n"),
+    "503 not executed": encode(503, SIGNED + NOT_EXECUTED, b"full\n\n"),
+    "503 with a pause": encode(503, NOT_EXECUTED + b"Retry-After: 1\r\n", b"full\n\n"),
+    "503 after a run": encode(503, SIGNED, b"failed\n\n"),
+    "500 chunked": b"HTTP/1.1 500 X\r\n%b%b\r\n%x\r\n%b\r\n0\r\n\r\n"
+    % (SIGNED, CHUNKED, len(HTML), HTML),
+    "content encoding": encode(200, SIGNED + STREAM_TYPE + b"Content-Encoding: gzip\r\n", REST),
+    "unsigned": encode(200, b"X-Greengagehoist-Request-Id: {id}\r\n" + STREAM_TYPE, REST),
+    "another's id": encode(200, SIGNED.replace(b"{id}", b"other") + STREAM_TYPE, REST),
+    "no response": HTML,
+    "head where a chunk is due": b"HTTP/1.1 200 OK\r\n%b%b%b\r\n%x\r\n%b\r\n%b"
+    % (SIGNED, STREAM_TYPE, CHUNKED, len(event(2)), event(2), ERROR_HEAD),
+    "body ends early": encode(200, SIGNED + STREAM_TYPE, event(2), length=len(REST)),
+}
+
+
+async def receive(system, path, version=b"1.1", **headers):
+    """Return the body that a client receives and whether it looks complete."""
+    sock = await system.connect()
+    sock.write(system.encode(path, **headers).replace(b"HTTP/1.1", b"HTTP/" + version))
+    reader, body = ResponseReader(sock, b"POST"), b""
+    try:
+        head = await reader.head()
+        while data := await reader.chunk():
+            body += data
+    except IncompleteError:
+        return body, False
+    finally:
+        sock.abort()
+    return body, head.status == 200
+
+
+def set_engines(system, *behaviours):
+    for engine, behaviour in zip(system.engines, behaviours, strict=True):
+        engine.behaviour = behaviour
+
+
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+@pytest.mark.parametrize("answer", WRONG_ANSWERS.values(), ids=WRONG_ANSWERS)
+def test_stream_that_cannot_be_resumed_is_aborted(run_scenario, answer, version):
+    """The next replica's error must not get into the stream, nor end it as complete."""
+
+    async def scenario(system):
+        behaviour = Writes(answer, after=2)
+        set_engines(system, behaviour, behaviour)
+        body, is_whole = await receive(system, RESUMABLE, version)
+        assert body in WHOLE_EVENTS[2:]
+        assert not is_whole
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("after", "answer"),
+    [
+        (2, encode(200, SIGNED + STREAM_TYPE, REST)),
+        (2, encode(200, SIGNED, REST)),
+        (2, encode(200, SIGNED + STREAM_TYPE, REST) + ERROR_HEAD),
+        (EVENTS, encode(200, SIGNED + STREAM_TYPE)),
+    ],
+    ids=["rest", "rest without type", "bytes after the answer", "nothing left"],
+)
+def test_stream_is_resumed_after_its_last_event(run_scenario, after, answer):
+    """A check of the next answer must not reject one that continues the stream."""
+
+    async def scenario(system):
+        behaviour = Writes(answer, after)
+        set_engines(system, behaviour, behaviour)
+        assert await receive(system, RESUMABLE) == (STREAM, True)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+def test_answer_that_is_no_event_stream_is_relayed_unchanged(run_scenario, path):
+    """A check for events must not reject answers of another type."""
+
+    async def scenario(system):
+        answer = Writes(encode(200, SIGNED + b"Content-Type: text/html\r\n", HTML + b"end"))
+        set_engines(system, answer, answer)
+        assert await receive(system, path) == (HTML + b"end", True)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+def test_first_answer_without_content_has_no_body(run_scenario, path):
+    """The last chunk after a 204 would be bytes that are no answer."""
+
+    async def scenario(system):
+        answer = Writes(b"HTTP/1.1 204 No Content\r\n%b\r\n" % SIGNED)
+        set_engines(system, answer, answer)
+        sock = await system.connect()
+        sock.write(system.encode(path))
+        reader = ResponseReader(sock, b"POST")
+        assert (await reader.head()).status == 204
+        sock.write(system.encode("/look/"))
+        assert (await ResponseReader(sock, b"POST").head()).status == 200
+        sock.abort()
+
+    run_scenario(scenario)
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -64,6 +64,7 @@
 MIN_RETRY_AFTER_S = 0.1
 # An idempotent request goes to another replica after this multiple of its target latency.
 RESPONSE_TIMEOUT_FACTOR = 3.0
+OK = 200
 FIRST_ERROR_STATUS = 400
 SERVER_ERROR = 500
 # Clients choose number and length of the ids of prompt parts.
@@ -322,7 +323,7 @@
             return Lost()
         if not reply.signed or get_header(head.headers, b"content-encoding") is not None:
             return Lost()
-        if isinstance(exchange.route.kind, Streaming) and head.status < 300:
+        if isinstance(exchange.route.kind, Streaming) and head.status == OK:
             self.first_event_latency.observe(exchange.route, self.clock.monotonic() - sent_at)
             return await relay_stream(
                 exchange, replica, head, reader, self.clock, lambda: self._free_inputs(exchange)
--- a/greengagehoist/gateway/filters/_stream_relay.py
+++ b/greengagehoist/gateway/filters/_stream_relay.py
@@ -32,9 +32,7 @@
     progress, resumable = exchange.progress, is_retryable(exchange.route.kind)
     splitter = progress.splitter
     try:
-        data = await reader.chunk()
-        if not data and reader.ends_with_connection:
-            raise IncompleteError("connection closed before the first byte of the stream")
+        data = await _first_bytes(reader, head, progress.started)
         on_first_bytes()
         if not progress.started:
             exchange.sink.start(head)
@@ -62,6 +60,24 @@
     return StreamEnded()
 
 
+async def _first_bytes(reader: ResponseReader, head: ResponseHead, is_resumed: bool) -> bytes:
+    """Return the first bytes of the body, empty if the answer is complete without any.
+
+    :raises IncompleteError: if the connection ends before the first byte.
+    :raises ProtocolError: if the answer does not continue a stream that has started.
+    """
+    if is_resumed and not _is_event_stream(head):
+        raise ProtocolError("resumed stream is not an event stream")
+    data = await reader.chunk()
+    if not data and reader.ends_with_connection:
+        raise IncompleteError("connection closed before the first byte of the stream")
+    if not data and is_resumed and get_header(head.headers, b"content-type") is None:
+        # A stream that broke off after its last event is resumed by an event stream without events.
+        # An empty body of an unknown type does not prove that nothing is missing.
+        raise ProtocolError("resumed stream is empty and has no type")
+    return data
+
+
 def _is_event_stream(head: ResponseHead) -> bool:
     """Return whether the body consists of events, as it does unless the replica names a type."""
     content_type = get_header(head.headers, b"content-type") or EVENT_STREAM
--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -20,6 +20,7 @@
     MixesUp,
     Sheds,
     Silent,
+    Writes,
 )
 from greengagehoist.standins._gateway_standins import ReplicaStandin, StoreStandin
 from greengagehoist.standins._lists import STAGES, credential_of, example_changes
@@ -47,6 +48,7 @@
     "Sheds",
     "StoreStandin",
     "Silent",
+    "Writes",
     "Healthy",
     "CALL_FAILURES",
     "Deployment",
--- a/greengagehoist/standins/_gateway_behaviours.py
+++ b/greengagehoist/standins/_gateway_behaviours.py
@@ -51,6 +51,19 @@
     chunked: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Writes:
+    """Runs requests, writes fixed bytes as the response and closes the connection.
+
+    :param response: ``{id}`` stands for the id of the request.
+    :param after: if not None, only requests that resume a stream get the response; the others get
+        this number of events and a reset.
+    """
+
+    response: bytes
+    after: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CrashesOn:
     """Ends when it begins to answer a prompt with a part, and starts again at the same address.
@@ -95,6 +108,7 @@
     | LosesAnswers
     | BreaksOff
     | EndsStream
+    | Writes
     | CrashesOn
     | MixesUp
     | Silent
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -33,6 +33,7 @@
     MixesUp,
     Sheds,
     Silent,
+    Writes,
 )
 
 LIMITS = SizeLimits(65536, 8_000_000, 5.0, 30.0)
@@ -298,6 +299,11 @@
             case EndsStream():
                 self._end_stream_at(sock, headers, first)
                 return
+            case Writes(response, after) if after is None or last is not None:
+                request_id = get_header(request.head.headers, REQUEST_ID.lower())
+                sock.write(response.replace(b"{id}", request_id))
+                sock.close()
+                return
             case CrashesOn(part_id, down_s):
                 prompt = get_header(request.head.headers, PREFIX_HASH.lower()) or b""
                 if part_id in [part.partition(b":")[0] for part in prompt.split(b",")]:
@@ -316,6 +322,12 @@
                     return
             sock.write(encode_chunk(event(number)))
             await asyncio.sleep(self.pause_s)
+            match self.behaviour:
+                case Writes(_, after) if number + 1 == after:
+                    # The reset would discard events that have not been sent.
+                    await asyncio.sleep(0.02)
+                    sock.abort()
+                    return
         sock.write(LAST_CHUNK)
 
     async def _crash(self, down_s: float) -> None:
