Check that the events of a stream have increasing ids

Callers got the events of a second run from the beginning, an event twice, the event of an error, or the whole head of an error response in the middle of a stream, at times with an end that looked complete: a replica ignored Last-Event-Id, or wrote on after its stream without a length had broken off. An answer without ids, or of another type, that broke off was "resumed" from its beginning.

Cause: the splitter looked for the ends of events and took any bytes between them for events; the id was recorded and never compared. An id of over 4,300 digits raised ValueError out of the relay. The class of fault: bytes are taken for the continuation of a stream by their place.

Change: each event of a stream with ids must have a greater id than the one before, also across replicas and after the client's own Last-Event-Id; otherwise the replica's answer counts as broken off and none of the events received with it is passed on. A restart is not filtered to its new events, because a run that began anew need not produce the same ones. Comments have no id. An answer without ids or of another type cannot be resumed, so the client's connection is reset (SendState.can_resume). Event streams that may run only once are passed on in whole events too, so that a fault is seen before its bytes are sent.

Weighed: ids that must rise by one. Ids only increase by the protocol, so a gap proves nothing.

--- a/greengagehoist/daemon/tests/test_gateway_resumed.py
+++ b/greengagehoist/daemon/tests/test_gateway_resumed.py
@@ -7,7 +7,7 @@
 import pytest
 
 from greengagehoist.http1 import IncompleteError, ResponseReader
-from greengagehoist.standins import Writes
+from greengagehoist.standins import Healthy, Writes
 from greengagehoist.standins._gateway_standins import event
 
 EVENTS = 5
@@ -36,6 +36,7 @@
     "html chunked": b"HTTP/1.1 200 OK\r\n%bContent-Type: text/html\r\n%b\r\n%x\r\n%b\r\n0\r\n\r\n"
     % (SIGNED, CHUNKED, len(HTML), HTML),
     "json without type": encode(200, SIGNED, b'{"error":"x"}'),
+    "text without type": encode(200, SIGNED, HTML),
     "empty without type": encode(200, SIGNED),
     "empty json": encode(200, SIGNED + b"Content-Type: application/json\r\n"),
     "201": encode(201, SIGNED + STREAM_TYPE, REST),
@@ -53,6 +54,13 @@
     "unsigned": encode(200, b"X-Greengagehoist-Request-Id: {id}\r\n" + STREAM_TYPE, REST),
     "another's id": encode(200, SIGNED.replace(b"{id}", b"other") + STREAM_TYPE, REST),
     "no response": HTML,
+    "from the beginning": encode(200, SIGNED + STREAM_TYPE, STREAM),
+    "last event again": encode(200, SIGNED + STREAM_TYPE, event(1) + REST),
+    "events out of order": encode(200, SIGNED + STREAM_TYPE, event(3) + event(2) + event(4)),
+    "error event": encode(200, SIGNED + STREAM_TYPE, b"event: error\ndata: failed\n\n"),
+    "error event after events": encode(200, SIGNED + STREAM_TYPE, event(2) + b"data: failed\n\n"),
+    "head of an error": b"HTTP/1.1 200 OK\r\n%b%b\r\n%b%b"
+    % (SIGNED, STREAM_TYPE, event(2), ERROR_HEAD),
     "head where a chunk is due": b"HTTP/1.1 200 OK\r\n%b%b%b\r\n%x\r\n%b\r\n%b"
     % (SIGNED, STREAM_TYPE, CHUNKED, len(event(2)), event(2), ERROR_HEAD),
     "body ends early": encode(200, SIGNED + STREAM_TYPE, event(2), length=len(REST)),
@@ -116,6 +124,48 @@
     run_scenario(scenario)
 
 
+def test_comment_in_a_resumed_stream_is_relayed(run_scenario):
+    """Comments that keep a connection open have no id and are no events."""
+
+    async def scenario(system):
+        behaviour = Writes(encode(200, SIGNED + STREAM_TYPE, b": wait\n\n" + REST), after=2)
+        set_engines(system, behaviour, behaviour)
+        expected = WHOLE_EVENTS[2] + b": wait\n\n" + REST
+        assert await receive(system, RESUMABLE) == (expected, True)
+
+    run_scenario(scenario)
+
+
+def test_replica_that_ignores_the_clients_last_event_is_replaced(run_scenario):
+    """A client that resumed its stream itself must not get events that it already has."""
+
+    async def scenario(system):
+        for _ in range(4):
+            answer = Writes(encode(200, SIGNED + STREAM_TYPE, STREAM))
+            set_engines(system, answer, Healthy())
+            assert await receive(system, RESUMABLE, Last_Event_Id=b"1") == (REST, True)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+@pytest.mark.parametrize(
+    "rest", [ERROR_HEAD, ERROR_HEAD + b"failed", event(1), b"data: failed\n\n"]
+)
+def test_bytes_of_another_answer_do_not_continue_a_first_answer(run_scenario, path, rest):
+    """Without a length, whatever a replica writes after a stream broke off counts as its body."""
+
+    async def scenario(system):
+        body = WHOLE_EVENTS[2] + rest
+        answer = Writes(b"HTTP/1.1 200 OK\r\n%b%b\r\n%b" % (SIGNED, STREAM_TYPE, body))
+        set_engines(system, answer, answer)
+        body, is_whole = await receive(system, path)
+        assert body in WHOLE_EVENTS[:3]
+        assert not is_whole
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("path", [ONCE, RESUMABLE])
 def test_answer_that_is_no_event_stream_is_relayed_unchanged(run_scenario, path):
     """A check for events must not reject answers of another type."""
@@ -128,6 +178,23 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("content_type", "body"),
+    [(b"Content-Type: text/html\r\n", HTML), (STREAM_TYPE, b"data: a\n\ndata: b\n\n")],
+    ids=["html", "events without ids"],
+)
+def test_answer_without_event_ids_is_not_resumed(run_scenario, content_type, body):
+    """No replica can tell where to continue it, so a second one would start from the beginning."""
+
+    async def scenario(system):
+        answer = Writes(encode(200, SIGNED + content_type, body, length=len(body) + 100))
+        set_engines(system, answer, answer)
+        assert await receive(system, RESUMABLE) == (body, False)
+        assert sum(len(engine.ran) for engine in system.engines) == 1
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("path", [ONCE, RESUMABLE])
 def test_first_answer_without_content_has_no_body(run_scenario, path):
     """The last chunk after a 204 would be bytes that are no answer."""
--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -1,25 +1,33 @@
 """Splits an event stream into whole events, so that another replica can resume it."""
 
+from collections.abc import Iterator
+from itertools import groupby
+
 from greengagehoist.http1 import MAX_EVENT_BYTES, IncompleteError, ProtocolError
 
 # A blank line ends an event; a stream may use any of the three line endings.
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+MAX_ID_DIGITS = 18
 
 
 class EventSplitter:
-    """Returns whole events only and records the id of the last one.
+    """Returns whole events only, checks that their ids increase and records the last id.
 
     :param last_id: id of the last event that the client received, or None.
+    :ivar can_resume: whether another replica can continue after what was returned; False after an
+        event without an id.
     """
 
     def __init__(self, last_id: int | None = None):
         self.last_id = last_id
+        self.can_resume = True
         self._partial = b""
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that ``data`` completes.
 
-        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``.
+        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES`` or does not continue the
+            stream. None of the events in ``data`` counts as received then.
         """
         text = self._partial + data
         end = _end_of_events(text)
@@ -29,9 +37,23 @@
             self._partial = text
             return b""
         whole, self._partial = text[:end], text[end:]
-        self.last_id = _last_event_id(whole, self.last_id)
+        self._check_order(whole)
         return whole
 
+    def _check_order(self, events: bytes) -> None:
+        last_id, can_resume = self.last_id, self.can_resume
+        for event_id in _event_ids(events):
+            if event_id is None:
+                # Bytes that are no event, such as the text of an error, have no id either.
+                if last_id is not None:
+                    raise ProtocolError(f"event without an id after event {last_id}")
+                can_resume = False
+                continue
+            if last_id is not None and event_id <= last_id:
+                raise ProtocolError(f"event {event_id} after event {last_id}")
+            last_id = event_id
+        self.last_id, self.can_resume = last_id, can_resume
+
     @property
     def partial_bytes(self) -> int:
         """Number of bytes after the last whole event."""
@@ -61,10 +83,11 @@
     return max(at + length if at >= 0 else 0 for at, length in ends)
 
 
-def _last_event_id(events: bytes, default: int | None) -> int | None:
-    for line in reversed(events.splitlines()):
-        if line.startswith(b"id:"):
-            value = line[3:].strip()
-            if value.isdigit():
-                return int(value)
-    return default
+def _event_ids(events: bytes) -> Iterator[int | None]:
+    """Return the id of each event, None for one without an id; comments are no events."""
+    for is_blank, lines in groupby(events.splitlines(), key=lambda line: not line):
+        fields = [line for line in lines if not line.startswith(b":")]
+        if not is_blank and fields:
+            values = (line[3:].strip() for line in fields if line.startswith(b"id:"))
+            ids = [int(item) for item in values if item.isdigit() and len(item) <= MAX_ID_DIGITS]
+            yield ids[-1] if ids else None
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -29,7 +29,11 @@
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
 from greengagehoist.gateway.filters._stages import affinity_of
-from greengagehoist.gateway.filters._stream_relay import log_invalid_response, relay_stream
+from greengagehoist.gateway.filters._stream_relay import (
+    log_invalid_response,
+    new_splitter,
+    relay_stream,
+)
 from greengagehoist.http1 import (
     IncompleteError,
     ProtocolError,
@@ -110,9 +114,7 @@
         progress = exchange.progress
         if not progress.sends:
             self.budgets.service_budget(exchange.service).observe_request(self.clock.monotonic())
-        splitter = progress.splitter = progress.splitter or EventSplitter(
-            exchange.req.last_event_id
-        )
+        splitter = progress.splitter = progress.splitter or new_splitter(exchange)
         while True:
             replica = await self._choose(exchange)
             if not isinstance(replica, Replica):
@@ -219,6 +221,7 @@
             exchange.answer_deadline - now,
             True,
             progress.started,
+            progress.splitter.can_resume,
         )
         step = decide_next(exchange.route.kind, end, state)
         if not isinstance(step, SendAgain) or isinstance(end, NotSent) or budget.try_acquire(now):
--- a/greengagehoist/gateway/filters/_stream_relay.py
+++ b/greengagehoist/gateway/filters/_stream_relay.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from greengagehoist.gateway import Exchange, Reply, StreamEnded
+from greengagehoist.gateway._events import EventSplitter
 from greengagehoist.http1 import (
     IncompleteError,
     ProtocolError,
@@ -17,6 +18,12 @@
 EVENT_STREAM = b"text/event-stream"
 
 
+def new_splitter(exchange: Exchange) -> EventSplitter:
+    """Return a splitter that continues the client's stream if the route allows it."""
+    resumable = is_retryable(exchange.route.kind)
+    return EventSplitter(exchange.req.last_event_id if resumable else None)
+
+
 async def relay_stream(
     exchange: Exchange,
     replica: Replica,
@@ -25,28 +32,25 @@
     clock: Clock,
     on_first_bytes: Callable[[], None],
 ) -> Reply | SendEnd:
-    """Send the client what the replica sends, whole events only if the stream can be resumed.
+    """Send the client the whole events that the replica sends, or any other body as it comes.
 
     :param on_first_bytes: called when the replica has begun the body.
     """
-    progress, resumable = exchange.progress, is_retryable(exchange.route.kind)
-    splitter = progress.splitter
+    progress, splitter = exchange.progress, exchange.progress.splitter
     try:
         data = await _first_bytes(reader, head, progress.started)
         on_first_bytes()
         if not progress.started:
             exchange.sink.start(head)
             progress.started = True
+            splitter.can_resume &= _is_event_stream(head)
         while data:
-            whole_events = splitter.feed(data)
-            if whole_events and progress.answer_begun_at is None:
-                progress.answer_begun_at = clock.monotonic()
-            ready = whole_events if resumable else data
+            ready = splitter.feed(data) if _is_event_stream(head) else data
             if ready:
+                progress.answer_begun_at = progress.answer_begun_at or clock.monotonic()
                 await exchange.sink.send(ready)
             data = await reader.chunk()
-        if _is_event_stream(head):
-            splitter.check_end()
+        splitter.check_end()
     except (IncompleteError, ProtocolError) as exc:
         if isinstance(exc, ProtocolError):
             log_invalid_response(exchange, replica, exc)
@@ -55,7 +59,7 @@
         return Broken()
     _log_stream_end(exchange, replica, reader, "end of the response")
     rest = splitter.flush()
-    if rest and resumable:
+    if rest:
         await exchange.sink.send(rest)
     return StreamEnded()
 
--- a/greengagehoist/gateway/tests/test_events.py
+++ b/greengagehoist/gateway/tests/test_events.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from greengagehoist.gateway._events import EventSplitter
-from greengagehoist.http1 import IncompleteError
+from greengagehoist.http1 import IncompleteError, ProtocolError
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 
@@ -47,3 +47,52 @@
     splitter.feed(b"id: 1\ndata: x\n\n")
     splitter.check_end()
     assert splitter.last_id == 1
+
+
+def encode_event(event_id):
+    return b"data: x\n\n" if event_id is None else b"id: %d\ndata: x\n\n" % event_id
+
+
+def continues(event_id, last_id):
+    return last_id is None or (event_id is not None and event_id > last_id)
+
+
+@given(
+    st.none() | st.integers(0, 5),
+    st.lists(st.lists(st.none() | st.integers(0, 9), min_size=1, max_size=3), max_size=6),
+)
+def test_only_events_with_increasing_ids_continue_a_stream(last_id, batches):
+    """The beginning of another run, or the text of an error, passed for the rest of a stream."""
+    splitter = EventSplitter(last_id)
+    without_id = False
+    for batch in batches:
+        data = b"".join(map(encode_event, batch))
+        expected, is_valid = last_id, True
+        for event_id in batch:
+            is_valid = is_valid and continues(event_id, expected)
+            expected = expected if event_id is None else event_id
+        if not is_valid:
+            with pytest.raises(ProtocolError):
+                splitter.feed(data)
+            assert splitter.last_id == last_id
+            break
+        assert splitter.feed(data) == data
+        last_id, without_id = expected, without_id or None in batch
+        assert splitter.last_id == last_id
+    assert splitter.can_resume == (not without_id)
+
+
+@pytest.mark.parametrize("value", [b"x", b"-1", b"9" * 5000, b""])
+def test_event_whose_id_is_no_number_does_not_continue_a_stream(value):
+    """An id of thousands of digits raised an error outside the expected ones."""
+    splitter = EventSplitter(1)
+    with pytest.raises(ProtocolError):
+        splitter.feed(b"id: %b\ndata: x\n\n" % value)
+
+
+def test_comments_and_further_fields_are_no_events_without_ids():
+    splitter = EventSplitter(1)
+    events = b": wait\n\nweights: 3\nid: 2\ndata: x\n\n\n: wait\n\n"
+    assert splitter.feed(events) == events
+    assert splitter.last_id == 2
+    assert splitter.can_resume
--- a/greengagehoist/retries/_resend.py
+++ b/greengagehoist/retries/_resend.py
@@ -73,6 +73,7 @@
     :param time_left_s: seconds until the request's final answer is due.
     :param budget_left: whether the shared retry budget allows one more send.
     :param answer_started: whether the client has received the beginning of an answer.
+    :param can_resume: whether another replica can continue an answer that has started.
     """
 
     may_have_run: int
@@ -81,6 +82,7 @@
     time_left_s: float
     budget_left: bool
     answer_started: bool = False
+    can_resume: bool = True
 
 
 # Rejections and failed connections do not count as attempts, so sends have a limit of their own.
@@ -101,6 +103,7 @@
 def decide_next(kind: RouteKind, end: SendEnd, state: SendState) -> NextStep:
     """Return the next step after a send that did not bring a complete answer."""
     can_send = state.sends < MAX_SENDS and state.time_left_s > MIN_TIME_LEFT_S
+    can_send = can_send and (state.can_resume or not state.answer_started)
     not_run = state.may_have_run == 0
     may_run = not_run or is_retryable(kind)
     attempts_left = state.may_have_run < state.max_attempts
--- a/greengagehoist/retries/tests/test_resend.py
+++ b/greengagehoist/retries/tests/test_resend.py
@@ -52,6 +52,13 @@
             assert not isinstance(end, Lost | Broken)
 
 
+def test_answer_that_cannot_be_resumed_is_aborted_once_it_has_started():
+    """A replica that cannot tell where to continue would start from the beginning."""
+    for kind, end, state, step in cases():
+        fixed = decide_next(kind, end, state._replace(can_resume=False))
+        assert fixed == (AbortAnswer() if state.answer_started else step)
+
+
 def test_answer_that_has_started_is_resumed_or_aborted():
     """A failed connection to a second replica must not put a 502 into a started stream."""
     for _, _, state, step in cases():
