Do not take a repeated answer for the one to the next stage call

Callers could get an answer made from the results of other requests: a pool's replica wrote an earlier answer once more on its kept connection, and when it arrived after the next call had been sent, its handles passed for those of the next call's pieces. After a repeated refusal, or a repeated answer without results, the pieces were tried elsewhere, and the connection stayed one answer behind: each following call got the results of the one before it.

Cause: answers to stage calls carry no id, and an answer was recognised by its place on the connection. The check for unread bytes before a call misses those that are still on their way. The class of fault: an answer is taken for the one expected by its place, not by what it says.

Change: an answer with a handle that came over this connection before, or that names one twice, counts as lost and its connection is closed. After an answer without a new handle the connection is closed too, because the true answer may still follow. The handles of a connection are bounded: after 1,000 the next call opens a new one. The soak's replicas repeat answers.

Weighed: an id for each stage call in a header (replicas need not echo it there, and it would be the id of a request that no client sent); a new connection for each call (a connect for every call, while answers without results are rare, as the owner of a pool sends one call at a time to a replica).

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -41,6 +41,7 @@
     Healthy,
     LosesAnswers,
     MixesUp,
+    Repeats,
     ReplicaStandin,
     Sheds,
     Silent,
@@ -233,6 +234,7 @@
                 BreaksOff(self.rng.randint(0, 4)),
                 EndsStream(self._cut_position(), self.rng.random() < 0.3),
                 MixesUp(),
+                Repeats(),
                 Silent(),
             )
         )
--- a/greengagehoist/gateway/controllers/_kept_connection.py
+++ b/greengagehoist/gateway/controllers/_kept_connection.py
@@ -2,6 +2,7 @@
 
 from greengagehoist.gateway import StageCall
 from greengagehoist.http1 import (
+    ProtocolError,
     ResponseHead,
     ResponseReader,
     Socket,
@@ -14,6 +15,8 @@
 CONNECT_TIMEOUT_S = 0.25
 # Connections that were idle for longer are replaced, because they may be dead.
 MAX_IDLE_S = 2.0
+# Bounds the memory for the handles that came over a connection.
+MAX_HANDLES = 1000
 
 
 class KeptConnection:
@@ -25,6 +28,7 @@
         self.clock = clock
         self._sock: Socket | None = None
         self._idle_since = 0.0
+        self._handles: set[str] = set()
 
     @property
     def is_open(self) -> bool:
@@ -41,6 +45,7 @@
         if self._sock is not None and (stale or self._sock.gone.done() or self._sock.has_unread):
             self.close()
         if self._sock is None:
+            self._handles.clear()
             self._sock = await open_socket(self.host, self.port, CONNECT_TIMEOUT_S)
 
     async def call(self, call: StageCall) -> tuple[ResponseHead, bytes]:
@@ -58,6 +63,22 @@
         self._idle_since = self.clock.monotonic()
         return head, body
 
+    def check_handles(self, handles: tuple[str, ...]) -> None:
+        """Check that a response with these handles is not an earlier one that was sent again.
+
+        Responses to calls carry no id, and a repeated one may arrive when the next call has been
+        written. A new handle proves that a response belongs to the latest call. After any other
+        response the connection is closed, because the response to the latest call may follow it.
+
+        :param handles: all handles in the response.
+        :raises ProtocolError: if a handle came before.
+        """
+        if len(set(handles)) < len(handles) or not self._handles.isdisjoint(handles):
+            raise ProtocolError("response with a handle that was received before")
+        self._handles.update(handles)
+        if not handles or len(self._handles) > MAX_HANDLES:
+            self.close()
+
     def close(self) -> None:
         """Reset the connection."""
         if self._sock is not None:
--- a/greengagehoist/gateway/controllers/_pool_worker.py
+++ b/greengagehoist/gateway/controllers/_pool_worker.py
@@ -6,7 +6,7 @@
 from greengagehoist.gateway import ReplicaReply, WireFormat
 from greengagehoist.gateway.controllers._kept_connection import KeptConnection
 from greengagehoist.http1 import IncompleteError, ProtocolError
-from greengagehoist.pieces import Piece, PieceOutcome
+from greengagehoist.pieces import Made, Piece, PieceOutcome
 from greengagehoist.replicas import Load, Replica
 from greengagehoist.utils import Clock, Controller, log_event
 
@@ -83,9 +83,12 @@
     ) -> tuple[tuple[PieceOutcome, ...] | None, ReplicaReply]:
         head, body = await self._connection.call(self.wire.stage_call(self.replica, pieces))
         reply = self.wire.read_reply(head)
-        if head.status != 200:
-            return None, reply
-        return self.wire.read_pieces(body, len(pieces)), reply
+        outcomes = None
+        if head.status == 200:
+            outcomes = self.wire.read_pieces(body, len(pieces))
+        made = tuple(item.handle for item in outcomes or () if isinstance(item, Made))
+        self._connection.check_handles(made)
+        return outcomes, reply
 
     def close(self) -> None:
         """Close the connection."""
--- a/greengagehoist/standins/_gateway_behaviours.py
+++ b/greengagehoist/standins/_gateway_behaviours.py
@@ -81,6 +81,21 @@
     """Responds with the id and body of another request."""
 
 
+@dataclass(frozen=True, slots=True)
+class Repeats:
+    """Writes the last response to a stage call once more when the next call has arrived."""
+
+
+@dataclass(frozen=True, slots=True)
+class MakesNothing:
+    """Responds to stage calls without results.
+
+    :param reason: why no piece was made.
+    """
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Silent:
     """Accepts requests and never responds."""
@@ -111,6 +126,8 @@
     | Writes
     | CrashesOn
     | MixesUp
+    | Repeats
+    | MakesNothing
     | Silent
     | Endless
 )
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -5,6 +5,7 @@
 import contextlib
 from typing import Any
 from urllib.parse import parse_qs
+from weakref import WeakKeyDictionary
 
 import msgspec
 
@@ -30,7 +31,9 @@
     Full,
     Healthy,
     LosesAnswers,
+    MakesNothing,
     MixesUp,
+    Repeats,
     Sheds,
     Silent,
     Writes,
@@ -51,10 +54,14 @@
 
 
 class HttpStandin:
-    """HTTP server on loopback that handles one request at a time per connection."""
+    """HTTP server on loopback that handles one request at a time per connection.
+
+    :ivar connections: number of connections that it has accepted.
+    """
 
     def __init__(self):
         self.address = ""
+        self.connections = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -73,6 +80,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _accept(self, sock: Socket) -> None:
+        self.connections += 1
         task = asyncio.get_running_loop().create_task(self._serve(sock))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -112,6 +120,10 @@
     return b"id: %d\ndata: e%d\n\n" % (number, number)
 
 
+def _resumes(request: Request) -> bool:
+    return get_header(request.head.headers, b"last-event-id") is not None
+
+
 def send_response(sock: Socket, status: int, headers: tuple, body: bytes) -> None:
     """Send a response with a Content-Length."""
     framed = (*headers, (b"Content-Length", b"%d" % len(body)))
@@ -225,6 +237,8 @@
         self.born = 1
         self.arrivals = 0
         self._restart: asyncio.Task | None = None
+        # Last response to a stage call on each connection.
+        self._stage_responses: WeakKeyDictionary[Socket, bytes] = WeakKeyDictionary()
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the replica's row value for the store's list of replicas."""
@@ -274,6 +288,11 @@
                 self.ran.append(request_id.decode())
                 send_response(sock, 200, ((REQUEST_ID, b"other"), (STAMP, b"s")), b"other")
                 return
+            case Writes(response, after) if after is None or _resumes(request):
+                self.ran.append(request_id.decode())
+                sock.write(response.replace(b"{id}", request_id))
+                sock.close()
+                return
             case Endless():
                 self.ran.append(request_id.decode())
                 sent = await send_endless(sock, self.behaviour, request_id)
@@ -299,11 +318,6 @@
             case EndsStream():
                 self._end_stream_at(sock, headers, first)
                 return
-            case Writes(response, after) if after is None or last is not None:
-                request_id = get_header(request.head.headers, REQUEST_ID.lower())
-                sock.write(response.replace(b"{id}", request_id))
-                sock.close()
-                return
             case CrashesOn(part_id, down_s):
                 prompt = get_header(request.head.headers, PREFIX_HASH.lower()) or b""
                 if part_id in [part.partition(b":")[0] for part in prompt.split(b",")]:
@@ -361,13 +375,16 @@
     async def _run_stage(self, sock: Socket, request: Request) -> None:
         items = msgspec.json.decode(request.body)["items"]
         self.calls.append(len(items))
+        earlier = self._stage_responses.get(sock)
+        if isinstance(self.behaviour, Repeats) and earlier is not None:
+            sock.write(earlier)
         match self.behaviour:
             case Full():
-                send_response(sock, 503, ((NOT_EXECUTED, b"1"),), b"")
+                self._send_stage_response(sock, 503, ((NOT_EXECUTED, b"1"),), b"")
                 return
             case Sheds(retry_after):
                 headers = ((NOT_EXECUTED, b"1"), (RETRY_AFTER, retry_after))
-                send_response(sock, 503, headers, b"")
+                self._send_stage_response(sock, 503, headers, b"")
                 return
             case Silent():
                 await sock.gone
@@ -375,10 +392,21 @@
             case Endless():
                 self.endless_bytes.append(await send_endless(sock, self.behaviour))
                 return
+            case MakesNothing(reason):
+                results = [{"reason": reason} for _ in items]
+                self._send_stage_response(sock, 200, (), msgspec.json.encode({"items": results}))
+                return
         await asyncio.sleep(self.pause_s)
         results = []
         for item in items:
             handle = f"{self.address}/{len(self.stage_results)}"
             self.stage_results[handle] = item
             results.append({"handle": handle})
-        send_response(sock, 200, self._leaving_headers(), msgspec.json.encode({"items": results}))
+        body = msgspec.json.encode({"items": results})
+        self._send_stage_response(sock, 200, self._leaving_headers(), body)
+
+    def _send_stage_response(self, sock: Socket, status: int, headers: tuple, body: bytes) -> None:
+        framed = (*headers, (b"Content-Length", b"%d" % len(body)))
+        response = encode_response_head(status, b"", framed) + body
+        self._stage_responses[sock] = response
+        sock.write(response)
