Do not reuse a connection on which bytes followed the response

A read of the platform could return what an earlier read had returned, and a call to a target the answer to an earlier call: the HTTP client library keeps a connection whose server wrote a response twice, and reads the second one as the response to the next request. No such response was seen; found by searching for the class of the repeated refusal: an answer is taken for the one expected by its place.

Cause: aiosonic asks only whether the connection is open. Change: the connections of both clients are not reused while received bytes are unread.

--- a/greengagehoist/http1/_bounded_connection.py
+++ b/greengagehoist/http1/_bounded_connection.py
@@ -24,6 +24,15 @@
         super().__init__(*args, **kwargs)
         self._framing_bytes = 0
 
+    def reuse(self, *args: Any, **kwargs: Any) -> bool:
+        """Return whether the next request may use this connection.
+
+        Bytes that followed a response would be read as the response to the next request.
+        """
+        # asyncio has no public accessor for unread bytes.
+        has_unread = self.reader is not None and bool(self.reader._buffer)
+        return not has_unread and super().reuse(*args, **kwargs)
+
     def write(self, data: bytes) -> None:
         """Queue bytes of a request, after which a new response is expected."""
         self._framing_bytes = 0
