Send each order to a target on a connection of its own

An order that a target had refused could be recorded as carried out: replies to orders carry no id, and on a pooled connection a late copy of an earlier 200, such as a load report's, was read as the confirmation. No such response was seen; found by searching for the class of the repeated refusal.

Cause: an answer is taken for the one expected by its place on the connection. The check for unread bytes does not see those that are still on their way. Change: orders open a connection, as operations do. Orders are rare, so the price is small.

Evidence: targets/tests/test_link.py::test_repeated_response_does_not_confirm_an_order failed before (the order counted as carried out) and passes after.

--- a/greengagehoist/targets/_link.py
+++ b/greengagehoist/targets/_link.py
@@ -288,7 +288,8 @@
         if not message.may_send():
             reply(Failure(self._order_error(Outcome.NOT_RUN, "the issuer's lease is expiring")))
             return
-        client = self._pooled_client()
+        # Replies to orders carry no id. On a kept connection, an earlier response could pass for one.
+        client = open_client()
         try:
             async with asyncio.timeout(limit):
                 url = f"http://{self.target.address}/orders"
@@ -304,7 +305,8 @@
             outcome, text = Outcome.NOT_RUN, type(exc).__name__
         except (TimeoutError, *_CALL_ERRORS) as exc:
             outcome, text = Outcome.UNKNOWN, type(exc).__name__
-            await self._discard(client)
+        finally:
+            await client.aclose()
         reply(Failure(self._order_error(outcome, text)))
 
     def _order_error(self, outcome: Outcome, text: str) -> StepError:
--- a/greengagehoist/targets/tests/test_link.py
+++ b/greengagehoist/targets/tests/test_link.py
@@ -16,6 +16,7 @@
     OperationCall,
     OperationReply,
     PoolCall,
+    ReadLoad,
     ReadRecord,
     Send,
     SendOrder,
@@ -267,3 +268,34 @@
             server.close()
 
     assert asyncio.run(run()).failure().outcome is outcome
+
+
+def test_repeated_response_does_not_confirm_an_order():
+    """A late copy of an earlier response passed for the target's confirmation of the order."""
+
+    async def serve(reader, writer):
+        earlier = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"POST /orders"):
+                    writer.write(earlier + b"HTTP/1.1 409 X\r\ncontent-length: 0\r\n\r\n")
+                    break
+                earlier = b"HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\n{}"
+                writer.write(earlier)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+
+        async def use(link):
+            assert isinstance(await link.ask(ReadLoad()), Success)
+            return await link.ask(SendOrder({}, 1, 5.0, lambda: True))
+
+        try:
+            return await with_link(f"{host}:{port}", use)
+        finally:
+            server.close()
+
+    assert asyncio.run(run()).failure().outcome is Outcome.NOT_RUN
