--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -45,6 +45,7 @@
     ReplicaStandin,
     Sheds,
     Silent,
+    Writes,
 )
 from greengagehoist.standins._gateway_standins import event
 
@@ -58,6 +59,11 @@
 BAD_PART_SHARE = 0.15
 STAMP = b"x-greengagehoist-server-stamp"
 EVENTS = b"".join(event(number) for number in range(5))
+# Answer of a replica to a request that resumes a stream.
+ERROR_PAGE = (
+    b"HTTP/1.1 200 OK\r\nX-Greengagehoist-Request-Id: {id}\r\nX-Greengagehoist-Server-Stamp: s\r\n"
+    b"Content-Type: text/html\r\nContent-Length: 22\r\n\r\n<p>\n\nunavailable\n\n</p>"
+)
 STREAMING_KINDS = ("text", "once", "deep", "part")
 # Requests sent after all faults have ended, which must succeed.
 RECOVERY_REQUESTS = 20
@@ -236,6 +242,7 @@
                 MixesUp(),
                 Repeats(),
                 Silent(),
+                Writes(ERROR_PAGE, self.rng.randint(1, 4)),
             )
         )
         replica.behaviour = behaviour
