--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -48,9 +48,11 @@
     Healthy,
     LosesAnswers,
     MixesUp,
+    Repeats,
     ReplicaStandin,
     Sheds,
     Silent,
+    Writes,
 )
 from greengagehoist.standins._gateway_standins import event
 
@@ -65,6 +67,11 @@
 BAD_PART_SHARE = 0.15
 STAMP = b"x-greengagehoist-server-stamp"
 EVENTS = b"".join(event(number) for number in range(5))
+# Answer of a replica to a request that resumes a stream.
+ERROR_PAGE = (
+    b"HTTP/1.1 200 OK\r\nX-Greengagehoist-Request-Id: {id}\r\nX-Greengagehoist-Server-Stamp: s\r\n"
+    b"Content-Type: text/html\r\nContent-Length: 22\r\n\r\n<p>\n\nunavailable\n\n</p>"
+)
 STREAMING_KINDS = ("text", "once", "deep", "part")
 # A restored store goes back by at most this, and the others write again within the second time.
 RESTORED_SHARE = 0.5
@@ -265,7 +272,9 @@
                 BreaksOff(self.rng.randint(0, 4)),
                 EndsStream(self._cut_position(), self.rng.random() < 0.3),
                 MixesUp(),
+                Repeats(),
                 Silent(),
+                Writes(ERROR_PAGE, self.rng.randint(1, 4)),
             )
         )
         replica.behaviour = behaviour
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -30,7 +30,11 @@
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
 from greengagehoist.gateway.filters._stages import affinity_of
-from greengagehoist.gateway.filters._stream_relay import log_invalid_response, relay_stream
+from greengagehoist.gateway.filters._stream_relay import (
+    log_invalid_response,
+    new_splitter,
+    relay_stream,
+)
 from greengagehoist.http1 import (
     IncompleteError,
     ProtocolError,
@@ -65,6 +69,7 @@
 MIN_RETRY_AFTER_S = 0.1
 # An idempotent request goes to another replica after this multiple of its target latency.
 RESPONSE_TIMEOUT_FACTOR = 3.0
+OK = 200
 FIRST_ERROR_STATUS = 400
 SERVER_ERROR = 500
 # Clients choose number and length of the ids of prompt parts.
@@ -113,9 +118,7 @@
         progress = exchange.progress
         if not progress.sends:
             self.budgets.service_budget(exchange.service).observe_request(self.clock.monotonic())
-        splitter = progress.splitter = progress.splitter or EventSplitter(
-            exchange.req.last_event_id
-        )
+        splitter = progress.splitter = progress.splitter or new_splitter(exchange)
         while True:
             replica = await self._choose(exchange)
             if not isinstance(replica, Replica):
@@ -223,6 +226,7 @@
             exchange.answer_deadline - now,
             True,
             progress.started,
+            progress.splitter.can_resume,
         )
         step = decide_next(exchange.route.kind, end, state)
         if not isinstance(step, SendAgain) or isinstance(end, NotSent) or budget.try_acquire(now):
@@ -334,7 +338,7 @@
             return Lost()
         if not reply.signed or get_header(head.headers, b"content-encoding") is not None:
             return Lost()
-        if isinstance(exchange.route.kind, Streaming) and head.status < 300:
+        if isinstance(exchange.route.kind, Streaming) and head.status == OK:
             self.first_event_latency.observe(exchange.route, self.clock.monotonic() - sent_at)
             return await relay_stream(
                 exchange, replica, head, reader, self.clock, lambda: self._begin_body(exchange)
--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -17,9 +17,12 @@
     Full,
     Healthy,
     LosesAnswers,
+    MakesNothing,
     MixesUp,
+    Repeats,
     Sheds,
     Silent,
+    Writes,
 )
 from greengagehoist.standins._gateway_standins import ReplicaStandin
 from greengagehoist.standins._lists import STAGES, credential_of, example_changes
@@ -43,12 +46,15 @@
     "EndsStream",
     "Full",
     "LosesAnswers",
+    "MakesNothing",
     "MixesUp",
+    "Repeats",
     "ReplicaStandin",
     "Sheds",
     "StoreCopy",
     "StoreStandin",
     "Silent",
+    "Writes",
     "Healthy",
     "CALL_FAILURES",
     "Deployment",
--- a/greengagehoist/standins/_gateway_behaviours.py
+++ b/greengagehoist/standins/_gateway_behaviours.py
@@ -51,6 +51,19 @@
     chunked: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Writes:
+    """Runs requests, writes fixed bytes as the response and closes the connection.
+
+    :param response: ``{id}`` stands for the id of the request.
+    :param after: if not None, only requests that resume a stream get the response; the others get
+        this number of events and a reset.
+    """
+
+    response: bytes
+    after: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CrashesOn:
     """Ends when it begins to answer a prompt with a part, and starts again at the same address.
@@ -68,6 +81,21 @@
     """Responds with the id and body of another request."""
 
 
+@dataclass(frozen=True, slots=True)
+class Repeats:
+    """Writes the last response to a stage call once more when the next call has arrived."""
+
+
+@dataclass(frozen=True, slots=True)
+class MakesNothing:
+    """Responds to stage calls without results.
+
+    :param reason: why no piece was made.
+    """
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Silent:
     """Accepts requests and never responds."""
@@ -95,8 +123,11 @@
     | LosesAnswers
     | BreaksOff
     | EndsStream
+    | Writes
     | CrashesOn
     | MixesUp
+    | Repeats
+    | MakesNothing
     | Silent
     | Endless
 )
