End the daemon's stop within the platform's grace period

Callers of a daemon whose stop lasted longer than the platform's grace period had their connections cut without an answer, and quota balances and records were not handed over.

Cause: the stop had no end. It waited for requests in flight up to the longest deadline, for a client that doesn't read without any limit, and a drain delay of up to 300 s was accepted whatever the grace period is.

StopFilter answers what still runs then: not_run if nothing was sent to a target, else unknown; a stream ends with an error event. Listeners abort the connections that are left. A drain delay that leaves no time for answers is refused with exit code 2.

--- a/greengagehoist/base/_exchange.py
+++ b/greengagehoist/base/_exchange.py
@@ -56,6 +56,7 @@
     :param count_tokens: called with the number of tokens that an attempt has generated.
     :param reserve_tokens: reserves quota for the tokens of another attempt; if it fails, the
         attempt must not be made.
+    :param mark_sent: called before a target may receive the request or a part of it.
     """
 
     request_id: str
@@ -74,6 +75,7 @@
     attempt: int = 1
     count_tokens: Callable[[int], None] | None = None
     reserve_tokens: Callable[[int], Awaitable[Result[Any, StepError]]] | None = None
+    mark_sent: Callable[[], None] | None = None
 
 
 class Answer(NamedTuple):
--- a/greengagehoist/controllers/__init__.py
+++ b/greengagehoist/controllers/__init__.py
@@ -31,6 +31,7 @@
     GetState,
     Readiness,
     RegisterDrain,
+    RegisterWork,
     StartDrain,
     WaitStopped,
 )
@@ -115,6 +116,7 @@
     "RecordDraws",
     "RecordSpans",
     "RegisterDrain",
+    "RegisterWork",
     "Rejection",
     "Report",
     "Reserve",
--- a/greengagehoist/controllers/_drain.py
+++ b/greengagehoist/controllers/_drain.py
@@ -2,19 +2,23 @@
 
 import asyncio
 import enum
-from typing import Any, NamedTuple
+from collections.abc import Awaitable
+from typing import Any, NamedTuple, Protocol
 
 from greengagehoist.controllers._config import GetConfig
 from greengagehoist.controllers._roster import ClockChecked, VmsListed
+from greengagehoist.deadlines import DEFAULT_GRACE_S, StopTimes, plan_stop
 from greengagehoist.membership import LifeCycle
 from greengagehoist.peers import CloseLinks, UpdateHeartbeat
-from greengagehoist.utils import Clock, Controller, Reply, Tick, log_event, tick
+from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, tick
 
 STATUS_PERIOD_S = 0.5
 # Wait after the last request, during which requests on idle keep-alive connections still get a
 # refusal instead of a connection reset.
 LINGER_S = 0.5
 HAND_OVER_TIMEOUT_S = 5.0
+# The timers of the event loop don't count time in which the VM is suspended, the clock does.
+MAX_SLEEP_S = 0.5
 # Number of requests in flight that the heartbeat reports as a load of 1.0.
 FULL_LOAD_REQUESTS = 1000
 
@@ -83,6 +87,22 @@
     controller: Controller
 
 
+class Work(Protocol):
+    """Work that a stop waits for, and ends when its time for answers is over."""
+
+    async def wait_idle(self) -> None:
+        """Return when nothing runs."""
+
+    def end_running(self) -> None:
+        """End what runs, with a truthful result."""
+
+
+class RegisterWork(NamedTuple):
+    """Register work that the stop waits for, beside the requests in flight."""
+
+    work: Work
+
+
 class _Advance(NamedTuple):
     trigger: str
 
@@ -95,19 +115,30 @@
     """Counts the requests in flight and runs the graceful shutdown.
 
     :param drain_delay: seconds from reporting not ready until new requests are refused.
+    :param grace: seconds from the begin of the stop to its end, whatever still runs.
     """
 
-    def __init__(self, configs: Controller, peers: Controller, clock: Clock, drain_delay: float):
+    def __init__(
+        self,
+        configs: Controller,
+        peers: Controller,
+        clock: Clock,
+        drain_delay: float,
+        grace: float = DEFAULT_GRACE_S,
+    ):
         super().__init__("drain")
         self.configs = configs
         self.peers = peers
         self.clock = clock
         self.drain_delay = drain_delay
+        self.grace = grace
+        self.stop_times: Published[StopTimes | None] = Published(None)
         self._state = DaemonState.SERVING
         self._in_flight = 0
         self._config_version = 0
         self._clock_within_margin = True
         self._drain_participants: list[Controller] = []
+        self._works: list[Work] = []
         self._stop_waiters: list[Reply] = []
         self._idle = asyncio.Event()
 
@@ -140,6 +171,8 @@
                 pass
             case RegisterDrain(controller):
                 self._drain_participants.append(controller)
+            case RegisterWork(work):
+                self._works.append(work)
             case StartDrain():
                 self._begin_drain()
                 reply(None)
@@ -150,8 +183,10 @@
 
     def _begin_drain(self) -> None:
         if self._state is DaemonState.SERVING:
+            times = plan_stop(self.clock.monotonic(), self.drain_delay, self.grace)
+            self.stop_times.value = times
             self._advance("leave")
-            self.start(self._stop_gracefully())
+            self.start(self._stop_gracefully(times))
 
     def _advance(self, trigger: str) -> None:
         self._state = DAEMON_LIFE.advance(self._state, trigger)
@@ -172,22 +207,44 @@
         else:
             self._stop_waiters.append(reply)
 
-    async def _stop_gracefully(self) -> None:
-        await self.clock.sleep(self.drain_delay)
+    async def _stop_gracefully(self, times: StopTimes) -> None:
+        await self._sleep_until(times.refuse_at)
         self.tell(_Advance("drain"))
-        await self._idle.wait()
-        await self.clock.sleep(LINGER_S)
-        await asyncio.gather(*(self._hand_over(item) for item in self._drain_participants))
-        await self.peers.ask(CloseLinks("drained"))
+        if not await self._wait_until(self._wait_idle(), times.answers_by):
+            log_event("stop_overrun", "WARNING", in_flight=self._in_flight)
+            for work in self._works:
+                work.end_running()
+            await self._wait_until(self._wait_idle(), times.hand_over_from)
+        linger_until = self.clock.monotonic() + LINGER_S
+        await self._sleep_until(min(linger_until, times.hand_over_from))
+        until = min(self.clock.monotonic() + HAND_OVER_TIMEOUT_S, times.hand_over_by)
+        await asyncio.gather(*(self._hand_over(item, until) for item in self._drain_participants))
+        await self._wait_until(self.peers.ask(CloseLinks("drained")), times.hand_over_by)
         self.tell(_Advance("stop"))
 
-    async def _hand_over(self, controller: Controller) -> None:
-        try:
-            async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
-                await controller.ask(Drain())
-        except TimeoutError:
+    async def _wait_idle(self) -> None:
+        await self._idle.wait()
+        for work in self._works:
+            await work.wait_idle()
+
+    async def _hand_over(self, controller: Controller, until: float) -> None:
+        if not await self._wait_until(controller.ask(Drain()), until):
             log_event("hand_over_failed", "WARNING", owner=controller.name)
 
+    async def _wait_until(self, wait: Awaitable[Any], until: float) -> bool:
+        """Wait until a monotonic time; return whether the wait ended before, else cancel it."""
+        tasks = [asyncio.ensure_future(wait), asyncio.ensure_future(self._sleep_until(until))]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            return tasks[0].done()
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _sleep_until(self, until: float) -> None:
+        while (left := until - self.clock.monotonic()) > 0.0:
+            await self.clock.sleep(min(left, MAX_SLEEP_S))
+
     async def _reply_readiness(self, reply: Reply) -> None:
         cfg = await self.configs.ask(GetConfig())
         self.tell(_ConfigRead(cfg.version))
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -20,6 +20,7 @@
     QuotaController,
     RecordController,
     RegisterDrain,
+    RegisterWork,
     RosterController,
     StartDrain,
     TargetController,
@@ -38,6 +39,7 @@
     QuotaFilter,
     RatioRetryPolicy,
     Sender,
+    StopFilter,
 )
 from greengagehoist.membership import Member
 from greengagehoist.peers import PeerController
@@ -45,6 +47,9 @@
 from greengagehoist.server import AdminApp, AdminParts, CallerApp, DrainGate, Listener, serve
 from greengagehoist.utils import Clock, Controller, check_address, connect_metrics, log_event
 
+# Part of the time until the end of a stop in which the listeners close; the rest is for the tasks.
+LISTENER_SHARE = 0.6
+
 
 class Daemon:
     """Entry daemon: runs callers' requests through the filter chain."""
@@ -64,7 +69,9 @@
         self.targets = TargetController(
             self.platform, clock, rng, settings.data_centre, self.peers, settings.vm
         )
-        self.drains = DrainController(self.configs, self.peers, clock, settings.drain_delay)
+        self.drains = DrainController(
+            self.configs, self.peers, clock, settings.drain_delay, settings.grace
+        )
         self.records = RecordController(self.platform, clock, settings.vm, self.incarnation)
         self.quotas = QuotaController(
             self.platform,
@@ -84,6 +91,7 @@
         self.claims = ClaimController(self.platform, clock, rng)
         self.retries = RatioRetryPolicy()
         self.admission = AdmissionController(clock, self.retries.set_overloaded)
+        self.stop_filter = StopFilter()
         self.identify = IdentifyFilter(self.configs)
         self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
         self.metrics = connect_metrics(
@@ -97,6 +105,7 @@
         sender = Sender(self.targets, self.traces, self.clock, self.rng, self.settings.vm)
         return compose(
             [
+                self.stop_filter,
                 self.identify,
                 PlanFilter(),
                 DeadlineFilter(self.clock),
@@ -133,6 +142,7 @@
         self._tasks = [loop.create_task(item.run()) for item in self._controllers()]
         for controller in (self.quotas, self.records):
             self.drains.tell(RegisterDrain(controller))
+        self.drains.tell(RegisterWork(self.stop_filter))
         callers = CallerApp(
             self.build_chain(),
             self.traces,
@@ -199,8 +209,9 @@
         """Drain: finish the requests in flight, hand over state, then stop the controllers."""
         await self.drains.ask(StartDrain())
         await self.wait_stopped()
-        for listener in self.listeners:
-            await listener.stop()
+        left = self.drains.stop_times.value.ends - self.clock.monotonic()
+        limit = max(0.0, left * LISTENER_SHARE)
+        await asyncio.gather(*(listener.stop(limit) for listener in self.listeners))
         await self.claim_filter.finish()
         for task in self._tasks:
             task.cancel()
--- a/greengagehoist/daemon/_main.py
+++ b/greengagehoist/daemon/_main.py
@@ -9,6 +9,7 @@
 
 from greengagehoist.daemon._daemon import Daemon
 from greengagehoist.daemon._settings import Settings, check_settings
+from greengagehoist.deadlines import DEFAULT_GRACE_S
 from greengagehoist.utils import SystemClock, ValidationError, setup_logging
 
 BAD_SETTINGS = 2
@@ -47,6 +48,12 @@
     show_default=True,
     help="Seconds between failing readiness and refusing requests, for the load balancer to react.",
 )
+@click.option(
+    "--grace",
+    default=DEFAULT_GRACE_S,
+    show_default=True,
+    help="Seconds between the signal to stop and the platform's SIGKILL.",
+)
 @click.option("--tls-certificate", default="", help="PEM file; plain connections if empty.")
 @click.option("--tls-key", default="", help="PEM file of the certificate's key.")
 @click.option(
--- a/greengagehoist/daemon/_settings.py
+++ b/greengagehoist/daemon/_settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from greengagehoist.deadlines import DEFAULT_GRACE_S, answer_time
 from greengagehoist.utils import (
     TlsFiles,
     ValidationError,
@@ -14,6 +15,8 @@
 
 MIN_CREDENTIAL_LENGTH = 16
 MAX_DRAIN_DELAY_S = 300.0
+MIN_GRACE_S = 1.0
+MAX_GRACE_S = 3600.0
 
 
 class Settings(NamedTuple):
@@ -21,6 +24,7 @@
 
     :param tls_certificate: path of this daemon's certificate; set all three TLS files or none.
     :param drain_delay: seconds between failing readiness and refusing new requests.
+    :param grace: seconds between the signal to stop and the platform's SIGKILL.
     """
 
     vm: str
@@ -38,6 +42,7 @@
     tls_certificate: str = ""
     tls_key: str = ""
     tls_authority: str = ""
+    grace: float = DEFAULT_GRACE_S
 
     @property
     def tls(self) -> TlsFiles:
@@ -63,5 +68,10 @@
         if len(check_text(name, getattr(settings, flag), 512)) < MIN_CREDENTIAL_LENGTH:
             raise ValidationError(name, "(hidden)", f"at least {MIN_CREDENTIAL_LENGTH} characters")
     check_float("--drain-delay", settings.drain_delay, 0.0, MAX_DRAIN_DELAY_S)
+    check_float("--grace", settings.grace, MIN_GRACE_S, MAX_GRACE_S)
+    longest = answer_time(settings.grace)
+    if settings.drain_delay >= longest:
+        accepted = f"less than the {longest:g} s that --grace {settings.grace:g} has for answers"
+        raise ValidationError("--drain-delay", settings.drain_delay, accepted)
     check_tls(settings.tls)
     return settings
--- /dev/null
+++ b/greengagehoist/daemon/tests/test_stop.py
@@ -0,0 +1,119 @@
+"""Guards against requests that the end of a daemon's stop cuts, and stops that have no end."""
+
+import asyncio
+import json
+import signal
+import subprocess
+
+import pytest
+from click.testing import CliRunner
+
+from greengagehoist.daemon import main
+from greengagehoist.daemon.tests.deployment import (
+    generate,
+    http,
+    list_vms,
+    wait_until,
+)
+from greengagehoist.standins import STAGES, credential_of, example_changes
+
+GRACE_S = 6
+# Time of one token; an answer needs longer than the grace period.
+SLOW_STEP_S = 0.8
+
+
+@pytest.fixture
+def start(group):
+    """Return a function that starts a daemon before one engine of a given speed."""
+
+    def start_daemon(step_s, *flags):
+        platform = group.start_standin("platform", "platform").addresses["listening"]
+
+        vms = []
+        for role, model in STAGES:
+            args = ("engine", model, "--step-s", str(step_s)) if model else ("pool", role)
+            vms.append([role, group.start_standin(role, *args).addresses["listening"], role])
+        daemon = group.start_daemon("entry-0", "dc1", platform, *flags)
+        vms.append(["entry-0", daemon.addresses["peers"], "entry"])
+        sent = {"base": 0, "changes": example_changes(), "author": "test"}
+
+        async def ready():
+            return (await http(daemon.addresses["operators"], "GET", "/readyz"))[0] == 200
+
+        async def routed():
+            body = {"input": "gully 9", "max_tokens": 1, "stream": False}
+            path, credential = "/v1/pipelines/round-summary", credential_of("depot")
+            address = daemon.addresses["callers"]
+            return (await http(address, "POST", path, body, credential))[0] == 200
+
+        async def prepare():
+            await http(platform, "PUT", "/control/vms", list_vms(vms))
+            await http(daemon.addresses["operators"], "POST", "/admin/config", sent)
+            await wait_until(ready)
+            await wait_until(routed)
+
+        asyncio.run(prepare())
+        return daemon
+
+    return start_daemon
+
+
+def wait_for_end(daemon):
+    """Return the exit code of a daemon; kill it at the end of the grace period."""
+    try:
+        return daemon.popen.wait(GRACE_S)
+    except subprocess.TimeoutExpired:
+        daemon.popen.kill()
+        return daemon.popen.wait()
+
+
+async def wait_in_flight(daemon, count):
+    async def reached():
+        _, text = await http(daemon.addresses["operators"], "GET", "/admin/status")
+        return json.loads(text)["daemon"]["in_flight"] == count
+
+    await wait_until(reached)
+
+
+def test_requests_that_outlive_the_stop_get_a_truthful_answer(group, start):
+    """Guards against connections that SIGKILL cuts because the stop waits for slow targets."""
+    flags = ("--drain-delay", "0.3", "--grace", str(GRACE_S))
+    daemon = start(SLOW_STEP_S, *flags)
+
+    async def scenario():
+        address = daemon.addresses["callers"]
+        calls = [generate(address, False), generate(address, True)]
+        tasks = [asyncio.create_task(call) for call in calls]
+        await wait_in_flight(daemon, len(tasks))
+        await asyncio.sleep(1.0)
+        group.signal("entry-0", signal.SIGTERM)
+        code = await asyncio.to_thread(wait_for_end, daemon)
+        answers = await asyncio.gather(*tasks)
+        return code, answers
+
+    code, ((status, whole), (_, stream)) = asyncio.run(scenario())
+    assert code == 0
+    error = json.loads(whole)["error"]
+    assert (status, error["outcome"], error["code"]) == (503, "unknown", "draining")
+    assert "event: error" in stream and '"draining"' in stream
+    assert "event: end" not in stream
+
+
+@pytest.mark.parametrize(
+    ("flags", "named"),
+    [
+        (("--grace", "0.5"), "--grace"),
+        (("--grace", "nan"), "--grace"),
+        (("--drain-delay", "30", "--grace", "30"), "--drain-delay"),
+        (("--drain-delay", "23", "--grace", "30"), "--drain-delay"),
+        (("--drain-delay", "60"), "--drain-delay"),
+    ],
+)
+def test_grace_period_that_leaves_no_time_for_answers_is_refused(flags, named):
+    """Guards against a drain delay after whose end the platform has killed the process."""
+    required = ["--vm", "a", "--data-centre", "b", "--platform", "127.0.0.1:1"]
+    required += ["--operator-credential", "x" * 16, "--peer-credential", "x" * 16]
+    result = CliRunner().invoke(main, [*required, *flags])
+    assert result.exit_code == 2
+    assert f"{named}: got " in result.output
+    assert len(result.output.splitlines()) == 1
--- a/greengagehoist/filters/__init__.py
+++ b/greengagehoist/filters/__init__.py
@@ -7,6 +7,7 @@
 from greengagehoist.filters._quota import QuotaFilter
 from greengagehoist.filters._retry import AttemptLimit, RatioRetryPolicy, RetryPolicy
 from greengagehoist.filters._sender import Sender
+from greengagehoist.filters._stop import StopFilter
 
 __all__ = [
     "AdmissionFilter",
@@ -20,4 +21,5 @@
     "QuotaFilter",
     "RetryPolicy",
     "Sender",
+    "StopFilter",
 ]
--- a/greengagehoist/filters/_sender.py
+++ b/greengagehoist/filters/_sender.py
@@ -45,6 +45,8 @@
         start, wall_start = self.clock.monotonic(), self.clock.now().timestamp()
         left = max(MIN_TIMEOUT_S, exchange.deadline - start)
         status = "cancelled"
+        if exchange.mark_sent is not None:
+            exchange.mark_sent()
         try:
             batch_interval = (
                 WHOLE_ANSWER_BATCH_INTERVAL_S
--- a/greengagehoist/server/_serve.py
+++ b/greengagehoist/server/_serve.py
@@ -27,9 +27,18 @@
     server: uvicorn.Server
     task: asyncio.Task
 
-    async def stop(self) -> None:
-        """Stop accepting connections and wait for running requests to finish."""
+    async def stop(self, limit: float | None = None) -> None:
+        """Stop accepting connections and wait for running requests to finish.
+
+        :param limit: seconds after which the remaining connections are aborted, None for never.
+        """
         self.server.should_exit = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit):
+                await asyncio.shield(self.task)
+        self.server.force_exit = True
+        for connection in list(self.server.server_state.connections):
+            connection.transport.abort()
         await self.task
 
 
