Refuse requests whose answers a stopping daemon cannot complete

During the drain delay, callers' requests were taken and begun until the last moment, and those that outlived the stop were not answered whole.

Cause: admission looked at the request's own deadline only.

Change: once the stop has begun, the admission controller admits a request only if its deadline, or the 95th percentile of the times of requests of the same route and similar cost, lies before the end of the time for answers. Others are refused at once as not_run with code draining. Queued requests are handed back in the same way as soon as that holds for them, instead of waiting until the process ends.

--- a/greengagehoist/admission/_gate.py
+++ b/greengagehoist/admission/_gate.py
@@ -1,6 +1,7 @@
 """Admission gate of one stage: concurrency limit, fair queue and load shedding."""
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -133,6 +134,10 @@
                 verdicts.append(self._start(entry, now))
         return verdicts
 
+    def withdraw(self, is_withdrawn: Callable[[Entry], bool]) -> list[Entry]:
+        """Remove and return the queued entries for which the function returns True."""
+        return self._queue.remove(is_withdrawn)
+
     def _pop_startable(self, now: float) -> Entry | None:
         if not self._queue or self.in_flight >= OVERCOMMIT_FACTOR * self.limit.limit:
             return None
--- a/greengagehoist/admission/_queue.py
+++ b/greengagehoist/admission/_queue.py
@@ -1,7 +1,7 @@
 """Weighted fair queueing of customers."""
 
 import math
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Generic, NamedTuple, TypeVar
 
 T = TypeVar("T")
@@ -157,10 +157,27 @@
         self._complete_removal(customer)
         return found.item
 
+    def remove(self, is_removed: Callable[[T], bool]) -> list[T]:
+        """Remove and return the items for which the function returns True."""
+        removed = []
+        for customer, queue in list(self._queues.items()):
+            marks = [(queued, is_removed(queued.item)) for queued in queue]
+            queue[:] = [queued for queued, mark in marks if not mark]
+            found = [queued.item for queued, mark in marks if mark]
+            self._length -= len(found)
+            removed += found
+            if not queue:
+                self._forget(customer)
+        return removed
+
     def _complete_removal(self, customer: str) -> None:
         self._length -= 1
         if not self._queues[customer]:
-            del self._queues[customer]
-            stale = [name for name, at in self._finish_tags.items() if at <= self._virtual_time]
-            for name in stale if len(self._finish_tags) > 2 * len(self._queues) + 64 else ():
-                del self._finish_tags[name]
+            self._forget(customer)
+
+    def _forget(self, customer: str) -> None:
+        """Remove the empty queue of a customer, and stale tags if there are many."""
+        del self._queues[customer]
+        stale = [name for name, at in self._finish_tags.items() if at <= self._virtual_time]
+        for name in stale if len(self._finish_tags) > 2 * len(self._queues) + 64 else ():
+            del self._finish_tags[name]
--- a/greengagehoist/controllers/tests/conftest.py
+++ b/greengagehoist/controllers/tests/conftest.py
@@ -5,6 +5,7 @@
 import pytest
 
 from greengagehoist.controllers import (
+    AdmissionController,
     DrainController,
     RegisterDrain,
     RegisterWork,
@@ -21,8 +22,9 @@
         async def main():
             others = Silent()
             drains = DrainController(others, others, clock, drain_delay, grace)
-            system = System(drains, StopFilter(), Silent(hangs))
-            tasks = [asyncio.create_task(item.run()) for item in (drains,)]
+            admission = AdmissionController(clock, stop=drains.stop_times)
+            system = System(drains, admission, StopFilter(), Silent(hangs))
+            tasks = [asyncio.create_task(item.run()) for item in (drains, admission)]
             drains.tell(RegisterDrain(system.quotas))
             drains.tell(RegisterWork(system.stop_filter))
             try:
--- a/greengagehoist/controllers/tests/stop_system.py
+++ b/greengagehoist/controllers/tests/stop_system.py
@@ -4,8 +4,15 @@
 from types import SimpleNamespace
 from typing import NamedTuple
 
+from greengagehoist.admission import EntryOutcome
 from greengagehoist.base import Exchange, PipelineCall, TraceContext
-from greengagehoist.controllers import DrainController, WaitStopped
+from greengagehoist.controllers import (
+    AdmissionController,
+    Admit,
+    DrainController,
+    Finish,
+    WaitStopped,
+)
 from greengagehoist.filters import StopFilter
 
 GRACE_S = 30.0
@@ -35,6 +42,7 @@
     """Controllers of a daemon that matter to its stop."""
 
     drains: DrainController
+    admission: AdmissionController
     stop_filter: StopFilter
     quotas: Silent
 
@@ -48,6 +56,18 @@
     return clock.monotonic() - begun
 
 
+async def finish_after(system, clock, seconds, request):
+    """Admit a request and complete it after some seconds, so that its size has an estimate."""
+    grant = (await system.admission.ask(request)).unwrap()
+    await clock.advance(seconds)
+    system.admission.tell(Finish(grant, EntryOutcome.COMPLETED))
+    await clock.advance(0.0)
+
+
+def admit(clock, cost=1.0, within=LONG_S):
+    return Admit("pipeline:summary", "c", 1.0, cost, clock.monotonic() + within)
+
+
 def exchange(name="r", deadline=LONG_S):
     call = PipelineCall("summary", "x", 1)
     return Exchange(name, "", call, 0.0, TraceContext("t", "s"), deadline=deadline)
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -90,7 +90,9 @@
         )
         self.claims = ClaimController(self.platform, clock, rng)
         self.retries = RatioRetryPolicy()
-        self.admission = AdmissionController(clock, self.retries.set_overloaded)
+        self.admission = AdmissionController(
+            clock, self.retries.set_overloaded, self.drains.stop_times
+        )
         self.stop_filter = StopFilter()
         self.identify = IdentifyFilter(self.configs)
         self.claim_filter = ClaimFilter(self.claims, self.targets, self.retries, clock, rng)
