Close the claims of operations that outlive the daemon's stop

A non-idempotent operation that waited for its target held up the stop until SIGKILL, and its claim stayed in sending. Operations whose callers had disconnected were waited for only after the hand-over, and final states of claims had no part in it.

Cause: ClaimFilter.finish waited for running operations without limit, after the daemon had used its time.

Change: running operations count as work of the stop. At the end of the time for answers each is ended: an operation that was sent closes its claim as unknown, one that was not sent closes it as not_run and is never sent. While a claim is being written the operation isn't cancelled, so that no later write sets it to sending again. Final states of claims are handed over beside quota balances and records, within the grace period.

The stateful test of claims has a rule for the end of a stop.

--- a/greengagehoist/controllers/_claims.py
+++ b/greengagehoist/controllers/_claims.py
@@ -16,6 +16,7 @@
     decide_claim,
     final_write_version,
 )
+from greengagehoist.controllers._drain import Drain
 from greengagehoist.platform_client import ReadRow, Refused, Row, WriteRow, Written, full_jitter
 from greengagehoist.utils import Clock, Controller, Reply, log_event
 
@@ -78,6 +79,7 @@
         self.clock = clock
         self.rng = rng
         self._pending = 0
+        self._drain_reply: Reply | None = None
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
@@ -96,6 +98,15 @@
                 reply(self._pending)
             case _PendingChanged(change):
                 self._pending += change
+                self._check_drained()
+            case Drain():
+                self._drain_reply = reply
+                self._check_drained()
+
+    def _check_drained(self) -> None:
+        if self._drain_reply is not None and not self._pending:
+            self._drain_reply(None)
+            self._drain_reply = None
 
     async def _open(self, message: OpenClaim, reply: Reply) -> None:
         expect = message.version
--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -142,9 +142,10 @@
         loop = asyncio.get_running_loop()
         log_event("listening", interface="peers", address=self.peers.listen())
         self._tasks = [loop.create_task(item.run()) for item in self._controllers()]
-        for controller in (self.quotas, self.records):
+        for controller in (self.quotas, self.records, self.claims):
             self.drains.tell(RegisterDrain(controller))
-        self.drains.tell(RegisterWork(self.stop_filter))
+        for work in (self.stop_filter, self.claim_filter):
+            self.drains.tell(RegisterWork(work))
         callers = CallerApp(
             self.build_chain(),
             self.traces,
@@ -214,7 +215,6 @@
         left = self.drains.stop_times.value.ends - self.clock.monotonic()
         limit = max(0.0, left * LISTENER_SHARE)
         await asyncio.gather(*(listener.stop(limit) for listener in self.listeners))
-        await self.claim_filter.finish()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/greengagehoist/daemon/tests/test_stop.py
+++ b/greengagehoist/daemon/tests/test_stop.py
@@ -10,6 +10,7 @@
 
 from greengagehoist.daemon import main
 from greengagehoist.daemon.tests.deployment import (
+    WAIT_S,
     generate,
     http,
     list_vms,
@@ -20,6 +21,7 @@
 GRACE_S = 6
 # Time of one token; an answer needs longer than the grace period.
 SLOW_STEP_S = 0.8
+KEY = "k1"
 
 
 @pytest.fixture
@@ -28,8 +30,8 @@
 
     def start_daemon(step_s, *flags):
         platform = group.start_standin("platform", "platform").addresses["listening"]
-
-        vms = []
+        desk = group.start_standin("desk", "service", "job-desk").addresses["listening"]
+        vms = [["desk", desk, "service:job-desk"]]
         for role, model in STAGES:
             args = ("engine", model, "--step-s", str(step_s)) if model else ("pool", role)
             vms.append([role, group.start_standin(role, *args).addresses["listening"], role])
@@ -53,7 +55,7 @@
             await wait_until(routed)
 
         asyncio.run(prepare())
-        return daemon
+        return daemon, platform, desk
 
     return start_daemon
 
@@ -75,28 +77,47 @@
     await wait_until(reached)
 
 
+async def book(address):
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    body = json.dumps({"args": {"job": "1"}})
+    writer.write(
+        f"POST /v1/services/job-desk/book HTTP/1.1\r\nHost: x\r\nIdempotency-Key: {KEY}\r\n"
+        f"Authorization: Bearer {credential_of('depot')}\r\nConnection: close\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+    )
+    async with asyncio.timeout(WAIT_S):
+        raw = await reader.read()
+    writer.close()
+    return raw.decode().partition("\r\n\r\n")[2]
+
+
 def test_requests_that_outlive_the_stop_get_a_truthful_answer(group, start):
     """Guards against connections that SIGKILL cuts because the stop waits for slow targets."""
     flags = ("--drain-delay", "0.3", "--grace", str(GRACE_S))
-    daemon = start(SLOW_STEP_S, *flags)
+    daemon, platform, desk = start(SLOW_STEP_S, *flags)
 
     async def scenario():
         address = daemon.addresses["callers"]
-        calls = [generate(address, False), generate(address, True)]
+        await http(desk, "PUT", "/control/faults", {"delay_s": 60.0})
+        calls = [generate(address, False), generate(address, True), book(address)]
         tasks = [asyncio.create_task(call) for call in calls]
         await wait_in_flight(daemon, len(tasks))
         await asyncio.sleep(1.0)
         group.signal("entry-0", signal.SIGTERM)
         code = await asyncio.to_thread(wait_for_end, daemon)
         answers = await asyncio.gather(*tasks)
-        return code, answers
+        _, row = await http(platform, "GET", f"/table/row?key=claim/depot/{KEY}")
+        return code, answers, row
 
-    code, ((status, whole), (_, stream)) = asyncio.run(scenario())
+    code, ((status, whole), (_, stream), booked), row = asyncio.run(scenario())
     assert code == 0
     error = json.loads(whole)["error"]
     assert (status, error["outcome"], error["code"]) == (503, "unknown", "draining")
     assert "event: error" in stream and '"draining"' in stream
     assert "event: end" not in stream
+    assert json.loads(booked)["error"]["outcome"] == "unknown"
+    assert '"unknown"' in row and '"sending"' not in row
 
 
 @pytest.mark.parametrize(
--- a/greengagehoist/filters/_claim.py
+++ b/greengagehoist/filters/_claim.py
@@ -39,7 +39,6 @@
     CloseClaim,
     Completed,
     FindTarget,
-    GetPendingClaims,
     OpenClaim,
     ReadClaim,
     Route,
@@ -51,8 +50,6 @@
 RECORD_READ_TIMEOUT_S = 1.0
 RECORD_INITIAL_BACKOFF_S = 0.05
 MAX_RECORD_READS = 6
-FLUSH_TIMEOUT_S = 5.0
-FLUSH_POLL_INTERVAL_S = 0.05
 
 
 class ClaimFilter:
@@ -75,7 +72,8 @@
         self.retries = retries
         self.clock = clock
         self.rng = rng
-        self._tasks: set[asyncio.Task] = set()
+        self.has_ended = False
+        self._tasks: dict[asyncio.Task, _OperationRun] = {}
 
     async def __call__(self, exchange: Exchange, proceed: Proceed) -> ExchangeResult:
         """Return the answer, the stored answer of a repeated key, or the failure."""
@@ -83,35 +81,42 @@
             case ServiceCall(service, operation):
                 kind = exchange.cfg.services[service].operations[operation]
                 if isinstance(kind, NonIdempotent):
-                    task = asyncio.get_running_loop().create_task(self._run(exchange, proceed))
-                    self._tasks.add(task)
+                    run = self._build_run(exchange, proceed)
+                    task = asyncio.get_running_loop().create_task(run.run())
+                    self._tasks[task] = run
                     task.add_done_callback(self._on_task_done)
                     return await asyncio.shield(task)
         return await proceed(exchange)
 
-    async def finish(self) -> None:
-        """Wait for running operations and, for a bounded time, until their claims are written."""
+    async def wait_idle(self) -> None:
+        """Wait for the running operations, also those whose callers have disconnected."""
         while self._tasks:
             await asyncio.wait(self._tasks)
-        until = self.clock.monotonic() + FLUSH_TIMEOUT_S
-        while await self.claims.ask(GetPendingClaims()) and self.clock.monotonic() < until:
-            await self.clock.sleep(FLUSH_POLL_INTERVAL_S)
+
+    def end_running(self) -> None:
+        """End the running operations; each closes its claim as not run or unknown."""
+        self.has_ended = True
+        for task, run in self._tasks.items():
+            if not run.is_opening:
+                task.cancel()
 
     def _on_task_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             log_event("operation_failed", "ERROR", error=repr(task.exception()))
 
-    async def _run(self, exchange: Exchange, proceed: Proceed) -> ExchangeResult:
+    def _build_run(self, exchange: Exchange, proceed: Proceed) -> "_OperationRun":
         if not exchange.idempotency_key:
             exchange = exchange._replace(idempotency_key=exchange.request_id)
         key = scoped_key(exchange.holding.customer, exchange.idempotency_key)
-        run = _OperationRun(self, exchange, proceed, key)
-        return await run.run()
+        return _OperationRun(self, exchange, proceed, key)
 
 
 class _OperationRun:
-    """Execution of one operation, from its claim to the claim's final state."""
+    """Execution of one operation, from its claim to the claim's final state.
+
+    While it is opening, the claim controller may still write the claim, so it is not cancelled.
+    """
 
     def __init__(self, claim_filter: ClaimFilter, exchange: Exchange, proceed: Proceed, key: str):
         self.claim_filter = claim_filter
@@ -120,8 +125,20 @@
         self.key = key
         self.claim = Claim(exchange.request_id, request_digest(exchange.call), "")
         self.version = 0
+        self.is_opening = False
+        # How an open claim ends if the operation is cancelled.
+        self._final_event: ClaimEvent | None = None
 
     async def run(self) -> ExchangeResult:
+        """Run the operation; if it is cancelled, close its claim truthfully."""
+        try:
+            return await self._run()
+        except asyncio.CancelledError:
+            if self._final_event is not None:
+                self._close(self._final_event)
+            raise
+
+    async def _run(self) -> ExchangeResult:
         """Try targets in turn until one may have received the operation."""
         call = self.exchange.call
         route = Route(self.exchange.request_id, call.service, f"service:{call.service}")
@@ -149,6 +166,7 @@
             if final or not self.claim_filter.retries.allow_retry(error, number, self._left_s()):
                 self._close(ClaimEvent.REFUSED)
                 return result
+            self._final_event = ClaimEvent.REFUSED
             tried += (assignment.target.name,)
             number += 1
 
@@ -157,7 +175,9 @@
         self.claim = self.claim._replace(target=assignment.target.name)
         until = self.exchange.deadline
         message = OpenClaim(self.key, self.claim, until, self.version)
+        self.is_opening = True
         opened = await self.claim_filter.claims.ask(message)
+        self.is_opening = False
         match opened:
             case Success(Own(version)):
                 self.version = version
@@ -175,9 +195,14 @@
             self._close(ClaimEvent.REFUSED)
             text = "deadline passed before the operation was sent"
             return Failure(not_run("claim", ErrorCode.DEADLINE, text))
+        if self.claim_filter.has_ended:
+            self._close(ClaimEvent.REFUSED)
+            text = "the daemon is stopping; use another one"
+            return Failure(not_run("claim", ErrorCode.DRAINING, text))
         return None
 
     async def _send(self, assignment: Assignment, number: int) -> ExchangeResult:
+        self._final_event = ClaimEvent.LOST
         try:
             return await self.proceed(self.exchange._replace(assigned=assignment, attempt=number))
         except Exception as exc:
@@ -199,6 +224,7 @@
         return failure
 
     async def _answer_from_claim(self, decision: Replay | Reused | Reconcile) -> ExchangeResult:
+        self._final_event = None
         match decision:
             case Replay(result):
                 return Success(Answer(self.exchange.request_id, result, replayed=True))
@@ -210,6 +236,8 @@
 
     async def _reconcile(self, stored: StoredClaim) -> ExchangeResult:
         """Determine from the target's record whether the claim owner's operation ran."""
+        if self.exchange.mark_sent is not None:
+            self.exchange.mark_sent()
         text = "an earlier request with this key has no known end"
         error = unknown("claim", ErrorCode.CONFLICT, text, peer=stored.claim.target)
         assignment = await self.claim_filter.targets.ask(FindTarget(stored.claim.target))
@@ -251,6 +279,7 @@
         return None
 
     def _close(self, event: ClaimEvent, result: Any = None) -> None:
+        self._final_event = None
         final = apply_event(self.claim, event, result)
         self.claim_filter.claims.tell(CloseClaim(self.key, final, self.version or None))
 
--- a/greengagehoist/filters/tests/test_claim.py
+++ b/greengagehoist/filters/tests/test_claim.py
@@ -182,6 +182,10 @@
         for task in list(self.filter._tasks):
             task.cancel()
 
+    def stop(self):
+        """End as a daemon whose stop has no time left: no send follows, claims are closed."""
+        self.filter.end_running()
+
 
 class ClaimWorld(RuleBasedStateMachine):
     """Several daemons, a table and two targets under faults; every run is counted."""
@@ -272,6 +276,12 @@
         self.run_for()
         self.daemons[index] = DaemonDouble(self, 100 + self.count)
 
+    @rule(index=st.integers(0, 2), delay=st.sampled_from([0.0, 0.5, 5.0]))
+    def stop(self, index, delay):
+        self.daemons[index].stop()
+        self.run_for(delay)
+        self.kill(index)
+
     @invariant()
     def runs_at_most_once(self):
         assert {key: count for key, count in self.runs.items() if count > 1} == {}
@@ -347,3 +357,29 @@
     world.answers_equal_the_first()
     assert world.targets["a"].results or world.targets["b"].results
     world.teardown()
+
+
+def stop_during(service, mode, prepare, after):
+    """Return the claim and the sends of an operation that the end of a daemon's stop ends."""
+    world = ClaimWorld()
+    prepare(world)
+    world.targets["a"].mode = world.targets["b"].mode = mode
+    world.submit(0, service, "1", 0, 0.5)
+    world.daemons[0].stop()
+    world.run_for(after)
+    state = next(iter(world.table.rows.values())).value["state"]
+    runs = sum(world.runs.values())
+    world.teardown()
+    return state, runs
+
+
+def test_operation_that_outlives_the_stop_leaves_an_unknown_claim():
+    """Guards against claims that stay in sending because the daemon ended before their answers."""
+    assert stop_during("desk", "late", lambda world: None, 1.0)[0] == "unknown"
+
+
+def test_operation_is_not_sent_after_the_end_of_the_stop(monkeypatch):
+    """Guards against an operation that runs although its caller was told that it did not."""
+    monkeypatch.setattr(f"{__name__}.SLOW_S", LATE_S)
+    slow_table = stop_during("desk", "ok", lambda world: world.set_table("slow"), 12.0)
+    assert slow_table == ("not_run", 0)
