Ignore SIGHUP in the daemon

A SIGHUP, for example of a supervisor that asks for a reload or of a closed terminal, ended the daemon at once and cut all requests in flight, also in the middle of a graceful stop.

Cause: SIGHUP had its default action, which ends the process.

Change: the daemon ignores SIGHUP; it has nothing to reload. Second SIGTERM, SIGINT and POST /admin/drain already changed nothing.

Evidence: daemon/tests/test_stop.py, test_further_signals: failed before with ConnectionRefusedError (the process was gone after SIGHUP), passes after.

--- a/greengagehoist/daemon/_main.py
+++ b/greengagehoist/daemon/_main.py
@@ -84,6 +84,8 @@
     daemon = Daemon(settings, SystemClock(), random.SystemRandom())
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
+    # A closed terminal or a supervisor's order to reload must not cut the requests in flight.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop_requested.set)
     await daemon.start()
--- a/greengagehoist/daemon/tests/test_stop.py
+++ b/greengagehoist/daemon/tests/test_stop.py
@@ -13,6 +13,7 @@
     WAIT_S,
     generate,
     http,
+    is_complete,
     list_vms,
     wait_until,
 )
@@ -21,6 +22,8 @@
 GRACE_S = 6
 # Time of one token; an answer needs longer than the grace period.
 SLOW_STEP_S = 0.8
+# Time of one token of a stage whose answer is complete within the grace period.
+STEP_S = 0.05
 KEY = "k1"
 
 
@@ -120,6 +123,28 @@
     assert '"unknown"' in row and '"sending"' not in row
 
 
+def test_further_signals_do_not_shorten_the_stop(group, start):
+    """Guards against a hang-up or a second order to stop that cuts requests in flight."""
+    daemon, _, _ = start(STEP_S, "--drain-delay", "0.3", "--grace", str(GRACE_S))
+
+    async def scenario():
+        address = daemon.addresses["callers"]
+        tasks = [asyncio.create_task(generate(address, stream)) for stream in (False, True)]
+        await wait_in_flight(daemon, len(tasks))
+        group.signal("entry-0", signal.SIGTERM)
+        for signum in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            await asyncio.sleep(0.1)
+            group.signal("entry-0", signum)
+        status, _ = await http(daemon.addresses["operators"], "POST", "/admin/drain")
+        code = await asyncio.to_thread(wait_for_end, daemon)
+        return status, code, await asyncio.gather(*tasks)
+
+    status, code, ((_, whole), (_, stream)) = asyncio.run(scenario())
+    assert (status, code) == (202, 0)
+    assert is_complete(whole, False)
+    assert is_complete(stream, True)
+
+
 @pytest.mark.parametrize(
     ("flags", "named"),
     [
