Move the times of a stop to the package of graceful stops

Cause: two packages held rules of one matter, because they were written at the same time. Change: deadlines/_stop.py is shutdown/_stop_times.py now; nothing else changes.

--- a/greengagehoist/controllers/_admission.py
+++ b/greengagehoist/controllers/_admission.py
@@ -9,13 +9,8 @@
 
 from greengagehoist.admission import Admitted, Entry, EntryOutcome, Gate, Queued, Refused, Verdict
 from greengagehoist.base import ErrorCode, StepError, not_run
-from greengagehoist.deadlines import (
-    StageEstimates,
-    StageTimes,
-    StopTimes,
-    can_answer,
-    can_finish,
-)
+from greengagehoist.deadlines import StageEstimates, StageTimes, can_finish
+from greengagehoist.shutdown import StopTimes, can_answer
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, tick
 
 RELEASE_PERIOD_S = 0.05
--- a/greengagehoist/controllers/_drain.py
+++ b/greengagehoist/controllers/_drain.py
@@ -7,9 +7,9 @@
 
 from greengagehoist.controllers._config import GetConfig
 from greengagehoist.controllers._roster import ClockChecked, VmsListed
-from greengagehoist.deadlines import DEFAULT_GRACE_S, StopTimes, plan_stop
 from greengagehoist.membership import LifeCycle
 from greengagehoist.peers import CloseLinks, UpdateHeartbeat
+from greengagehoist.shutdown import DEFAULT_GRACE_S, StopTimes, plan_stop
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, tick
 
 STATUS_PERIOD_S = 0.5
--- a/greengagehoist/daemon/_main.py
+++ b/greengagehoist/daemon/_main.py
@@ -9,7 +9,7 @@
 
 from greengagehoist.daemon._daemon import Daemon
 from greengagehoist.daemon._settings import Settings, check_settings
-from greengagehoist.deadlines import DEFAULT_GRACE_S
+from greengagehoist.shutdown import DEFAULT_GRACE_S
 from greengagehoist.utils import SystemClock, ValidationError, setup_logging
 
 BAD_SETTINGS = 2
--- a/greengagehoist/daemon/_settings.py
+++ b/greengagehoist/daemon/_settings.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from greengagehoist.deadlines import DEFAULT_GRACE_S, answer_time
+from greengagehoist.shutdown import DEFAULT_GRACE_S, answer_time
 from greengagehoist.utils import (
     TlsFiles,
     ValidationError,
