Raise the failure of a message at the task that asked for its result

Cause: a controller logs an error in the processing of a message and goes on, and the task that had asked waited for a reply for ever. The configuration is read by such a task since daemons compare eras.

--- a/greengagehoist/utils/__init__.py
+++ b/greengagehoist/utils/__init__.py
@@ -1,7 +1,7 @@
 """Helpers shared by all packages: clock, controller task, validation, logging and metrics."""
 
 from greengagehoist.utils._clock import Clock, SteppedClock, SystemClock
-from greengagehoist.utils._controller import Controller, Reply, Tick, tick
+from greengagehoist.utils._controller import Controller, MessageFailedError, Reply, Tick, tick
 from greengagehoist.utils._ids import new_id
 from greengagehoist.utils._logging import BoundedWriter, log_event, parse_pairs, setup_logging
 from greengagehoist.utils._measurements import Measurements
@@ -25,6 +25,7 @@
     "BoundedWriter",
     "Clock",
     "Controller",
+    "MessageFailedError",
     "Measurements",
     "Metrics",
     "NullMetrics",
--- a/greengagehoist/utils/_controller.py
+++ b/greengagehoist/utils/_controller.py
@@ -15,9 +15,14 @@
     name: str = ""
 
 
+class MessageFailedError(Exception):
+    """A controller raised an error while it processed a message."""
+
+
 class _Envelope(NamedTuple):
     message: Any
     reply: Reply
+    fail: Callable[[Exception], None]
 
 
 def _discard(value: Any) -> None:
@@ -40,17 +45,24 @@
 
     def tell(self, message: Any) -> None:
         """Queue a message without waiting for a reply."""
-        self._mailbox.put_nowait(_Envelope(message, _discard))
+        self._mailbox.put_nowait(_Envelope(message, _discard, _discard))
 
     async def ask(self, message: Any) -> Any:
-        """Queue a message and wait for the reply."""
+        """Queue a message and wait for the reply.
+
+        :raises MessageFailedError: if :meth:`handle` raises an error.
+        """
         fut = asyncio.get_running_loop().create_future()
 
         def reply(value: Any) -> None:
             if not fut.done():
                 fut.set_result(value)
 
-        self._mailbox.put_nowait(_Envelope(message, reply))
+        def fail(exc: Exception) -> None:
+            if not fut.done():
+                fut.set_exception(exc)
+
+        self._mailbox.put_nowait(_Envelope(message, reply, fail))
         return await fut
 
     def handle(self, message: Any, reply: Reply) -> None:
@@ -76,9 +88,10 @@
                 envelope = await self._mailbox.get()
                 try:
                     self.handle(envelope.message, envelope.reply)
-                except Exception:
+                except Exception as exc:
                     kind = type(envelope.message).__name__
                     logger.exception(f"event=message_failed owner={self.name} message={kind}")
+                    envelope.fail(MessageFailedError(f"{self.name} failed on {kind}: {exc!r}"))
         finally:
             for task in list(self._tasks):
                 task.cancel()
