Move the log lines of sends to a module of their own

Cause: the filter that sends requests had grown over 400 lines with the checks of a stop and of resumed streams. Change: gateway/filters/_send_log.py; no behaviour changes.

--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -28,10 +28,14 @@
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
+from greengagehoist.gateway.filters._send_log import (
+    log_failed_send,
+    log_invalid_response,
+    log_sent,
+)
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
 from greengagehoist.gateway.filters._stages import affinity_of
 from greengagehoist.gateway.filters._stream_relay import (
-    log_invalid_response,
     new_splitter,
     relay_stream,
 )
@@ -72,9 +76,6 @@
 OK = 200
 FIRST_ERROR_STATUS = 400
 SERVER_ERROR = 500
-# Clients choose number and length of the ids of prompt parts.
-MAX_LOGGED_PARTS = 16
-MAX_LOGGED_ID_CHARS = 32
 # Time that a replica needs to fetch the stage results: a few megabytes at 10 Gbit/s.
 INPUT_FETCH_S = 0.03
 
@@ -184,18 +185,7 @@
         progress.sends += 1
         progress.tried |= {replica.replica_id}
         step = self._decide(exchange, end)
-        log_event(
-            "send_failed",
-            "WARNING",
-            request=exchange.req.request_id,
-            replica=replica.replica_id,
-            end=type(end).__name__,
-            may_have_run=progress.may_have_run,
-            sends=progress.sends,
-            left_ms=round((exchange.answer_deadline - self.clock.monotonic()) * 1000),
-            decision=type(step).__name__,
-            shared_parts=_log_parts(exchange),
-        )
+        log_failed_send(exchange, replica, end, step, self.clock.monotonic())
         match step:
             case SendAgain():
                 self.shutdown.resume_wait(exchange)
@@ -297,17 +287,7 @@
         splitter: EventSplitter,
     ) -> Reply | SendEnd:
         req = exchange.req
-        log_event(
-            "request_sent",
-            request=req.request_id,
-            replica=replica.replica_id,
-            zone=replica.zone,
-            route=exchange.route.name,
-            version=exchange.snapshot.deployment.version,
-            version_age_ms=round((self.clock.monotonic() - exchange.snapshot.confirmed_at) * 1000),
-            send=exchange.progress.sends + 1,
-            left_ms=round(remaining_s * 1000),
-        )
+        log_sent(exchange, replica, self.clock.monotonic(), remaining_s)
         headers = self.wire.replica_headers(exchange, replica, remaining_s, splitter.last_id)
         sent_at = self.clock.monotonic()
         exchange.progress.answer_begun_at = None
@@ -402,15 +382,6 @@
     return False
 
 
-def _log_parts(exchange: Exchange) -> str:
-    """Return the ids of the first prompt parts that other requests may share."""
-    prompt = exchange.req.prompt
-    if prompt is None:
-        return ""
-    shared = prompt.parts[:-1][:MAX_LOGGED_PARTS]
-    return ",".join(part.part_id[:MAX_LOGGED_ID_CHARS] for part in shared)
-
-
 def model_of(exchange: Exchange) -> str:
     """Return the model of an engine request, empty for others."""
     return exchange.req.prompt.model if exchange.req.prompt is not None else ""
--- a/greengagehoist/gateway/filters/_stream_relay.py
+++ b/greengagehoist/gateway/filters/_stream_relay.py
@@ -4,6 +4,7 @@
 
 from greengagehoist.gateway import Exchange, Reply, StreamEnded
 from greengagehoist.gateway._events import EventSplitter
+from greengagehoist.gateway.filters._send_log import log_invalid_response
 from greengagehoist.http1 import (
     IncompleteError,
     ProtocolError,
@@ -88,17 +89,6 @@
     return content_type.strip().lower().startswith(EVENT_STREAM)
 
 
-def log_invalid_response(exchange: Exchange, replica: Replica, exc: ProtocolError) -> None:
-    """Log bytes of a replica that are no response."""
-    log_event(
-        "response_invalid",
-        "WARNING",
-        request=exchange.req.request_id,
-        replica=replica.replica_id,
-        reason=str(exc),
-    )
-
-
 def _log_stream_end(exchange: Exchange, replica: Replica, reader: ResponseReader, end: str) -> None:
     splitter = exchange.progress.splitter
     log_event(
