--- a/benchmarks/_soak_system.py
+++ b/benchmarks/_soak_system.py
@@ -14,6 +14,7 @@
 from benchmarks._soak_proxy import FaultProxy
 from greengagehoist.http1 import ResponseReader, encode_request, open_socket
 from greengagehoist.standins import CrashesOn, ReplicaStandin, StoreStandin
+from greengagehoist.standins._gateway_standins import event
 
 HOST = "h.example"
 BOUNDS = {
@@ -33,6 +34,8 @@
 CRASH_DOWN_S = 1.0
 # Seconds before a response, or after each event of a stream.
 USUAL_ANSWER_S = 0.02
+# Body of a complete stream.
+EVENTS = b"".join(event(number) for number in range(5))
 
 
 def route(name: str, kind: str, service: str, attempts: int, **fields: Any) -> dict[str, Any]:
