Change a configuration, its row and its confirmation together

Cause: the question to a peer, since daemons follow restores of the store, comes between the send of a read and its answer. The peer's version was confirmed by a later read than the own one, which showed a newer version: its row was taken and its content dropped as out of order. Change: a newer version always replaces an older one.

--- a/greengagehoist/gateway/controllers/_held_deployment.py
+++ b/greengagehoist/gateway/controllers/_held_deployment.py
@@ -99,7 +99,10 @@
     if read.deployment is not None:
         held = _take_content(held, read)
     if proven or current is None:
-        return held._replace(snapshot=merge(current, deployment, sent_at)), InForce()
+        # Another daemon's read may have been sent later and shown an older version. A newer version
+        # holds what was revoked before that, so the later confirmation stays.
+        confirmed_at = sent_at if current is None else max(sent_at, current.confirmed_at)
+        return held._replace(snapshot=merge(current, deployment, confirmed_at)), InForce()
     return held._replace(snapshot=current._replace(deployment=deployment)), Unproven()
 
 
--- a/greengagehoist/gateway/tests/test_held_deployment.py
+++ b/greengagehoist/gateway/tests/test_held_deployment.py
@@ -84,6 +84,18 @@
     assert apply(held, 20.0, 3, 35, 11)[1] == Unproven()
 
 
+def test_newer_version_is_held_although_an_older_one_was_confirmed_later(held):
+    """The older one was held under the newer one's row, and each later read confirmed it."""
+    after, seen = apply_own_read(held, read(1, 40, 14), 9.0, 11.0)
+    assert (seen, after.version, after.row, after.source) == (
+        InForce(),
+        14,
+        Revision(1, 40),
+        "v14",
+    )
+    assert after.snapshot.confirmed_at == 10.0
+
+
 def test_read_of_an_earlier_era_changes_nothing(held):
     after, _ = apply(held, 20.0, 2, 35, 11)
     assert apply(after, 21.0, 1, 36, 14) == (after, EarlierEra())
--- a/greengagehoist/gateway/tests/test_restored_histories.py
+++ b/greengagehoist/gateway/tests/test_restored_histories.py
@@ -29,8 +29,8 @@
 MAX_COPY_AGE_S = 9.0
 STEPS = 300
 SETTLE_S = 8.0
-# Two reads, of which one is lost with the era, and their answers.
-IN_FORCE_S = PERIOD_S + RETRY_S + 2 * MAX_LATENCY_S + 2 * STEP_S
+# Two reads, of which one is lost with the era, and their answers, each a step after its read.
+IN_FORCE_S = PERIOD_S + RETRY_S + 2 * MAX_LATENCY_S + 4 * STEP_S
 
 
 class Copy(NamedTuple):
@@ -43,11 +43,17 @@
 
 
 class Answer(NamedTuple):
-    """An answer of the store that is on its way."""
+    """A read of the store that is on its way.
+
+    :param served_at: time at which the store reads the row.
+    :param read: None before that.
+    """
 
     due: float
+    served_at: float
     sent_at: float
-    read: DeploymentRead
+    known: Revision
+    read: DeploymentRead | None = None
 
 
 class ModelStore:
@@ -57,15 +63,15 @@
         self.era, self.counter = 1, 0
         self.row, self.version = Revision(1, 0), 0
         self.copies: list[Copy] = []
-        self.acknowledged: list[tuple[float, int]] = []
+        # Time, version and era of each write.
+        self.acknowledged: list[tuple[float, int, int]] = []
         self.rewrite_at = float("inf")
-        self.restored_at = 0.0
 
     def write(self, now, version):
         """Write a version, which is the operator's newest one."""
         self.counter += 1
         self.row, self.version = Revision(self.era, self.counter), version
-        self.acknowledged.append((now, version))
+        self.acknowledged.append((now, version, self.era))
         self.rewrite_at = float("inf")
 
     def restore(self, rng, now):
@@ -73,7 +79,6 @@
         copy = rng.choice([item for item in self.copies if now - item.at <= MAX_COPY_AGE_S])
         self.era, self.counter = self.era + 1, copy.counter
         self.row, self.version = Revision(self.era, copy.row.version), copy.version
-        self.restored_at = now
         if self.version != self.newest:
             self.rewrite_at = now + rng.uniform(0.0, OPERATOR_RETURN_S - STEP_S)
 
@@ -147,7 +152,11 @@
 
     def advance(self, daemon):
         """Let a daemon receive an answer or begin to read."""
-        if daemon.answer is not None and self.now >= daemon.answer.due:
+        if daemon.answer is not None and not daemon.answer.read:
+            if self.now >= daemon.answer.served_at:
+                read = self.store.answer(daemon.answer.known)
+                daemon.answer = daemon.answer._replace(read=read)
+        elif daemon.answer is not None and self.now >= daemon.answer.due:
             answer, daemon.answer = daemon.answer, None
             self.ask_daemon(daemon, answer.read)
             daemon.held, outcome = apply_own_read(
@@ -157,8 +166,9 @@
         elif daemon.answer is None and self.now >= daemon.next_read_at:
             if daemon.held.snapshot is not None and self.ask_hub(daemon):
                 return
-            due = self.now + self.rng.uniform(0.0, MAX_LATENCY_S)
-            daemon.answer = Answer(due, self.now, self.store.answer(daemon.held.row))
+            latency_s = self.rng.uniform(0.0, MAX_LATENCY_S)
+            served_at = self.now + self.rng.uniform(0.0, latency_s)
+            daemon.answer = Answer(self.now + latency_s, served_at, self.now, daemon.held.row)
 
     def schedule(self, daemon, outcome):
         daemon.next_read_at = self.now + (PERIOD_S if outcome == InForce() else RETRY_S)
@@ -200,13 +210,13 @@
         version, confirmed_at = daemon.held.version, daemon.held.snapshot.confirmed_at
         assert version >= daemon.last_version, "went back to an older version"
         daemon.last_version = version
-        later = [at for at, item in self.store.acknowledged if item > version]
+        later = [at for at, item, _ in self.store.acknowledged if item > version]
         if later:
             assert confirmed_at <= later[0], "confirmed although a newer version was acknowledged"
         # What was written before the restore may have to be written again first.
         due = self.now - IN_FORCE_S
         written = [
-            item for at, item in self.store.acknowledged if self.store.restored_at <= at <= due
+            item for at, item, era in self.store.acknowledged if era == self.store.era and at <= due
         ]
         if written and daemon.started_at <= due:
             assert version >= written[-1], "an acknowledged version is not in force"
