Let only proven reads of a restored store confirm keys for other daemons

Cause: a daemon that starts believes its first read, and passed that belief on as proof of the era. Change: what a daemon believes for want of other knowledge is apart from what is proven; a read that a hub or peer passes on confirms only if the era is proven to one of the two. Proof is learnt from others with any answer, so that a daemon that notices the restore late needs not wait for it.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -57,6 +57,7 @@
 class _ConfirmationReceived(NamedTuple):
     row: Revision
     confirmed_at: float
+    proven_era: int
 
 
 class DeploymentController(Controller):
@@ -109,16 +110,16 @@
                 reply(self._apply(result, sent_at))
             case _SharedReadEnded(read, held):
                 reply(self._apply_shared_read(read, held))
-            case _ConfirmationReceived(row, confirmed_at):
-                reply(self._hold(*apply_confirmation(self._deployment, row, confirmed_at)))
+            case _ConfirmationReceived():
+                reply(self._hold(*apply_confirmation(self._deployment, *message)))
 
     async def _read(self) -> None:
         row, era = self._deployment.row, self._deployment.era or 0
         step = await self.reads.next_step(row.token if row.version else "", era)
         outcome: ReadOutcome | None = None
         match step:
-            case Confirmed(at):
-                outcome = await self.ask(_ConfirmationReceived(row, at))
+            case Confirmed(at, _, proven_era):
+                outcome = await self.ask(_ConfirmationReceived(row, at, proven_era))
             case Changed(held):
                 outcome = await self._decode_shared(held)
             case ReadNow():
--- a/greengagehoist/gateway/controllers/_held_deployment.py
+++ b/greengagehoist/gateway/controllers/_held_deployment.py
@@ -57,6 +57,8 @@
     :param copied_row: revision that the row with this configuration has if the store shows it as
         it was before the restore, None if that is not known.
     :param proven_era: newest era in which reads are known to show what the operator wrote last.
+    :param believed_era: era in which this daemon believes its own reads, because it knew of no other
+        at its first one; what other daemons hold may prove more.
     """
 
     snapshot: DeploymentSnapshot | None = None
@@ -67,6 +69,7 @@
     first_row: Revision | None = None
     copied_row: Revision | None = None
     proven_era: int = 0
+    believed_era: int | None = None
 
     @property
     def version(self) -> int:
@@ -81,8 +84,9 @@
     era = read.row.era
     if held.era is not None and era < held.era:
         return held, EarlierEra()
-    # What the first read shows has to be believed if no other daemon knows more.
-    held = _enter_era(held, era, now, proven_era=era)
+    if held.era is None:
+        held = held._replace(believed_era=era)
+    held = _enter_era(held, era, now)
     if held.first_row is None:
         held = held._replace(first_row=read.row)
     if not read.row.version:
@@ -98,7 +102,7 @@
     current = held.snapshot
     if read.deployment is not None:
         held = _take_content(held, read)
-    if proven or current is None:
+    if proven or era == held.believed_era or current is None:
         # Another daemon's read may have been sent later and shown an older version. A newer version
         # holds what was revoked before that, so the later confirmation stays.
         confirmed_at = sent_at if current is None else max(sent_at, current.confirmed_at)
@@ -120,7 +124,7 @@
     :param era: newest era that the other daemon knows of.
     :param proven_era: newest era of which it knows that reads show what the operator wrote last.
     """
-    held = _enter_era(held, era, now, proven_era)
+    held = _learn_proof(_enter_era(held, era, now), proven_era)
     if read.deployment is None or read.deployment.version < held.version:
         return held, Older()
     current = held.snapshot
@@ -132,23 +136,38 @@
         return held, EarlierEra()
     if read.row > held.row:
         held = _take_content(held, read)
-    return held._replace(snapshot=merge(current, None, confirmed_at)), InForce()
+    return _confirm(held, confirmed_at)
 
 
 def apply_confirmation(
-    held: HeldDeployment, row: Revision, confirmed_at: float
+    held: HeldDeployment, row: Revision, confirmed_at: float, proven_era: int
 ) -> tuple[HeldDeployment, ReadOutcome]:
-    """Return what is held after another daemon has confirmed the content of ``row``."""
+    """Return what is held after another daemon has confirmed the content of ``row``.
+
+    :param proven_era: as of :func:`apply_shared_read`.
+    """
+    held = _learn_proof(held, proven_era)
     if held.era is not None and row.era < held.era:
         return held, EarlierEra()
     if row != held.row:
         return held, Older()
+    return _confirm(held, confirmed_at)
+
+
+def _confirm(held: HeldDeployment, confirmed_at: float) -> tuple[HeldDeployment, ReadOutcome]:
+    """Confirm what is held by another daemon's read, unless that may have shown only the copy."""
+    if held.era not in (held.proven_era, held.believed_era):
+        return held, Unproven()
     return held._replace(snapshot=merge(held.snapshot, None, confirmed_at)), InForce()
 
 
-def _enter_era(held: HeldDeployment, era: int, now: float, proven_era: int) -> HeldDeployment:
+def _learn_proof(held: HeldDeployment, proven_era: int) -> HeldDeployment:
+    return held._replace(proven_era=max(held.proven_era, proven_era))
+
+
+def _enter_era(held: HeldDeployment, era: int, now: float) -> HeldDeployment:
     if held.era is None:
-        return held._replace(era=era, era_since=now, proven_era=proven_era)
+        return held._replace(era=era, era_since=now)
     if era <= held.era:
         return held
     # After another restore shortly before, the copy may have any of several rows.
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -30,10 +30,12 @@
 
     :param at: time at which the platform held it.
     :param era: newest era of the platform's table that the hub knows of.
+    :param proven_era: as of :class:`HeldContent`.
     """
 
     at: float
     era: int = 0
+    proven_era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +145,7 @@
         if held.era < era or clock.monotonic() - held.at > max_age_s:
             answer = HubStale()
         elif held.token == token:
-            return Confirmed(held.at, held.era)
+            return Confirmed(held.at, held.era, held.proven_era)
         elif held.content:
             return Changed(held)
     return answer
--- a/greengagehoist/gateway/tests/test_held_deployment.py
+++ b/greengagehoist/gateway/tests/test_held_deployment.py
@@ -118,11 +118,27 @@
 def test_hub_of_an_earlier_era_confirms_nothing(held):
     after, _ = apply(held, 20.0, 2, 35, 11)
     assert apply_shared_read(after, read(1, 36, 11), 21.0, 21.0, 1, 1) == (after, EarlierEra())
-    assert apply_confirmation(after, Revision(1, 36), 21.0) == (after, EarlierEra())
-    confirmed, seen = apply_confirmation(after, Revision(2, 35), 21.0)
+    assert apply_confirmation(after, Revision(1, 36), 21.0, 1) == (after, EarlierEra())
+    confirmed, seen = apply_confirmation(after, Revision(2, 35), 21.0, 2)
     assert (seen, confirmed.snapshot.confirmed_at) == (InForce(), 21.0)
 
 
+def test_daemon_that_started_on_the_copy_confirms_nothing_for_others(held):
+    """It believes its first read for want of a better one, and a revocation may be missing there."""
+    hub, seen = apply(HeldDeployment(), 20.0, 2, 36, 11)
+    assert seen == InForce()
+    after, _ = apply(held, 20.0, 2, 36, 11)
+    hub_read = read(2, 36, 11)
+    for known in (held, after):
+        shared = apply_shared_read(known, hub_read, 20.5, 20.6, hub.era, hub.proven_era)
+        confirmed = apply_confirmation(shared[0], hub.row, 20.7, hub.proven_era)
+        assert shared[1] == confirmed[1] == Unproven()
+        assert confirmed[0].snapshot.confirmed_at == 10.0
+    proven, _ = apply(hub, 20.0 + OPERATOR_RETURN_S, 2, 36, 11)
+    after, seen = apply_confirmation(after, hub.row, 22.5, proven.proven_era)
+    assert (seen, after.snapshot.confirmed_at) == (InForce(), 22.5)
+
+
 def test_daemon_that_starts_learns_from_a_peer_that_the_copy_is_not_proven():
     """It would confirm keys by the copy, and the others would believe it."""
     peer = read(2, 36, 11)
--- a/greengagehoist/gateway/tests/test_restored_histories.py
+++ b/greengagehoist/gateway/tests/test_restored_histories.py
@@ -196,7 +196,7 @@
     def take(self, daemon, source):
         held, at = source.held, source.held.snapshot.confirmed_at
         if held.row == daemon.held.row:
-            daemon.held, outcome = apply_confirmation(daemon.held, held.row, at)
+            daemon.held, outcome = apply_confirmation(daemon.held, held.row, at, held.proven_era)
         else:
             read = DeploymentRead(held.snapshot.deployment, held.row, held.source)
             eras = held.era, held.proven_era
