Start with a peer's newer configuration, or wait for it

Change: up to three peers with a newer configuration are asked in turn, and a daemon that starts uses its own read only if no linked peer holds more; until then it answers 503. It notes the era meanwhile, so that the time in which the operator writes again counts from its first read. Result: test_daemon_that_starts_on_the_copy_waits_for_a_silent_peer failed before (served after 1 lost answer of 4) and passes; gateway/ and daemon/tests/test_gateway_restored.py: 196 passed.

--- a/greengagehoist/daemon/tests/test_gateway_restored.py
+++ b/greengagehoist/daemon/tests/test_gateway_restored.py
@@ -137,6 +137,33 @@
     run_scenario(scenario)
 
 
+def test_daemon_that_starts_on_the_copy_waits_for_a_silent_peer(run_scenario, monkeypatch):
+    """One lost answer of the peer, and keys that had been revoked were valid again."""
+
+    async def scenario(system):
+        copy = system.store.copy()
+        await put_config(system, 2, **REVOKING)
+        system.store.restore(copy)
+        relay, lost = system.daemons[0].relay, []
+        answer = relay._answer
+
+        def lose_some(vm, number, topic, token):
+            if topic == "deployment" and len(lost) < 4:
+                lost.append(number)
+            else:
+                answer(vm, number, topic, token)
+
+        monkeypatch.setattr(relay, "_answer", lose_some)
+        starting = asyncio.ensure_future(system.add_daemon("vm1"))
+        await wait_until(lambda: len(system.daemons) == 2 and version_at(system.daemons[1]))
+        assert len(lost) == 4
+        assert version_at(system.daemons[1]) == 2
+        system.store.put(*CONFIG_ROW, config(2, **REVOKING))
+        await starting
+
+    run_scenario(scenario)
+
+
 def test_lost_entry_of_a_daemon_is_written_again(run_scenario):
     async def scenario(system):
         key = ("greengagehoist", "member/vm0")
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -14,6 +14,7 @@
     apply_confirmation,
     apply_own_read,
     apply_shared_read,
+    apply_unused_read,
 )
 from greengagehoist.gateway.controllers._relay import AddSource, AskPeer, HeldContent
 from greengagehoist.gateway.controllers._shared_reads import (
@@ -36,6 +37,8 @@
 # platform, which may have been restored from a copy.
 PEER_WAIT_S = 0.5
 PEER_POLL_PERIOD_S = 0.05
+# Peers with a newer configuration that are asked in turn while they are silent.
+MAX_PEERS_ASKED = 3
 
 
 class SetReadPeriod(NamedTuple):
@@ -54,6 +57,10 @@
     held: HeldContent
 
 
+class _ReadUnused(NamedTuple):
+    era: int
+
+
 class _ConfirmationReceived(NamedTuple):
     row: Revision
     confirmed_at: float
@@ -110,6 +117,9 @@
                 reply(self._apply(result, sent_at))
             case _SharedReadEnded(read, held):
                 reply(self._apply_shared_read(read, held))
+            case _ReadUnused(era):
+                now = self.clock.monotonic()
+                self._deployment = apply_unused_read(self._deployment, era, now)
             case _ConfirmationReceived():
                 reply(self._hold(*apply_confirmation(self._deployment, *message)))
 
@@ -125,9 +135,10 @@
             case ReadNow():
                 sent_at = self.clock.monotonic()
                 result = await self.platform.ask(ReadDeployment(row))
-                if isinstance(result, Success):
-                    await self._ask_peer(result.unwrap())
-                outcome = await self.ask(_ReadEnded(result, sent_at))
+                if not isinstance(result, Success) or await self._ask_peers(result.unwrap()):
+                    outcome = await self.ask(_ReadEnded(result, sent_at))
+                else:
+                    self.tell(_ReadUnused(result.unwrap().row.era))
             case HubStale():
                 pass
         await self.reads.pause(step, isinstance(outcome, InForce))
@@ -141,33 +152,38 @@
             return None
         return await self.ask(_SharedReadEnded(read, held))
 
-    async def _ask_peer(self, read: DeploymentRead) -> None:
+    async def _ask_peers(self, read: DeploymentRead) -> bool:
         """Get the configuration of a peer that holds a newer one than the platform shows.
 
         The platform shows an older one after a restore. A daemon that starts does not know of the
         restore, so it waits until the daemons that it links to have told their versions, and asks
-        one in any case.
+        one in any case. It does not use what it has read while a peer that holds more is silent.
+
+        :returns: whether the read may be used.
         """
         starting = self.snapshot.value is None
         if starting and read.row.version:
             await self._wait_for_peers()
         shown = read.deployment.version if read.deployment else 0
         version = max(self._deployment.version, shown)
-        newest = max(await self._informed_peers(), key=_version_of, default=None)
-        newest_version = _version_of(newest) if newest else 0
-        if newest_version > version:
+        informed = [item for item in await self._informed_peers() if _version_of(item)]
+        informed.sort(key=_version_of, reverse=True)
+        ahead = [item for item in informed if _version_of(item) > version]
+        if ahead:
             log_event(
                 "configuration_older_than_peers",
                 version=version,
-                peer=newest.vm,
-                peer_version=newest_version,
+                peer=ahead[0].vm,
+                peer_version=_version_of(ahead[0]),
                 era=read.row.era,
             )
-        elif not (starting and newest_version):
-            return
-        held = await self.reads.relay.ask(AskPeer("deployment", newest.vm))
-        if held is not None and held.content:
-            await self._decode_shared(held)
+        elif not starting:
+            return True
+        for peer in (ahead or informed)[:MAX_PEERS_ASKED]:
+            held = await self.reads.relay.ask(AskPeer("deployment", peer.vm))
+            if held is not None and held.content and await self._decode_shared(held):
+                return True
+        return not (starting and ahead)
 
     async def _wait_for_peers(self) -> None:
         topology, deadline = self.reads.topology, self.clock.monotonic() + PEER_WAIT_S
--- a/greengagehoist/gateway/controllers/_held_deployment.py
+++ b/greengagehoist/gateway/controllers/_held_deployment.py
@@ -77,6 +77,11 @@
         return self.snapshot.deployment.version if self.snapshot else 0
 
 
+def apply_unused_read(held: HeldDeployment, era: int, now: float) -> HeldDeployment:
+    """Return what is held after a read that is not used, as a peer holds a newer configuration."""
+    return _enter_era(held, era, now)
+
+
 def apply_own_read(
     held: HeldDeployment, read: DeploymentRead, sent_at: float, now: float
 ) -> tuple[HeldDeployment, ReadOutcome]:
