Count answers to other prompts after each crash that may be to blame

Cause: a part is held after two crashes if prompts without it have been answered since the first that it can be blamed for. The answer was recorded once, after the first crash of all. If that crash turned out to have another cause, because another replica had ended beside it, also by late news of a peer, the answer was too old for ever, no further one was reported, and the part needed four crashes. Change: an answer is news if it follows a crash that no other answer has followed, at most one for each crash.

--- a/greengagehoist/quarantine/_evidence.py
+++ b/greengagehoist/quarantine/_evidence.py
@@ -1,6 +1,7 @@
 """Evidence of one service: replicas that ended, and complete answers."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 from typing import NamedTuple
 
 # Evidence that is older is forgotten: replicas may have been replaced by a sound version.
@@ -86,12 +87,12 @@
     def record_answer(self, parts: frozenset[int], at: float) -> bool:
         """Add a complete answer to a prompt with these shared parts; return whether it is news."""
         news = False
-        for part, first_at in self._first_open_crash().items():
+        for part, crashes in self.open_crashes().items():
             if part in parts:
-                if at > first_at:
+                if at > crashes[0].at:
                     self._answered_at[part] = max(at, self._answered_at.get(part, NEVER))
                     news = True
-            elif at > first_at > self._others_answered_at.get(part, NEVER):
+            elif any(crash.at < at for crash in self._unanswered(part, crashes)):
                 self._others_answered_at[part] = at
                 news = True
         return news
@@ -119,13 +120,15 @@
     def awaiting_others(self) -> frozenset[int]:
         """Return the suspected parts for which an answer to another prompt would be news."""
         return frozenset(
-            part
-            for part, first_at in self._first_open_crash().items()
-            if not self.others_answered(part, first_at)
+            part for part, crashes in self.open_crashes().items() if self._unanswered(part, crashes)
         )
 
-    def _first_open_crash(self) -> dict[int, float]:
-        return {part: crashes[0].at for part, crashes in self.open_crashes().items()}
+    def _unanswered(self, part: int, crashes: Iterable[Crash]) -> tuple[Crash, ...]:
+        """Return the crashes after the last answer to a prompt without the part.
+
+        An earlier answer is no proof if the crashes before it turn out to have another cause.
+        """
+        return tuple(item for item in crashes if not self.others_answered(part, item.at))
 
 
 def _limit(prompts: frozenset[tuple[int, ...]]) -> frozenset[tuple[int, ...]]:
--- a/greengagehoist/quarantine/tests/test_attribution.py
+++ b/greengagehoist/quarantine/tests/test_attribution.py
@@ -108,6 +108,19 @@
     assert held[BAD].trial_at == 14.0 + trial_delay_s(2)
 
 
+def test_answers_count_again_after_crashes_with_another_cause(evidence):
+    """The first crash, beside one without the part, was not to blame; later answers were not counted."""
+    evidence.record_crash(crash(0, 10.0, (SYSTEM, BAD, 1000)))
+    evidence.record_crash(crash(1, 10.1, (SYSTEM, DOC, 1001)))
+    evidence.record_answer(frozenset({SYSTEM, DOC}), 10.5)
+    for number, at in enumerate((12.0, 13.0)):
+        evidence.record_crash(crash(2 + number, at, (SYSTEM, BAD, 1002 + number)))
+        assert BAD in evidence.awaiting_others()
+        assert evidence.record_answer(frozenset({SYSTEM, DOC}), at + 0.5)
+        assert not evidence.record_answer(frozenset({SYSTEM, DOC}), at + 0.6)
+    assert attribute_crashes(evidence).keys() == {BAD}
+
+
 def test_crashes_of_a_held_part_do_not_count_against_its_companions(evidence):
     for number in range(4):
         parts = (BAD, DOC) if number < 2 else (BAD,)
