Break off a stream with a line that is no field of an event

Cause: events were checked by their ids only. In a body that only the close ends, the head that a failing replica writes after half an event was taken for the rest of that event. Change: each line of an event must be a comment or a field by its form, and no field of HTTP messages. Blocks of lines without data and id, such as a lone retry, are no events and need no id any more.

--- a/greengagehoist/daemon/tests/test_gateway_resumed.py
+++ b/greengagehoist/daemon/tests/test_gateway_resumed.py
@@ -211,3 +211,20 @@
         sock.abort()
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+@pytest.mark.parametrize("cut", [b"id: 2\nda", b"id: 2\ndata: e", b"id: 2\ndata: e2\n"])
+def test_head_of_an_error_inside_an_event_does_not_reach_the_client(run_scenario, path, cut):
+    """In a body that only the close ends, it passed for the rest of the event."""
+    head = b"HTTP/1.1 200 OK\r\n%b%bConnection: close\r\n\r\n" % (SIGNED, STREAM_TYPE)
+    response = head + event(0) + event(1) + cut + ERROR_HEAD
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.behaviour = Writes(response)
+        body, complete = await receive(system, path)
+        assert not complete
+        assert body in WHOLE_EVENTS
+
+    run_scenario(scenario)
--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -1,5 +1,6 @@
 """Splits an event stream into whole events, so that another replica can resume it."""
 
+import re
 from collections.abc import Iterator
 from itertools import groupby
 
@@ -8,6 +9,12 @@
 # A blank line ends an event; a stream may use any of the three line endings.
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 MAX_ID_DIGITS = 18
+FIELD_NAME = re.compile(rb"[a-z][a-z0-9_-]*")
+EVENT_FIELDS = frozenset({b"data", b"event", b"id", b"retry"})
+# Header fields of HTTP messages, which are no fields of events.
+MESSAGE_FIELDS = frozenset(
+    {b"connection", b"content-length", b"content-type", b"transfer-encoding"}
+)
 
 
 class EventSplitter:
@@ -26,8 +33,8 @@
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that ``data`` completes.
 
-        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES`` or does not continue the
-            stream. None of the events in ``data`` counts as received then.
+        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``, has a line that is no field, or
+            does not continue the stream. None of the events in ``data`` counts as received then.
         """
         text = self._partial + data
         end = _end_of_events(text)
@@ -37,6 +44,7 @@
             self._partial = text
             return b""
         whole, self._partial = text[:end], text[end:]
+        _check_fields(whole)
         self._check_order(whole)
         return whole
 
@@ -83,11 +91,32 @@
     return max(at + length if at >= 0 else 0 for at, length in ends)
 
 
+def _check_fields(events: bytes) -> None:
+    """Check that the lines of events are comments or fields.
+
+    A replica that fails may write the head of an error into an event that it has begun.
+
+    :raises ProtocolError: if a line is none.
+    """
+    for line in events.splitlines():
+        name, colon, _ = line.partition(b":")
+        is_field = name in EVENT_FIELDS or (colon and not name)
+        if line and not is_field and not (colon and _may_be_field(name)):
+            raise ProtocolError(f"line of a stream is no field of an event: {line[:40]!r}")
+
+
+def _may_be_field(name: bytes) -> bool:
+    return FIELD_NAME.fullmatch(name) is not None and name not in MESSAGE_FIELDS
+
+
 def _event_ids(events: bytes) -> Iterator[int | None]:
-    """Return the id of each event, None for one without an id; comments are no events."""
-    for is_blank, lines in groupby(events.splitlines(), key=lambda line: not line):
-        fields = [line for line in lines if not line.startswith(b":")]
-        if not is_blank and fields:
-            values = (line[3:].strip() for line in fields if line.startswith(b"id:"))
+    """Return the id of each event, None for one without an id.
+
+    Blocks of lines without data and id, as comments, are no events.
+    """
+    for _, block in groupby(events.splitlines(), key=lambda line: not line):
+        lines = [line for line in block if line.partition(b":")[0] in (b"data", b"id")]
+        if lines:
+            values = (line[3:].strip() for line in lines if line.startswith(b"id:"))
             ids = [int(item) for item in values if item.isdigit() and len(item) <= MAX_ID_DIGITS]
             yield ids[-1] if ids else None
--- a/greengagehoist/gateway/tests/test_events.py
+++ b/greengagehoist/gateway/tests/test_events.py
@@ -104,3 +104,27 @@
     assert splitter.feed(events) == events
     assert splitter.last_id == 2
     assert splitter.can_resume
+
+
+ERROR_HEADS = (
+    b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 503\r\ncontent-length: 0\r\n\r\n",
+)
+
+
+@pytest.mark.parametrize("head", ERROR_HEADS)
+@pytest.mark.parametrize(
+    "cut", [b"", b"i", b"id", b"id: 2\nda", b"id: 2\ndata: e", b"id: 2\ndata: e2\n"]
+)
+def test_head_of_an_error_inside_an_event_breaks_the_stream(cut, head):
+    """The whole head was passed on as the rest of the event, and the stream looked complete."""
+    splitter = EventSplitter(1)
+    with pytest.raises(ProtocolError):
+        splitter.feed(cut + head)
+
+
+def test_blocks_without_data_and_id_are_no_events():
+    splitter = EventSplitter(1)
+    events = b"retry: 100\n\nid: 2\ndata\n\nretry: 5\n\n"
+    assert splitter.feed(events) == events
+    assert (splitter.last_id, splitter.can_resume) == (2, True)
