Take no empty answer for the rest of a stream before its first event

Cause: an empty event stream ends a resumed stream, as the replica says that nothing follows the last event. It did so too when no event had been passed on, so that the client got a complete answer without an event. Change: before the first event, an empty answer to a resume counts as broken off.

--- a/greengagehoist/daemon/tests/test_gateway_resumed.py
+++ b/greengagehoist/daemon/tests/test_gateway_resumed.py
@@ -4,10 +4,13 @@
 middle of it, or the stream ended as if it were complete.
 """
 
+import asyncio
+
 import pytest
 
+from greengagehoist.daemon.tests.gateway_system import wait_until
 from greengagehoist.http1 import IncompleteError, ResponseReader
-from greengagehoist.standins import Healthy, Writes
+from greengagehoist.standins import BreaksOff, Healthy, Writes
 from greengagehoist.standins._gateway_standins import event
 
 EVENTS = 5
@@ -228,3 +231,19 @@
         assert body in WHOLE_EVENTS
 
     run_scenario(scenario)
+
+
+def test_empty_answer_to_a_resume_before_any_event_is_no_end(run_scenario):
+    """The client got a complete answer without an event."""
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.behaviour = BreaksOff(0)
+        receiving = asyncio.ensure_future(receive(system, RESUMABLE))
+        await wait_until(lambda: any(engine.ran for engine in system.engines))
+        (other,) = [engine for engine in system.engines if not engine.ran]
+        other.behaviour = Writes(encode(200, SIGNED + STREAM_TYPE))
+        assert await receiving == (b"", False)
+        assert other.ran
+
+    run_scenario(scenario)
--- a/greengagehoist/gateway/filters/_stream_relay.py
+++ b/greengagehoist/gateway/filters/_stream_relay.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from greengagehoist.gateway import Exchange, Reply, StreamEnded
+from greengagehoist.gateway import Exchange, Progress, Reply, StreamEnded
 from greengagehoist.gateway._events import EventSplitter
 from greengagehoist.gateway.filters._send_log import log_invalid_response
 from greengagehoist.http1 import (
@@ -39,7 +39,7 @@
     """
     progress, splitter = exchange.progress, exchange.progress.splitter
     try:
-        data = await _first_bytes(reader, head, progress.started)
+        data = await _first_bytes(reader, head, progress)
         on_first_bytes()
         if not progress.started:
             exchange.sink.start(head)
@@ -65,21 +65,24 @@
     return StreamEnded()
 
 
-async def _first_bytes(reader: ResponseReader, head: ResponseHead, is_resumed: bool) -> bytes:
+async def _first_bytes(reader: ResponseReader, head: ResponseHead, progress: Progress) -> bytes:
     """Return the first bytes of the body, empty if the answer is complete without any.
 
     :raises IncompleteError: if the connection ends before the first byte.
     :raises ProtocolError: if the answer does not continue a stream that has started.
     """
+    is_resumed, last_id = progress.started, progress.splitter.last_id
     if is_resumed and not _is_event_stream(head):
         raise ProtocolError("resumed stream is not an event stream")
     data = await reader.chunk()
     if not data and reader.ends_with_connection:
         raise IncompleteError("connection closed before the first byte of the stream")
-    if not data and is_resumed and get_header(head.headers, b"content-type") is None:
+    has_type = get_header(head.headers, b"content-type") is not None
+    if not data and is_resumed and (last_id is None or not has_type):
         # A stream that broke off after its last event is resumed by an event stream without events.
-        # An empty body of an unknown type does not prove that nothing is missing.
-        raise ProtocolError("resumed stream is empty and has no type")
+        # An empty body of an unknown type, or before any event, does not prove that nothing is
+        # missing.
+        raise ProtocolError("resumed stream is empty")
     return data
 
 
