--- a/greengagehoist/filters/_stop.py
+++ b/greengagehoist/filters/_stop.py
@@ -4,7 +4,15 @@
 
 from returns.result import Failure
 
-from greengagehoist.base import ErrorCode, Exchange, ExchangeResult, Proceed, not_run, unknown
+from greengagehoist.base import (
+    ErrorCode,
+    Exchange,
+    ExchangeResult,
+    Proceed,
+    StepError,
+    not_run,
+    unknown,
+)
 
 STEP = "drain"
 
@@ -54,7 +62,7 @@
         return Failure(_end_error(sent))
 
 
-def _end_error(sent: bool):
+def _end_error(sent: bool) -> StepError:
     if sent:
         text = "the daemon stopped before the answer was complete"
         return unknown(STEP, ErrorCode.DRAINING, text)
