--- a/greengagehoist/shutdown/_begin_by.py
+++ b/greengagehoist/shutdown/_begin_by.py
@@ -9,7 +9,7 @@
 def begin_by(finish_by: float, expected_s: float, answer_deadline: float) -> float:
     """Return the time until which a request may be sent to a replica.
 
-    A request whose own deadline comes first has a final answer by then in any case.
+    A request whose own deadline comes first is ended there in any case.
 
     :param finish_by: time by which all answers must have ended.
     :param expected_s: upper estimate of the seconds from the send to the end of the answer.
