Log the limits that replicas name

Change: the adapter decodes the limit (a decimal number, the smallest of several; other values say nothing). A controller keeps what each incarnation has named: it ends with the answer to a request that was sent after the limit was received, because answers overtake each other. Changes are logged as replica_limited, replica_limit_ended and replica_limit_unreadable. Nothing depends on it yet.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -18,6 +18,7 @@
     ReachController,
     RelayController,
     ReplicaController,
+    SendLimitController,
     SetReadPeriod,
     SharedReads,
     topology_of,
@@ -29,6 +30,7 @@
     ReplicaFilter,
     RetryBudgets,
     RouteFilter,
+    SendLimitGate,
     ShutdownFilter,
     ShutdownGate,
     StageFilter,
@@ -141,6 +143,7 @@
         self.placement = PlacementController(
             self.replicas.table, self.reach.reach, clock, settings.data_centre
         )
+        self.limits = SendLimitController(clock)
         self.pools = PoolController(
             self.deployments.snapshot,
             self.replicas.table,
@@ -149,6 +152,7 @@
             clock,
             settings.vm,
             topology,
+            self.limits,
             self.budgets.pool_budget,
         )
         self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
@@ -178,6 +182,7 @@
                     self.placement,
                     self.pools,
                     gate,
+                    SendLimitGate(self.limits, self.limits.view),
                     self.shutdown,
                     self.budgets,
                     first_event_latency,
@@ -222,6 +227,7 @@
             self.reach,
             self.relay,
             self.placement,
+            self.limits,
             self.pools,
             self.quarantine,
         )
--- a/greengagehoist/gateway/__init__.py
+++ b/greengagehoist/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from greengagehoist.gateway._settings import Bounds, GatewaySettings
 from greengagehoist.gateway._types import (
+    MISDIRECTED,
     STOPPING_RETRY_AFTER_S,
     AnswerSink,
     BadKey,
@@ -35,6 +36,7 @@
     "GatewayRequest",
     "GatewaySettings",
     "InputsLost",
+    "MISDIRECTED",
     "MayHaveRun",
     "NoRoute",
     "NotRun",
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -8,13 +8,15 @@
 from greengagehoist.gateway._events import EventSplitter
 from greengagehoist.http1 import Headers, RequestHead, ResponseHead
 from greengagehoist.pieces import Piece, PieceOutcome
-from greengagehoist.replicas import Load, Replica
+from greengagehoist.replicas import Load, Replica, SendLimit, Unlimited
 
 # Number of route priorities that are distinguished within a tenant priority. Engines support ten
 # ranks in total.
 ROUTE_RANKS = 3
 # Retry-After of a daemon that stops; another one can take the request at once.
 STOPPING_RETRY_AFTER_S = 0.1
+# Status of a replica that is not the one the request names.
+MISDIRECTED = 421
 
 
 class PromptPart(NamedTuple):
@@ -69,6 +71,7 @@
     :param leaving: whether the replica states that it is shutting down.
     :param pause_s: seconds for which the replica wants no requests from this daemon, None if it does
         not say.
+    :param limit: what it says about the requests that it takes from all daemons together.
     """
 
     request_id: str | None
@@ -77,6 +80,7 @@
     load: Load | None
     leaving: bool = False
     pause_s: float | None = None
+    limit: SendLimit = Unlimited()
 
 
 class AnswerSink(Protocol):
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -36,6 +36,7 @@
 from greengagehoist.gateway.controllers._reach import Reach, ReachController
 from greengagehoist.gateway.controllers._relay import RelayController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
+from greengagehoist.gateway.controllers._send_limits import LimitObserved, SendLimitController
 from greengagehoist.gateway.controllers._shared_reads import SharedReads
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
@@ -50,6 +51,7 @@
     "FindHome",
     "FreeResults",
     "Leave",
+    "LimitObserved",
     "LoadReported",
     "MemberController",
     "NotBefore",
@@ -66,6 +68,7 @@
     "ReportBroken",
     "RequestTrial",
     "ReserveStages",
+    "SendLimitController",
     "ServiceView",
     "SetReadPeriod",
     "SharedReads",
--- a/greengagehoist/gateway/controllers/_pool_worker.py
+++ b/greengagehoist/gateway/controllers/_pool_worker.py
@@ -3,11 +3,11 @@
 import asyncio
 from typing import NamedTuple
 
-from greengagehoist.gateway import ReplicaReply, WireFormat
+from greengagehoist.gateway import MISDIRECTED, ReplicaReply, WireFormat
 from greengagehoist.gateway.controllers._kept_connection import KeptConnection
 from greengagehoist.http1 import IncompleteError, ProtocolError
 from greengagehoist.pieces import Made, Piece, PieceOutcome
-from greengagehoist.replicas import Load, Replica
+from greengagehoist.replicas import Load, Replica, SendLimit
 from greengagehoist.utils import Clock, Controller, log_event
 
 # Timeout of a call as a multiple of its expected duration, long enough for slow replicas.
@@ -23,6 +23,8 @@
     :param failure: ``""``, ``unreachable``, ``rejected`` or ``lost``.
     :param leaving: whether the replica states that it is shutting down.
     :param pause_s: seconds for which it wants no calls, None if it does not say.
+    :param limit: what its answer says about its limit, None without an answer of this replica.
+    :param sent_at: time at which the call was sent.
     """
 
     replica_id: str
@@ -33,6 +35,8 @@
     load: Load | None = None
     leaving: bool = False
     pause_s: float | None = None
+    limit: SendLimit | None = None
+    sent_at: float = 0.0
 
 
 class PoolWorker:
@@ -53,10 +57,12 @@
         started = self.clock.monotonic()
         timeout = max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * expected_s)
         outcomes, reply, failure = None, None, "lost"
+        sent_at, status = started, 0
         try:
             await self._connection.open()
+            sent_at = self.clock.monotonic()
             async with asyncio.timeout(timeout):
-                outcomes, reply = await self._call(pieces)
+                outcomes, reply, status = await self._call(pieces)
             failure = "" if outcomes is not None else "rejected"
         except ConnectionRefusedError:
             failure = "unreachable"
@@ -76,11 +82,13 @@
             end = BatchEnded(self.replica.replica_id, pieces, outcomes, failure, duration)
             if reply is not None:
                 end = end._replace(load=reply.load, leaving=reply.leaving, pause_s=reply.pause_s)
+                if status != MISDIRECTED:
+                    end = end._replace(limit=reply.limit, sent_at=sent_at)
             self.owner.tell(end)
 
     async def _call(
         self, pieces: tuple[Piece, ...]
-    ) -> tuple[tuple[PieceOutcome, ...] | None, ReplicaReply]:
+    ) -> tuple[tuple[PieceOutcome, ...] | None, ReplicaReply, int]:
         head, body = await self._connection.call(self.wire.stage_call(self.replica, pieces))
         reply = self.wire.read_reply(head)
         outcomes = None
@@ -88,7 +96,7 @@
             outcomes = self.wire.read_pieces(body, len(pieces))
         made = tuple(item.handle for item in outcomes or () if isinstance(item, Made))
         self._connection.check_handles(made)
-        return outcomes, reply
+        return outcomes, reply, head.status
 
     def close(self) -> None:
         """Close the connection."""
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -31,6 +31,7 @@
     ResultController,
     ResultsFreed,
 )
+from greengagehoist.gateway.controllers._send_limits import LimitObserved
 from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.peers import (
     FromPeer,
@@ -84,6 +85,7 @@
 
     :param vm: name of the own VM.
     :param topology: the hubs, which own all pools where there are any.
+    :param limits: controller of the limits that replicas name.
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
     """
 
@@ -96,6 +98,7 @@
         clock: Clock,
         vm: str,
         topology: Topology,
+        limits: Controller,
         make_retry_budget: Callable[[], RetryBudget],
     ):
         super().__init__("pools")
@@ -104,6 +107,7 @@
         self.wire = wire
         self.clock = clock
         self.vm = vm
+        self.limits = limits
         self._owners = PoolOwners(vm, topology, clock)
         self._owned = OwnedPools(snapshot, table, make_retry_budget, self._make_worker)
         self._pending: dict[JobKey, _Pending] = {}
@@ -349,9 +353,12 @@
 
     def _handle_batch_end(self, end: BatchEnded) -> None:
         for pool in self._owned:
+            member = pool.members.get(end.replica_id)
             effect = pool.end_call(end, self.clock.monotonic())
             if effect is None:
                 continue
+            if end.limit is not None:
+                self.limits.tell(LimitObserved(member.replica, end.limit, end.sent_at))
             for job_end in effect.ends:
                 self._end_job(job_end)
             self._free(effect.orphaned)
--- a/greengagehoist/gateway/filters/__init__.py
+++ b/greengagehoist/gateway/filters/__init__.py
@@ -5,6 +5,7 @@
 from greengagehoist.gateway.filters._replica import ReplicaFilter
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
 from greengagehoist.gateway.filters._route import RouteFilter
+from greengagehoist.gateway.filters._send_limits import SendLimitGate
 from greengagehoist.gateway.filters._shutdown import ShutdownFilter, ShutdownGate
 from greengagehoist.gateway.filters._stages import StageFilter
 
@@ -15,6 +16,7 @@
     "ReplicaFilter",
     "RetryBudgets",
     "RouteFilter",
+    "SendLimitGate",
     "ShutdownFilter",
     "ShutdownGate",
     "StageFilter",
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -4,6 +4,7 @@
 
 from greengagehoist.deployment import Idempotent, Streaming
 from greengagehoist.gateway import (
+    MISDIRECTED,
     Exchange,
     InputsLost,
     MayHaveRun,
@@ -28,6 +29,7 @@
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
+from greengagehoist.gateway.filters._send_limits import SendLimitGate
 from greengagehoist.gateway.filters._send_log import (
     log_failed_send,
     log_invalid_response,
@@ -89,6 +91,7 @@
     :param placement: controller that chooses the replicas.
     :param pools: controller that frees stage results.
     :param gate: learns which prompts replicas end on, and refuses those in quarantine.
+    :param limits: knows the limits that replicas name.
     :param shutdown: refuses sends whose answers would outlive the process.
     :param budgets: limit the retries of each service.
     :param first_event_latency: receives the measured times from send to first event.
@@ -99,6 +102,7 @@
         placement: Controller,
         pools: Controller,
         gate: QuarantineGate,
+        limits: SendLimitGate,
         shutdown: ShutdownGate,
         budgets: RetryBudgets,
         first_event_latency: FirstEventLatency,
@@ -109,6 +113,7 @@
         self.placement = placement
         self.pools = pools
         self.gate = gate
+        self.limits = limits
         self.shutdown = shutdown
         self.budgets = budgets
         self.wire = wire
@@ -309,10 +314,12 @@
             self.placement.tell(LoadReported(replica.replica_id, reply.load))
         if reply.leaving or reply.pause_s is not None:
             self.placement.tell(AnswerObserved(replica, reply.leaving, reply.pause_s))
+        is_own = reply.request_id == req.request_id
+        self.limits.observe(replica, head.status, reply, is_own, sent_at)
         if reply.request_id not in (None, req.request_id):
             # The answer belongs to another request, so it says nothing about this one.
             return Lost()
-        if reply.not_executed or head.status == 421:
+        if reply.not_executed or head.status == MISDIRECTED:
             return Rejected(inputs_gone=head.status == 409 and bool(exchange.inputs))
         if reply.request_id is None:
             return Lost()
@@ -345,7 +352,7 @@
             return Broken()
         if self._should_retry_error(exchange, head):
             return Broken()
-        if head.status in (408, 421, 429, 503):
+        if head.status in (408, MISDIRECTED, 429, 503):
             # These statuses tell the client that the request has not run, but the replica did not
             # state that.
             return Lost()
--- a/greengagehoist/gateway/tests/test_pools.py
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -61,6 +61,7 @@
             Topology(
                 Published(known), Published(2), Published(()), Published(hubs), Published(shared)
             ),
+            Recorder("limits"),
             lambda: RetryBudget(0.0, 5.0, 10.0),
         )
         pools._results = results
--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -22,7 +22,15 @@
     get_header,
 )
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, PieceOutcome, TooLate
-from greengagehoist.replicas import MAX_PAUSE_S, Load, Replica
+from greengagehoist.replicas import (
+    MAX_PAUSE_S,
+    Limited,
+    Load,
+    Replica,
+    SendLimit,
+    Unlimited,
+    UnreadableLimit,
+)
 from greengagehoist.utils import MAX_PORT, show_value
 
 SERVICE_UNAVAILABLE = 503
@@ -51,6 +59,8 @@
 LAST_EVENT_ID = b"Last-Event-Id"
 SERVER_LEAVING = b"Server-Leaving"
 RETRY_AFTER = b"Retry-After"
+# Despite its name a rate: requests a second that the replica takes from all daemons together.
+SERVER_LIMIT = b"Server-Limit"
 API_KEY = b"Api-Key"
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 
@@ -78,6 +88,8 @@
 # "host:port/id" without the comma that separates handles in a header.
 _HANDLE = re.compile(r"[!-+\--.0-~]+:([0-9]{1,5})/[!-+\--~]+")
 MAX_HANDLE_CHARS = 512
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+MAX_SHOWN_CHARS = 40
 # Digits of the numbers in headers.
 MAX_NUMBER_DIGITS = 12
 MAX_COUNT_DIGITS = 5
@@ -146,6 +158,7 @@
             load=_load(head.headers),
             leaving=_text(head.headers, SERVER_LEAVING) == "1",
             pause_s=_pause(head),
+            limit=_limit(head.headers),
         )
 
     def reply_headers(self, exchange: Exchange) -> Headers:
@@ -236,7 +249,9 @@
     if text is None:
         return None
     if not _is_number(text, MAX_NUMBER_DIGITS):
-        raise ProtocolError(f"{name.decode()}: got {text[:40]!r}, accepted: a whole number")
+        raise ProtocolError(
+            f"{name.decode()}: got {text[:MAX_SHOWN_CHARS]!r}, accepted: a whole number"
+        )
     return int(text)
 
 
@@ -246,7 +261,9 @@
         return ()
     parts = [item.strip() for item in text.split(",")]
     if not all(_is_number(item, MAX_COUNT_DIGITS) for item in parts):
-        raise ProtocolError(f"{name.decode()}: got {text[:40]!r}, accepted: whole numbers")
+        raise ProtocolError(
+            f"{name.decode()}: got {text[:MAX_SHOWN_CHARS]!r}, accepted: whole numbers"
+        )
     return tuple(int(item) for item in parts)
 
 
@@ -278,6 +295,18 @@
     return min(pause_s, MAX_PAUSE_S) if pause_s > 0 else None
 
 
+def _limit(headers: Headers) -> SendLimit:
+    """Return the limit that a response names, the smallest one if it names several."""
+    lines = [value for name, value in headers if name.lower() == SERVER_LIMIT.lower()]
+    if not lines:
+        return Unlimited()
+    text = b",".join(lines).decode("latin-1")
+    values = [item.strip() for item in text.split(",")]
+    if not all(_DECIMAL.fullmatch(item) for item in values):
+        return UnreadableLimit(text[:MAX_SHOWN_CHARS])
+    return Limited(min(float(item) for item in values))
+
+
 def _load(headers: Headers) -> Load | None:
     text = _text(headers, LOAD_REPORT)
     parts = [item.strip() for item in text.split(",")] if text else []
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -18,7 +18,14 @@
 from greengagehoist.http1 import ProtocolError, RequestHead, ResponseHead
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, TooLate
 from greengagehoist.platform import PlatformWireFormat
-from greengagehoist.replicas import MAX_PAUSE_S, Load, Replica
+from greengagehoist.replicas import (
+    MAX_PAUSE_S,
+    Limited,
+    Load,
+    Replica,
+    Unlimited,
+    UnreadableLimit,
+)
 
 REPLICA = Replica("i-1", "s", "10.0.0.1", 80, "a", 4, 1, False)
 CLIENT = (
@@ -184,6 +191,34 @@
     assert wire.read_reply(head).pause_s == expected
 
 
+@pytest.mark.parametrize(
+    "values, expected",
+    [
+        ((), Unlimited()),
+        ((b"4",), Limited(4.0)),
+        ((b" 0.25 ",), Limited(0.25)),
+        ((b"0",), Limited(0.0)),
+        ((b"5.",), Limited(5.0)),
+        ((b"3, 2",), Limited(2.0)),
+        ((b"3", b"7"), Limited(3.0)),
+        ((b"+5",), UnreadableLimit("+5")),
+        ((b"-5",), UnreadableLimit("-5")),
+        ((b"1e3",), UnreadableLimit("1e3")),
+        ((b"nan",), UnreadableLimit("nan")),
+        ((b"inf",), UnreadableLimit("inf")),
+        ((b"",), UnreadableLimit("")),
+        ((b"3,",), UnreadableLimit("3,")),
+        (("٣".encode(),), UnreadableLimit("٣".encode().decode("latin-1"))),
+        ((b"9" * 400,), UnreadableLimit("9" * 40)),
+    ],
+)
+def test_limit_is_a_decimal_number_on_an_answer_of_any_status(wire, values, expected):
+    """A malformed value must neither end a limit nor name an absurd one."""
+    for status in (200, 409, 503):
+        head = ResponseHead(status, b"", tuple((b"Server-Limit", value) for value in values))
+        assert wire.read_reply(head).limit == expected
+
+
 @pytest.mark.parametrize("value, expected", [(b"1", True), (b" 1 ", True), (b"0", False)])
 def test_leaving_is_read_from_answers_of_any_status(wire, value, expected):
     for status in (200, 404, 500, 503):
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -10,13 +10,29 @@
     rendezvous_rank,
     utilization,
 )
+from greengagehoist.replicas._send_limits import (
+    Incarnation,
+    LimitState,
+    SendLimits,
+    incarnation_of,
+)
 from greengagehoist.replicas._table import ReplicaTable, apply_outage, apply_read, apply_restore
-from greengagehoist.replicas._types import Load, Replica
+from greengagehoist.replicas._types import (
+    Limited,
+    Load,
+    Replica,
+    SendLimit,
+    Unlimited,
+    UnreadableLimit,
+)
 from greengagehoist.replicas._validation import check_replica, parse_address
 
 __all__ = [
     "Affinity",
     "AnyReplica",
+    "Incarnation",
+    "LimitState",
+    "Limited",
     "MAX_PAUSE_S",
     "ReplicaAvailability",
     "ReplicaTable",
@@ -24,11 +40,16 @@
     "PromptAffinity",
     "Observed",
     "Replica",
+    "SendLimit",
+    "SendLimits",
+    "Unlimited",
+    "UnreadableLimit",
     "apply_outage",
     "apply_read",
     "apply_restore",
     "check_replica",
     "choose",
+    "incarnation_of",
     "parse_address",
     "rendezvous_rank",
     "utilization",
--- a/greengagehoist/replicas/_availability.py
+++ b/greengagehoist/replicas/_availability.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from greengagehoist.replicas._send_limits import Incarnation, incarnation_of
 from greengagehoist.replicas._types import Replica
 
 # A replica that asks for a longer pause is tried again after this time, with one request.
@@ -13,8 +14,6 @@
 # Incarnations that are remembered; entries of a list may lapse and return, so it does not decide that.
 MAX_REMEMBERED = 4096
 
-Incarnation = tuple[str, int]
-
 
 class _Pause:
     """Time in which a replica wants no requests, and the first request after it."""
@@ -45,7 +44,7 @@
 
         :param pause_s: seconds for which the replica wants no requests, None if it did not say.
         """
-        key = _incarnation(replica)
+        key = incarnation_of(replica)
         if pause_s is not None and pause_s > 0:
             until = now + min(pause_s, MAX_PAUSE_S)
             known = self._pauses.get(key)
@@ -59,13 +58,13 @@
 
     def is_leaving(self, replica: Replica) -> bool:
         """Return whether the replica has said that it is leaving."""
-        return _incarnation(replica) in self._leaving
+        return incarnation_of(replica) in self._leaving
 
     def sends_from(self, replica: Replica, now: float) -> float:
         """Return the time from which a request may be sent, ``inf`` for a replica that leaves."""
         if self.is_leaving(replica):
             return float("inf")
-        pause = self._pauses.get(_incarnation(replica))
+        pause = self._pauses.get(incarnation_of(replica))
         if pause is None:
             return now
         if pause.until > now:
@@ -74,7 +73,7 @@
 
     def begin_send(self, replica: Replica, now: float) -> None:
         """Record that a request is being sent."""
-        pause = self._pauses.get(_incarnation(replica))
+        pause = self._pauses.get(incarnation_of(replica))
         if pause is not None:
             pause.probe_until = now + PROBE_TIMEOUT_S
 
@@ -83,11 +82,11 @@
 
         :param answered: whether the replica has answered, in whatever way.
         """
-        pause = self._pauses.get(_incarnation(replica))
+        pause = self._pauses.get(incarnation_of(replica))
         if pause is None or pause.until > now:
             return
         if answered:
-            del self._pauses[_incarnation(replica)]
+            del self._pauses[incarnation_of(replica)]
         else:
             pause.probe_until = 0.0
 
@@ -95,7 +94,3 @@
 def _drop_oldest(known: dict[Incarnation, Any]) -> None:
     if len(known) > MAX_REMEMBERED:
         del known[next(iter(known))]
-
-
-def _incarnation(replica: Replica) -> Incarnation:
-    return replica.replica_id, replica.born_ms
--- a/greengagehoist/replicas/_types.py
+++ b/greengagehoist/replicas/_types.py
@@ -1,5 +1,6 @@
-"""Replicas, as the platform lists them, and their load."""
+"""Replicas, as the platform lists them, their load and their limits."""
 
+from dataclasses import dataclass
 from typing import NamedTuple
 
 
@@ -33,3 +34,28 @@
     running: int
     waiting: int
     slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unlimited:
+    """An answer names no limit on requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """An answer names the requests a second that its replica takes from all daemons together."""
+
+    per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """An answer names a limit that is no decimal number, so it says nothing.
+
+    :param text: beginning of the value.
+    """
+
+    text: str
+
+
+SendLimit = Unlimited | Limited | UnreadableLimit
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -43,6 +43,7 @@
 NOT_EXECUTED = b"X-Greengagehoist-Not-Executed"
 SERVER_LEAVING = b"Server-Leaving"
 RETRY_AFTER = b"Retry-After"
+SERVER_LIMIT = b"Server-Limit"
 PREFIX_HASH = b"X-Greengagehoist-Prefix-Hash"
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 
@@ -143,7 +144,8 @@
     :ivar crashes: times on the event loop's clock at which it ended by :class:`CrashesOn`.
     :ivar born: start of its incarnation in its list entry.
     :ivar leaving: whether its answers say that it is leaving.
-    :ivar arrivals: number of requests and stage calls that have reached it.
+    :ivar arrived_at: times on the event loop's clock at which requests and stage calls reached it.
+    :ivar limit: limit that its answers name, None for none.
     :ivar padding: bytes at the end of each plain answer.
     """
 
@@ -166,12 +168,18 @@
         self.crashes: list[float] = []
         self.leaving = False
         self.born = 1
-        self.arrivals = 0
+        self.arrived_at: list[float] = []
+        self.limit: bytes | None = None
         self.padding = b""
         self._restart: asyncio.Task | None = None
         # Last response to a stage call on each connection.
         self._stage_responses: WeakKeyDictionary[Socket, bytes] = WeakKeyDictionary()
 
+    @property
+    def arrivals(self) -> int:
+        """Number of requests and stage calls that have reached it."""
+        return len(self.arrived_at)
+
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the replica's row value for the store's list of replicas."""
         return {
@@ -188,7 +196,8 @@
     async def handle_request(self, sock: Socket, request: Request) -> None:
         """Handle a stage run, a stage free or any other request."""
         target = request.head.target
-        self.arrivals += not target.endswith(b"/stage-free")
+        if not target.endswith(b"/stage-free"):
+            self.arrived_at.append(asyncio.get_running_loop().time())
         if target.endswith(b"/stage-run"):
             await self._run_stage(sock, request)
         elif target.endswith(b"/stage-free"):
@@ -202,11 +211,12 @@
         request_id = get_header(request.head.headers, REQUEST_ID.lower())
         match self.behaviour:
             case Full():
-                send_response(sock, 503, ((REQUEST_ID, request_id), (NOT_EXECUTED, b"1")), b"")
+                headers = ((REQUEST_ID, request_id), (NOT_EXECUTED, b"1"))
+                send_response(sock, 503, headers + self._state_headers(), b"")
                 return
             case Sheds(retry_after):
                 headers = (REQUEST_ID, request_id), (NOT_EXECUTED, b"1"), (RETRY_AFTER, retry_after)
-                send_response(sock, 503, (*headers, *self._leaving_headers()), b"")
+                send_response(sock, 503, (*headers, *self._state_headers()), b"")
                 return
             case Silent():
                 self.ran.append(request_id.decode())
@@ -232,15 +242,16 @@
                 return
         self.ran.append(request_id.decode())
         headers = ((REQUEST_ID, request_id), (STAMP, self.replica_id.encode()))
-        headers += self._leaving_headers()
+        headers += self._state_headers()
         if self.kind == "engine":
             await self._stream(sock, request, headers)
         else:
             await asyncio.sleep(self.pause_s)
             send_response(sock, 200, headers, b"done " + request.body + self.padding)
 
-    def _leaving_headers(self) -> tuple:
-        return ((SERVER_LEAVING, b"1"),) if self.leaving else ()
+    def _state_headers(self) -> tuple:
+        leaving = ((SERVER_LEAVING, b"1"),) if self.leaving else ()
+        return leaving if self.limit is None else (*leaving, (SERVER_LIMIT, self.limit))
 
     async def _stream(self, sock: Socket, request: Request, headers: tuple) -> None:
         last = get_header(request.head.headers, b"last-event-id")
@@ -312,10 +323,12 @@
             sock.write(earlier)
         match self.behaviour:
             case Full():
-                self._send_stage_response(sock, 503, ((NOT_EXECUTED, b"1"),), b"")
+                headers = ((NOT_EXECUTED, b"1"), *self._state_headers())
+                self._send_stage_response(sock, 503, headers, b"")
                 return
             case Sheds(retry_after):
                 headers = ((NOT_EXECUTED, b"1"), (RETRY_AFTER, retry_after))
+                headers += self._state_headers()
                 self._send_stage_response(sock, 503, headers, b"")
                 return
             case Silent():
@@ -335,7 +348,7 @@
             self.stage_results[handle] = item
             results.append({"handle": handle})
         body = msgspec.json.encode({"items": results})
-        self._send_stage_response(sock, 200, self._leaving_headers(), body)
+        self._send_stage_response(sock, 200, self._state_headers(), body)
 
     def _send_stage_response(self, sock: Socket, status: int, headers: tuple, body: bytes) -> None:
         framed = (*headers, (b"Content-Length", b"%d" % len(body)))
