--- /dev/null
+++ b/greengagehoist/daemon/tests/test_gateway_limits.py
@@ -0,0 +1,80 @@
+"""Guards against more requests for a replica than the limit that it names for all daemons."""
+
+import asyncio
+from bisect import bisect_left
+
+import pytest
+
+# The rule: in four seconds one and a half times what the limit allows, and five requests.
+WINDOW_S = 4.0
+FACTOR = 1.5
+SLACK = 5
+# From this time after the limit was first named, the rule holds.
+CONTACT_S = 3.0
+DAEMONS = 3
+PERIOD_S = 0.04
+STAGES = {"X_Greengagehoist_Segments": b"2,1", "X_Greengagehoist_Segment_Key": b"k"}
+
+
+def limited_group(system, path):
+    match path:
+        case "/look/" | "/book/":
+            return system.desks
+        case "/deep/":
+            return system.pool
+        case _:
+            return system.engines
+
+
+async def send_for(system, path, seconds):
+    """Send requests to all daemons in turn; returns their statuses."""
+    fields = STAGES if path == "/deep/" else {}
+    tasks, clock = [], asyncio.get_running_loop().time
+    end = clock() + seconds
+    while clock() < end:
+        call = system.call(path, daemon=len(tasks) % len(system.daemons), **fields)
+        tasks.append(asyncio.ensure_future(call))
+        await asyncio.sleep(PERIOD_S)
+    return [status for status, _, _ in await asyncio.gather(*tasks)]
+
+
+def most_in_window(times, start):
+    """Return the largest number of arrivals in a window that begins at or after ``start``."""
+    counted = [at for at in times if at >= start]
+    return max((bisect_left(counted, at + WINDOW_S) - n for n, at in enumerate(counted)), default=0)
+
+
+@pytest.mark.parametrize("path", ["/look/", "/book/", "/text/", "/once/", "/deep/"])
+def test_replica_gets_no_more_than_its_limit_from_all_daemons(run_scenario, path):
+    """Daemons that keep the limit alone send a multiple of it together."""
+
+    async def scenario(system):
+        replica = limited_group(system, path)[0]
+        replica.limit = b"1"
+        started = asyncio.get_running_loop().time()
+        statuses = await send_for(system, path, CONTACT_S + WINDOW_S + 0.5)
+        allowed = FACTOR * WINDOW_S * float(replica.limit) + SLACK
+        assert most_in_window(replica.arrived_at, started + CONTACT_S) <= allowed
+        # The other replica has room for all.
+        assert set(statuses) == {200}
+
+    run_scenario(scenario, daemons=DAEMONS)
+
+
+def test_limits_of_all_replicas_are_used_and_not_exceeded(run_scenario):
+    """Requests beyond the limits are refused; those within them must still be served."""
+
+    async def scenario(system):
+        for desk in system.desks:
+            desk.limit = b"3"
+        seconds, started = CONTACT_S + WINDOW_S + 0.5, asyncio.get_running_loop().time()
+        statuses = await send_for(system, "/book/", seconds)
+        assert set(statuses) <= {200, 503}
+        for desk in system.desks:
+            limit = float(desk.limit)
+            allowed = FACTOR * WINDOW_S * limit + SLACK
+            assert most_in_window(desk.arrived_at, started + CONTACT_S) <= allowed
+            late = [at for at in desk.arrived_at if at >= started + CONTACT_S]
+            assert len(late) >= 0.8 * limit * (seconds - CONTACT_S)
+
+    run_scenario(scenario, daemons=DAEMONS)
