Move the token bucket to the base package

Cause: limits of replicas need the bucket that limits calls to the platform. Change: Bucket, change_rate and try_acquire move from platform_client to base, with their tests.

--- a/greengagehoist/base/__init__.py
+++ b/greengagehoist/base/__init__.py
@@ -14,9 +14,11 @@
     compose,
 )
 from greengagehoist.base._life_cycle import build_machine, next_state
+from greengagehoist.base._token_bucket import Bucket, change_rate, try_acquire
 
 __all__ = [
     "Answer",
+    "Bucket",
     "Call",
     "ErrorCode",
     "Exchange",
@@ -29,8 +31,10 @@
     "StepError",
     "TraceContext",
     "build_machine",
+    "change_rate",
     "compose",
     "next_state",
     "not_run",
+    "try_acquire",
     "unknown",
 ]
--- a/greengagehoist/platform_client/tests/test_rates.py
+++ b/greengagehoist/base/tests/test_token_bucket.py
@@ -1,9 +1,11 @@
-"""Guards against a daemon that exceeds its share of the platform's rates."""
+"""Guards against calls beyond the rate of a token bucket."""
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagehoist.platform_client._rates import Bucket, capacity, change_rate, share, try_acquire
+from greengagehoist.base import Bucket, change_rate, try_acquire
+from greengagehoist.base._token_bucket import capacity
+from greengagehoist.platform_client._rates import share
 from greengagehoist.standins._profiles import property_settings
 
 
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -12,7 +12,15 @@
 from aiosonic.timeout import Timeouts
 from returns.result import Failure, Result, Success
 
-from greengagehoist.base import ErrorCode, Outcome, StepError, not_run
+from greengagehoist.base import (
+    Bucket,
+    ErrorCode,
+    Outcome,
+    StepError,
+    change_rate,
+    not_run,
+    try_acquire,
+)
 from greengagehoist.http1 import BufferedConnection
 from greengagehoist.platform_client._breaker import (
     MAX_OPEN_S,
@@ -23,10 +31,7 @@
 from greengagehoist.platform_client._rates import (
     READS_PER_S,
     WRITES_PER_S,
-    Bucket,
-    change_rate,
     share,
-    try_acquire,
 )
 from greengagehoist.platform_client._types import (
     DeleteRow,
--- a/greengagehoist/platform_client/_rates.py
+++ b/greengagehoist/platform_client/_rates.py
@@ -1,55 +1,9 @@
-"""Rate limits of the platform and the token bucket that enforces this daemon's share."""
-
-from typing import NamedTuple
+"""Rate limits of the platform and this daemon's share of them."""
 
 WRITES_PER_S = 400.0
 READS_PER_S = 1600.0
-# A bucket holds the tokens of this period, and at least one token.
-BURST_S = 1.0
-
-
-class Bucket(NamedTuple):
-    """Token bucket.
-
-    :param rate: tokens added per second; a call needs one token.
-    :param tokens: tokens in the bucket at ``updated_at``.
-    :param updated_at: time on the monotonic clock, in seconds.
-    """
-
-    rate: float
-    tokens: float
-    updated_at: float
 
 
 def share(total: float, vms: int) -> float:
     """Return the rate of one daemon; a roster without VMs counts as one VM."""
     return total / max(1, vms)
-
-
-def capacity(bucket: Bucket) -> float:
-    """Return the maximum number of tokens in the bucket."""
-    return max(1.0, bucket.rate * BURST_S)
-
-
-def refill(bucket: Bucket, now: float) -> Bucket:
-    """Return the bucket with the tokens added up to ``now``; none if the clock has not advanced."""
-    added = max(0.0, now - bucket.updated_at) * bucket.rate
-    return bucket._replace(tokens=min(capacity(bucket), bucket.tokens + added), updated_at=now)
-
-
-def try_acquire(bucket: Bucket, now: float) -> tuple[Bucket, float]:
-    """Remove one token from the bucket if there is one.
-
-    :returns: the updated bucket and the seconds until the call may start. The wait is 0 if a
-        token was removed; otherwise the bucket is only refilled.
-    """
-    refilled = refill(bucket, now)
-    if refilled.tokens >= 1.0:
-        return refilled._replace(tokens=refilled.tokens - 1.0), 0.0
-    return refilled, (1.0 - refilled.tokens) / refilled.rate
-
-
-def change_rate(bucket: Bucket, rate: float, now: float) -> Bucket:
-    """Return the bucket with a new rate; tokens above the new capacity are discarded."""
-    changed = refill(bucket, now)._replace(rate=rate)
-    return changed._replace(tokens=min(capacity(changed), changed.tokens))
