Move the spread of reports between daemons to a class of its own

Cause: limits of replicas have to spread like the evidence of the quarantine. Change: Spread holds what QuarantineController did itself: own reports go to all peers, and a hub passes those of others on within its data centre. Result: no change of behaviour; the tests of the quarantine pass.

--- a/greengagehoist/gateway/controllers/_quarantine.py
+++ b/greengagehoist/gateway/controllers/_quarantine.py
@@ -4,11 +4,11 @@
 
 from greengagehoist.gateway.controllers._owners import choose_owner
 from greengagehoist.gateway.controllers._reach import Reach
+from greengagehoist.gateway.controllers._spread import Spread
 from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.http1 import open_socket
 from greengagehoist.membership import Member
 from greengagehoist.peers import (
-    Broadcast,
     FromPeer,
     Hello,
     PeerMessage,
@@ -148,7 +148,7 @@
         self._trials: dict[tuple[str, int], float] = {}
         self._asked: dict[int, Reply] = {}
         self._last_number = 0
-        self._near: set[str] = set()
+        self._spread = Spread(peers, own, topology, reach)
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -193,25 +193,11 @@
 
     def _greet(self, vm: str, data_centre: str) -> None:
         """Tell a daemon with a new link what is known; it may have just started."""
-        if data_centre == self.own.data_centre:
-            self._near.add(vm)
+        self._spread.add_peer(vm, data_centre)
         for service, evidence in self._evidence.items():
             for crash in evidence.crashes:
                 self.peers.tell(SendTo(vm, self._encode_crash(service, crash)))
 
-    def _spread(self, message: PeerMessage, origin: str) -> None:
-        """Pass news on: own ones to all peers; with hubs, a hub passes those of others on.
-
-        Every daemon has told all hubs itself, so each hub tells those of its own data centre only.
-
-        :param origin: daemon that has told this one, empty for own news.
-        """
-        if not origin:
-            self.peers.tell(Broadcast(message))
-        elif self.topology.shared.value and self.topology.is_hub(self.own.vm):
-            for vm in sorted(self._near & self.reach.value.linked - {origin}):
-                self.peers.tell(SendTo(vm, message))
-
     # Evidence.
 
     def _check_replica(self, report: ReportBroken, reply: Reply) -> None:
@@ -260,7 +246,7 @@
             return
         self._forget_trials(service, merged.shared_parts)
         self._publish(service)
-        self._spread(self._encode_crash(service, merged), origin)
+        self._spread.send(self._encode_crash(service, merged), origin)
 
     def _record_answer(
         self, service: str, parts: frozenset[int], at: float, origin: str = ""
@@ -274,7 +260,7 @@
         self._forget_trials(service, parts)
         self._publish(service)
         age_s = self.clock.monotonic() - at
-        self._spread(PromptAnswered(service, tuple(sorted(parts)), age_s), origin)
+        self._spread.send(PromptAnswered(service, tuple(sorted(parts)), age_s), origin)
 
     def _encode_crash(self, service: str, crash: Crash) -> ReplicaCrash:
         age_s = self.clock.monotonic() - crash.at
