Keep a replica's limit over all daemons together

Cause: a limit that a replica named was only known to the daemon that got the answer, and nothing kept it. The class of the fault: what a back end says about itself and all daemons together is heeded by none, or by each alone. Change: limits spread among the daemons as they are learnt. The owner of a service, one daemon, grants permits for single sends at the rate that each replica has named; waiting sends are served in the order of priority over all daemons, and a send that cannot have its permit in time is refused at once with the time at which there may be room. An owner that reaches a part of the members grants their share of the rate, so owners on both sides of a partition keep the limit together; a daemon that reaches nobody owns its own share, one that knows no members sends nothing. The queue of a new owner begins empty. A limit of 0 still gets one request each 10 s, because only an answer can end it. First sends, repeats, resumed streams, trials and calls of stage pools take a permit; a pool asks before it assigns a batch, and counts the rate in its waiting times. An equal share for each daemon was ruled out: at a limit of 1 a second, a burst of one request for each uses the whole tolerance at 7 daemons and breaks the rule at 68.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -140,10 +140,14 @@
             clock,
         )
         self.replicas = ReplicaController(self.platform, reads("replicas", period_s), clock)
+        self.limits = SendLimitController(self.peers, own, topology, self.reach.reach, clock)
         self.placement = PlacementController(
-            self.replicas.table, self.reach.reach, clock, settings.data_centre
+            self.replicas.table,
+            self.reach.reach,
+            self.limits.view,
+            clock,
+            settings.data_centre,
         )
-        self.limits = SendLimitController(clock)
         self.pools = PoolController(
             self.deployments.snapshot,
             self.replicas.table,
@@ -153,6 +157,7 @@
             settings.vm,
             topology,
             self.limits,
+            self.limits.view,
             self.budgets.pool_budget,
         )
         self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
@@ -160,7 +165,7 @@
         self.shutdown = ShutdownGate(clock)
         self.platform.followers = (self.members,)
         self.replicas.followers = (self.pools,)
-        self.reach.followers = (self.pools,)
+        self.reach.followers = (self.pools, self.limits)
         snapshot = self.deployments.snapshot
         self.route_filter = RouteFilter(snapshot, clock, 0.0, 0.0)
         self.apply_settings(settings)
@@ -182,7 +187,7 @@
                     self.placement,
                     self.pools,
                     gate,
-                    SendLimitGate(self.limits, self.limits.view),
+                    SendLimitGate(self.limits, self.limits.view, self.placement, clock),
                     self.shutdown,
                     self.budgets,
                     first_event_latency,
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -7,6 +7,7 @@
 from greengagehoist.gateway.controllers._placement import (
     AnswerObserved,
     Choose,
+    DeferSends,
     FindHome,
     LoadReported,
     NotBefore,
@@ -36,16 +37,24 @@
 from greengagehoist.gateway.controllers._reach import Reach, ReachController
 from greengagehoist.gateway.controllers._relay import RelayController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
-from greengagehoist.gateway.controllers._send_limits import LimitObserved, SendLimitController
+from greengagehoist.gateway.controllers._send_limits import (
+    AcquireSend,
+    CancelAcquire,
+    LimitObserved,
+    SendLimitController,
+)
 from greengagehoist.gateway.controllers._shared_reads import SharedReads
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
 __all__ = [
     "MEMBER_POLL_PERIOD_S",
     "NO_REPLICA_WAIT_S",
+    "AcquireSend",
     "AnswerObserved",
+    "CancelAcquire",
     "CancelStages",
     "Choose",
+    "DeferSends",
     "DeploymentController",
     "RequestEnded",
     "FindHome",
--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -18,9 +18,15 @@
     TenantRates,
     TooLate,
 )
-from greengagehoist.replicas import Replica, ReplicaAvailability
+from greengagehoist.replicas import (
+    MIN_RATE_PER_S,
+    Incarnation,
+    Replica,
+    ReplicaAvailability,
+    incarnation_of,
+)
 from greengagehoist.retries import RetryBudget
-from greengagehoist.utils import log_event
+from greengagehoist.utils import Published, log_event
 
 # A call that takes this many times its usual duration is repeated at another replica.
 OVERDUE_FACTOR = 2.5
@@ -38,6 +44,8 @@
 ZONE_BACKOFF_S = 1.0
 # Expected wait at a pool without replicas, longer than any request waits.
 NO_REPLICA_WAIT_S = 60.0
+# A permit for a call to a replica with a limit is used within this time or lost.
+PERMIT_TTL_S = 0.5
 # The work of a stage fails when one of its pieces has failed after this many sends.
 MAX_PIECE_SENDS = 6
 
@@ -66,7 +74,8 @@
 class PoolReplica:
     """A replica of the pool as its owner sees it."""
 
-    __slots__ = ("avoid_until", "expected_s", "failures", "overdue", "pieces", "replica")
+    __slots__ = ("asks_permit", "avoid_until", "expected_s", "failures", "overdue")
+    __slots__ += ("permit_until", "pieces", "replica")
     __slots__ += ("result_memory", "slowness_updated_at", "slowness", "started", "worker")
 
     def __init__(self, replica: Replica, worker: PoolWorker, result_memory: ResultMemory):
@@ -81,6 +90,8 @@
         self.slowness_updated_at = 0.0
         self.failures = 0
         self.avoid_until = 0.0
+        self.asks_permit = False
+        self.permit_until = 0.0
 
     def slowness_at(self, now: float) -> float:
         """Return the duration of the replica's calls relative to the expected one."""
@@ -117,6 +128,7 @@
 
     :param retry_budget: limits how many pieces are sent again.
     :param make_worker: builds the worker of a replica.
+    :param limit_view: published limits of replicas, in calls a second.
     """
 
     def __init__(
@@ -125,7 +137,9 @@
         limits: PoolLimits,
         retry_budget: RetryBudget,
         make_worker: Callable[[Replica], PoolWorker],
+        limit_view: Published[dict[Incarnation, float]],
     ):
+        self.limit_view = limit_view
         self.service = service
         self.queue = PoolQueue(limits)
         self.tenant_rates = TenantRates()
@@ -153,12 +167,7 @@
 
     def next_calls(self, listed: dict[str, Replica], now: float) -> list[PoolReplica]:
         """Assign batches to idle replicas and return the replicas whose calls can start now."""
-        usable = [
-            member
-            for key, member in self.members.items()
-            if member.avoid_until <= now and key in listed and not listed[key].leaving
-            if self.availability.sends_from(member.replica, now) <= now
-        ]
+        usable = [item for item in self._usable(listed, now) if self._limit_of(item, now) is None]
         zones = frozenset(member.replica.zone for member in usable)
         idle, started = self._idle_by_speed(usable, now), []
         for number, member in enumerate(idle):
@@ -168,11 +177,60 @@
             batch = self.queue.pop_batch(member.replica.zone, zones, free_bytes, others, now)
             if batch:
                 member.pieces, member.started, member.overdue = batch, now, False
+                member.permit_until = 0.0
                 self.availability.begin_send(member.replica, now)
                 member.expected_s = self.queue.expected_s(len(batch))
                 started.append(member)
         return started
 
+    def permits_to_ask(self, listed: dict[str, Replica], now: float) -> list[PoolReplica]:
+        """Return idle replicas with a limit for which the waiting work needs a permit."""
+        if not self.queue.waiting_pieces():
+            return []
+        found = [
+            item
+            for item in self._usable(listed, now)
+            if item.pieces is None
+            and not item.asks_permit
+            and self._limit_of(item, now) is not None
+        ]
+        for member in found:
+            member.asks_permit = True
+        return found
+
+    def end_permit_ask(self, replica: Replica, refused_until: float | None, now: float) -> None:
+        """Apply the answer to an ask for a permit.
+
+        :param refused_until: time before which there is no room, None if the permit was granted.
+        """
+        member = self.members.get(replica.replica_id)
+        if member is None or member.replica.born_ms != replica.born_ms:
+            return
+        member.asks_permit = False
+        limit = self.limit_view.value.get(incarnation_of(replica))
+        if refused_until is None:
+            member.permit_until = now + PERMIT_TTL_S
+        elif limit is not None:
+            self.availability.defer(replica, limit, refused_until)
+
+    def _usable(self, listed: dict[str, Replica], now: float) -> list[PoolReplica]:
+        return [
+            member
+            for key, member in self.members.items()
+            if member.avoid_until <= now and key in listed and not listed[key].leaving
+            if self._sends_from(member, now) <= now
+        ]
+
+    def _sends_from(self, member: PoolReplica, now: float) -> float:
+        limit = self._limit_of(member, now)
+        return self.availability.sends_from(member.replica, now, limit)
+
+    def _limit_of(self, member: PoolReplica, now: float) -> float | None:
+        """Return the limit within which the next call to a replica needs a permit."""
+        if member.permit_until > now:
+            return None
+        return self.limit_view.value.get(incarnation_of(member.replica))
+
     @staticmethod
     def _idle_by_speed(usable: list[PoolReplica], now: float) -> list[PoolReplica]:
         """Return the idle replicas, fast ones first; slow ones only if all are slow."""
@@ -315,7 +373,7 @@
         if not self.members:
             return NO_REPLICA_WAIT_S
         ready_at = {
-            item: max(item.avoid_until, self.availability.sends_from(item.replica, now))
+            item: max(item.avoid_until, self._sends_from(item, now))
             for item in self.members.values()
         }
         usable = [item for item, at in ready_at.items() if at <= now]
@@ -325,9 +383,28 @@
             busy = 0.0
         else:
             busy = min(item.started + item.expected_s - now for item in usable)
-        speed = sum(1.0 / max(1.0, item.slowness_at(now)) for item in usable)
+        speed = self._speed(usable, now)
         return max(0.0, busy) + self.queue.wait_s(new, speed, now)
 
+    def _speed(self, usable: list[PoolReplica], now: float) -> float:
+        """Return the number of replicas at the expected speed that do as much as these.
+
+        It is below one only if limits allow no more.
+        """
+        speed = sum(self._speed_of(item, now) for item in usable)
+        limits = self.limit_view.value
+        limited = usable and all(incarnation_of(item.replica) in limits for item in usable)
+        return speed if limited else max(1.0, speed)
+
+    def _speed_of(self, member: PoolReplica, now: float) -> float:
+        """Return the work of a replica relative to one at the expected speed."""
+        speed = 1.0 / max(1.0, member.slowness_at(now))
+        limit = self.limit_view.value.get(incarnation_of(member.replica))
+        if limit is None:
+            return speed
+        full_call_s = self.queue.expected_s(self.queue.limits.batch)
+        return min(speed, max(limit, MIN_RATE_PER_S) * full_call_s)
+
     def release_results(self, address: str, handles: tuple[str, ...]) -> bool:
         """Release the memory of results that the replica at ``address`` has freed.
 
--- a/greengagehoist/gateway/controllers/_owned_pools.py
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -9,7 +9,7 @@
 from greengagehoist.gateway.controllers._pool_worker import PoolWorker
 from greengagehoist.peers import StageResult
 from greengagehoist.pieces import Job, JobKey, Reservation, StageWork
-from greengagehoist.replicas import Replica, ReplicaTable
+from greengagehoist.replicas import Incarnation, Replica, ReplicaTable
 from greengagehoist.retries import RetryBudget
 from greengagehoist.utils import Published, log_event
 
@@ -31,6 +31,7 @@
 
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
     :param make_worker: builds the worker of a replica.
+    :param limit_view: published limits of replicas.
     """
 
     def __init__(
@@ -39,7 +40,9 @@
         table: Published[ReplicaTable],
         make_retry_budget: Callable[[], RetryBudget],
         make_worker: Callable[[Replica], PoolWorker],
+        limit_view: Published[dict[Incarnation, float]],
     ):
+        self.limit_view = limit_view
         self.snapshot = snapshot
         self.table = table
         self.make_retry_budget = make_retry_budget
@@ -64,7 +67,8 @@
         if listed is None or listed.pool is None:
             return pool
         if pool is None:
-            pool = OwnedPool(service, listed.pool, self.make_retry_budget(), self.make_worker)
+            budget = self.make_retry_budget()
+            pool = OwnedPool(service, listed.pool, budget, self.make_worker, self.limit_view)
             pool.silent_zones = self._silent_zones
             self._pools[service] = pool
             self.sync(pool)
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -6,12 +6,14 @@
 from greengagehoist.gateway.controllers._reach import Reach
 from greengagehoist.replicas import (
     Affinity,
+    Incarnation,
     Load,
     Observed,
     Replica,
     ReplicaAvailability,
     ReplicaTable,
     choose,
+    incarnation_of,
 )
 from greengagehoist.utils import Clock, Controller, Published, Reply, log_event
 
@@ -36,21 +38,26 @@
 
     :param exclude: ids of replicas that this request was already sent to.
     :param model: model that the replica must serve, empty for any.
+    :param permitted: id of a replica that goes before all others, because the request has a permit
+        for it; empty for none.
     """
 
     service: str
     affinity: Affinity
     exclude: frozenset[str] = frozenset()
     model: str = ""
+    permitted: str = ""
 
 
 class NotBefore(NamedTuple):
     """All replicas of a service want no requests at present.
 
     :param at: time from which one of them may be sent a request.
+    :param replica: that one.
     """
 
     at: float
+    replica: Replica
 
 
 class FindHome(NamedTuple):
@@ -94,6 +101,13 @@
     pause_s: float | None
 
 
+class DeferSends(NamedTuple):
+    """Send a replica no requests before a time, because there is no room within its limit."""
+
+    replica: Replica
+    until: float
+
+
 class _Health:
     __slots__ = ("connect_failures", "error_rate", "observed", "samples")
 
@@ -109,15 +123,22 @@
 
     :param table: published table of the known replicas.
     :param reach: published set of daemons and data centres that can be reached.
+    :param limits: published limits of replicas, in requests a second.
     :param zone: data centre of this daemon.
     """
 
     def __init__(
-        self, table: Published[ReplicaTable], reach: Published[Reach], clock: Clock, zone: str
+        self,
+        table: Published[ReplicaTable],
+        reach: Published[Reach],
+        limits: Published[dict[Incarnation, float]],
+        clock: Clock,
+        zone: str,
     ):
         super().__init__("placement")
         self.table = table
         self.reach = reach
+        self.limits = limits
         self.clock = clock
         self.zone = zone
         self._health: dict[str, _Health] = {}
@@ -136,6 +157,10 @@
                 self._record_end(message)
             case AnswerObserved():
                 self._observe_answer(message)
+            case DeferSends(replica, until):
+                limit = self.limits.value.get(incarnation_of(replica))
+                if limit is not None:
+                    self._availability.defer(replica, limit, until)
             case LoadReported(replica_id, load):
                 health = self._health_of(replica_id)
                 health.observed = health.observed._replace(
@@ -166,17 +191,26 @@
         ]
         now = self.clock.monotonic()
         sends_from = {
-            item: self._availability.sends_from(item, now)
+            item: self._availability.sends_from(item, now, self._limit_of(item, query))
             for item in candidates
             if item.replica_id not in query.exclude
         }
         available = [item for item, at in sends_from.items() if at <= now]
+        permitted = [item for item in available if item.replica_id == query.permitted]
+        if permitted:
+            return permitted[0]
         found = choose(available, self._observed_load, query.affinity, self.zone, now)
-        earliest = min(sends_from.values(), default=math.inf)
-        if found is None and earliest < math.inf:
-            return NotBefore(earliest)
+        earliest = min(sends_from, key=sends_from.__getitem__, default=None)
+        if found is None and earliest is not None and sends_from[earliest] < math.inf:
+            return NotBefore(sends_from[earliest], earliest)
         return found
 
+    def _limit_of(self, replica: Replica, query: Choose) -> float | None:
+        """Return the limit within which a request has to wait for room."""
+        if replica.replica_id == query.permitted:
+            return None
+        return self.limits.value.get(incarnation_of(replica))
+
     def _observed_load(self, replica_id: str) -> Observed:
         health = self._health.get(replica_id)
         observed = health.observed if health is not None else Observed()
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -31,7 +31,7 @@
     ResultController,
     ResultsFreed,
 )
-from greengagehoist.gateway.controllers._send_limits import LimitObserved
+from greengagehoist.gateway.controllers._send_limits import AcquireSend, LimitObserved
 from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.peers import (
     FromPeer,
@@ -46,7 +46,7 @@
     Subscribe,
 )
 from greengagehoist.pieces import Job, JobKey, StageWork
-from greengagehoist.replicas import Replica, ReplicaTable
+from greengagehoist.replicas import Granted, Incarnation, Refused, Replica, ReplicaTable
 from greengagehoist.retries import RetryBudget
 from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event, tick
 
@@ -56,6 +56,8 @@
 RESUBMIT_S = 0.6
 # Timeout of a reservation; allows for several round trips between data centres.
 RESERVE_TIMEOUT_S = 0.05
+# Longest wait for a permit to call a replica with a limit.
+MAX_PERMIT_WAIT_S = 1.0
 # Reason of a stage result whose work has gone back to its daemon, because the pool has a new owner.
 MOVED = "moved"
 
@@ -64,6 +66,12 @@
     request_id: str
 
 
+class _PermitDecided(NamedTuple):
+    service: str
+    replica: Replica
+    decision: Granted | Refused
+
+
 class _Pending:
     """Stage work of one of this daemon's requests that has not ended."""
 
@@ -86,6 +94,7 @@
     :param vm: name of the own VM.
     :param topology: the hubs, which own all pools where there are any.
     :param limits: controller of the limits that replicas name.
+    :param limit_view: published limits in force.
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
     """
 
@@ -99,6 +108,7 @@
         vm: str,
         topology: Topology,
         limits: Controller,
+        limit_view: Published[dict[Incarnation, float]],
         make_retry_budget: Callable[[], RetryBudget],
     ):
         super().__init__("pools")
@@ -109,7 +119,7 @@
         self.vm = vm
         self.limits = limits
         self._owners = PoolOwners(vm, topology, clock)
-        self._owned = OwnedPools(snapshot, table, make_retry_budget, self._make_worker)
+        self._owned = OwnedPools(snapshot, table, make_retry_budget, self._make_worker, limit_view)
         self._pending: dict[JobKey, _Pending] = {}
         # Stages by request whose results the request has received.
         self._delivered: dict[str, set[int]] = {}
@@ -136,6 +146,8 @@
                 self._handle_peer_message(vm, sent)
             case BatchEnded():
                 self._handle_batch_end(message)
+            case _PermitDecided():
+                self._apply_permit(message)
             case ReserveStages():
                 self._reserve(message, reply)
             case _ReserveTimeout(request_id):
@@ -350,6 +362,24 @@
                 self._end_job(job_end)
         for member in pool.next_calls(self.table.value.replicas, self.clock.monotonic()):
             self.start(member.worker.run_batch(member.pieces, member.expected_s))
+        for member in pool.permits_to_ask(self.table.value.replicas, self.clock.monotonic()):
+            self.start(self._ask_permit(pool.service, member.replica))
+
+    async def _ask_permit(self, service: str, replica: Replica) -> None:
+        """Ask for a permit before a batch is assigned, so that no piece waits for it."""
+        decision = await self.limits.ask(AcquireSend(replica, 0, MAX_PERMIT_WAIT_S))
+        self.tell(_PermitDecided(service, replica, decision))
+
+    def _apply_permit(self, message: _PermitDecided) -> None:
+        pool, now = self._owned.get(message.service), self.clock.monotonic()
+        if pool is None:
+            return
+        match message.decision:
+            case Granted():
+                pool.end_permit_ask(message.replica, None, now)
+            case Refused(retry_after_s):
+                pool.end_permit_ask(message.replica, now + retry_after_s, now)
+        self._start_calls(pool)
 
     def _handle_batch_end(self, end: BatchEnded) -> None:
         for pool in self._owned:
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -51,7 +51,7 @@
     get_header,
     open_socket,
 )
-from greengagehoist.replicas import Replica
+from greengagehoist.replicas import Granted, Replica
 from greengagehoist.retries import (
     AbortAnswer,
     Broken,
@@ -145,7 +145,7 @@
 
     async def _choose(self, exchange: Exchange) -> Replica | Reply:
         """Return the replica for the next send, or a reply if there will be none in time."""
-        progress = exchange.progress
+        progress, permitted = exchange.progress, ""
         while True:
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
@@ -159,17 +159,23 @@
                     affinity_of(exchange.req.prompt, exchange.inputs_zone),
                     progress.tried,
                     model_of(exchange),
+                    permitted,
                 )
             )
             match found:
-                case Replica():
-                    return found
-                case NotBefore(at):
+                case Replica(replica_id):
+                    if replica_id == permitted or await self._may_send(exchange, found):
+                        return found
+                case NotBefore(at, replica):
                     wait_s = at - self.clock.monotonic()
-                    if wait_s + exchange.route.target_latency_s > remaining_s:
-                        reason = "all replicas have asked for a pause"
+                    max_wait_s = remaining_s - exchange.route.target_latency_s
+                    if wait_s > max_wait_s:
+                        reason = "all replicas have asked for a pause or are at their limits"
                         return failure_reply(progress, reason, max(wait_s, MIN_RETRY_AFTER_S))
-                    await self.clock.sleep(wait_s)
+                    if not self.limits.is_limited(replica):
+                        await self.clock.sleep(wait_s)
+                    elif await self.limits.wait(exchange, replica, at, max_wait_s):
+                        permitted = replica.replica_id
                 case None:
                     log_event(
                         "no_replica",
@@ -180,6 +186,13 @@
                     )
                     return failure_reply(progress, "no replica available", RETRY_AFTER_S)
 
+    async def _may_send(self, exchange: Exchange, replica: Replica) -> bool:
+        """Return whether there is room for the request within the limit of its replica."""
+        if await self.limits.acquire(exchange, replica) == Granted():
+            return True
+        self.placement.tell(RequestEnded(replica.replica_id, "cancelled"))
+        return False
+
     def _handle_failed_send(
         self, exchange: Exchange, replica: Replica, end: SendEnd
     ) -> Reply | None:
--- a/greengagehoist/gateway/filters/_send_limits.py
+++ b/greengagehoist/gateway/filters/_send_limits.py
@@ -1,9 +1,24 @@
-"""What the filters tell the controller of the limits that replicas name."""
+"""What the filters ask and tell the controller of the limits that replicas name."""
 
-from greengagehoist.gateway import MISDIRECTED, ReplicaReply
-from greengagehoist.gateway.controllers import LimitObserved
-from greengagehoist.replicas import Incarnation, Replica, Unlimited, incarnation_of
-from greengagehoist.utils import Controller, Published
+import asyncio
+
+from greengagehoist.gateway import MISDIRECTED, Exchange, ReplicaReply
+from greengagehoist.gateway.controllers import (
+    AcquireSend,
+    CancelAcquire,
+    DeferSends,
+    LimitObserved,
+)
+from greengagehoist.replicas import (
+    MIN_RATE_PER_S,
+    Granted,
+    Incarnation,
+    Refused,
+    Replica,
+    Unlimited,
+    incarnation_of,
+)
+from greengagehoist.utils import Clock, Controller, Published
 
 
 class SendLimitGate:
@@ -11,16 +26,68 @@
 
     :param limits: controller of the limits.
     :param view: published limits in force.
+    :param placement: controller that chooses the replicas.
     """
 
-    def __init__(self, limits: Controller, view: Published[dict[Incarnation, float]]):
+    def __init__(
+        self,
+        limits: Controller,
+        view: Published[dict[Incarnation, float]],
+        placement: Controller,
+        clock: Clock,
+    ):
         self.limits = limits
         self.view = view
+        self.placement = placement
+        self.clock = clock
 
     def is_limited(self, replica: Replica) -> bool:
         """Return whether a limit of the replica is in force."""
         return incarnation_of(replica) in self.view.value
 
+    async def acquire(
+        self, exchange: Exchange, replica: Replica, max_wait_s: float = 0.0
+    ) -> Granted | Refused:
+        """Return whether the request may be sent to a replica, perhaps after a wait.
+
+        After a refusal, other requests are not placed there before the time that it names.
+        """
+        if not self.is_limited(replica):
+            return Granted()
+        ticket = exchange.req.request_id
+        try:
+            decision = await self.limits.ask(
+                AcquireSend(replica, exchange.rank, max_wait_s, ticket)
+            )
+        except asyncio.CancelledError:
+            self.limits.tell(CancelAcquire(ticket))
+            raise
+        match decision:
+            case Refused(retry_after_s):
+                until = self.clock.monotonic() + retry_after_s
+                self.placement.tell(DeferSends(replica, until))
+        return decision
+
+    async def wait(
+        self, exchange: Exchange, replica: Replica, expected_at: float, max_wait_s: float
+    ) -> bool:
+        """Wait for room within the limit of a replica; returns whether the request may be sent.
+
+        :param expected_at: time at which there may be room.
+        """
+        per_s = self.view.value.get(incarnation_of(replica), 0.0)
+        # The next request that finds no room counts with this one ahead of it.
+        later = expected_at + 1.0 / max(per_s, MIN_RATE_PER_S)
+        self.placement.tell(DeferSends(replica, later))
+        match await self.acquire(exchange, replica, max_wait_s):
+            case Granted():
+                return True
+            case Refused(retry_after_s):
+                if retry_after_s <= max_wait_s:
+                    # The owner of the limit has not answered.
+                    await self.clock.sleep(retry_after_s)
+                return False
+
     def observe(
         self, replica: Replica, status: int, reply: ReplicaReply, is_own: bool, sent_at: float
     ) -> None:
--- a/greengagehoist/gateway/tests/test_owned_pool.py
+++ b/greengagehoist/gateway/tests/test_owned_pool.py
@@ -8,6 +8,7 @@
 from greengagehoist.pieces import InputGone, Made, NotMade, Reservation, StageWork
 from greengagehoist.replicas import Replica
 from greengagehoist.retries import RetryBudget
+from greengagehoist.utils import Published
 
 REPLICAS = {
     name: Replica(name, "s", "10.0.0.1", 80 + number, "a", 1, 1, False)
@@ -18,7 +19,8 @@
 @pytest.fixture
 def pool():
     limits = PoolLimits(4, 0.1, 0.01, 10e6)
-    made = OwnedPool("s", limits, RetryBudget(0.0, 5.0, 10.0), lambda replica: None)
+    budget = RetryBudget(0.0, 5.0, 10.0)
+    made = OwnedPool("s", limits, budget, lambda replica: None, Published({}))
     made.sync(REPLICAS.values())
     return made
 
@@ -117,3 +119,27 @@
     (other,) = {"b0", "b1"} - {member.replica.replica_id}
     assert (pool.members[other].avoid_until > 0.1) is bool(silent_zones)
     assert pool.members["r0"].avoid_until == 0.0
+
+
+@pytest.mark.parametrize("limit", [0.0, 1.0])
+def test_replica_with_a_limit_gets_a_call_only_with_a_permit(pool, limit):
+    """Calls of a pool count within the limit like requests."""
+    pool.limit_view.value = {("r0", 1): limit, ("r1", 1): limit}
+    pool.queue.add(work(), "", 0.0)
+    assert pool.next_calls(REPLICAS, 0.0) == []
+    first, second = pool.permits_to_ask(REPLICAS, 0.0)
+    assert pool.permits_to_ask(REPLICAS, 0.0) == []
+    pool.end_permit_ask(first.replica, 2.0, 0.0)
+    pool.end_permit_ask(second.replica, None, 0.0)
+    assert pool.next_calls(REPLICAS, 0.0) == [second]
+    pool.queue.add(work("y"), "", 0.1)
+    assert pool.permits_to_ask(REPLICAS, 0.1) == []
+    assert pool.permits_to_ask(REPLICAS, 2.1) == [first]
+
+
+def test_pool_with_limited_replicas_announces_a_longer_wait(pool):
+    pool.queue.add(work(count=40), "", 0.0)
+    reservation = Reservation(4, 1, 9.0)
+    unlimited_s = pool.wait_s(reservation, 0.0)
+    pool.limit_view.value = {("r0", 1): 0.5, ("r1", 1): 0.5}
+    assert pool.wait_s(reservation, 0.0) > 2 * unlimited_s
--- a/greengagehoist/gateway/tests/test_pools.py
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -62,6 +62,7 @@
                 Published(known), Published(2), Published(()), Published(hubs), Published(shared)
             ),
             Recorder("limits"),
+            Published({}),
             lambda: RetryBudget(0.0, 5.0, 10.0),
         )
         pools._results = results
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -200,6 +200,56 @@
     retry_after_s: float
 
 
+class ReplicaLimit(NamedTuple):
+    """What is known of the requests a second that a replica takes from all daemons together.
+
+    :param born_ms: start of its incarnation in Unix milliseconds, 0 if unknown.
+    :param per_s: limit of the newest answer that named one.
+    :param named_age_s: seconds since that answer.
+    :param ended_age_s: seconds since the newest request was sent whose answer named none, None if
+        there is no such answer.
+    """
+
+    replica_id: str
+    born_ms: int
+    per_s: float
+    named_age_s: float
+    ended_age_s: float | None
+
+
+class PermitRequest(NamedTuple):
+    """Ask the owner of a replica's limit for a permit to send one request.
+
+    :param per_s: the limit as the sender knows it.
+    :param rank: 0 is the most urgent.
+    :param max_wait_s: seconds for which the request can wait.
+    """
+
+    number: int
+    replica_id: str
+    born_ms: int
+    per_s: float
+    rank: int
+    max_wait_s: float
+
+
+class PermitReply(NamedTuple):
+    """Answer to :class:`PermitRequest`; a permit may follow as late as the request can wait.
+
+    :param retry_after_s: seconds until there may be room, 0 if the permit is granted.
+    """
+
+    number: int
+    granted: bool
+    retry_after_s: float
+
+
+class PermitCancel(NamedTuple):
+    """The request of a :class:`PermitRequest` waits no longer."""
+
+    number: int
+
+
 class ConfigPush(NamedTuple):
     """An accepted version of the configuration.
 
@@ -311,4 +361,8 @@
     | PromptAnswered
     | TrialRequest
     | TrialReply
+    | ReplicaLimit
+    | PermitRequest
+    | PermitReply
+    | PermitCancel
 )
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -8,8 +8,12 @@
     Heartbeat,
     Hello,
     LeaveMark,
+    PermitCancel,
+    PermitReply,
+    PermitRequest,
     PromptAnswered,
     ReplicaCrash,
+    ReplicaLimit,
     SharedRead,
     SharedReadRequest,
     StageCancel,
@@ -57,5 +61,9 @@
         PromptAnswered: 26,
         TrialRequest: 27,
         TrialReply: 28,
+        ReplicaLimit: 29,
+        PermitRequest: 30,
+        PermitReply: 31,
+        PermitCancel: 32,
     }
 )
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -143,6 +143,8 @@
         """Return the seconds in which ``replicas`` replicas finish the work ahead of new work.
 
         Reserved work counts as well: it arrives before or together with the new work.
+
+        :param replicas: above 0; below 1 if limits keep the replicas from working all the time.
         """
         new_key = self._sort_key(*new, now)
         pieces = sum(
@@ -153,7 +155,7 @@
         )
         calls = pieces / self.limits.batch
         busy = calls * self.limits.call_s + pieces * self.limits.piece_s
-        return busy / (PLANNED_UTILIZATION * max(1.0, replicas))
+        return busy / (PLANNED_UTILIZATION * replicas)
 
     def expected_s(self, pieces: int) -> float:
         """Return the duration of a call with ``pieces`` pieces at a replica of usual speed."""
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -16,6 +16,13 @@
     SendLimits,
     incarnation_of,
 )
+from greengagehoist.replicas._send_permits import (
+    MIN_RATE_PER_S,
+    Granted,
+    PermitQueue,
+    Queued,
+    Refused,
+)
 from greengagehoist.replicas._table import ReplicaTable, apply_outage, apply_read, apply_restore
 from greengagehoist.replicas._types import (
     Limited,
@@ -30,14 +37,19 @@
 __all__ = [
     "Affinity",
     "AnyReplica",
+    "Granted",
     "Incarnation",
     "LimitState",
     "Limited",
     "MAX_PAUSE_S",
+    "MIN_RATE_PER_S",
     "ReplicaAvailability",
     "ReplicaTable",
     "Load",
+    "PermitQueue",
     "PromptAffinity",
+    "Queued",
+    "Refused",
     "Observed",
     "Replica",
     "SendLimit",
--- a/greengagehoist/replicas/_availability.py
+++ b/greengagehoist/replicas/_availability.py
@@ -1,6 +1,6 @@
 """What replicas have said about requests that they want to get."""
 
-from typing import Any
+from typing import Any, NamedTuple
 
 from greengagehoist.replicas._send_limits import Incarnation, incarnation_of
 from greengagehoist.replicas._types import Replica
@@ -25,17 +25,26 @@
         self.probe_until = 0.0
 
 
+class _Deferral(NamedTuple):
+    """Time before which there is no room within a limit."""
+
+    limit_per_s: float
+    until: float
+
+
 class ReplicaAvailability:
     """Decides from when on replicas may be sent requests, by what they have said themselves.
 
     A replica that has said that it is leaving gets none, whatever the list of replicas says; only a new
     incarnation does. A replica that has asked for a pause gets none until its end, then one alone, and
-    the others when that one has been answered.
+    the others when that one has been answered. A replica with a limit on its requests gets none
+    before the time at which the owner of the limit expects room.
     """
 
     def __init__(self):
         self._leaving: dict[Incarnation, None] = {}
         self._pauses: dict[Incarnation, _Pause] = {}
+        self._deferrals: dict[Incarnation, _Deferral] = {}
 
     def observe_answer(
         self, replica: Replica, leaving: bool, pause_s: float | None, now: float
@@ -60,10 +69,25 @@
         """Return whether the replica has said that it is leaving."""
         return incarnation_of(replica) in self._leaving
 
-    def sends_from(self, replica: Replica, now: float) -> float:
-        """Return the time from which a request may be sent, ``inf`` for a replica that leaves."""
+    def defer(self, replica: Replica, limit_per_s: float, until: float) -> None:
+        """Record that the owner of a limit expects no room before ``until``."""
+        self._deferrals[incarnation_of(replica)] = _Deferral(limit_per_s, until)
+        _drop_oldest(self._deferrals)
+
+    def sends_from(self, replica: Replica, now: float, limit_per_s: float | None = None) -> float:
+        """Return the time from which a request may be sent, ``inf`` for a replica that leaves.
+
+        :param limit_per_s: limit in force; what was expected under another one no longer holds.
+        """
         if self.is_leaving(replica):
             return float("inf")
+        at = self._pause_ends(replica, now)
+        deferral = self._deferrals.get(incarnation_of(replica))
+        if deferral is not None and deferral.limit_per_s == limit_per_s:
+            return max(at, deferral.until)
+        return at
+
+    def _pause_ends(self, replica: Replica, now: float) -> float:
         pause = self._pauses.get(incarnation_of(replica))
         if pause is None:
             return now
