--- a/greengagehoist/daemon/tests/gateway_system.py
+++ b/greengagehoist/daemon/tests/gateway_system.py
@@ -160,6 +160,11 @@
             sock.abort()
 
 
+def group_of(system, path):
+    """Return the replicas that run the requests of a path."""
+    return system.desks if path in ("/look/", "/book/") else system.engines
+
+
 async def wait_until(condition, timeout=5.0):
     async with asyncio.timeout(timeout):
         while not condition():
--- a/greengagehoist/daemon/tests/test_gateway_availability.py
+++ b/greengagehoist/daemon/tests/test_gateway_availability.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from greengagehoist.daemon.tests.gateway_system import wait_until
+from greengagehoist.daemon.tests.gateway_system import group_of, wait_until
 from greengagehoist.http1 import get_header
 from greengagehoist.standins import Healthy, Sheds
 
@@ -15,10 +15,6 @@
     return [(await system.call(path, **headers))[0] for _ in range(count)]
 
 
-def group_of(system, path):
-    return system.desks if path in ("/look/", "/book/") else system.engines
-
-
 @pytest.mark.parametrize("path", ["/look/", "/book/", "/text/", "/once/"])
 def test_replica_that_says_it_leaves_gets_no_more_requests(run_scenario, path):
     """The list still says that it is ready."""
--- a/greengagehoist/daemon/tests/test_gateway_limits.py
+++ b/greengagehoist/daemon/tests/test_gateway_limits.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from greengagehoist.daemon.tests.gateway_system import group_of
+
 # The rule: in four seconds one and a half times what the limit allows, and five requests.
 WINDOW_S = 4.0
 FACTOR = 1.5
@@ -17,13 +19,7 @@
 
 
 def limited_group(system, path):
-    match path:
-        case "/look/" | "/book/":
-            return system.desks
-        case "/deep/":
-            return system.pool
-        case _:
-            return system.engines
+    return system.pool if path == "/deep/" else group_of(system, path)
 
 
 async def send_for(system, path, seconds):
--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -12,6 +12,7 @@
 from greengagehoist.standins._gateway_behaviours import (
     BreaksOff,
     CrashesOn,
+    CrashesOnBody,
     Endless,
     EndsStream,
     Full,
@@ -42,6 +43,7 @@
 __all__ = [
     "BreaksOff",
     "CrashesOn",
+    "CrashesOnBody",
     "Endless",
     "EndsStream",
     "Full",
--- a/greengagehoist/standins/_gateway_behaviours.py
+++ b/greengagehoist/standins/_gateway_behaviours.py
@@ -76,6 +76,18 @@
     down_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashesOnBody:
+    """Ends when it begins to run a request with a body, and starts again at the same address.
+
+    :param body: the body.
+    :param down_s: seconds until it starts again.
+    """
+
+    body: bytes
+    down_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class MixesUp:
     """Responds with the id and body of another request."""
@@ -125,6 +137,7 @@
     | EndsStream
     | Writes
     | CrashesOn
+    | CrashesOnBody
     | MixesUp
     | Repeats
     | MakesNothing
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -24,6 +24,7 @@
     Behaviour,
     BreaksOff,
     CrashesOn,
+    CrashesOnBody,
     Endless,
     EndsStream,
     Full,
@@ -141,7 +142,7 @@
     :ivar freed: handles that the gateway has freed.
     :ivar calls: number of items in each stage call.
     :ivar endless_bytes: number of bytes of each endless response.
-    :ivar crashes: times on the event loop's clock at which it ended by :class:`CrashesOn`.
+    :ivar crashes: times on the event loop's clock at which it ended by a request.
     :ivar born: start of its incarnation in its list entry.
     :ivar leaving: whether its answers say that it is leaving.
     :ivar arrived_at: times on the event loop's clock at which requests and stage calls reached it.
@@ -241,6 +242,11 @@
                 self.endless_bytes.append(sent)
                 return
         self.ran.append(request_id.decode())
+        match self.behaviour:
+            case CrashesOnBody(body, down_s) if request.body == body:
+                self._restart = asyncio.create_task(self._crash(down_s))
+                await sock.gone
+                return
         headers = ((REQUEST_ID, request_id), (STAMP, self.replica_id.encode()))
         headers += self._state_headers()
         if self.kind == "engine":
