Log the key of a request whose send has failed

Cause: the logs did not show whether one request crashed several replicas, since the ids of its repeats differ and only shared prompt parts were logged. Change: send_failed has request_key, a digest of method, host, target, caller and body, computed once.

--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -106,6 +106,7 @@
     :ivar answer_begun_at: time of the first whole event of the latest send, None before it.
     :ivar on_trial: whether the first send may try a prompt part that is in quarantine.
     :ivar splitter: events of a resumable stream, None before the first send.
+    :ivar request_key: key of the request for the quarantine, None before it is needed.
     """
 
     def __init__(self):
@@ -119,6 +120,7 @@
         self.answer_begun_at: float | None = None
         self.on_trial = False
         self.splitter: EventSplitter | None = None
+        self.request_key: int | None = None
 
 
 class Exchange(NamedTuple):
--- a/greengagehoist/gateway/filters/_send_log.py
+++ b/greengagehoist/gateway/filters/_send_log.py
@@ -1,6 +1,8 @@
 """Log lines of the sends of a request."""
 
 from greengagehoist.gateway import Exchange
+from greengagehoist.gateway.controllers import format_key
+from greengagehoist.gateway.filters._request_key import request_key_of
 from greengagehoist.http1 import ProtocolError
 from greengagehoist.replicas import Replica
 from greengagehoist.retries import NextStep, SendEnd
@@ -45,6 +47,7 @@
         left_ms=round((exchange.answer_deadline - now) * 1000),
         decision=type(step).__name__,
         shared_parts=_shared_parts(exchange),
+        request_key=format_key(request_key_of(exchange)),
     )
 
 
--- a/greengagehoist/quarantine/__init__.py
+++ b/greengagehoist/quarantine/__init__.py
@@ -6,7 +6,7 @@
     Crash,
     ServiceEvidence,
 )
-from greengagehoist.quarantine._keys import part_key, prompt_keys
+from greengagehoist.quarantine._keys import part_key, prompt_keys, request_key
 
 __all__ = [
     "Crash",
@@ -16,5 +16,6 @@
     "attribute_crashes",
     "part_key",
     "prompt_keys",
+    "request_key",
     "trial_delay_s",
 ]
