Hold back a request that crashes replicas whenever it comes again

Cause: the quarantine judged shared parts of prompts only. The class of the fault is that of the quarantine itself: a failure that a request causes is treated as one of the replica. Change: the request itself (method, host, path with query, caller, body) is one more suspect beside the parts of its prompt, in the same evidence, spread and trials. Requests that were under way at the same replicas are cleared by their answers. Stage calls and the project's own front end are not covered.

--- a/greengagehoist/gateway/controllers/_quarantine.py
+++ b/greengagehoist/gateway/controllers/_quarantine.py
@@ -1,4 +1,4 @@
-"""Controller that finds the prompt parts which end replicas, together with the other daemons."""
+"""Controller that finds the requests and prompt parts which end replicas, with the other daemons."""
 
 from typing import Any, NamedTuple
 
@@ -69,7 +69,8 @@
 
     Replied by whether its replica has ended, once that is known.
 
-    :param prompt: keys of the parts of its prompt, in order; empty if the answer had begun before.
+    :param prompt: keys of the shared parts of its prompt, of the request itself, and of what tells it
+        from others; empty if the answer had begun before.
     """
 
     service: str
@@ -80,7 +81,7 @@
 class ReportAnswer(NamedTuple):
     """Report a complete answer.
 
-    :param parts: keys of the shared parts of its prompt.
+    :param parts: keys of the shared parts of its prompt, and of the request itself.
     """
 
     service: str
@@ -90,7 +91,7 @@
 class RequestTrial(NamedTuple):
     """Ask whether a request may try parts in quarantine; replied by :class:`TrialDecision`.
 
-    :param parts: keys of the shared parts of its prompt.
+    :param parts: keys of the shared parts of its prompt, and of the request itself.
     """
 
     service: str
--- a/greengagehoist/gateway/filters/_quarantine.py
+++ b/greengagehoist/gateway/filters/_quarantine.py
@@ -1,4 +1,4 @@
-"""Filter that refuses requests whose prompt has a part that ends replicas."""
+"""Filter that refuses requests that end replicas, or whose prompt has a part that does."""
 
 from collections.abc import Iterable
 
@@ -12,6 +12,7 @@
     TrialDecision,
     format_key,
 )
+from greengagehoist.gateway.filters._request_key import request_key_of
 from greengagehoist.quarantine import prompt_keys
 from greengagehoist.replicas import Replica
 from greengagehoist.utils import Clock, Controller, Published, log_event
@@ -20,7 +21,7 @@
 # happens when a replica begins to write.
 BEGINNING_S = 0.3
 MIN_RETRY_AFTER_S = 1.0
-REASON = "a part of the prompt is in quarantine, because replicas ended when they answered it"
+REASON = "in quarantine: replicas ended when they answered this request or a part of its prompt"
 
 
 class QuarantineGate:
@@ -37,7 +38,7 @@
     async def admit(self, exchange: Exchange) -> NotRun | None:
         """Return a refusal, or None if the request may run, perhaps as a trial."""
         view = self._service_view(exchange)
-        parts = _shared_parts(exchange) if view is not None and view.held else frozenset()
+        parts = _suspects(exchange) if view is not None and view.held else frozenset()
         held = view.held.keys() & parts if parts else frozenset()
         if not held:
             return None
@@ -58,7 +59,7 @@
         progress, view = exchange.progress, self._service_view(exchange)
         if view is None or not view.held or (progress.on_trial and not progress.sends):
             return None
-        held = view.held.keys() & _shared_parts(exchange)
+        held = view.held.keys() & _suspects(exchange)
         if not held:
             return None
         _log_refused(exchange, held)
@@ -70,12 +71,10 @@
 
         A further send must not end another replica meanwhile.
         """
-        prompt, begun_at = exchange.req.prompt, exchange.progress.answer_begun_at
-        if prompt is None:
-            return
+        begun_at = exchange.progress.answer_begun_at
         keys: tuple[int, ...] = ()
         if begun_at is None or self.clock.monotonic() - begun_at <= BEGINNING_S:
-            keys = prompt_keys(part.part_id for part in prompt.parts)
+            keys = _crash_keys(exchange)
         await self.quarantine.ask(ReportBroken(exchange.service, replica, keys))
 
     def report_answer(self, exchange: Exchange) -> None:
@@ -83,18 +82,16 @@
         view = self._service_view(exchange)
         if view is None or not (view.suspected or view.awaiting_others):
             return
-        parts = _shared_parts(exchange)
+        parts = _suspects(exchange)
         if view.suspected & parts or view.awaiting_others - parts:
             self.quarantine.tell(ReportAnswer(exchange.service, parts))
 
     def _service_view(self, exchange: Exchange) -> ServiceView | None:
-        if exchange.req.prompt is None:
-            return None
         return self.view.value.services.get(exchange.service)
 
 
 class QuarantineFilter:
-    """Refuses requests with a part in quarantine before any work is done for them."""
+    """Refuses requests in quarantine before any work is done for them."""
 
     def __init__(self, gate: QuarantineGate):
         self.gate = gate
@@ -105,9 +102,19 @@
         return refusal if refusal is not None else await proceed(exchange)
 
 
-def _shared_parts(exchange: Exchange) -> frozenset[int]:
-    """Return the keys of the parts of the prompt that other requests may share."""
-    return frozenset(prompt_keys(part.part_id for part in exchange.req.prompt.parts[:-1]))
+def _crash_keys(exchange: Exchange) -> tuple[int, ...]:
+    """Return what may have ended a replica: shared parts of the prompt, then the request itself.
+
+    The last key tells requests apart; crashes under the same one may be repeats by chance.
+    """
+    parts = exchange.req.prompt.parts if exchange.req.prompt is not None else ()
+    keys, own = prompt_keys(part.part_id for part in parts), request_key_of(exchange)
+    return (*keys[:-1], own, keys[-1] if keys else own)
+
+
+def _suspects(exchange: Exchange) -> frozenset[int]:
+    """Return the keys of the request and of the parts that its prompt may share with others."""
+    return frozenset(_crash_keys(exchange)[:-1])
 
 
 def _format(keys: Iterable[int]) -> str:
@@ -118,6 +125,6 @@
     log_event(
         "request_refused",
         request=exchange.req.request_id,
-        reason="prompt part in quarantine",
+        reason="request or prompt part in quarantine",
         parts=_format(held),
     )
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -156,7 +156,8 @@
 
     :param born_ms: start of its incarnation in Unix milliseconds, 0 if unknown.
     :param age_s: seconds since its end.
-    :param prompts: keys of the parts of each prompt that it had not begun to answer, in order.
+    :param prompts: keys of each request that it had not begun to answer: shared parts of its prompt,
+        the request itself, and what tells it from others.
     """
 
     service: str
--- a/greengagehoist/quarantine/_evidence.py
+++ b/greengagehoist/quarantine/_evidence.py
@@ -22,8 +22,9 @@
 
     :param born_ms: start of its incarnation in Unix milliseconds, 0 if unknown.
     :param at: time of its end in seconds on the own clock.
-    :param prompts: keys of the parts of each of these requests, in order; the last key is that of a
-        part that other requests do not share. Empty if it had begun to answer all.
+    :param prompts: keys of each of these requests: the shared parts of its prompt, in order, the
+        request itself, and what tells it from other requests, which is not to blame. Empty if it
+        had begun to answer all.
     """
 
     replica_id: str
@@ -33,12 +34,12 @@
 
     @property
     def shared_parts(self) -> frozenset[int]:
-        """Keys of all parts that other requests may share."""
+        """Keys of all parts that other requests may share, and of requests that may come again."""
         return frozenset(key for prompt in self.prompts for key in prompt[:-1])
 
 
 class ServiceEvidence:
-    """What speaks for and against the parts of prompts that were under way when a replica ended.
+    """What speaks for and against requests, and parts of prompts, under way when a replica ended.
 
     A complete answer clears its parts of all crashes before. Daemons exchange their evidence; the
     order in which it arrives does not matter.
