Take no answer of a target or the platform whose head breaks off

Cause: the HTTP client library ends a head at the first line that is no header, also where the connection has ended. The gateway's own reader was sound. Change: the connection class of all links raises if a line has no line break, and if a line of the head is no header. Calls that may have run then end as unknown, reads as failed.

--- a/greengagehoist/http1/_bounded_connection.py
+++ b/greengagehoist/http1/_bounded_connection.py
@@ -5,15 +5,23 @@
 from aiosonic.connection import Connection
 
 from greengagehoist.http1._limits import MAX_BODY_BYTES, MAX_EVENT_BYTES, MAX_FRAMING_BYTES
+from greengagehoist.utils import show_value
 
 
 class ResponseTooLargeError(ValueError):
     """The peer sent more bytes than a response may have."""
 
 
+class IncompleteHeadError(EOFError):
+    """The head of a response, or another line outside its body, broke off."""
+
+
 class StreamConnection(Connection):
     """A connection whose responses may be streams of any length.
 
+    The client library ends a head at the first line that is no header, also where the connection
+    has ended, so that half a head would pass for a whole response. Such lines are errors here.
+
     Lines in a row, which are the status line, the headers, a chunk header or trailers, are limited
     to ``MAX_FRAMING_BYTES``, and a chunk to ``MAX_EVENT_BYTES``.
     """
@@ -23,6 +31,7 @@
     def __init__(self, *args: Any, **kwargs: Any):
         super().__init__(*args, **kwargs)
         self._framing_bytes = 0
+        self._in_head = False
 
     def reuse(self, *args: Any, **kwargs: Any) -> bool:
         """Return whether the next request may use this connection.
@@ -35,15 +44,24 @@
 
     def write(self, data: bytes) -> None:
         """Queue bytes of a request, after which a new response is expected."""
-        self._framing_bytes = 0
+        self._framing_bytes, self._in_head = 0, True
         super().write(data)
 
     async def readline(self) -> bytes:
-        """Read a line.
+        """Read a line of the head, a chunk header or a trailer.
 
         :raises ResponseTooLargeError: if the lines in a row are too long.
+        :raises IncompleteHeadError: if the connection ends before the end of the line.
+        :raises ValueError: if a line of the head is no header.
         """
-        return self._count_line(await super().readline())
+        line = self._count_line(await super().readline())
+        if not line.endswith(b"\n"):
+            raise IncompleteHeadError("connection closed in the middle of a response")
+        if self._in_head and b":" not in line:
+            if line.strip():
+                raise ValueError(f"line of a response's head is no header: {show_value(line)}")
+            self._in_head = False
+        return line
 
     async def readuntil(self, separator: bytes = b"\n") -> bytes:
         """Read up to a separator, like :meth:`readline`."""
