Test requests whose parts come late in the grace period

Change: requests in two parts, up to 0.45 s apart, as HTTP/1.0 and 1.1, on three kinds of route, sent until the process has ended.

--- a/greengagehoist/daemon/tests/test_gateway_stop.py
+++ b/greengagehoist/daemon/tests/test_gateway_stop.py
@@ -331,6 +331,59 @@
     run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=6.0))
 
 
+async def send_in_parts(system, path, version, pause_s, stopped_at):
+    """Send a request in two parts; ``sent_s`` of the outcome is the time of the second."""
+    now = asyncio.get_running_loop().time
+    try:
+        sock = await system.connect()
+    except (OSError, TimeoutError):
+        return None
+    data = system.encode(path, b"x" * 300, **PIECES).replace(b"HTTP/1.1", version, 1)
+    request_id = f"r{system.request_count}"
+    sock.write(data[:-100])
+    await asyncio.sleep(pause_s)
+    sent_s = now() - stopped_at
+    sock.write(data[-100:])
+    reader = ResponseReader(sock, b"POST")
+    try:
+        head = await reader.head()
+        await reader.whole_body()
+    except IncompleteError:
+        return Outcome(request_id, 0, sent_s)
+    finally:
+        sock.abort()
+    retry_after = get_header(head.headers, b"retry-after")
+    return Outcome(request_id, head.status, sent_s, retry_after)
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+@pytest.mark.parametrize("path", ["/book/", "/once/", "/deep/"])
+def test_request_whose_parts_come_late_in_the_grace_is_answered_or_refused(
+    run_scenario, path, version
+):
+    """Guards against requests that are passed on, or read, and then cut by the end of the process."""
+
+    async def scenario(system):
+        loop = asyncio.get_running_loop()
+        for replica in system.replicas:
+            replica.pause_s = 0.05
+        assert (await system.call(path, **PIECES))[0] == 200
+        stopped_at = loop.time()
+        stopping = asyncio.ensure_future(system.daemons[0].stop())
+        tasks = []
+        while not stopping.done():
+            pause_s = 0.05 * (len(tasks) % 10)
+            sending = send_in_parts(system, path, version, pause_s, stopped_at)
+            tasks.append(asyncio.ensure_future(sending))
+            await asyncio.sleep(0.03)
+        ended_s = loop.time() - stopped_at
+        outcomes = [item for item in await asyncio.gather(*tasks) if item is not None]
+        await stopping
+        assert_none_is_cut(system, outcomes, ended_s)
+
+    run_scenario(scenario, bounds=STOP_BOUNDS)
+
+
 async def read_slowly(system, path):
     """Send a request and read the answer over a slow link; returns the number of bytes."""
     loop = asyncio.get_running_loop()
