Compare the arrival of requests with the time in which a replica leaves

Cause: the soak's check took the time of the client's send for that of the arrival. Change: stand-ins record when each request arrives; a request that arrives after the replica has started again reaches one that does not leave. Requests that the replica rejects are counted too.

--- a/benchmarks/_soak_checks.py
+++ b/benchmarks/_soak_checks.py
@@ -88,9 +88,10 @@
     replicas = {replica.replica_id: replica for replica in system.replicas}
     for replica_id, since, until in left:
         told = [item for item in by_id.values() if item.leaving == replica_id]
-        for request_id in replicas[replica_id].ran:
+        for at, request_id in replicas[replica_id].received:
             sent = by_id.get(request_id)
-            if sent is None or not since < sent.sent_at < until:
+            # The request may reach the next incarnation, which does not leave.
+            if sent is None or sent.sent_at < since or at > until:
                 continue
             answers = [
                 item.sent_at + item.took_s
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -146,6 +146,7 @@
     :ivar born: start of its incarnation in its list entry.
     :ivar leaving: whether its answers say that it is leaving.
     :ivar arrived_at: times on the event loop's clock at which requests and stage calls reached it.
+    :ivar received: time on the event loop's clock and id of each request, except stage calls.
     :ivar limit: limit that its answers name, None for none.
     :ivar padding: bytes at the end of each plain answer.
     """
@@ -170,6 +171,7 @@
         self.leaving = False
         self.born = 1
         self.arrived_at: list[float] = []
+        self.received: list[tuple[float, str]] = []
         self.limit: bytes | None = None
         self.padding = b""
         self._restart: asyncio.Task | None = None
@@ -210,6 +212,7 @@
     async def _run(self, sock: Socket, request: Request) -> None:
         self.requests.append(request)
         request_id = get_header(request.head.headers, REQUEST_ID.lower())
+        self.received.append((asyncio.get_running_loop().time(), request_id.decode()))
         match self.behaviour:
             case Full():
                 headers = ((REQUEST_ID, request_id), (NOT_EXECUTED, b"1"))
