Let replicas of the soak name limits

Cause: no run of the soak played limits. Change: a replica names a limit of 0 to 8 a second, perhaps a second one, perhaps a value that is no number. The check counts requests of gateways in touch that had passed on such an answer half a second before, in four seconds, by their arrival at the replica.

--- a/benchmarks/_soak_checks.py
+++ b/benchmarks/_soak_checks.py
@@ -1,5 +1,6 @@
 """Checks of the soak: what clients were told against what replicas have seen."""
 
+from bisect import bisect_left
 from collections import Counter
 from typing import NamedTuple
 
@@ -14,6 +15,21 @@
 CONTACT_S = 3.0
 COUNTED_CRASHES = 5
 MAX_LATE_REQUESTS = 3
+# Within a limit, a replica may get one and a half times what it allows, and five requests.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+# A gateway keeps a limit from this time after an answer that names it.
+LIMIT_KNOWN_S = 0.5
+
+
+class LimitedTime(NamedTuple):
+    """Time in which a replica has named one limit in all its answers."""
+
+    replica_id: str
+    per_s: float
+    since: float
+    until: float
 
 
 class RequestRecord(NamedTuple):
@@ -23,6 +39,7 @@
     :param took_s: seconds until the response or the failure.
     :param bad: whether the prompt has the part that ends engines.
     :param leaving: id of the replica that said in the answer that it leaves, or empty.
+    :param limited: id of the replica that named a limit in the answer, or empty.
     :param gave_up: whether the client left early.
     """
 
@@ -36,6 +53,7 @@
     gateway: int
     bad: bool
     leaving: str
+    limited: str
     gave_up: bool
 
 
@@ -44,6 +62,7 @@
     sent: list[RequestRecord],
     revoked: dict[str, float],
     left: list[tuple[str, float, float]],
+    limited: list[LimitedTime],
 ) -> list[str]:
     """Return the violated guarantees.
 
@@ -53,6 +72,7 @@
     by_id = {item.request_id: item for item in sent}
     findings = _check_runs(system, by_id, revoked)
     findings += _check_leaving(system, by_id, left)
+    findings += _check_limits(system, by_id, limited)
     findings += _check_crashing_part(system, by_id)
     findings += _check_stops(system, by_id)
     return findings + _check_pieces(system)
@@ -105,6 +125,36 @@
     return findings
 
 
+def _check_limits(
+    system: SoakSystem, by_id: dict[str, RequestRecord], limited: list[LimitedTime]
+) -> list[str]:
+    """Return the limits that gateways exceeded which had passed on an answer that names them."""
+    findings = []
+    replicas = {replica.replica_id: replica for replica in system.replicas}
+    for replica_id, per_s, since, until in limited:
+        told: dict[int, float] = {}
+        for item in by_id.values():
+            answered_at = item.sent_at + item.took_s
+            if item.limited == replica_id and since < answered_at < until:
+                earliest = min(answered_at, told.get(item.gateway, answered_at))
+                told[item.gateway] = earliest
+        counted = []
+        for at, request_id in replicas[replica_id].received:
+            sent = by_id.get(request_id)
+            if sent is None or not since + CONTACT_S < at < until:
+                continue
+            known_at = told.get(sent.gateway, until) + LIMIT_KNOWN_S
+            if at > known_at and system.gateways[sent.gateway].is_in_touch(at, CONTACT_S):
+                counted.append(at)
+        most = max(
+            (bisect_left(counted, at + LIMIT_WINDOW_S) - n for n, at in enumerate(counted)),
+            default=0,
+        )
+        if most > LIMIT_FACTOR * LIMIT_WINDOW_S * per_s + LIMIT_SLACK:
+            findings.append(f"{replica_id}: {most} requests in 4 s at a limit of {per_s} a second")
+    return findings
+
+
 def _check_stops(system: SoakSystem, by_id: dict[str, RequestRecord]) -> list[str]:
     """Return the requests without an answer that a stopping gateway had passed on.
 
--- a/benchmarks/_soak_faults.py
+++ b/benchmarks/_soak_faults.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 
+from benchmarks._soak_checks import LimitedTime
 from benchmarks._soak_proxy import (
     Delaying,
     FaultProxy,
@@ -57,6 +58,7 @@
         self.applied: Counter = Counter()
         self.revoked: dict[str, float] = {}
         self.left: list[tuple[str, float, float]] = []
+        self.limited: list[LimitedTime] = []
         self._tasks: set[asyncio.Task] = set()
         self._busy: set[str] = set()
 
@@ -78,6 +80,7 @@
             self._revoke,
             self._drain,
             self._leave,
+            self._limit,
         )
         await self.rng.choice(choices)()
 
@@ -199,3 +202,19 @@
         self.left.append((replica.replica_id, since, time.monotonic()))
         replica.leaving, replica.born = False, replica.born + 1
         self.system.write_replica_entry(replica)
+
+    async def _limit(self) -> None:
+        """Let a replica name a limit, then perhaps another one or no number."""
+        replica = self._choose_replica()
+        if replica.limit is not None:
+            return
+        self.applied["limit"] += 1
+        for _ in range(self.rng.randint(1, 2)):
+            per_s, since = self.rng.choice((0.0, 0.5, 1.0, 2.5, 8.0)), time.monotonic()
+            replica.limit = b"%.1f" % per_s
+            await asyncio.sleep(self.rng.uniform(1.0, 9.0))
+            self.limited.append(LimitedTime(replica.replica_id, per_s, since, time.monotonic()))
+        if self.rng.random() < 0.3:
+            replica.limit = self.rng.choice((b"nan", b"-1", b"", b"1e9"))
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        replica.limit = None
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -105,12 +105,14 @@
         sock.write(encode_request(b"POST", f"/{kind}/x".encode(), headers, body))
         status, received, reader = 0, b"", ResponseReader(sock, b"POST")
         disconnects_early = not patient and self.rng.random() < 0.05
-        leaving = ""
+        leaving = limited = ""
         try:
             async with asyncio.timeout(0.05 if disconnects_early else DEADLINE_S + LATE_MARGIN_S):
                 head = await reader.head()
                 if get_header(head.headers, b"server-leaving") is not None:
                     leaving = (get_header(head.headers, STAMP) or b"").decode()
+                if get_header(head.headers, b"server-limit") is not None:
+                    limited = (get_header(head.headers, STAMP) or b"").decode()
                 received = await reader.whole_body()
                 status = head.status
         except (IncompleteError, TimeoutError):
@@ -129,6 +131,7 @@
             gateway,
             bad,
             leaving,
+            limited,
             disconnects_early,
         )
         self.sent.append(sent)
@@ -181,7 +184,7 @@
         await asyncio.gather(*tasks)
         findings = await check_recovery(system, clients)
         findings += clients.findings
-        findings += check_results(system, clients.sent, faults.revoked, faults.left)
+        findings += check_results(system, clients.sent, faults.revoked, faults.left, faults.limited)
         outcomes = Counter(f"{sent.kind}:{sent.status}" for sent in clients.sent)
         return (
             findings,
