Refuse requests whose permit does not come in time

Cause: a request that waited for a permit of its own daemon had no time-out; if more urgent ones took the permits it expected, it waited until its deadline. Found by reading. Change: permits of the own daemon time out like those of another owner. An owner that has not learnt a limit yet refuses for a moment instead of granting at the rate that the peer names. Result: a test of each passes, and fails with its guard switched off.

--- a/greengagehoist/gateway/controllers/_send_limits.py
+++ b/greengagehoist/gateway/controllers/_send_limits.py
@@ -39,6 +39,7 @@
 OWNER_TIMEOUT_S = 0.15
 # Retry-After while the owner of a limit, or the number of daemons, is unknown.
 PENDING_RETRY_AFTER_S = 0.3
+PENDING = Refused(PENDING_RETRY_AFTER_S)
 # Permits are granted at most this much after their time.
 MIN_WAKE_S = 0.002
 
@@ -157,7 +158,7 @@
             case ReachChanged(reach):
                 self._apply_reach(reach)
             case _TimedOut(number):
-                self._end(number, Refused(PENDING_RETRY_AFTER_S))
+                self._end(number, PENDING)
             case _Wake(key):
                 self._wakes.discard(key)
                 self._grant_due(key)
@@ -240,28 +241,28 @@
         owner = choose_owner(self.own.vm, self.topology, self.reach.value, service)
         self._last_number += 1
         number, key = self._last_number, incarnation_of(ask.replica)
-        if owner == self.own.vm:
-            self._pending[number] = _Pending(ask, reply, "", until)
-            self._decide_own(number, key, until)
-            return
-        self._pending[number] = _Pending(ask, reply, owner, until)
-        wait_s = max(0.0, until - self.clock.monotonic())
-        per_s = self.view.value.get(key, 0.0)
-        self.start(self._ask_owner(PermitRequest(number, *key, per_s, ask.rank, wait_s)))
-
-    async def _ask_owner(self, request: PermitRequest) -> None:
-        if await self.peers.ask(SendTo(self._pending[request.number].owner, request)):
-            await self.clock.sleep(OWNER_TIMEOUT_S + request.max_wait_s)
-        self.tell(_TimedOut(request.number))
-
-    def _decide_own(self, number: int, key: Incarnation, until: float) -> None:
-        ask = self._pending[number].ask
         wait_s = max(0.0, until - self.clock.monotonic())
-        match self._decide(key, self.view.value.get(key), ask.rank, "", number, wait_s):
+        if owner != self.own.vm:
+            self._pending[number] = _Pending(ask, reply, owner, until)
+            request = PermitRequest(number, *key, ask.rank, wait_s)
+            self.start(self._ask_owner(owner, request))
+            return
+        match self._decide(key, ask.rank, "", number, wait_s):
             case Queued():
-                pass
+                self._pending[number] = _Pending(ask, reply, "", until)
+                self.start(self._time_out(number, wait_s))
             case decision:
-                self._end(number, decision)
+                reply(decision)
+
+    async def _ask_owner(self, owner: str, request: PermitRequest) -> None:
+        wait_s = 0.0
+        if await self.peers.ask(SendTo(owner, request)):
+            wait_s = OWNER_TIMEOUT_S + request.max_wait_s
+        await self._time_out(request.number, wait_s)
+
+    async def _time_out(self, number: int, wait_s: float) -> None:
+        await self.clock.sleep(wait_s)
+        self.tell(_TimedOut(number))
 
     def _end(self, number: int, decision: Granted | Refused) -> None:
         pending = self._pending.pop(number, None)
@@ -295,35 +296,26 @@
     def _decide_for_peer(self, vm: str, request: PermitRequest) -> None:
         key = (request.replica_id, request.born_ms)
         state = self._limits.state_of(key)
-        per_s = self.view.value.get(key)
-        if state is None:
-            # The report of the limit is still on its way.
-            per_s = request.per_s
-        elif not state.in_force:
+        if state is not None and not state.in_force:
             self._send_state(vm, key, state)
-        decision = self._decide(
-            key, per_s, request.rank, vm, request.number, max(0.0, request.max_wait_s)
-        )
-        match decision:
+        wait_s = max(0.0, request.max_wait_s)
+        # Without a state, the report of the limit is still on its way.
+        known = state is not None
+        match self._decide(key, request.rank, vm, request.number, wait_s) if known else PENDING:
             case Granted():
                 self._grant(vm, request.number)
             case Refused(retry_after_s):
                 self.peers.tell(SendTo(vm, PermitReply(request.number, False, retry_after_s)))
 
     def _decide(
-        self,
-        key: Incarnation,
-        per_s: float | None,
-        rank: int,
-        vm: str,
-        number: int,
-        max_wait_s: float,
+        self, key: Incarnation, rank: int, vm: str, number: int, max_wait_s: float
     ) -> Granted | Queued | Refused:
+        per_s = self.view.value.get(key)
         if per_s is None:
             return Granted()
         now, rate = self.clock.monotonic(), self._own_rate(per_s)
         if not rate:
-            return Refused(PENDING_RETRY_AFTER_S)
+            return PENDING
         if key not in self._queues:
             self._queues[key] = PermitQueue(rate, now)
         self._grant_due(key)
--- a/greengagehoist/gateway/tests/test_send_limits.py
+++ b/greengagehoist/gateway/tests/test_send_limits.py
@@ -14,7 +14,11 @@
     Topology,
 )
 from greengagehoist.gateway.controllers._reach import ReachChanged
-from greengagehoist.gateway.controllers._send_limits import PENDING_RETRY_AFTER_S, _Wake
+from greengagehoist.gateway.controllers._send_limits import (
+    PENDING_RETRY_AFTER_S,
+    _TimedOut,
+    _Wake,
+)
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
 from greengagehoist.membership import Member
 from greengagehoist.peers import (
@@ -38,7 +42,12 @@
 class Running(SendLimitController):
     """A controller whose tasks the test plays itself."""
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.started = []
+
     def start(self, coro):
+        self.started.append(coro.__name__)
         coro.close()
 
 
@@ -119,7 +128,7 @@
     assert deliver(controller, AcquireSend(REPLICA, 0)) == [Refused(1.0)]
     advance(clock, 1.0)
     assert deliver(controller, AcquireSend(REPLICA, 0)) == [Granted()]
-    deliver(controller, from_peer(PermitRequest(7, *KEY, 1.0, 0, 0.0)))
+    deliver(controller, from_peer(PermitRequest(7, *KEY, 0, 0.0)))
     assert peers.sent(PermitReply) == [PermitReply(7, False, 1.0)]
 
 
@@ -127,7 +136,7 @@
     controller, peers = make_controller()
     observe(controller, clock, Limited(1.0))
     replies = deliver(controller, AcquireSend(REPLICA, 5, 9.0))
-    deliver(controller, from_peer(PermitRequest(7, *KEY, 1.0, 0, 9.0)))
+    deliver(controller, from_peer(PermitRequest(7, *KEY, 0, 9.0)))
     advance(clock, 1.0)
     deliver(controller, _Wake(KEY))
     assert (replies, peers.sent(PermitReply)) == ([], [PermitReply(7, True, 0.0)])
@@ -193,8 +202,27 @@
     owner, peers = make_controller()
     observe(owner, clock, Limited(1.0))
     for number in (1, 2):
-        deliver(owner, from_peer(PermitRequest(number, *KEY, 1.0, 0, 9.0)))
+        deliver(owner, from_peer(PermitRequest(number, *KEY, 0, 9.0)))
     deliver(owner, from_peer(PermitCancel(1)))
     advance(clock, 1.0)
     deliver(owner, _Wake(KEY))
     assert peers.sent(PermitReply) == [PermitReply(2, True, 0.0)]
+
+
+def test_request_whose_permit_does_not_come_in_time_is_refused(make_controller, clock):
+    """A more urgent request may take the permit that a waiting one expects."""
+    controller, _ = make_controller()
+    observe(controller, clock, Limited(1.0))
+    replies = deliver(controller, AcquireSend(REPLICA, 5, 1.5))
+    assert "_time_out" in controller.started
+    deliver(controller, from_peer(PermitRequest(7, *KEY, 0, 9.0)))
+    advance(clock, 2.0)
+    deliver(controller, _Wake(KEY))
+    deliver(controller, _TimedOut(1))
+    assert replies == [Refused(PENDING_RETRY_AFTER_S)]
+
+
+def test_owner_that_has_not_learnt_the_limit_grants_nothing(make_controller):
+    controller, peers = make_controller()
+    deliver(controller, from_peer(PermitRequest(7, *KEY, 0, 9.0)))
+    assert peers.sent(PermitReply) == [PermitReply(7, False, PENDING_RETRY_AFTER_S)]
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -221,7 +221,6 @@
 class PermitRequest(NamedTuple):
     """Ask the owner of a replica's limit for a permit to send one request.
 
-    :param per_s: the limit as the sender knows it.
     :param rank: 0 is the most urgent.
     :param max_wait_s: seconds for which the request can wait.
     """
@@ -229,7 +228,6 @@
     number: int
     replica_id: str
     born_ms: int
-    per_s: float
     rank: int
     max_wait_s: float
 
