Refuse requests before their stages if no replica takes them in time

Cause: a request with stages learnt only after its stages that all engines are at their limits or have asked for a pause; the stage work was thrown away. Change: the stage filter asks for the placement first, and one function decides for both filters whether the next replica comes too late for the deadline.

--- a/greengagehoist/daemon/tests/test_gateway_limits.py
+++ b/greengagehoist/daemon/tests/test_gateway_limits.py
@@ -6,6 +6,7 @@
 import pytest
 
 from greengagehoist.daemon.tests.gateway_system import group_of
+from greengagehoist.http1 import get_header
 
 # The rule: in four seconds one and a half times what the limit allows, and five requests.
 WINDOW_S = 4.0
@@ -74,3 +75,19 @@
             assert len(late) >= 0.8 * limit * (seconds - CONTACT_S)
 
     run_scenario(scenario, daemons=DAEMONS)
+
+
+def test_no_stage_runs_for_a_request_that_no_replica_takes_in_time(run_scenario):
+    """Stage work was thrown away for each request that the limits of all engines refuse."""
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.limit = b"0"
+        await send_for(system, "/deep/", 0.5)
+        calls = sum(len(replica.calls) for replica in system.pool)
+        status, headers, _ = await system.call("/deep/", **STAGES)
+        assert status == 503
+        assert float(get_header(headers, b"retry-after")) > 1.0
+        assert sum(len(replica.calls) for replica in system.pool) == calls
+
+    run_scenario(scenario)
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -61,7 +61,7 @@
 
 
 class FindHome(NamedTuple):
-    """Ask which replica :class:`Choose` would return now; replied by ``Replica | None``.
+    """Ask what :class:`Choose` would return now; replied by ``Replica | NotBefore | None``.
 
     No replica counts as busy because of this query.
     """
@@ -151,8 +151,7 @@
             case Choose():
                 reply(self._choose(message))
             case FindHome(service, affinity, model):
-                found = self._find(Choose(service, affinity, frozenset(), model))
-                reply(found if isinstance(found, Replica) else None)
+                reply(self._find(Choose(service, affinity, frozenset(), model)))
             case RequestEnded():
                 self._record_end(message)
             case AnswerObserved():
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -27,6 +27,7 @@
     RequestEnded,
 )
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
+from greengagehoist.gateway.filters._late_start import refuse_late_start
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
 from greengagehoist.gateway.filters._send_limits import SendLimitGate
@@ -72,7 +73,6 @@
 # A connect takes a few milliseconds unless the replica is unreachable or overloaded.
 CONNECT_TIMEOUT_S = 0.25
 RETRY_AFTER_S = 0.4
-MIN_RETRY_AFTER_S = 0.1
 # An idempotent request goes to another replica after this multiple of its target latency.
 RESPONSE_TIMEOUT_FACTOR = 3.0
 OK = 200
@@ -167,11 +167,12 @@
                     if replica_id == permitted or await self._may_send(exchange, found):
                         return found
                 case NotBefore(at, replica):
-                    wait_s = at - self.clock.monotonic()
+                    now = self.clock.monotonic()
+                    refusal = refuse_late_start(exchange, found, now)
+                    if refusal is not None:
+                        return refusal
+                    wait_s = max(0.0, at - now)
                     max_wait_s = remaining_s - exchange.route.target_latency_s
-                    if wait_s > max_wait_s:
-                        reason = "all replicas have asked for a pause or are at their limits"
-                        return failure_reply(progress, reason, max(wait_s, MIN_RETRY_AFTER_S))
                     if not self.limits.is_limited(replica):
                         await self.clock.sleep(wait_s)
                     elif await self.limits.wait(exchange, replica, at, max_wait_s):
--- a/greengagehoist/gateway/filters/_stages.py
+++ b/greengagehoist/gateway/filters/_stages.py
@@ -24,9 +24,10 @@
     SubmitStage,
 )
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
+from greengagehoist.gateway.filters._late_start import refuse_late_start
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
 from greengagehoist.pieces import StageWork, estimate_completion_s
-from greengagehoist.replicas import Affinity, AnyReplica, PromptAffinity, ReplicaTable
+from greengagehoist.replicas import Affinity, AnyReplica, PromptAffinity, Replica, ReplicaTable
 from greengagehoist.utils import Clock, Controller, Published, log_event
 
 # No request is refused if its longest expected wait at a pool is below this.
@@ -82,9 +83,18 @@
             return await proceed(exchange)
         handles: dict[int, tuple[str, ...]] = {}
         try:
-            refusal = await self._refuse_overload(exchange)
+            prompt = exchange.req.prompt
+            found = await self.placement.ask(
+                FindHome(exchange.service, affinity_of(prompt), prompt.model if prompt else "")
+            )
+            refusal = refuse_late_start(exchange, found, self.clock.monotonic())
+            refusal = refusal or await self._refuse_overload(exchange)
             if refusal is not None:
                 return refusal
+            if isinstance(found, Replica) and (
+                prompt is None or shared_tokens(prompt) >= MIN_HOME_TOKENS
+            ):
+                exchange = exchange._replace(home=found)
             return await self._serve(exchange, handles, proceed)
         finally:
             reserved = not exchange.progress.stages_done
@@ -94,12 +104,6 @@
     async def _serve(
         self, exchange: Exchange, handles: dict[int, tuple[str, ...]], proceed: Proceed
     ) -> Reply:
-        prompt = exchange.req.prompt
-        if prompt is None or shared_tokens(prompt) >= MIN_HOME_TOKENS:
-            home = await self.placement.ask(
-                FindHome(exchange.service, affinity_of(prompt), prompt.model if prompt else "")
-            )
-            exchange = exchange._replace(home=home)
         for attempt in range(MAX_STAGE_ATTEMPTS):
             reply = await self._run_attempt(exchange, attempt, handles, proceed)
             if not isinstance(reply, InputsLost):
