--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from greengagehoist.deployment import PoolLimits
+from greengagehoist.gateway.controllers._pool_replica import PoolReplica
 from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker
 from greengagehoist.pieces import (
     InputGone,
@@ -11,7 +12,6 @@
     JobKey,
     Made,
     NotMade,
-    Piece,
     PoolQueue,
     Reservation,
     ResultMemory,
@@ -31,15 +31,8 @@
 # A call that takes this many times its usual duration is repeated at another replica.
 OVERDUE_FACTOR = 2.5
 OVERDUE_MARGIN_S = 0.15
-# Weight of a new sample in the moving average of a replica's slowness.
-SLOWNESS_SMOOTHING = 0.4
 # A replica whose slowness reaches this gets work only if all usable replicas are that slow.
 SLOWNESS_LIMIT = 1.8
-# Slowness decays with this half-life, so that a replica that has recovered is tried again.
-SLOWNESS_HALF_LIFE_S = 3.0
-MIN_BACKOFF_S = 0.3
-MAX_BACKOFF_S = 2.0
-REJECTED_BACKOFF_S = 0.05
 # Back-off of all replicas of a data centre that appears to be unreachable.
 ZONE_BACKOFF_S = 1.0
 # Expected wait at a pool without replicas, longer than any request waits.
@@ -71,58 +64,6 @@
     orphaned: tuple[str, ...]
 
 
-class PoolReplica:
-    """A replica of the pool as its owner sees it."""
-
-    __slots__ = ("asks_permit", "avoid_until", "expected_s", "failures", "overdue")
-    __slots__ += ("permit_until", "pieces", "replica")
-    __slots__ += ("result_memory", "slowness_updated_at", "slowness", "started", "worker")
-
-    def __init__(self, replica: Replica, worker: PoolWorker, result_memory: ResultMemory):
-        self.replica = replica
-        self.worker = worker
-        self.result_memory = result_memory
-        self.pieces: tuple[Piece, ...] | None = None
-        self.started = 0.0
-        self.expected_s = 0.0
-        self.overdue = False
-        self.slowness = 1.0
-        self.slowness_updated_at = 0.0
-        self.failures = 0
-        self.avoid_until = 0.0
-        self.asks_permit = False
-        self.permit_until = 0.0
-
-    def slowness_at(self, now: float) -> float:
-        """Return the duration of the replica's calls relative to the expected one."""
-        decay = 0.5 ** ((now - self.slowness_updated_at) / SLOWNESS_HALF_LIFE_S)
-        return 1.0 + (self.slowness - 1.0) * decay
-
-    def observe(self, end: BatchEnded, now: float) -> None:
-        """Update the slowness or the back-off of the replica from the end of a call."""
-        if not end.failure:
-            self.failures = 0
-            sample = end.duration_s / max(0.001, self.expected_s)
-            current = self.slowness_at(now)
-            self.slowness = current + SLOWNESS_SMOOTHING * (sample - current)
-            self.slowness_updated_at = now
-            return
-        backoff = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**self.failures)
-        if end.failure == "rejected":
-            backoff = REJECTED_BACKOFF_S
-        else:
-            self.failures += 1
-        self.avoid_until = now + backoff
-        log_event(
-            "stage_call_failed",
-            "WARNING",
-            replica=end.replica_id,
-            failure=end.failure,
-            pieces=len(end.pieces),
-            duration_ms=round(end.duration_s * 1000),
-        )
-
-
 class OwnedPool:
     """Queue and replicas of one service, owned by the pool controller.
 
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -15,20 +15,17 @@
     StreamBroken,
     StreamEnded,
     WireFormat,
-    failure_reply,
 )
 from greengagehoist.gateway._events import EventSplitter
 from greengagehoist.gateway.controllers import (
     AnswerObserved,
-    Choose,
     FreeResults,
     LoadReported,
-    NotBefore,
     RequestEnded,
 )
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
-from greengagehoist.gateway.filters._late_start import refuse_late_start
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
+from greengagehoist.gateway.filters._replica_choice import RETRY_AFTER_S, ReplicaChooser
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
 from greengagehoist.gateway.filters._send_limits import SendLimitGate
 from greengagehoist.gateway.filters._send_log import (
@@ -37,7 +34,6 @@
     log_sent,
 )
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
-from greengagehoist.gateway.filters._stages import affinity_of
 from greengagehoist.gateway.filters._stream_relay import (
     new_splitter,
     relay_stream,
@@ -52,7 +48,7 @@
     get_header,
     open_socket,
 )
-from greengagehoist.replicas import Granted, Replica
+from greengagehoist.replicas import Replica
 from greengagehoist.retries import (
     AbortAnswer,
     Broken,
@@ -68,11 +64,10 @@
     decide_next,
     is_retryable,
 )
-from greengagehoist.utils import Clock, Controller, log_event
+from greengagehoist.utils import Clock, Controller
 
 # A connect takes a few milliseconds unless the replica is unreachable or overloaded.
 CONNECT_TIMEOUT_S = 0.25
-RETRY_AFTER_S = 0.4
 # An idempotent request goes to another replica after this multiple of its target latency.
 RESPONSE_TIMEOUT_FACTOR = 3.0
 OK = 200
@@ -115,6 +110,7 @@
         self.gate = gate
         self.limits = limits
         self.shutdown = shutdown
+        self.chooser = ReplicaChooser(placement, gate, limits, shutdown, clock)
         self.budgets = budgets
         self.wire = wire
         self.clock = clock
@@ -126,7 +122,7 @@
             self.budgets.service_budget(exchange.service).observe_request(self.clock.monotonic())
         splitter = progress.splitter = progress.splitter or new_splitter(exchange)
         while True:
-            replica = await self._choose(exchange)
+            replica = await self.chooser.choose(exchange)
             if not isinstance(replica, Replica):
                 return replica
             end = await self._send(exchange, replica, splitter)
@@ -143,57 +139,6 @@
             if reply is not None:
                 return reply
 
-    async def _choose(self, exchange: Exchange) -> Replica | Reply:
-        """Return the replica for the next send, or a reply if there will be none in time."""
-        progress, permitted = exchange.progress, ""
-        while True:
-            remaining_s = exchange.answer_deadline - self.clock.monotonic()
-            if remaining_s <= 0:
-                return failure_reply(progress, "request timed out", RETRY_AFTER_S, timed_out=True)
-            refusal = self.shutdown.refuse(exchange) or self.gate.refuse_send(exchange)
-            if refusal is not None:
-                return refusal
-            found = await self.placement.ask(
-                Choose(
-                    exchange.service,
-                    affinity_of(exchange.req.prompt, exchange.inputs_zone),
-                    progress.tried,
-                    model_of(exchange),
-                    permitted,
-                )
-            )
-            match found:
-                case Replica(replica_id):
-                    if replica_id == permitted or await self._may_send(exchange, found):
-                        return found
-                case NotBefore(at, replica):
-                    now = self.clock.monotonic()
-                    refusal = refuse_late_start(exchange, found, now)
-                    if refusal is not None:
-                        return refusal
-                    wait_s = max(0.0, at - now)
-                    max_wait_s = remaining_s - exchange.route.target_latency_s
-                    if not self.limits.is_limited(replica):
-                        await self.clock.sleep(wait_s)
-                    elif await self.limits.wait(exchange, replica, at, max_wait_s):
-                        permitted = replica.replica_id
-                case None:
-                    log_event(
-                        "no_replica",
-                        "WARNING",
-                        request=exchange.req.request_id,
-                        service=exchange.service,
-                        tried=len(progress.tried),
-                    )
-                    return failure_reply(progress, "no replica available", RETRY_AFTER_S)
-
-    async def _may_send(self, exchange: Exchange, replica: Replica) -> bool:
-        """Return whether there is room for the request within the limit of its replica."""
-        if await self.limits.acquire(exchange, replica) == Granted():
-            return True
-        self.placement.tell(RequestEnded(replica.replica_id, "cancelled"))
-        return False
-
     def _handle_failed_send(
         self, exchange: Exchange, replica: Replica, end: SendEnd
     ) -> Reply | None:
@@ -401,8 +346,3 @@
         case Relayed(head, _):
             return head.status < FIRST_ERROR_STATUS
     return False
-
-
-def model_of(exchange: Exchange) -> str:
-    """Return the model of an engine request, empty for others."""
-    return exchange.req.prompt.model if exchange.req.prompt is not None else ""
--- /dev/null
+++ b/greengagehoist/gateway/filters/_replica_choice.py
@@ -0,0 +1,93 @@
+"""Choice of the replica for the next send of a request."""
+
+from greengagehoist.gateway import Exchange, Reply, failure_reply
+from greengagehoist.gateway.controllers import Choose, NotBefore, RequestEnded
+from greengagehoist.gateway.filters._late_start import refuse_late_start
+from greengagehoist.gateway.filters._quarantine import QuarantineGate
+from greengagehoist.gateway.filters._send_limits import SendLimitGate
+from greengagehoist.gateway.filters._shutdown import ShutdownGate
+from greengagehoist.gateway.filters._stages import affinity_of
+from greengagehoist.replicas import Granted, Replica
+from greengagehoist.utils import Clock, Controller, log_event
+
+RETRY_AFTER_S = 0.4
+
+
+class ReplicaChooser:
+    """Chooses replicas, and waits for one where requests may be sent soon.
+
+    :param placement: controller that chooses the replicas.
+    :param gate: refuses requests in quarantine.
+    :param limits: knows the limits that replicas name.
+    :param shutdown: refuses sends whose answers would outlive the process.
+    """
+
+    def __init__(
+        self,
+        placement: Controller,
+        gate: QuarantineGate,
+        limits: SendLimitGate,
+        shutdown: ShutdownGate,
+        clock: Clock,
+    ):
+        self.placement = placement
+        self.gate = gate
+        self.limits = limits
+        self.shutdown = shutdown
+        self.clock = clock
+
+    async def choose(self, exchange: Exchange) -> Replica | Reply:
+        """Return the replica for the next send, or a reply if there will be none in time."""
+        progress, permitted = exchange.progress, ""
+        while True:
+            remaining_s = exchange.answer_deadline - self.clock.monotonic()
+            if remaining_s <= 0:
+                return failure_reply(progress, "request timed out", RETRY_AFTER_S, timed_out=True)
+            refusal = self.shutdown.refuse(exchange) or self.gate.refuse_send(exchange)
+            if refusal is not None:
+                return refusal
+            found = await self.placement.ask(
+                Choose(
+                    exchange.service,
+                    affinity_of(exchange.req.prompt, exchange.inputs_zone),
+                    progress.tried,
+                    model_of(exchange),
+                    permitted,
+                )
+            )
+            match found:
+                case Replica(replica_id):
+                    if replica_id == permitted or await self._may_send(exchange, found):
+                        return found
+                case NotBefore(at, replica):
+                    now = self.clock.monotonic()
+                    refusal = refuse_late_start(exchange, found, now)
+                    if refusal is not None:
+                        return refusal
+                    wait_s = max(0.0, at - now)
+                    max_wait_s = remaining_s - exchange.route.target_latency_s
+                    if not self.limits.is_limited(replica):
+                        await self.clock.sleep(wait_s)
+                    elif await self.limits.wait(exchange, replica, at, max_wait_s):
+                        permitted = replica.replica_id
+                case None:
+                    log_event(
+                        "no_replica",
+                        "WARNING",
+                        request=exchange.req.request_id,
+                        service=exchange.service,
+                        tried=len(progress.tried),
+                    )
+                    return failure_reply(progress, "no replica available", RETRY_AFTER_S)
+
+    async def _may_send(self, exchange: Exchange, replica: Replica) -> bool:
+        """Return whether there is room for the request within the limit of its replica."""
+        if await self.limits.acquire(exchange, replica) == Granted():
+            return True
+        self.placement.tell(RequestEnded(replica.replica_id, "cancelled"))
+        return False
+
+
+def model_of(exchange: Exchange) -> str:
+    """Return the model of an engine request, empty for others."""
+    return exchange.req.prompt.model if exchange.req.prompt is not None else ""
