--- a/greengagehoist/codec/tests/test_peer.py
+++ b/greengagehoist/codec/tests/test_peer.py
@@ -31,6 +31,7 @@
     str: st.text(),
     int: INT64,
     float: st.floats(allow_nan=False),
+    float | None: st.none() | st.floats(allow_nan=False),
     bool: st.booleans(),
     tuple[LeaveMark, ...]: st.lists(st.builds(LeaveMark, st.text(), INT64), max_size=3).map(tuple),
     tuple[float, ...]: st.lists(st.floats(allow_nan=False), max_size=3).map(tuple),
