--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,11 +1,13 @@
-"""A gateway is cut off from the store; just after the cut a replica leaves.
+"""Gateways are stopped in turn with SIGTERM; one answer in 301 is as long as its request allows.
 
-Each cycle cuts one gateway from the store for 3 s. A replica leaves without reporting that it drains:
-its row is removed 0.4 s after the end of the cut. It serves for 5 s more, then exits.
-The requests are bookings, which may run once.
+Each gateway is the only one of its zone, so that the platform goes on sending it the clients of that
+zone after it has reported that it is not ready. All streams may have 400 tokens. Most have 50 and take
+0.5 s; one in 301 has 400 and takes 4 s.
 """
 
 import asyncio
+import random
+import signal
 import sys
 import time
 from pathlib import Path
@@ -14,92 +16,87 @@
 sys.path.insert(0, str(CASE.parent / "lib"))
 import rig  # noqa: E402
 
-CYCLES = 13
-CUT_S = 3.0
-CYCLE_S = 7.8
-# After the end of the cut.
-REMOVED_AFTER_S = 0.4
-# A replica that leaves serves for drain_ms and "a little longer (at times many seconds)".
-SERVES_S = 5.0
-PERIOD_S = 0.04
-# Tolerance for the clock of this process.
+STOPS = 8
+# Seconds from one SIGTERM to the next, drawn from this range.
+STOP_PERIOD_S = (11.0, 13.5)
+PERIOD_S = 1 / 30
+LONG_EVERY = 301
+SHORT_EVENTS, LONG_EVENTS = 10, 80
+# A request that was sent later than this after the SIGTERM is not excused by a replica that works long.
+EXCUSED_S = 3.0
 MARGIN_S = 0.05
+GRACE_S = rig.BOUNDS["grace_s"]
 
 
-async def play(deployment: rig.Deployment, trouble: bool) -> list[str]:
-    record, number = deployment.record, 0
+class Engine(rig.Replica):
+    """Answers streams with 5 tokens an event; the body says how many events the answer has."""
+
+    async def stream(self, request: rig.Message, writer: asyncio.StreamWriter, echo: list) -> None:
+        self.event_ids = range(1, int(request.body) + 1)
+        await super().stream(request, writer, echo)
 
-    async def add() -> rig.Replica:
-        nonlocal number
-        number += 1
-        replica = rig.Replica(number, "desk", "plain", record)
-        replica.work_s = 0.09
-        return await deployment.add_replica(replica)
 
-    current = [await add() for _ in range(4)]
-    routes = [rig.route("book", "non_idempotent", "desk", max_attempts=1)]
-    await deployment.start(routes, [rig.plain_service("desk")], 3)
-    sent: dict[str, tuple[rig.Gateway, float]] = {}
+async def play(deployment: rig.Deployment, trouble: bool) -> list[str]:
+    record = deployment.record
+    for number in range(1, 5):
+        await deployment.add_replica(Engine(number, "llm", "engine", record))
+    text = rig.route("text", "streaming", "llm", max_attempts=1, resumable=False, gap_target_ms=400)
+    text |= {"timeout_ms": 12000, "target_latency_ms": 1600}
+    await deployment.start([text], [{**rig.plain_service("llm"), "engine": {"slots": 48}}], 2)
+    sent: dict[str, tuple[rig.Gateway, float, int]] = {}
     answers: dict[str, rig.Answer] = {}
     tasks: set[asyncio.Task] = set()
+    count = 0
 
-    async def book(gateway: rig.Gateway, request_id: str) -> None:
+    async def stream(gateway: rig.Gateway) -> None:
+        nonlocal count
+        count += 1
+        events = LONG_EVENTS if count % LONG_EVERY == 0 else SHORT_EVENTS
+        request_id = deployment.new_id(f"{gateway.name}-")
+        sent[request_id] = (gateway, time.monotonic(), events)
+        headers = [
+            ("X-Greengagehoist-Model", "m"),
+            ("X-Greengagehoist-Token-Count", f"150,{5 * LONG_EVENTS}"),
+            ("X-Greengagehoist-Prefix-Hash", f"5c1e07a2:100,{count:08x}:50"),
+        ]
         answers[request_id] = await deployment.request(
-            gateway, "POST", "/book/x", request_id, body=b"job"
+            gateway, "POST", "/text/x", request_id, headers, b"%d" % events, 12000
         )
 
     async def load() -> None:
         while True:
             for gateway in deployment.gateways:
-                request_id = deployment.new_id(f"{gateway.name}-")
-                sent[request_id] = (gateway, time.monotonic())
-                task = asyncio.create_task(book(gateway, request_id))
+                task = asyncio.create_task(stream(gateway))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
             await asyncio.sleep(PERIOD_S)
 
-    async def stop_later(replica: rig.Replica) -> None:
-        await asyncio.sleep(SERVES_S)
-        await replica.stop()
-
-    clients, found, out = asyncio.create_task(load()), [], []
-    leavers: list[tuple[rig.Replica, float]] = []
-    for cycle in range(CYCLES):
-        began, gateway = time.monotonic(), deployment.gateways[cycle % 3]
-        current.append(await add())
-        if trouble:
-            await gateway.link.cut()
-            record(f"{gateway.name} is cut off from the store")
-        await asyncio.sleep(CUT_S)
+    clients, stops, rng = asyncio.create_task(load()), [], random.Random()
+    await asyncio.sleep(4.0)
+    for number in range(STOPS):
+        began, gateway = time.monotonic(), deployment.gateways[number % 2]
         if trouble:
-            gateway.link.heal()
-            record(f"{gateway.name} reaches the store again")
-            out.append((gateway, began, time.monotonic()))
-        await asyncio.sleep(REMOVED_AFTER_S)
-        leaver = current.pop(0)
-        removed_at = deployment.store.remove("servers", leaver.id)
-        record(f"the row of {leaver.id} is removed; it serves for {SERVES_S} s more")
-        leavers.append((leaver, removed_at))
-        stop = asyncio.create_task(stop_later(leaver))
-        tasks.add(stop)
-        stop.add_done_callback(tasks.discard)
-        await asyncio.sleep(max(0.0, began + CYCLE_S - time.monotonic()))
+            record(f"{gateway.name} gets SIGTERM")
+            gateway.send(signal.SIGTERM)
+            while gateway.process.poll() is None and time.monotonic() < began + GRACE_S:
+                await asyncio.sleep(0.02)
+            stops.append((gateway, began, time.monotonic()))
+            gateway.kill()
+            record(f"{gateway.name} has ended after {time.monotonic() - began:.2f} s and starts again")
+            gateway.start()
+        await asyncio.sleep(max(0.0, began + rng.uniform(*STOP_PERIOD_S) - time.monotonic()))
     clients.cancel()
-    for leaver, removed_at in leavers:
-        for at, request_id in leaver.arrivals:
-            gateway, sent_at = sent[request_id]
-            late = at - removed_at - rig.DRAIN_S
-            # In touch: for contact_ms before, the gateway had a path to the store.
-            touch = all(
-                item is not gateway or sent_at < began or sent_at > ended + rig.CONTACT_S + MARGIN_S
-                for item, began, ended in out
-            )
-            if late > MARGIN_S and touch:
-                status = answers[request_id].status if request_id in answers else 0
+    ran = {request_id for replica in deployment.replicas for _, request_id in replica.ran}
+    found = []
+    for request_id, answer in answers.items():
+        gateway, sent_at, events = sent[request_id]
+        cut = request_id in ran and not answer.whole
+        for stopped, began, ended in stops:
+            if cut and stopped is gateway and began + EXCUSED_S + MARGIN_S < sent_at < ended:
                 found.append(
-                    f"DRAIN: {request_id}, sent by its client at {record.at(sent_at)}, reaches "
-                    f"{leaver.id} at {record.at(at)}, {at - removed_at:.2f} s after the removal of its row; "
-                    f"its client got {status or 'no answer'}"
+                    f"LOST: {request_id}, sent {sent_at - began:.2f} s after the SIGTERM of "
+                    f"{gateway.name} and passed on, was cut after {answer.body.count(b'id: ')} of "
+                    f"{events} events"
                 )
     return found
 
