--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -320,6 +320,8 @@
         self.work_s = 0.02
         self.event_ids = list(range(1, 11))
         self.event_pause_s = 0.05
+        # Further headers of its answers.
+        self.extra: list[tuple[str, str]] = []
         self.arrivals: list[tuple[float, str]] = []
         self.ran: list[tuple[float, str]] = []
 
@@ -351,7 +353,7 @@
         self.arrivals.append((now, request_id))
         self.ran.append((now, request_id))
         self.record(f"replica {self.id} runs {request_id}")
-        echo.append((STAMP, f"{self.id}.{request_id}"))
+        echo += [(STAMP, f"{self.id}.{request_id}"), *self.extra]
         if self.kind == "engine":
             await self.stream(request, writer, echo)
             return
