--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -180,6 +180,8 @@
         super().__init__()
         self.rows: dict[tuple[str, str], tuple[str, int]] = {}
         self.ver = 0
+        # While False, all calls get 503, which says that nothing was done.
+        self.available = True
 
     def put(self, table: str, key: str, value: object) -> float:
         """Write a row for the operator or a replica; returns the time of the acknowledgement."""
@@ -201,6 +203,9 @@
         await asyncio.sleep(0.004)
         path, _, query = request.start.split(" ")[1].partition("?")
         status, body = 404, {}
+        if not self.available:
+            writer.write(encode("HTTP/1.1 503 Service Unavailable", []))
+            return
         if path == "/greengagehoist/rows-get":
             status, body = 200, self._get({k: v[0] for k, v in parse_qs(query).items()})
         elif path == "/greengagehoist/rows-tx":
