--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,7 +42,8 @@
         await deployment.add_replica(Engine(number, "llm", "engine", record))
     text = rig.route("text", "streaming", "llm", max_attempts=1, resumable=False, gap_target_ms=400)
     text |= {"timeout_ms": 12000, "target_latency_ms": 1600}
-    await deployment.start([text], [{**rig.plain_service("llm"), "engine": {"slots": 48}}], 2)
+    engine = {**rig.plain_service("llm"), "engine": {"slots": 48}}
+    await deployment.start([text], [engine], 2, own_zones=True)
     sent: dict[str, tuple[rig.Gateway, float, int]] = {}
     answers: dict[str, rig.Answer] = {}
     tasks: set[asyncio.Task] = set()
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -21,6 +21,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "h.example"
+ZONES = ("a", "b", "c", "d")
 STAMP = "X-Greengagehoist-Server-Stamp"
 REQUEST_ID = "X-Greengagehoist-Request-Id"
 NOT_EXECUTED = "X-Greengagehoist-Not-Executed"
@@ -384,8 +385,9 @@
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
-    def __init__(self, number: int, folder: Path, store: Store):
-        self.name = f"edge-a-{number}"
+    def __init__(self, number: int, folder: Path, store: Store, zone: str):
+        self.zone = zone
+        self.name = f"edge-{zone}-{number}"
         self.folder = folder
         self.link = StoreLink(store)
         self.ports = [free_port() for _ in range(4)]
@@ -404,9 +406,9 @@
             "role": "gateway",
             "machine_class": "edge",
             "ip": "127.0.0.1",
-            "zone": "a",
+            "zone": self.zone,
             "region": "r",
-            "zones": {"a": "r"},
+            "zones": dict.fromkeys(ZONES, "r"),
             "listen": {
                 "frontend": f"127.0.0.1:{self.ports[0]}",
                 "ready": f"127.0.0.1:{self.ports[1]}",
@@ -489,12 +491,18 @@
         self.version = 0
         self._requests = 0
 
-    async def start(self, routes: list[dict], services: list[dict], gateways: int) -> None:
-        """Start the store and the gateways and wait until all are ready."""
+    async def start(
+        self, routes: list[dict], services: list[dict], gateways: int, own_zones: bool = False
+    ) -> None:
+        """Start the store and the gateways and wait until all are ready.
+
+        :param own_zones: whether each gateway is the only one of its zone.
+        """
         await self.store.start()
         self.configure(routes, services)
         for number in range(1, gateways + 1):
-            gateway = Gateway(number, self.folder, self.store)
+            zone = ZONES[number - 1] if own_zones else ZONES[0]
+            gateway = Gateway(number, self.folder, self.store, zone)
             gateway.start()
             self.gateways.append(gateway)
         began = time.monotonic()
