Refuse late requests of a stop unless something bounds their answers

A request was sent if the longest of the last 64 answers would have ended in time, but an answer may be as long as its limit of tokens, however short the last ones were.

A request that arrives after the load balancer has reacted is now sent only if its deadline, or its limit of tokens at the pace of the route's slowest stream, ends its answer in time. An idempotent one is sent as before: it gets 502 at the end, and its client may send it again.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -287,15 +287,16 @@
     async def stop(self) -> None:
         """Stop gracefully: let requests in flight finish within the grace period.
 
-        New requests are served as long as their answers are expected to end in time; the load
-        balancer may send them until the process ends.
+        New requests are served as long as their answers are expected to end in time, and those that
+        arrive after the load balancer has reacted only if their answers are bounded: it may send
+        requests until the process ends.
         """
         started_at = self.clock.monotonic()
         finish_by = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
         self._stopping = True
         log_event("stopping", in_flight=self.front.in_flight, connections=self.front.connections)
         self.front.begin_stop()
-        self.shutdown.begin_stop(finish_by)
+        self.shutdown.begin_stop(finish_by, started_at + LOAD_BALANCER_DELAY_S)
         self.pools.tell(Leave())
         self.peers.tell(UpdateHeartbeat(ready=False))
         self.peers.tell(Broadcast(Goodbye("stopping")))
@@ -307,7 +308,8 @@
                 break
         log_event("stopped", in_flight=self.front.in_flight)
         # Requests that are still to arrive are refused.
-        self.shutdown.begin_stop(self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.shutdown.begin_stop(now, now)
         await self.front.end_requests()
         await self.abort()
 
--- a/greengagehoist/daemon/tests/test_gateway_stop.py
+++ b/greengagehoist/daemon/tests/test_gateway_stop.py
@@ -291,6 +291,58 @@
     run_scenario(scenario, bounds=STOP_BOUNDS._replace(grace_s=3.7))
 
 
+async def stop_while_busy(system):
+    """Begin a stop; returns it and a request that keeps the process running after the load balancer
+    has reacted.
+    """
+    stopping = asyncio.ensure_future(system.daemons[0].stop())
+    await asyncio.sleep(LOAD_BALANCER_DELAY_S - 0.2)
+    for desk in system.desks:
+        desk.pause_s = 0.8
+    pending = asyncio.ensure_future(send_request(system, "/look/"))
+    await asyncio.sleep(0.3)
+    return stopping, pending
+
+
+@pytest.mark.parametrize(("limit", "status"), [(400, 503), (4, 200)])
+def test_stream_that_may_use_its_limit_of_tokens_is_not_cut(run_scenario, limit, status):
+    """Guards against late sends that rely on earlier answers, which were shorter than their limit."""
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.events, engine.pause_s = 5, 0.02
+        for _ in range(4):
+            assert await send_prompt(system, limit) == 200
+        stopping, pending = await stop_while_busy(system)
+        for engine in system.engines:
+            engine.events = min(60, limit)
+        assert await send_prompt(system, limit) == status
+        assert (await pending).status == 200
+        await stopping
+
+    run_scenario(scenario, bounds=STOP_BOUNDS)
+
+
+@pytest.mark.parametrize(("path", "status"), [("/book/", 503), ("/look/", 502)])
+def test_late_request_that_may_run_once_is_not_sent_without_a_bound(run_scenario, path, status):
+    """Guards against requests that have run, may not run again and lose their answer at the stop.
+
+    An idempotent request is sent, as its client may repeat it after any failure.
+    """
+
+    async def scenario(system):
+        for _ in range(4):
+            assert (await system.call(path))[0] == 200
+        stopping, pending = await stop_while_busy(system)
+        for desk in system.desks:
+            desk.pause_s = 1.2
+        assert (await system.call(path))[0] == status
+        assert (await pending).status == 200
+        await stopping
+
+    run_scenario(scenario, bounds=STOP_BOUNDS)
+
+
 def test_silent_replica_of_the_past_does_not_refuse_a_route(run_scenario):
     """Guards against a time-out that counts as the time of an answer."""
 
--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -21,12 +21,14 @@
     """Returns whole events only, checks that their ids increase and records the last id.
 
     :param last_id: id of the last event that the client received, or None.
+    :ivar events: number of events that were returned.
     :ivar can_resume: whether another replica can continue after what was returned; False after an
         event without an id.
     """
 
     def __init__(self, last_id: int | None = None):
         self.last_id = last_id
+        self.events = 0
         self.can_resume = True
         self._partial = b""
 
@@ -49,8 +51,9 @@
         return whole
 
     def _check_order(self, events: bytes) -> None:
-        last_id, can_resume = self.last_id, self.can_resume
+        last_id, can_resume, count = self.last_id, self.can_resume, 0
         for event_id in _event_ids(events):
+            count += 1
             if event_id is None:
                 # Bytes that are no event, such as the text of an error, have no id either.
                 if last_id is not None:
@@ -61,6 +64,7 @@
                 raise ProtocolError(f"event {event_id} after event {last_id}")
             last_id = event_id
         self.last_id, self.can_resume = last_id, can_resume
+        self.events += count
 
     @property
     def partial_bytes(self) -> int:
--- a/greengagehoist/gateway/filters/_shutdown.py
+++ b/greengagehoist/gateway/filters/_shutdown.py
@@ -1,8 +1,10 @@
 """Filter that refuses or hands back the requests that a stopping daemon cannot finish."""
 
 import asyncio
+import math
 from typing import NamedTuple
 
+from greengagehoist.deployment import Idempotent, NonIdempotent, Streaming
 from greengagehoist.gateway import (
     STOPPING_RETRY_AFTER_S,
     Exchange,
@@ -28,22 +30,29 @@
 
 
 class ShutdownGate:
-    """Decides during a stop which requests may be sent to replicas, by the time of their answers."""
+    """Decides during a stop which requests may be sent to replicas, by the time of their answers.
+
+    A request that arrives soon after the beginning of the stop may be sent if its answer is expected
+    to end in time. Callers of a later one have other daemons, and a refusal costs them less than an
+    answer that is cut: it is sent only if something bounds its answer.
+    """
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.times = AnswerTimes()
         self._finish_by: float | None = None
+        self._bounded_from = math.inf
         self._waiting: dict[Progress, _Waiting] = {}
         # Of all requests in the chain, also of those that a replica may have received.
         self._timeouts: dict[Progress, asyncio.Timeout] = {}
 
-    def begin_stop(self, finish_by: float) -> None:
+    def begin_stop(self, finish_by: float, bounded_from: float) -> None:
         """Begin to refuse the requests whose answers would end too late.
 
         :param finish_by: time on the boot clock by which all answers must have ended.
+        :param bounded_from: requests that arrive later are sent only with a bound on their answers.
         """
-        self._finish_by = finish_by
+        self._finish_by, self._bounded_from = finish_by, bounded_from
         for waiting in self._waiting.values():
             self._set_timeout(waiting)
 
@@ -61,6 +70,7 @@
             "request_refused",
             request=exchange.req.request_id,
             reason="stopping",
+            bounded=self._is_bounded(exchange),
             expected_ms=round(self._expected_s(exchange) * 1000),
             before_send_ms=round(before_send_s * 1000),
             left_ms=round((self._finish_by - self.clock.monotonic()) * 1000),
@@ -100,7 +110,8 @@
     def begin_body(self, exchange: Exchange) -> None:
         """Record the first bytes of an answer."""
         now = self.clock.monotonic()
-        self.times.begin_body(exchange.progress, exchange.route.name, now)
+        progress = exchange.progress
+        self.times.begin_body(progress, exchange.route.name, _count_events(progress), now)
 
     def end_send(self, exchange: Exchange, answered: bool) -> None:
         """Record the end of a send, if it was begun.
@@ -108,7 +119,8 @@
         :param answered: whether the client has the complete answer of the replica.
         """
         now = self.clock.monotonic()
-        self.times.end_send(exchange.progress, exchange.route.name, answered, now)
+        progress = exchange.progress
+        self.times.end_send(progress, exchange.route.name, answered, _count_events(progress), now)
 
     def forget(self, exchange: Exchange) -> None:
         """Forget a request that has ended."""
@@ -122,8 +134,34 @@
         waiting.timeout.reschedule(asyncio.get_running_loop().time() + left_s)
 
     def _begin_by(self, exchange: Exchange) -> float:
-        expected_s = self._expected_s(exchange)
-        return begin_by(self._finish_by, expected_s, exchange.answer_deadline)
+        longest_s = self._expected_s(exchange)
+        if self._is_bounded(exchange):
+            longest_s = max(longest_s, self._longest_s(exchange))
+        return begin_by(self._finish_by, longest_s, exchange.answer_deadline)
+
+    def _is_bounded(self, exchange: Exchange) -> bool:
+        """Return whether the request needs a bound on its answer.
+
+        A refusal would cut an answer that has begun.
+        """
+        return exchange.arrived > self._bounded_from and not exchange.progress.started
+
+    def _longest_s(self, exchange: Exchange) -> float:
+        route = exchange.route
+        match route.kind:
+            case Idempotent():
+                # At the end of the process its client is told to send it again.
+                return self._expected_s(exchange)
+            case NonIdempotent():
+                return math.inf
+            case Streaming():
+                return self.times.longest_s(
+                    route.name,
+                    _tokens_out(exchange),
+                    route.target_latency_s,
+                    _count_events,
+                    self.clock.monotonic(),
+                )
 
     def _expected_s(self, exchange: Exchange) -> float:
         route = exchange.route
@@ -159,6 +197,10 @@
             self.gate.forget(exchange)
 
 
+def _count_events(progress: Progress) -> int:
+    return progress.splitter.events if progress.splitter is not None else 0
+
+
 def _tokens_out(exchange: Exchange) -> int:
     prompt = exchange.req.prompt
     return prompt.tokens_out if prompt is not None else 0
--- a/greengagehoist/shutdown/tests/test_answer_times.py
+++ b/greengagehoist/shutdown/tests/test_answer_times.py
@@ -1,5 +1,7 @@
 """Guards against estimates that are shorter than the answers of a route take."""
 
+import math
+
 import pytest
 
 from greengagehoist.shutdown import AnswerTimes
@@ -16,12 +18,12 @@
 def observe(times):
     """Return a function that records a whole answer."""
 
-    def record(begin_s, body_s=0.0, tokens=0, route="r"):
+    def record(begin_s, body_s=0.0, tokens=0, route="r", events=0):
         key = object()
         times.begin_send(key, route, tokens, 100.0)
         if body_s:
-            times.begin_body(key, route, 100.0 + begin_s)
-        times.end_send(key, route, True, 100.0 + begin_s + body_s)
+            times.begin_body(key, route, 0, 100.0 + begin_s)
+        times.end_send(key, route, True, events, 100.0 + begin_s + body_s)
 
     return record
 
@@ -73,7 +75,7 @@
     times.begin_send("key", "r", 0, 10.0)
     assert expected(times, now=10.05) == pytest.approx(0.1)
     assert expected(times, now=13.0) == pytest.approx(3.0)
-    times.end_send("key", "r", False, 13.0)
+    times.end_send("key", "r", False, 0, 13.0)
     assert expected(times, now=13.0) == pytest.approx(0.1)
 
 
@@ -88,10 +90,39 @@
     """Engines that turn slow in the middle of their streams are seen by those streams."""
     observe(0.1, body_s=0.5)
     times.begin_send("key", "r", 0, 10.0)
-    times.begin_body("key", "r", 10.1)
+    times.begin_body("key", "r", 0, 10.1)
     assert expected(times, now=13.1) == pytest.approx(3.1)
 
 
+def longest(times, tokens, now=0.0, received=()):
+    return times.longest_s("r", tokens, INITIAL_S, dict(received).get, now)
+
+
+def test_longest_answer_has_an_event_for_each_token_of_its_limit(times, observe):
+    """The last answers were far shorter than their limit, the next one need not be."""
+    for _ in range(64):
+        observe(0.2, body_s=1.0, tokens=400, events=11)
+    assert expected(times, tokens=400) == pytest.approx(1.2)
+    assert longest(times, tokens=400) == pytest.approx(0.2 + 400 * 0.1)
+
+
+def test_slowest_stream_gives_the_pace_of_the_longest_answer(times, observe):
+    observe(0.2, body_s=1.0, tokens=400, events=11)
+    observe(0.2, body_s=1.0, tokens=400, events=101)
+    assert longest(times, tokens=10) == pytest.approx(0.2 + 10 * 0.1)
+    times.begin_send("key", "r", 400, 10.0)
+    times.begin_body("key", "r", 3, 10.1)
+    assert longest(times, tokens=10, now=12.1, received=[("key", 8)]) == pytest.approx(5.2)
+
+
+def test_answer_without_a_limit_or_a_known_pace_has_no_bound(times, observe):
+    assert longest(times, tokens=10) == math.inf
+    observe(0.2, tokens=10)
+    assert longest(times, tokens=10) == math.inf
+    observe(0.2, body_s=1.0, events=11)
+    assert longest(times, tokens=0) == math.inf
+
+
 def test_routes_that_are_not_used_any_more_are_forgotten(times, observe):
     """Guards against memory that grows with each change of the configuration."""
     for number in range(3000):
