Let clients resume streams after every event id that they get

Two decoders read the same ids with different limits.

One function reads ids of events and of the header, up to 39 digits. Other ids are forwarded to the replica unread and logged.

--- a/greengagehoist/gateway/__init__.py
+++ b/greengagehoist/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Gateway for opaque requests: core types and the interface of the wire format."""
 
+from greengagehoist.gateway._events import MAX_ID_DIGITS, parse_event_id
 from greengagehoist.gateway._settings import Bounds, GatewaySettings
 from greengagehoist.gateway._types import (
     MISDIRECTED,
@@ -36,6 +37,7 @@
     "GatewayRequest",
     "GatewaySettings",
     "InputsLost",
+    "MAX_ID_DIGITS",
     "MISDIRECTED",
     "MayHaveRun",
     "NoRoute",
@@ -53,4 +55,5 @@
     "StreamEnded",
     "WireFormat",
     "failure_reply",
+    "parse_event_id",
 ]
--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -8,7 +8,8 @@
 
 # A blank line ends an event; a stream may use any of the three line endings.
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
-MAX_ID_DIGITS = 18
+# Digits of an id that is compared with others; 128 bits have 39.
+MAX_ID_DIGITS = 39
 FIELD_NAME = re.compile(rb"[a-z][a-z0-9_-]*")
 EVENT_FIELDS = frozenset({b"data", b"event", b"id", b"retry"})
 # Header fields of HTTP messages, which are no fields of events.
@@ -122,5 +123,11 @@
         lines = [line for line in block if line.partition(b":")[0] in (b"data", b"id")]
         if lines:
             values = (line[3:].strip() for line in lines if line.startswith(b"id:"))
-            ids = [int(item) for item in values if item.isdigit() and len(item) <= MAX_ID_DIGITS]
+            ids = [event_id for item in values if (event_id := parse_event_id(item)) is not None]
             yield ids[-1] if ids else None
+
+
+def parse_event_id(text: bytes) -> int | None:
+    """Return the id of an event as a number, None if it is not a whole number."""
+    # The conversion of thousands of digits raises an error.
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -12,6 +12,7 @@
     PromptPart,
     ReplicaReply,
     StageCall,
+    parse_event_id,
 )
 from greengagehoist.http1 import (
     Headers,
@@ -31,7 +32,7 @@
     Unlimited,
     UnreadableLimit,
 )
-from greengagehoist.utils import MAX_PORT, show_value
+from greengagehoist.utils import MAX_PORT, log_event, show_value
 
 SERVICE_UNAVAILABLE = 503
 READY_PATH = b"/greengagehoist/readyz"
@@ -124,7 +125,7 @@
             prompt=_prompt(headers),
             piece_counts=_numbers(headers, SEGMENTS),
             piece_key=_text(headers, SEGMENT_KEY) or "",
-            last_event_id=_number(headers, LAST_EVENT_ID),
+            last_event_id=_event_id(headers),
         )
 
     def replica_headers(
@@ -255,6 +256,21 @@
     return int(text)
 
 
+def _event_id(headers: Headers) -> int | None:
+    """Return the event after which the client resumes a stream, None if it names none.
+
+    The replica that answers gets the header in any case, also with an id that is no number: clients
+    send back whatever ids they have received.
+    """
+    text = _text(headers, LAST_EVENT_ID)
+    if text is None:
+        return None
+    event_id = parse_event_id(text.encode("latin-1"))
+    if event_id is None:
+        log_event("request_header_ignored", header="Last-Event-Id", value=text[:MAX_SHOWN_CHARS])
+    return event_id
+
+
 def _numbers(headers: Headers, name: bytes) -> tuple[int, ...]:
     text = _text(headers, name)
     if not text:
