--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -93,7 +93,7 @@
 MAX_SHOWN_CHARS = 40
 # Digits of the numbers in headers.
 MAX_NUMBER_DIGITS = 12
-MAX_COUNT_DIGITS = 5
+MAX_PIECE_COUNT_DIGITS = 5
 MAX_TOKEN_DIGITS = 9
 MAX_LOAD_DIGITS = 9
 
@@ -123,7 +123,7 @@
             api_key=_text(headers, API_KEY),
             deadline_s=None if deadline is None else deadline / 1000,
             prompt=_prompt(headers),
-            piece_counts=_numbers(headers, SEGMENTS),
+            piece_counts=_numbers(headers, SEGMENTS, MAX_PIECE_COUNT_DIGITS),
             piece_key=_text(headers, SEGMENT_KEY) or "",
             last_event_id=_event_id(headers),
         )
@@ -271,12 +271,12 @@
     return event_id
 
 
-def _numbers(headers: Headers, name: bytes) -> tuple[int, ...]:
+def _numbers(headers: Headers, name: bytes, max_digits: int) -> tuple[int, ...]:
     text = _text(headers, name)
     if not text:
         return ()
     parts = [item.strip() for item in text.split(",")]
-    if not all(_is_number(item, MAX_COUNT_DIGITS) for item in parts):
+    if not all(_is_number(item, max_digits) for item in parts):
         raise ProtocolError(
             f"{name.decode()}: got {text[:MAX_SHOWN_CHARS]!r}, accepted: whole numbers"
         )
@@ -288,7 +288,7 @@
     model = _text(headers, MODEL)
     if model is None:
         return None
-    counts = _numbers(headers, TOKEN_COUNT)
+    counts = _numbers(headers, TOKEN_COUNT, MAX_TOKEN_DIGITS)
     parts = []
     for entry in (_text(headers, PREFIX_HASH) or "").split(","):
         part_id, _, tokens = entry.strip().partition(":")
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -128,6 +128,17 @@
         request_of((b"Host", b"h"), (b"X-Greengagehoist-Request-Id", b"i"), header)
 
 
+@pytest.mark.parametrize("tokens", [99_999, 100_000, 444_000, 10**9 - 1])
+def test_prompt_may_have_as_many_tokens_as_its_parts(request_of, tokens):
+    """Requests with 100,000 tokens or more were refused, while their parts could have that many."""
+    headers = dict(CLIENT)
+    headers[b"X-Greengagehoist-Token-Count"] = b"%d,%d" % (tokens, tokens)
+    headers[b"X-Greengagehoist-Prefix-Hash"] = b"5c:%d" % tokens
+    prompt = request_of(*headers.items()).prompt
+    assert (prompt.tokens_in, prompt.tokens_out) == (tokens, tokens)
+    assert prompt.parts == (PromptPart("5c", tokens),)
+
+
 EVENT_IDS = st.one_of(
     st.integers(0, 10 ** (MAX_ID_DIGITS + 3)).map(lambda number: b"%d" % number),
     st.text(st.characters(min_codepoint=33, max_codepoint=126), min_size=1).map(str.encode),
