Count the time to keep missing replicas from the last failed call

Missing replicas were kept for 2.5 s from the time at which a read was seen to fail, also if the own circuit breaker had refused it, and were dropped by the next read: 3.0 to 3.8 s after the end of the cut.

The time begins when the newest failed call was sent now, which is before the end of a cut. The list is read when it is over, and what is missing then is dropped. The circuit breaker opens for at most 0.3 s, so that the first read follows sooner.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -55,8 +55,9 @@
 # Requests are served without stage batching or late until the links of a data centre that was cut off
 # are back.
 PEER_MAX_BACKOFF_S = 1.0
-# The circuit breaker probes often, because API keys expire while the platform cannot be read.
-MAX_BREAKER_OPEN_S = 0.6
+# The circuit breaker probes often, because API keys expire while the platform cannot be read, and
+# replicas that left since are known only after the first read.
+MAX_BREAKER_OPEN_S = 0.3
 # Readiness fails when the configuration is older than this fraction of the revocation bound, soon
 # before requests with API keys are refused.
 READY_FRACTION = 0.6
@@ -139,7 +140,12 @@
             call_codec.read_deployment,
             clock,
         )
-        self.replicas = ReplicaController(self.platform, reads("replicas", period_s), clock)
+        self.replicas = ReplicaController(
+            self.platform,
+            reads("replicas", period_s),
+            clock,
+            failed_at=self.platform.failed_at,
+        )
         self.limits = SendLimitController(self.peers, own, topology, self.reach.reach, clock)
         self.placement = PlacementController(
             self.replicas.table,
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -1,11 +1,13 @@
 """Controller that follows the platform's list of replicas."""
 
 import hashlib
+import math
 from typing import Any, NamedTuple
 
 import msgspec
 from returns.result import Result, Success
 
+from greengagehoist.base import Outcome
 from greengagehoist.gateway.controllers._deployment import SetReadPeriod
 from greengagehoist.gateway.controllers._relay import AddSource, HeldContent
 from greengagehoist.gateway.controllers._shared_reads import (
@@ -23,6 +25,7 @@
     apply_read,
     apply_restore,
     check_replica,
+    drop_missing,
 )
 from greengagehoist.utils import (
     Clock,
@@ -49,6 +52,12 @@
 
 
 class _ReadEnded(NamedTuple):
+    """A read of the list has ended.
+
+    :param replicas: None if it failed.
+    :param sent_at: time at which the platform was asked, or at which the newest failed call was sent.
+    """
+
     replicas: tuple[Replica, ...] | None
     unreadable: tuple[str, ...]
     sent_at: float
@@ -62,6 +71,7 @@
 
     :param reads: decides whether a hub or the platform is asked.
     :param followers: controllers that receive :class:`ReplicasChanged`.
+    :param failed_at: published time at which the newest failed call to the platform was sent.
     :ivar held: published list and when the platform held it, for other daemons.
     """
 
@@ -71,12 +81,14 @@
         reads: SharedReads,
         clock: Clock,
         followers: tuple[Controller, ...] = (),
+        failed_at: Published[float] | None = None,
     ):
         super().__init__("replicas")
         self.platform = platform
         self.reads = reads
         self.clock = clock
         self.followers = followers
+        self.failed_at = failed_at or Published(-math.inf)
         self.table: Published[ReplicaTable] = Published(ReplicaTable())
         self._listed: tuple[Replica, ...] = ()
         self.held: Published[HeldContent | None] = Published(None)
@@ -114,9 +126,16 @@
             case HubStale():
                 # An entry that lapses meanwhile may belong to a replica that runs.
                 self.tell(_ReadEnded(None, (), self.clock.monotonic()))
-        await self.reads.pause(step, ok)
+        await self.reads.pause(step, ok, self._kept_for_s() if ok else math.inf)
         self.tell(Tick())
 
+    def _kept_for_s(self) -> float:
+        """Return the seconds for which replicas that are missing from the list are still kept."""
+        table = self.table.value
+        if not table.missing:
+            return math.inf
+        return max(0.0, table.missing_allowed_until - self.clock.monotonic())
+
     async def _read_platform(self) -> bool:
         sent_at = self.clock.monotonic()
         replicas: list[Replica] = []
@@ -126,6 +145,9 @@
             result: Result = await self.platform.ask(ListReplicas(after))
             ok = isinstance(result, Success)
             if not ok:
+                if result.failure().outcome is Outcome.NOT_RUN:
+                    # Says nothing new about the platform, as the call was not sent.
+                    sent_at = self.failed_at.value
                 break
             page = result.unwrap()
             # Pages of different eras are no list.
@@ -158,7 +180,7 @@
         if read.replicas is None:
             if before.missing_allowed_until <= read.sent_at:
                 log_event("replica_list_unavailable", "WARNING", replicas=len(before.replicas))
-            self.table.value = apply_outage(before, self.clock.monotonic())
+            self.table.value = apply_outage(before, read.sent_at)
             return
         if self._era is not None and read.era < self._era:
             return
@@ -173,6 +195,7 @@
             )
             self._unreadable = read.unreadable
         table = apply_read(before, read.replicas, read.sent_at)
+        table = drop_missing(table, self.clock.monotonic())
         self.table.value = table
         self._update_held(read)
         if table.replicas != before.replicas:
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -1,5 +1,6 @@
 """Periodic reads of the platform that daemons share through hubs."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -104,14 +105,16 @@
         self._read_at = now
         return ReadNow()
 
-    async def pause(self, step: HubAnswer, ok: bool) -> None:
+    async def pause(self, step: HubAnswer, ok: bool, max_delay_s: float = math.inf) -> None:
         """Wait until the next read.
 
         :param step: what :meth:`next_step` returned for the last read.
         :param ok: whether the last read succeeded and this daemon holds some content.
+        :param max_delay_s: seconds after which the content must be read again.
         """
         shared = self.topology.shared.value
-        await self.clock.sleep(next_read_delay_s(step, ok, self.period_s, shared, self.rng))
+        delay_s = next_read_delay_s(step, ok, self.period_s, shared, self.rng)
+        await self.clock.sleep(min(delay_s, max_delay_s))
 
     async def guard(self, read: Awaitable[None], repeat: Callable[[], None]) -> None:
         """Wait for a read, and repeat it after a delay if it raises an unexpected error.
--- a/greengagehoist/gateway/tests/test_replicas.py
+++ b/greengagehoist/gateway/tests/test_replicas.py
@@ -1,9 +1,12 @@
 """Guards against excessive log lines, odd entries, and lists of another era of the store."""
 
+import asyncio
 import random
 
 import pytest
+from returns.result import Failure, Success
 
+from greengagehoist.base import ErrorCode, Outcome, StepError
 from greengagehoist.gateway.controllers import ReplicaController, SharedReads, topology_of
 from greengagehoist.gateway.controllers import _replicas as module
 from greengagehoist.gateway.controllers._relay import HeldContent
@@ -14,7 +17,10 @@
 )
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
 from greengagehoist.membership import Member
+from greengagehoist.platform_client import ReplicaPage
 from greengagehoist.replicas import Replica
+from greengagehoist.replicas._table import RETURN_GRACE_S
+from greengagehoist.utils import Published
 
 
 @pytest.fixture
@@ -102,3 +108,101 @@
 @pytest.mark.parametrize("content", ["[" * 10_000, "{", '[["i",3]]', "[" * 10_000 + "]" * 10_000])
 def test_hubs_list_that_cannot_be_decoded_is_a_failed_read(controller, content):
     assert not controller._apply_hub_read(HeldContent("t", 1.0, content))
+
+
+READ_PERIOD_S = 1.2
+AWAY_FROM_S, AWAY_UNTIL_S = 4.0, 7.0
+# Reads are late by this at most.
+STEP_S = 0.05
+
+
+class PlatformAway(Recorder):
+    """Answers no read for three seconds; reads begin anew after a call has failed.
+
+    :param silent_s: seconds after which a read without an answer fails.
+    :param listed: returns the replicas that are listed at a time.
+    """
+
+    def __init__(self, clock, silent_s, listed):
+        super().__init__("platform")
+        self.clock = clock
+        self.silent_s = silent_s
+        self.listed = listed
+        self.began = clock.monotonic()
+        self.failed_at = Published(float("-inf"))
+
+    async def ask(self, message):
+        sent_at = self.clock.monotonic()
+        await self.clock.sleep(0.01)
+        if AWAY_FROM_S <= sent_at - self.began < AWAY_UNTIL_S:
+            await self.clock.sleep(self.silent_s)
+            self.failed_at.value = sent_at
+            return Failure(StepError("platform", "", Outcome.UNKNOWN, ErrorCode.PLATFORM, "away"))
+        return Success(ReplicaPage(self.listed(sent_at - self.began), (), "", 1))
+
+
+@pytest.fixture
+def known_over_time(clock):
+    """Return a function that plays a platform that was away; it returns the known ids by time."""
+
+    def play(platform, first_read_s):
+        async def scenario():
+            topology = topology_of(Member("vm-1", "a", "x:1", 1))
+            reads = SharedReads(
+                NoHub("relay"), "replicas", "vm-1", topology, clock, random.Random(1), READ_PERIOD_S
+            )
+            controller = ReplicaController(platform, reads, clock, (), platform.failed_at)
+            await clock.advance(first_read_s)
+            task = asyncio.get_running_loop().create_task(controller.run())
+            known = {}
+            while (at := clock.monotonic() - platform.began) < AWAY_UNTIL_S + 5.0:
+                known[at] = frozenset(controller.table.value.replicas)
+                await clock.advance(STEP_S)
+            task.cancel()
+            return known
+
+        return asyncio.run(scenario())
+
+    return play
+
+
+class NoHub(Recorder):
+    """Has no hub to ask."""
+
+    async def ask(self, message):
+        return None
+
+
+@pytest.mark.parametrize("silent_s", [0.0, 0.5, 1.0])
+@pytest.mark.parametrize("first_read_s", [0.0, 0.2, 0.4, 0.6, 0.8, 1.0])
+@pytest.mark.parametrize("removed_s", [5.0, AWAY_UNTIL_S + 0.4])
+def test_replica_that_left_around_a_cut_is_not_kept(
+    clock, known_over_time, silent_s, first_read_s, removed_s
+):
+    """Guards against requests to replicas that left while only this daemon was cut off.
+
+    They were kept for 2.5 s from the time at which the last read had failed, and for a read period.
+    """
+
+    def listed(now):
+        return replicas(3) if now < removed_s else replicas(2)
+
+    known = known_over_time(PlatformAway(clock, silent_s, listed), first_read_s)
+    late = {at for at, ids in known.items() if "i-2" in ids and at > AWAY_UNTIL_S}
+    assert max(late, default=AWAY_UNTIL_S) <= AWAY_UNTIL_S + RETURN_GRACE_S + 2 * STEP_S
+    assert all({"i-0", "i-1"} <= ids for at, ids in known.items() if at > 1.5)
+
+
+@pytest.mark.parametrize("silent_s", [0.0, 0.5, 1.0])
+@pytest.mark.parametrize("first_read_s", [0.0, 0.2, 0.4, 0.6, 0.8, 1.0])
+def test_replica_whose_entry_lapsed_in_an_outage_is_kept(
+    clock, known_over_time, silent_s, first_read_s
+):
+    """Guards against pools that are empty after an outage, until replicas write their entries."""
+
+    def listed(now):
+        is_back = now < AWAY_FROM_S or now >= AWAY_UNTIL_S + READ_PERIOD_S
+        return replicas(3) if is_back else replicas(1)
+
+    known = known_over_time(PlatformAway(clock, silent_s, listed), first_read_s)
+    assert {len(ids) for at, ids in known.items() if at > 1.5} == {3}
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -1,6 +1,7 @@
 """Controller that owns the connections to the platform."""
 
 import asyncio
+import math
 import random
 from collections.abc import Mapping
 from typing import Any, NamedTuple, Protocol
@@ -42,7 +43,7 @@
     WriteRow,
 )
 from greengagehoist.platform_client._wire import TABLE_CODEC, HttpCall
-from greengagehoist.utils import Clock, Controller, Reply, log_event
+from greengagehoist.utils import Clock, Controller, Published, Reply, log_event
 
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
@@ -62,6 +63,7 @@
 class _CallEnded(NamedTuple):
     ok: bool
     client: aiosonic.HTTPClient
+    sent_at: float
 
 
 class CallCodec(Protocol):
@@ -109,6 +111,7 @@
     :param codec: encoding of the calls.
     :param max_open_s: maximum time that the circuit breaker stays open before a probe, in seconds.
     :param followers: controllers that receive :class:`EraChanged`.
+    :ivar failed_at: time at which the newest call that failed was sent.
     """
 
     def __init__(
@@ -127,6 +130,7 @@
         self.codec = codec
         self.max_open_s = max_open_s
         self.followers = followers
+        self.failed_at: Published[float] = Published(-math.inf)
         self._client: aiosonic.HTTPClient | None = None
         self._breaker = Breaker()
         self._buckets = {
@@ -184,7 +188,7 @@
         self.tell(_WaitElapsed(message, reply))
 
     async def _call(self, client: aiosonic.HTTPClient, message: Any, reply: Reply) -> None:
-        ok = False
+        ok, sent_at = False, self.clock.monotonic()
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 result = Success(await self._send(client, message))
@@ -196,7 +200,7 @@
             reply(self._failure(message, exc))
             raise
         finally:
-            self.tell(_CallEnded(ok, client))
+            self.tell(_CallEnded(ok, client, sent_at))
         reply(result)
         if not ok:
             await client.aclose()
@@ -239,8 +243,10 @@
     def _record_end(self, message: _CallEnded) -> None:
         now, previous = self.clock.monotonic(), self._breaker.state
         self._breaker = record_result(self._breaker, message.ok, now, self.rng, self.max_open_s)
-        if not message.ok and self._client is message.client:
-            self._client = None
+        if not message.ok:
+            self.failed_at.value = max(self.failed_at.value, message.sent_at)
+            if self._client is message.client:
+                self._client = None
         if self._breaker.state is not previous:
             log_event("platform_breaker", state=self._breaker.state)
 
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -23,7 +23,13 @@
     Queued,
     Refused,
 )
-from greengagehoist.replicas._table import ReplicaTable, apply_outage, apply_read, apply_restore
+from greengagehoist.replicas._table import (
+    ReplicaTable,
+    apply_outage,
+    apply_read,
+    apply_restore,
+    drop_missing,
+)
 from greengagehoist.replicas._types import (
     Limited,
     Load,
@@ -61,6 +67,7 @@
     "apply_restore",
     "check_replica",
     "choose",
+    "drop_missing",
     "incarnation_of",
     "parse_address",
     "rendezvous_rank",
--- a/greengagehoist/replicas/_table.py
+++ b/greengagehoist/replicas/_table.py
@@ -5,9 +5,9 @@
 
 from greengagehoist.replicas._types import Replica
 
-# After an outage, entries that expired during it reappear in the list within about two seconds.
-# The rest covers the period of the reads.
-RETURN_GRACE_S = 2.5
+# After an outage, entries that expired during it reappear in the list within about two seconds. The
+# rest covers the time from the last failed read to the end of the outage.
+RETURN_GRACE_S = 2.7
 # A list that was restored from a copy names replicas that have left since. Within this time they
 # have written that they leave again, or their entries have expired.
 RESTORED_S = 5.0
@@ -30,6 +30,7 @@
 
     :param replicas: by id.
     :param missing_allowed_until: until this time, replicas that are missing from the list are kept.
+    :param missing: ids of the replicas that are kept, although the last read did not list them.
     :param read_at: time at which the last successful read was sent, None before the first.
     :param restored_until: until this time, replicas in ``left`` get no requests whatever the list
         says.
@@ -41,6 +42,7 @@
     read_at: float | None = None
     restored_until: float = 0.0
     left: dict[str, LeftReplica] = {}
+    missing: frozenset[str] = frozenset()
 
     def zones_by_address(self) -> dict[str, str]:
         """Return the data centre of each replica by its ``ip:port``."""
@@ -74,7 +76,16 @@
         }
     replicas = {**kept, **found}
     left = _note_left(table, replicas, sent_at)
-    return table._replace(replicas=replicas, read_at=sent_at, left=left)
+    return table._replace(replicas=replicas, read_at=sent_at, left=left, missing=frozenset(kept))
+
+
+def drop_missing(table: ReplicaTable, now: float) -> ReplicaTable:
+    """Return the table without the replicas that were kept after an outage, once it is time."""
+    if not table.missing or now < table.missing_allowed_until:
+        return table
+    listed = {key: item for key, item in table.replicas.items() if key not in table.missing}
+    left = _note_left(table, listed, now)
+    return table._replace(replicas=listed, left=left, missing=frozenset())
 
 
 def _without_left(table: ReplicaTable, found: dict[str, Replica]) -> dict[str, Replica]:
@@ -113,6 +124,11 @@
     return apply_outage(table, now)._replace(restored_until=now + RESTORED_S)
 
 
-def apply_outage(table: ReplicaTable, now: float) -> ReplicaTable:
-    """Return the table after a read of the list has failed."""
-    return table._replace(missing_allowed_until=now + RETURN_GRACE_S)
+def apply_outage(table: ReplicaTable, failed_at: float) -> ReplicaTable:
+    """Return the table after a read of the list has failed.
+
+    :param failed_at: time at which the newest call that failed was sent. The time of its failure does
+        not count: if only this daemon was cut off, the platform may have been up all the while.
+    """
+    until = max(table.missing_allowed_until, failed_at + RETURN_GRACE_S)
+    return table._replace(missing_allowed_until=until)
--- a/greengagehoist/replicas/tests/test_table.py
+++ b/greengagehoist/replicas/tests/test_table.py
@@ -8,6 +8,7 @@
     apply_outage,
     apply_read,
     apply_restore,
+    drop_missing,
 )
 from greengagehoist.replicas._table import LEFT_MEMORY_S, RESTORED_S, RETURN_GRACE_S
 
@@ -32,6 +33,20 @@
     assert set(apply_read(after, [replica("a")], 14.0).replicas) == {"a"}
 
 
+def test_kept_replica_is_dropped_when_its_time_has_come(table):
+    """It was kept until the next read, up to a read period later."""
+    outage = apply_outage(table, 11.0)
+    after = apply_read(outage, [replica("a")], 12.0)
+    assert drop_missing(after, 11.0 + RETURN_GRACE_S - 0.1) == after
+    dropped = drop_missing(after, 11.0 + RETURN_GRACE_S)
+    assert set(dropped.replicas) == {"a"}
+    assert set(dropped.left) == {"b"}
+
+
+def test_earlier_failure_does_not_shorten_the_time_after_an_outage(table):
+    assert apply_outage(apply_outage(table, 12.0), 11.0) == apply_outage(table, 12.0)
+
+
 def test_kept_replica_yields_to_the_new_holder_of_its_address(table):
     outage = apply_outage(table, 11.0)
     after = apply_read(outage, [replica("a"), replica("c", "10.0.0.2:80")], 12.0)
