Keep what a replica says when its restart is listed later

A replica restarted, the store went away, and the replica said in its answers that it leaves. The statement was kept under the start that the list named when the answer came, which was that of the former incarnation.

Statements are kept by id. They hold for another incarnation at the same address until the list was up to date for 3 s after the answer, in which time a replica has reported that it leaves. Starts are not compared with times, as clocks differ.

--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -23,6 +23,7 @@
     Incarnation,
     Replica,
     ReplicaAvailability,
+    ReplicaTable,
     incarnation_of,
 )
 from greengagehoist.retries import RetryBudget
@@ -70,6 +71,7 @@
     :param retry_budget: limits how many pieces are sent again.
     :param make_worker: builds the worker of a replica.
     :param limit_view: published limits of replicas, in calls a second.
+    :param table: returns the newest table of the replicas.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         retry_budget: RetryBudget,
         make_worker: Callable[[Replica], PoolWorker],
         limit_view: Published[dict[Incarnation, float]],
+        table: Callable[[], ReplicaTable] | None = None,
     ):
         self.limit_view = limit_view
         self.service = service
@@ -88,7 +91,7 @@
         self.make_worker = make_worker
         self.members: dict[str, PoolReplica] = {}
         self.silent_zones: frozenset[str] = frozenset()
-        self.availability = ReplicaAvailability()
+        self.availability = ReplicaAvailability(table)
 
     def sync(self, replicas: Iterable[Replica]) -> None:
         """Apply the list of replicas; a replica with a call in progress changes after the call."""
--- a/greengagehoist/gateway/controllers/_owned_pools.py
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -68,7 +68,14 @@
             return pool
         if pool is None:
             budget = self.make_retry_budget()
-            pool = OwnedPool(service, listed.pool, budget, self.make_worker, self.limit_view)
+            pool = OwnedPool(
+                service,
+                listed.pool,
+                budget,
+                self.make_worker,
+                self.limit_view,
+                lambda: self.table.value,
+            )
             pool.silent_zones = self._silent_zones
             self._pools[service] = pool
             self.sync(pool)
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -143,7 +143,7 @@
         self.zone = zone
         self._health: dict[str, _Health] = {}
         self._zone_avoid_until: dict[str, float] = {}
-        self._availability = ReplicaAvailability()
+        self._availability = ReplicaAvailability(lambda: table.value)
 
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
--- a/greengagehoist/replicas/_table.py
+++ b/greengagehoist/replicas/_table.py
@@ -30,6 +30,7 @@
 
     :param replicas: by id.
     :param missing_allowed_until: until this time, replicas that are missing from the list are kept.
+    :param fresh_since: send time of the first read since the list was last away, None while it is.
     :param missing: ids of the replicas that are kept, although the last read did not list them.
     :param read_at: time at which the last successful read was sent, None before the first.
     :param restored_until: until this time, replicas in ``left`` get no requests whatever the list
@@ -43,6 +44,7 @@
     restored_until: float = 0.0
     left: dict[str, LeftReplica] = {}
     missing: frozenset[str] = frozenset()
+    fresh_since: float | None = None
 
     def zones_by_address(self) -> dict[str, str]:
         """Return the data centre of each replica by its ``ip:port``."""
@@ -76,7 +78,13 @@
         }
     replicas = {**kept, **found}
     left = _note_left(table, replicas, sent_at)
-    return table._replace(replicas=replicas, read_at=sent_at, left=left, missing=frozenset(kept))
+    return table._replace(
+        replicas=replicas,
+        read_at=sent_at,
+        left=left,
+        missing=frozenset(kept),
+        fresh_since=sent_at if table.fresh_since is None else table.fresh_since,
+    )
 
 
 def drop_missing(table: ReplicaTable, now: float) -> ReplicaTable:
@@ -131,4 +139,4 @@
         not count: if only this daemon was cut off, the platform may have been up all the while.
     """
     until = max(table.missing_allowed_until, failed_at + RETURN_GRACE_S)
-    return table._replace(missing_allowed_until=until)
+    return table._replace(missing_allowed_until=until, fresh_since=None)
--- a/greengagehoist/replicas/tests/test_availability.py
+++ b/greengagehoist/replicas/tests/test_availability.py
@@ -7,8 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagehoist.replicas import MAX_PAUSE_S, Replica, ReplicaAvailability
-from greengagehoist.replicas._availability import MAX_REMEMBERED, PROBE_TIMEOUT_S
+from greengagehoist.replicas import MAX_PAUSE_S, Replica, ReplicaAvailability, ReplicaTable
+from greengagehoist.replicas._availability import (
+    MAX_REMEMBERED,
+    PROBE_TIMEOUT_S,
+    REPORT_TIME_S,
+)
+from greengagehoist.utils import Published
 
 NOW = 100.0
 # What the rule allows: two requests from half a second after the answer until the end of the pause.
@@ -38,6 +43,69 @@
     assert availability.sends_from(replica(born_ms=2), NOW) <= NOW
 
 
+@pytest.fixture
+def table():
+    """Return a published table of replicas whose list was read at 90 s first."""
+    return Published(ReplicaTable(read_at=90.0, fresh_since=90.0))
+
+
+def read_list(table, at):
+    fresh_since = table.value.fresh_since
+    fresh_since = at if fresh_since is None else fresh_since
+    table.value = table.value._replace(read_at=at, fresh_since=fresh_since)
+
+
+@pytest.mark.parametrize("born_ms", [2, 0])
+def test_statement_holds_for_a_restart_that_is_listed_later(table, born_ms):
+    """Guards against requests for the incarnation that has said it; its clock may be set back."""
+    availability = ReplicaAvailability(lambda: table.value)
+    availability.observe_answer(replica(), True, None, NOW)
+    restarted = replica(born_ms)
+    for at in (NOW + 0.5, NOW + REPORT_TIME_S - 0.1):
+        read_list(table, at)
+        assert availability.sends_from(restarted, at) > at
+    read_list(table, NOW + REPORT_TIME_S)
+    assert availability.sends_from(restarted, NOW + 4.0) == NOW + 4.0
+    assert availability.sends_from(replica(), NOW + 4.0) == math.inf
+
+
+def test_list_that_was_away_shows_nothing_about_a_restart(table):
+    availability = ReplicaAvailability(lambda: table.value)
+    availability.observe_answer(replica(), True, None, NOW)
+    table.value = table.value._replace(fresh_since=None)
+    assert availability.sends_from(replica(2), NOW + 60.0) > NOW + 60.0
+    read_list(table, NOW + 60.0)
+    assert availability.sends_from(replica(2), NOW + 60.0) > NOW + 60.0
+    read_list(table, NOW + 60.0 + REPORT_TIME_S)
+    assert availability.sends_from(replica(2), NOW + 64.0) == NOW + 64.0
+    table.value = table.value._replace(fresh_since=None)
+    assert availability.sends_from(replica(2), NOW + 65.0) == NOW + 65.0
+
+
+def test_second_restart_before_the_list_shows_the_first(table):
+    availability = ReplicaAvailability(lambda: table.value)
+    availability.observe_answer(replica(1), True, None, NOW)
+    read_list(table, NOW + 1.0)
+    assert availability.sends_from(replica(2), NOW + 1.0) > NOW + 1.0
+    assert availability.observe_answer(replica(2), True, None, NOW + 1.1)
+    read_list(table, NOW + 2.0)
+    assert availability.sends_from(replica(3), NOW + 2.0) > NOW + 2.0
+
+
+def test_restart_at_another_address_is_a_later_incarnation(table):
+    """The answer came from the former address."""
+    availability = ReplicaAvailability(lambda: table.value)
+    availability.observe_answer(replica(), True, None, NOW)
+    assert availability.sends_from(replica(2)._replace(port=81), NOW) == NOW
+
+
+def test_pause_holds_for_a_restart_that_is_listed_later(table):
+    availability = ReplicaAvailability(lambda: table.value)
+    availability.observe_answer(replica(), False, 2.0, NOW)
+    read_list(table, NOW + 0.5)
+    assert availability.sends_from(replica(2), NOW + 0.5) == NOW + 2.0
+
+
 def test_first_request_after_a_pause_goes_alone(availability):
     """All requests that waited would otherwise meet the replica together."""
     availability.observe_answer(replica(), False, 2.0, NOW)
