Bound the processor time of peers that send in tiny pieces

Each answer was limited in bytes only, a connection was read in pieces of 256 KiB, and the client library read buffered lines without a turn for other tasks.

A connection is read in pieces of 16 KiB. Buffered lines give other tasks a turn.

Evidence: with the limits switched off, the new test of the daemon with chunks of one byte and the unit tests of tiny chunks fail; with them all pass.

--- a/greengagehoist/daemon/tests/test_gateway_endless.py
+++ b/greengagehoist/daemon/tests/test_gateway_endless.py
@@ -53,6 +53,29 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("path", "endless"),
+    [
+        ("/book/", Endless(CHUNKED, b"1\r\nx\r\n")),
+        ("/once/", Endless(CHUNKED, b"1\r\n\n\r\n")),
+        ("/once/", Endless(HEAD + b"Content-Length: 1000000000\r\n\r\n", b"\n")),
+    ],
+    ids=["chunks of one byte", "chunks of empty lines", "empty lines"],
+)
+def test_answer_in_tiny_pieces_ends_before_its_deadline(run_scenario, path, endless):
+    """Guards against replicas that keep the daemon busy, so that it serves no other client."""
+
+    async def scenario(system):
+        for replica in system.desks + system.engines:
+            replica.behaviour = endless
+        calls = [system.call(path) for _ in range(20)]
+        ends = await asyncio.gather(*calls, return_exceptions=True)
+        statuses = {502 if isinstance(end, IncompleteError) else end[0] for end in ends}
+        assert statuses == {502}
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("kind", ["head", "body", "chunks"])
 def test_answer_that_trickles_without_end_gets_its_final_answer_in_time(run_scenario, kind):
     """A peer that sends a little now and then must not hold a request past its deadline."""
--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterator
 from itertools import groupby
 
-from greengagehoist.http1 import MAX_EVENT_BYTES, IncompleteError, ProtocolError
+from greengagehoist.http1 import (
+    MAX_EVENT_BYTES,
+    MAX_EVENT_GAP_BYTES,
+    IncompleteError,
+    ProtocolError,
+)
 
 # A blank line ends an event; a stream may use any of the three line endings.
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
@@ -32,12 +37,13 @@
         self.events = 0
         self.can_resume = True
         self._partial = b""
+        self._gap_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that ``data`` completes.
 
-        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``, has a line that is no field, or
-            does not continue the stream. None of the events in ``data`` counts as received then.
+        :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``, has a line that is no field,
+            does not continue the stream, or comes after too many bytes that are none. None of the events in ``data`` counts as received then.
         """
         text = self._partial + data
         end = _end_of_events(text)
@@ -48,7 +54,13 @@
             return b""
         whole, self._partial = text[:end], text[end:]
         _check_fields(whole)
+        events = self.events
         self._check_order(whole)
+        self._gap_bytes = self._gap_bytes + len(whole) if self.events == events else 0
+        if self._gap_bytes > MAX_EVENT_GAP_BYTES:
+            raise ProtocolError(
+                f"more than {MAX_EVENT_GAP_BYTES} bytes of a stream without an event"
+            )
         return whole
 
     def _check_order(self, events: bytes) -> None:
--- a/greengagehoist/gateway/tests/test_events.py
+++ b/greengagehoist/gateway/tests/test_events.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from greengagehoist.gateway._events import EventSplitter
-from greengagehoist.http1 import IncompleteError, ProtocolError
+from greengagehoist.http1 import MAX_EVENT_GAP_BYTES, IncompleteError, ProtocolError
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 
@@ -128,3 +128,20 @@
     events = b"retry: 100\n\nid: 2\ndata\n\nretry: 5\n\n"
     assert splitter.feed(events) == events
     assert (splitter.last_id, splitter.can_resume) == (2, True)
+
+
+@pytest.mark.parametrize("filler", [b"\n", b"\r\n", b": x\n\n", b"event: x\n\n"])
+def test_bytes_without_an_event_are_limited(filler):
+    """Guards against empty lines without end, which keep the daemon busy until the deadline."""
+    splitter = EventSplitter()
+    with pytest.raises(ProtocolError, match="without an event"):
+        for _ in range(MAX_EVENT_GAP_BYTES // 512 + 2):
+            splitter.feed(filler * 512)
+
+
+def test_comments_between_events_do_not_add_up():
+    splitter = EventSplitter()
+    for number in range(200):
+        splitter.feed(b": x\n\n" * 100)
+        splitter.feed(b"id: %d\ndata: x\n\n" % number)
+    assert splitter.last_id == 199
--- a/greengagehoist/http1/__init__.py
+++ b/greengagehoist/http1/__init__.py
@@ -5,7 +5,12 @@
     ResponseTooLargeError,
     StreamConnection,
 )
-from greengagehoist.http1._limits import MAX_BODY_BYTES, MAX_EVENT_BYTES, MAX_FRAMING_BYTES
+from greengagehoist.http1._limits import (
+    MAX_BODY_BYTES,
+    MAX_EVENT_BYTES,
+    MAX_EVENT_GAP_BYTES,
+    MAX_FRAMING_BYTES,
+)
 from greengagehoist.http1._request import Request, RequestReader, SizeLimits
 from greengagehoist.http1._response import ResponseReader
 from greengagehoist.http1._socket import Socket, open_socket
@@ -27,6 +32,7 @@
     "LAST_CHUNK",
     "MAX_BODY_BYTES",
     "MAX_EVENT_BYTES",
+    "MAX_EVENT_GAP_BYTES",
     "MAX_FRAMING_BYTES",
     "BufferedConnection",
     "Headers",
--- a/greengagehoist/http1/_bounded_connection.py
+++ b/greengagehoist/http1/_bounded_connection.py
@@ -1,12 +1,22 @@
 """Connections of the HTTP client library with a limit on the bytes of a response."""
 
+import asyncio
 from typing import Any
 
 from aiosonic.connection import Connection
 
-from greengagehoist.http1._limits import MAX_BODY_BYTES, MAX_EVENT_BYTES, MAX_FRAMING_BYTES
+from greengagehoist.http1._limits import (
+    MAX_BODY_BYTES,
+    MAX_EVENT_BYTES,
+    MAX_FRAMING_BYTES,
+    exceeds_chunk_framing,
+)
 from greengagehoist.utils import show_value
 
+CRLF = b"\r\n"
+# Lines that are read from the buffer of a connection before other tasks may run.
+LINES_PER_TURN = 64
+
 
 class ResponseTooLargeError(ValueError):
     """The peer sent more bytes than a response may have."""
@@ -23,7 +33,8 @@
     has ended, so that half a head would pass for a whole response. Such lines are errors here.
 
     Lines in a row, which are the status line, the headers, a chunk header or trailers, are limited
-    to ``MAX_FRAMING_BYTES``, and a chunk to ``MAX_EVENT_BYTES``.
+    to ``MAX_FRAMING_BYTES``, and a chunk to ``MAX_EVENT_BYTES``. Lines after the head are limited in
+    proportion to the body. Reads of buffered lines do not wait, so other tasks get a turn in between.
     """
 
     max_read_bytes = MAX_EVENT_BYTES
@@ -32,6 +43,9 @@
         super().__init__(*args, **kwargs)
         self._framing_bytes = 0
         self._in_head = False
+        self._lines = 0
+        self._chunk_framing_bytes = 0
+        self._body_bytes = 0
 
     def reuse(self, *args: Any, **kwargs: Any) -> bool:
         """Return whether the next request may use this connection.
@@ -45,6 +59,7 @@
     def write(self, data: bytes) -> None:
         """Queue bytes of a request, after which a new response is expected."""
         self._framing_bytes, self._in_head = 0, True
+        self._chunk_framing_bytes, self._body_bytes = 0, 0
         super().write(data)
 
     async def readline(self) -> bytes:
@@ -54,6 +69,7 @@
         :raises IncompleteHeadError: if the connection ends before the end of the line.
         :raises ValueError: if a line of the head is no header.
         """
+        await self._yield_turn()
         line = self._count_line(await super().readline())
         if not line.endswith(b"\n"):
             raise IncompleteHeadError("connection closed in the middle of a response")
@@ -65,6 +81,7 @@
 
     async def readuntil(self, separator: bytes = b"\n") -> bytes:
         """Read up to a separator, like :meth:`readline`."""
+        await self._yield_turn()
         return self._count_line(await super().readuntil(separator))
 
     async def readexactly(self, size: int) -> bytes:
@@ -72,6 +89,7 @@
 
         :raises ResponseTooLargeError: if there are too many.
         """
+        self._body_bytes += size
         self._check_read(size)
         self._framing_bytes = 0
         return await super().readexactly(size)
@@ -79,10 +97,25 @@
     async def read(self, size: int = -1) -> bytes:
         """Read some bytes of the body."""
         self._framing_bytes = 0
-        return await super().read(size)
+        data = await super().read(size)
+        self._body_bytes += len(data)
+        return data
+
+    async def _yield_turn(self) -> None:
+        self._lines += 1
+        if self._lines % LINES_PER_TURN == 0:
+            await asyncio.sleep(0)
 
     def _count_line(self, line: bytes) -> bytes:
         self._framing_bytes += len(line)
+        if not self._in_head:
+            # The client library reads the end of a chunk's line together with the chunk.
+            self._chunk_framing_bytes += len(line) + len(CRLF)
+            self._body_bytes -= len(CRLF)
+            if exceeds_chunk_framing(self._chunk_framing_bytes, self._body_bytes):
+                raise ResponseTooLargeError(
+                    "response has too many bytes around the chunks of its body"
+                )
         if self._framing_bytes > MAX_FRAMING_BYTES:
             raise ResponseTooLargeError(
                 f"response has more than {MAX_FRAMING_BYTES} bytes in a row outside its body"
@@ -104,15 +137,5 @@
 
     max_read_bytes = MAX_BODY_BYTES
 
-    def __init__(self, *args: Any, **kwargs: Any):
-        super().__init__(*args, **kwargs)
-        self._body_bytes = 0
-
-    def write(self, data: bytes) -> None:
-        """Queue bytes of a request, after which a new response is expected."""
-        self._body_bytes = 0
-        super().write(data)
-
     def _check_read(self, size: int) -> None:
-        self._body_bytes += size
         super()._check_read(self._body_bytes)
--- a/greengagehoist/http1/_response.py
+++ b/greengagehoist/http1/_response.py
@@ -2,7 +2,12 @@
 
 import httptools
 
-from greengagehoist.http1._limits import MAX_BODY_BYTES, MAX_FRAMING_BYTES
+from greengagehoist.http1._limits import (
+    MAX_BODY_BYTES,
+    MAX_FRAMING_BYTES,
+    MAX_HEADER_LINES,
+    exceeds_chunk_framing,
+)
 from greengagehoist.http1._socket import Socket
 from greengagehoist.http1._types import (
     IncompleteError,
@@ -18,8 +23,8 @@
 class ResponseReader:
     """Reads the final response to one request.
 
-    Bytes outside the body are limited to ``MAX_FRAMING_BYTES`` in a row, trailers are ignored, and
-    the body is limited when it is read as a whole.
+    Bytes outside the body are limited to ``MAX_FRAMING_BYTES`` in a row, and in proportion to the
+    body. Trailers are ignored, and the body is limited when it is read as a whole.
 
     :ivar reusable: after the end of the body, whether the connection may carry another request: it
         stays open and no byte has followed the response.
@@ -36,6 +41,8 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._framing_bytes = 0
+        self._chunk_framing_bytes = 0
+        self._header_lines = 0
         self._done = False
         self._has_extra = False
         self._until_close = False
@@ -59,6 +66,9 @@
             self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._header_lines += 1
+        if self._header_lines > MAX_HEADER_LINES:
+            raise ValueError(f"more than {MAX_HEADER_LINES} header lines")
         if self._head is None:
             self._headers.append((name, value))
 
@@ -139,7 +149,7 @@
                 self._done = True
                 return
             raise IncompleteError("connection closed before the end of the response")
-        body_bytes = self._body_bytes
+        body_bytes, in_body = self._body_bytes, self._head is not None
         self._feed(data)
         if self._body_bytes > body_bytes:
             self._framing_bytes = 0
@@ -149,6 +159,10 @@
             raise ProtocolError(
                 f"response has more than {MAX_FRAMING_BYTES} bytes in a row outside its body"
             )
+        if in_body:
+            self._chunk_framing_bytes += len(data) - (self._body_bytes - body_bytes)
+        if exceeds_chunk_framing(self._chunk_framing_bytes, self._body_bytes) and not self._done:
+            raise ProtocolError("response has too many bytes around the chunks of its body")
 
     def _feed(self, data: bytes) -> None:
         try:
--- a/greengagehoist/http1/_socket.py
+++ b/greengagehoist/http1/_socket.py
@@ -9,7 +9,9 @@
 from greengagehoist.utils import MAX_PORT, show_value
 
 # Reading pauses while more received bytes than this are unread.
-MAX_UNREAD_BYTES = 256 * 1024
+MAX_UNREAD_BYTES = 32 * 1024
+# Bytes that are read from a connection before all others get a turn.
+READ_BYTES = 16 * 1024
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 3000
 KEEPALIVE_IDLE_S = 2
@@ -20,7 +22,11 @@
 DEFAULT_LINGER = struct.pack("ii", 0, 0)
 
 
-class Socket(asyncio.Protocol):
+# Holds received bytes only during a call of the event loop, so all connections share it.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
+
+class Socket(asyncio.BufferedProtocol):
     """A connection with buffered reads and back pressure in both directions.
 
     :ivar gone: done as soon as the peer has closed or reset the connection, even if no task is
@@ -45,6 +51,14 @@
         if sock is not None:
             _set_options(sock)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next received bytes."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes out of the buffer."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Buffer bytes until they are read."""
         self._received.append(data)
--- a/greengagehoist/http1/tests/test_bounded_connection.py
+++ b/greengagehoist/http1/tests/test_bounded_connection.py
@@ -8,7 +8,9 @@
 from aiosonic.connectors import TCPConnector
 from aiosonic.pools import PoolConfig
 
-from greengagehoist.http1 import BufferedConnection, StreamConnection
+from greengagehoist.http1 import BufferedConnection, ResponseTooLargeError, StreamConnection
+from greengagehoist.http1._bounded_connection import LINES_PER_TURN
+from greengagehoist.http1._limits import MAX_CHUNK_FRAMING_BYTES
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
@@ -93,3 +95,42 @@
     bodies, connections = request_three(connection_cls, 1, chunked)
     assert bodies == [b"response 1", b"response 2", b"response 3"]
     assert connections == 1
+
+
+@pytest.mark.parametrize("connection_cls", [BufferedConnection, StreamConnection])
+def test_tiny_chunks_are_rejected_while_other_tasks_run(connection_cls):
+    """Guards against a peer whose buffered lines are read without a turn for any other task.
+
+    The platform's store could stop a daemon for seconds in this way.
+    """
+    turns = 0
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 100_000)
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        pools = {":default": PoolConfig(size=1)}
+        client = aiosonic.HTTPClient(TCPConnector(pools, connection_cls=connection_cls))
+        response = await client.request(f"http://{host}:{port}/", "GET")
+        counting = asyncio.ensure_future(count_turns())
+        with pytest.raises(ResponseTooLargeError, match="around the chunks"):
+            async with asyncio.timeout(10.0):
+                await response.content()
+        counting.cancel()
+        await client.aclose()
+        server.close()
+
+    asyncio.run(main())
+    lines = MAX_CHUNK_FRAMING_BYTES // len(b"1\r\n")
+    assert turns > lines / LINES_PER_TURN / 2
--- a/greengagehoist/http1/tests/test_endless_response.py
+++ b/greengagehoist/http1/tests/test_endless_response.py
@@ -15,6 +15,7 @@
     ProtocolError,
     ResponseReader,
 )
+from greengagehoist.http1._limits import MAX_CHUNK_FRAMING_BYTES, MAX_HEADER_LINES
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -36,6 +37,8 @@
     "chunks": (CHUNKED, b"40\r\n" + b"x" * 64 + b"\r\n"),
     "one chunk": (CHUNKED + b"ffffffffff\r\n", b"x" * 64),
     "chunk extension": (CHUNKED + b"1;a=", b"x" * 64),
+    "chunks of one byte": (CHUNKED, b"1\r\nx\r\n"),
+    "chunks of two bytes": (CHUNKED, b"002\r\nxx\r\n"),
     "trailers": (CHUNKED + b"1\r\nx\r\n0\r\n", b"X-A: b\r\n"),
     "trailer value": (CHUNKED + b"1\r\nx\r\n0\r\nX-A: ", b"x" * 64),
 }
@@ -80,6 +83,38 @@
     assert sock.taken <= 2 * (MAX_FRAMING_BYTES + BLOCK)
 
 
+@pytest.mark.parametrize("kind", ["header repeated", "interim responses", "trailers"])
+def test_header_lines_are_limited_in_number(kind):
+    """Each line costs far more memory than its bytes: 100 such heads took 130 MB."""
+    sock = EndlessSocket(*ENDLESS[kind], block_bytes=64)
+    with pytest.raises(ProtocolError):
+        asyncio.run(read_whole(sock))
+    beginning, repeated = ENDLESS[kind]
+    assert sock.taken <= len(beginning) + (MAX_HEADER_LINES + 1) * max(64, len(repeated))
+
+
+@pytest.mark.parametrize("kind", ["chunks of one byte", "chunks of two bytes"])
+def test_tiny_chunks_are_rejected_early(kind):
+    """Guards against a peer that keeps the daemon busy until the deadline of its request."""
+    sock = EndlessSocket(*ENDLESS[kind])
+    with pytest.raises(ProtocolError, match="around the chunks"):
+        asyncio.run(read_whole(sock))
+    assert sock.taken <= 8 * MAX_CHUNK_FRAMING_BYTES + BLOCK
+
+
+def test_small_chunks_of_a_long_stream_are_passed_on():
+    """Guards against a limit that ends a stream with a token or two in each chunk."""
+
+    async def scenario():
+        sock = EndlessSocket(CHUNKED, b"4\r\nabcd\r\n")
+        reader = ResponseReader(sock)
+        await reader.head()
+        while sock.taken < MAX_BODY_BYTES:
+            assert await reader.chunk()
+
+    asyncio.run(scenario())
+
+
 def test_bytes_without_end_after_the_response_are_left_on_the_connection():
     sock = EndlessSocket(HEAD + b"Content-Length: 2\r\n\r\nhi", b"x")
     reader = asyncio.run(read_whole(sock))
