Limit the memory of large answers together

Nothing limited them together.

BufferController grants the memory for bodies and events of more than 16 KiB, a quarter of the machine's memory in all. An answer that waits for it is not read, so that its sender is slowed down. Memory goes to the replica whose answers hold the least. It is released when the client's connection has taken the answer.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -8,7 +8,9 @@
 from greengagehoist.deployment import is_fresh
 from greengagehoist.gateway import Bounds, GatewaySettings, WireFormat
 from greengagehoist.gateway.controllers import (
+    BUFFER_FRACTION,
     MEMBER_POLL_PERIOD_S,
+    BufferController,
     DeploymentController,
     Leave,
     MemberController,
@@ -17,6 +19,7 @@
     QuarantineController,
     ReachController,
     RelayController,
+    ReleaseBuffer,
     ReplicaController,
     SendLimitController,
     SetReadPeriod,
@@ -169,6 +172,7 @@
         self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
         gate = QuarantineGate(self.quarantine, self.quarantine.view, clock)
         self.shutdown = ShutdownGate(clock)
+        self.buffers = BufferController(int(BUFFER_FRACTION * settings.memory_bytes))
         self.platform.followers = (self.members,)
         self.replicas.followers = (self.pools,)
         self.reach.followers = (self.pools, self.limits)
@@ -199,11 +203,19 @@
                     first_event_latency,
                     wire,
                     clock,
+                    self.buffers,
                 ),
             ]
         )
         self.measurements = Measurements()
-        self.front = GatewayFront(chain, wire, snapshot, clock, self.measurements.observe_request)
+        self.front = GatewayFront(
+            chain,
+            wire,
+            snapshot,
+            clock,
+            self.measurements.observe_request,
+            lambda progress: self.buffers.tell(ReleaseBuffer(progress)),
+        )
         self.probes = ProbeFront({ready_path: self._readiness, METRICS_PATH: self._metrics})
         self.address = settings.clients
         self._stopping = False
@@ -241,6 +253,7 @@
             self.limits,
             self.pools,
             self.quarantine,
+            self.buffers,
         )
         self._tasks = [loop.create_task(item.run()) for item in controllers]
         self.peers.tell(UpdateHeartbeat(ready=True))
--- a/greengagehoist/daemon/tests/test_gateway_endless.py
+++ b/greengagehoist/daemon/tests/test_gateway_endless.py
@@ -1,6 +1,7 @@
 """Guards against replicas, pools and a store whose bytes never end, with stand-ins on loopback."""
 
 import asyncio
+import contextlib
 import resource
 
 import pytest
@@ -146,6 +147,77 @@
     run_scenario(scenario)
 
 
+def resident_bytes():
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
+async def watch(system, figures):
+    """Record the most memory that the process and its buffers hold."""
+    while True:
+        figures["resident"] = max(figures["resident"], resident_bytes())
+        figures["held"] = max(figures["held"], system.daemons[0].buffers.held_bytes)
+        await asyncio.sleep(0.005)
+
+
+async def call_and_discard(system, path):
+    """Send a request and drop its answer as it comes."""
+    sock = await system.connect()
+    sock.write(system.encode(path))
+    with contextlib.suppress(ConnectionError):
+        while await sock.read():
+            pass
+    sock.abort()
+
+
+@pytest.mark.parametrize(
+    ("path", "endless"),
+    [
+        ("/book/", ENDLESS["body"]),
+        ("/book/", ENDLESS["chunks"]),
+        ("/book/", Endless(HEAD + b"Content-Length: 4194304\r\n\r\n", b"x" * 64)),
+        ("/once/", Endless(CHUNKED, b"40\r\n" + b"x" * 64 + b"\r\n")),
+    ],
+    ids=["body", "chunks", "body with a length", "event"],
+)
+def test_many_endless_answers_share_one_limit(run_scenario, path, endless):
+    """Guards against answers that are limited one by one: 40 of them took 200 to 340 MB."""
+
+    async def scenario(system):
+        for replica in system.desks + system.engines:
+            replica.behaviour = endless
+        daemon = system.daemons[0]
+        figures = {"resident": 0, "held": 0}
+        before = resident_bytes()
+        watching = asyncio.ensure_future(watch(system, figures))
+        await asyncio.gather(*(call_and_discard(system, path) for _ in range(60)))
+        watching.cancel()
+        assert 0 < figures["held"] <= daemon.buffers.limit
+        # The stand-ins and clients of the test run in the same process.
+        assert figures["resident"] - before < daemon.buffers.limit + MAX_GROWTH_KB * 1024
+        await wait_until(lambda: daemon.buffers.held_bytes == 0)
+
+    run_scenario(scenario)
+
+
+def test_large_sound_answers_wait_for_memory_and_are_served(run_scenario):
+    """Guards against a limit that fails what it should only delay."""
+
+    async def scenario(system):
+        for desk in system.desks:
+            desk.padding = b"x" * 1_000_000
+        daemon = system.daemons[0]
+        daemon.buffers.limit = 4_500_000
+        figures = {"resident": 0, "held": 0}
+        watching = asyncio.ensure_future(watch(system, figures))
+        ends = await asyncio.gather(*(system.call("/look/") for _ in range(8)))
+        watching.cancel()
+        assert {(status, len(body) > 1_000_000) for status, _, body in ends} == {(200, True)}
+        assert 0 < figures["held"] <= daemon.buffers.limit
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     ("head", "status"),
     [
--- a/greengagehoist/gateway/__init__.py
+++ b/greengagehoist/gateway/__init__.py
@@ -1,7 +1,7 @@
 """Gateway for opaque requests: core types and the interface of the wire format."""
 
 from greengagehoist.gateway._events import MAX_ID_DIGITS, parse_event_id
-from greengagehoist.gateway._settings import Bounds, GatewaySettings
+from greengagehoist.gateway._settings import DEFAULT_MEMORY_BYTES, Bounds, GatewaySettings
 from greengagehoist.gateway._types import (
     MISDIRECTED,
     STOPPING_RETRY_AFTER_S,
@@ -32,6 +32,7 @@
     "AnswerSink",
     "BadKey",
     "Bounds",
+    "DEFAULT_MEMORY_BYTES",
     "Exchange",
     "Filter",
     "GatewayRequest",
--- a/greengagehoist/gateway/_settings.py
+++ b/greengagehoist/gateway/_settings.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Memory of a VM whose settings do not name it.
+DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
+
 
 class Bounds(NamedTuple):
     """Times in seconds and ratios that the operators of a deployment guarantee.
@@ -34,6 +37,7 @@
     :param peers: address of the listener for other daemons.
     :param platform: address of the platform.
     :param capacity: relative capacity of this VM: its cores, limited by its network link.
+    :param memory_bytes: memory at which the process is ended.
     """
 
     vm: str
@@ -44,3 +48,4 @@
     platform: str
     capacity: float
     bounds: Bounds
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -106,6 +106,7 @@
     :ivar answer_begun_at: time of the first whole event of the latest send, None before it.
     :ivar on_trial: whether the first send may try a prompt part that is in quarantine.
     :ivar splitter: events of a resumable stream, None before the first send.
+    :ivar reserved_bytes: memory that the request has asked for to buffer its answer.
     :ivar request_key: key of the request for the quarantine, None before it is needed.
     """
 
@@ -120,6 +121,7 @@
         self.answer_begun_at: float | None = None
         self.on_trial = False
         self.splitter: EventSplitter | None = None
+        self.reserved_bytes = 0
         self.request_key: int | None = None
 
 
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -23,6 +23,7 @@
     LoadReported,
     RequestEnded,
 )
+from greengagehoist.gateway.filters._buffer_space import BufferSpace
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._replica_choice import RETRY_AFTER_S, ReplicaChooser
@@ -90,6 +91,7 @@
     :param shutdown: refuses sends whose answers would outlive the process.
     :param budgets: limit the retries of each service.
     :param first_event_latency: receives the measured times from send to first event.
+    :param buffers: limits the memory of large answers.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         first_event_latency: FirstEventLatency,
         wire: WireFormat,
         clock: Clock,
+        buffers: Controller,
     ):
         self.first_event_latency = first_event_latency
         self.placement = placement
@@ -114,6 +117,7 @@
         self.budgets = budgets
         self.wire = wire
         self.clock = clock
+        self.buffers = buffers
 
     async def __call__(self, exchange: Exchange, proceed: Proceed) -> Reply:
         """Return a replica's answer, or a failure that says whether the request may have run."""
@@ -287,7 +291,13 @@
         if isinstance(exchange.route.kind, Streaming) and head.status == OK:
             self.first_event_latency.observe(exchange.route, self.clock.monotonic() - sent_at)
             return await relay_stream(
-                exchange, replica, head, reader, self.clock, lambda: self._begin_body(exchange)
+                exchange,
+                replica,
+                head,
+                reader,
+                self.clock,
+                lambda: self._begin_body(exchange),
+                BufferSpace(self.buffers, exchange.progress, replica.replica_id),
             )
         if exchange.progress.started:
             # The client already has the beginning of another replica's answer.
@@ -303,7 +313,8 @@
         self, exchange: Exchange, replica: Replica, head: ResponseHead, reader: ResponseReader
     ) -> Reply | SendEnd:
         try:
-            body = await reader.whole_body()
+            space = BufferSpace(self.buffers, exchange.progress, replica.replica_id)
+            body = await reader.whole_body(reserve=space.reserve)
         except ProtocolError as exc:
             log_invalid_response(exchange, replica, exc)
             return Broken()
--- a/greengagehoist/gateway/filters/_stream_relay.py
+++ b/greengagehoist/gateway/filters/_stream_relay.py
@@ -4,8 +4,11 @@
 
 from greengagehoist.gateway import Exchange, Progress, Reply, StreamEnded
 from greengagehoist.gateway._events import EventSplitter
+from greengagehoist.gateway.filters._buffer_space import BufferSpace
 from greengagehoist.gateway.filters._send_log import log_invalid_response
 from greengagehoist.http1 import (
+    MAX_EVENT_BYTES,
+    UNRESERVED_BYTES,
     IncompleteError,
     ProtocolError,
     ResponseHead,
@@ -32,10 +35,12 @@
     reader: ResponseReader,
     clock: Clock,
     on_first_bytes: Callable[[], None],
+    space: BufferSpace,
 ) -> Reply | SendEnd:
     """Send the client the whole events that the replica sends, or any other body as it comes.
 
     :param on_first_bytes: called when the replica has begun the body.
+    :param space: memory for the beginning of a large event.
     """
     progress, splitter = exchange.progress, exchange.progress.splitter
     try:
@@ -50,6 +55,10 @@
             if ready:
                 progress.answer_begun_at = progress.answer_begun_at or clock.monotonic()
                 await exchange.sink.send(ready)
+            if splitter.partial_bytes > UNRESERVED_BYTES:
+                await space.reserve(MAX_EVENT_BYTES)
+            else:
+                space.release()
             data = await reader.chunk()
         splitter.check_end()
     except (IncompleteError, ProtocolError) as exc:
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -115,6 +115,7 @@
     Each connection belongs to one task, which serves its requests in sequence.
 
     :param observe: receives the outcome and the duration in seconds of each request.
+    :param release: receives each request that holds memory when its answer has been sent.
     :ivar last_request_at: time of the newest request's arrival on the monotonic clock.
     """
 
@@ -125,12 +126,14 @@
         snapshot: Published[DeploymentSnapshot | None],
         clock: Clock,
         observe: Callable[[str, float], None],
+        release: Callable[[Progress], None],
     ):
         self.chain = chain
         self.wire = wire
         self.snapshot = snapshot
         self.clock = clock
         self.observe = observe
+        self.release = release
         self.in_flight = 0
         self.last_request_at = 0.0
         self._stopping_at: float | None = None
@@ -239,13 +242,14 @@
         sock, arrived = conn.sock, self.clock.monotonic()
         self.in_flight += 1
         self.last_request_at = arrived
+        progress = Progress()
         try:
             req = self.wire.read_request(request.head, request.body)
             if self._stopping:
                 self._log_taken(conn, req.request_id, arrived)
             keep = request.head.keep_alive and not self._stopping
             sink = ClientAnswer(sock, keep, request.head.version == "1.1")
-            exchange = Exchange(req, sink, arrived, Progress())
+            exchange = Exchange(req, sink, arrived, progress)
             chain = asyncio.get_running_loop().create_task(self.chain(exchange))
             self._chains.add(chain)
             chain.add_done_callback(self._chains.discard)
@@ -267,6 +271,8 @@
             return keep
         finally:
             self.in_flight -= 1
+            if progress.reserved_bytes:
+                self.release(progress)
 
     @staticmethod
     def _result(chain: asyncio.Task, exchange: Exchange) -> Reply:
--- a/greengagehoist/gateway/front/_listen.py
+++ b/greengagehoist/gateway/front/_listen.py
@@ -4,7 +4,13 @@
 import socket
 from collections.abc import Callable
 
-from greengagehoist.http1 import ResponseHead, Socket, encode_response_head, end_to_end
+from greengagehoist.http1 import (
+    UNRESERVED_BYTES,
+    ResponseHead,
+    Socket,
+    encode_response_head,
+    end_to_end,
+)
 
 BACKLOG = 1024
 CLOSE = (b"Connection", b"close")
@@ -18,7 +24,12 @@
     headers = (*end_to_end(head.headers), (b"Content-Length", b"%d" % len(body)))
     if not keep:
         headers = (*headers, CLOSE)
-    sock.write(encode_response_head(head.status, head.reason, headers) + body)
+    start = encode_response_head(head.status, head.reason, headers)
+    if len(body) <= UNRESERVED_BYTES:
+        sock.write(start + body)
+    else:
+        sock.write(start)
+        sock.write(body)
 
 
 async def listen(accept: Callable[[Socket], None], host: str, port: int) -> asyncio.Server:
--- a/greengagehoist/http1/__init__.py
+++ b/greengagehoist/http1/__init__.py
@@ -10,6 +10,7 @@
     MAX_EVENT_BYTES,
     MAX_EVENT_GAP_BYTES,
     MAX_FRAMING_BYTES,
+    UNRESERVED_BYTES,
 )
 from greengagehoist.http1._request import Request, RequestReader, SizeLimits
 from greengagehoist.http1._response import ResponseReader
@@ -47,6 +48,7 @@
     "SizeLimits",
     "Socket",
     "StreamConnection",
+    "UNRESERVED_BYTES",
     "encode_chunk",
     "encode_request",
     "encode_response_head",
--- a/greengagehoist/http1/_limits.py
+++ b/greengagehoist/http1/_limits.py
@@ -19,6 +19,8 @@
 # Limit on a body that is buffered as a whole. The largest are pages of the platform's store, of up
 # to 1 MB and a third more for their encoding.
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Bodies and events up to this size are buffered without a reservation of memory.
+UNRESERVED_BYTES = 16 * 1024
 # Limit on one event or line of a stream, and on one chunk of a streamed body.
 MAX_EVENT_BYTES = 1024 * 1024
 
--- a/greengagehoist/http1/_response.py
+++ b/greengagehoist/http1/_response.py
@@ -1,11 +1,14 @@
 """Reads a response from a replica's connection."""
 
+from collections.abc import Awaitable, Callable
+
 import httptools
 
 from greengagehoist.http1._limits import (
     MAX_BODY_BYTES,
     MAX_FRAMING_BYTES,
     MAX_HEADER_LINES,
+    UNRESERVED_BYTES,
     exceeds_chunk_framing,
 )
 from greengagehoist.http1._socket import Socket
@@ -123,20 +126,33 @@
         self.reusable = persistent and not self._has_extra and not self.sock.has_unread
         return b""
 
-    async def whole_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+    async def whole_body(
+        self,
+        max_bytes: int = MAX_BODY_BYTES,
+        reserve: Callable[[int], Awaitable[None]] | None = None,
+    ) -> bytes:
         """Return the complete body.
 
+        :param reserve: called once before a body of more than ``UNRESERVED_BYTES`` is buffered, with
+            the most bytes that it may have; the read goes on when it returns.
         :raises IncompleteError: if the connection ends before its end.
         :raises ProtocolError: if the bytes are not a response, or the body exceeds ``max_bytes``.
         """
         declared = get_header(self._head.headers, b"content-length") if self._head else None
         if declared is not None and declared.isdigit() and int(declared) > max_bytes:
             raise ProtocolError(f"response body of {int(declared)} bytes exceeds {max_bytes} bytes")
+        size = int(declared) if declared is not None and declared.isdigit() else max_bytes
+        if declared is not None and size > UNRESERVED_BYTES and reserve is not None:
+            await reserve(size)
+            reserve = None
         parts = []
         while data := await self.chunk():
             parts.append(data)
             if self._body_bytes > max_bytes:
                 raise ProtocolError(f"response body exceeds {max_bytes} bytes")
+            if self._body_bytes > UNRESERVED_BYTES and reserve is not None:
+                await reserve(size)
+                reserve = None
         return b"".join(parts)
 
     async def _receive(self) -> None:
--- a/greengagehoist/platform/_settings.py
+++ b/greengagehoist/platform/_settings.py
@@ -4,7 +4,7 @@
 
 import yaml
 
-from greengagehoist.gateway import Bounds, GatewaySettings
+from greengagehoist.gateway import DEFAULT_MEMORY_BYTES, Bounds, GatewaySettings
 from greengagehoist.utils import ValidationError, check_address, check_float, check_int, check_text
 
 # Environment variable that holds the path of the settings file.
@@ -12,6 +12,7 @@
 MAX_BOUND_S = 86_400.0
 MAX_RETRY_SETTING = 1e9
 MAX_LIMIT = 1e9
+MIN_MEMORY_MB = 1.0
 # Link speed above which a daemon that uses one core is limited by the core, not by the link.
 MBPS_PER_CORE = 20.0
 
@@ -37,9 +38,17 @@
         platform=_address(raw, "platform", "address"),
         capacity=_capacity(raw),
         bounds=_bounds(raw),
+        memory_bytes=_memory_bytes(raw),
     )
 
 
+def _memory_bytes(raw: Any) -> int:
+    value = _get(raw, "limits", "memory_mb")
+    if value is None:
+        return DEFAULT_MEMORY_BYTES
+    return int(check_float("limits.memory_mb", value, MIN_MEMORY_MB, MAX_LIMIT) * 1024 * 1024)
+
+
 def _capacity(raw: Any) -> float:
     def limit(name: str) -> float:
         return check_float(f"limits.{name}", _get(raw, "limits", name), 0.0, MAX_LIMIT)
