Name the check for a bound on late answers by what it decides

ShutdownGate._is_bounded told whether a request needs a bound, not whether it has one. A line of EventSplitter.feed's description was longer than the others.

--- a/greengagehoist/gateway/_events.py
+++ b/greengagehoist/gateway/_events.py
@@ -43,7 +43,8 @@
         """Return the whole events that ``data`` completes.
 
         :raises ProtocolError: if an event exceeds ``MAX_EVENT_BYTES``, has a line that is no field,
-            does not continue the stream, or comes after too many bytes that are none. None of the events in ``data`` counts as received then.
+            does not continue the stream, or follows more than ``MAX_EVENT_GAP_BYTES`` without an
+            event. None of the events in ``data`` counts as received then.
         """
         text = self._partial + data
         end = _end_of_events(text)
--- a/greengagehoist/gateway/filters/_shutdown.py
+++ b/greengagehoist/gateway/filters/_shutdown.py
@@ -70,7 +70,7 @@
             "request_refused",
             request=exchange.req.request_id,
             reason="stopping",
-            bounded=self._is_bounded(exchange),
+            bounded=self._needs_bound(exchange),
             expected_ms=round(self._expected_s(exchange) * 1000),
             before_send_ms=round(before_send_s * 1000),
             left_ms=round((self._finish_by - self.clock.monotonic()) * 1000),
@@ -135,14 +135,14 @@
 
     def _begin_by(self, exchange: Exchange) -> float:
         longest_s = self._expected_s(exchange)
-        if self._is_bounded(exchange):
+        if self._needs_bound(exchange):
             longest_s = max(longest_s, self._longest_s(exchange))
         return begin_by(self._finish_by, longest_s, exchange.answer_deadline)
 
-    def _is_bounded(self, exchange: Exchange) -> bool:
-        """Return whether the request needs a bound on its answer.
+    def _needs_bound(self, exchange: Exchange) -> bool:
+        """Return whether the request may be sent only if something bounds its answer.
 
-        A refusal would cut an answer that has begun.
+        An answer that has begun is resumed by the estimate, as a refusal would cut it.
         """
         return exchange.arrived > self._bounded_from and not exchange.progress.started
 
