Drop replicas that left while only the hubs are cut off

Cause: each old answer of a hub counted as an outage of the platform and kept replicas that had left for 2.7 s more, so a daemon whose hubs were cut off kept them until the hubs could read again, whatever it read itself. Its own reads were 3 s apart, as long as the drain time. Change: old answers of hubs say nothing while the daemon's own reads succeed, and it reads at its usual period then. Ruled out: the daemon was not cut off itself; other data centres dropped the replica in time.

--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -124,8 +124,10 @@
             case ReadNow():
                 ok = await self._read_platform()
             case HubStale():
-                # An entry that lapses meanwhile may belong to a replica that runs.
-                self.tell(_ReadEnded(None, (), self.clock.monotonic()))
+                # If this daemon can read, only the hubs are cut off. Otherwise an entry that lapses
+                # meanwhile may belong to a replica that runs.
+                if not self.reads.own_read_ok:
+                    self.tell(_ReadEnded(None, (), self.clock.monotonic()))
         await self.reads.pause(step, ok, self._kept_for_s() if ok else math.inf)
         self.tell(Tick())
 
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -15,8 +15,8 @@
 QUERY_PERIOD_FRACTION = 1.0 - READER_PERIOD_FRACTION
 # Reads of a hub that are older than this many read periods are not used.
 MAX_AGE_PERIODS = 1.0
-# Least time between own reads while hubs cannot read, so that an outage of the hubs' reads does not
-# make all daemons read at once.
+# Least time between own reads while neither the hubs nor this daemon can read, so that an outage does
+# not make all daemons read at once.
 STALE_HUB_PERIOD_S = 1.5
 # The same for daemons that no other one asks.
 STALE_HUB_PERIOD_NON_HUB_S = 3.0
@@ -67,6 +67,7 @@
     :param vm: name of the own VM.
     :param topology: the hubs, and whether they read for the other daemons.
     :param period_s: seconds between reads.
+    :ivar own_read_ok: whether the last read of the platform by this daemon itself succeeded.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         self.clock = clock
         self.rng = rng
         self.period_s = period_s
+        self.own_read_ok = False
         self._read_at = float("-inf")
 
     async def next_step(self, token: str, era: int = 0) -> HubAnswer:
@@ -100,7 +102,10 @@
             max_age_s = MAX_AGE_PERIODS * self.period_s
             answer = await ask_hubs(self.relay, self.topic, token, self.clock, max_age_s, era)
         now = self.clock.monotonic()
-        if not should_read_platform(answer, now - self._read_at, self.topology.is_hub(self.vm)):
+        # While only the hubs are cut off, own reads keep the usual bounds.
+        period_s = self.period_s if self.own_read_ok else math.inf
+        is_hub = self.topology.is_hub(self.vm)
+        if not should_read_platform(answer, now - self._read_at, is_hub, period_s):
             return answer
         self._read_at = now
         return ReadNow()
@@ -112,6 +117,8 @@
         :param ok: whether the last read succeeded and this daemon holds some content.
         :param max_delay_s: seconds after which the content must be read again.
         """
+        if isinstance(step, ReadNow):
+            self.own_read_ok = ok
         shared = self.topology.shared.value
         delay_s = next_read_delay_s(step, ok, self.period_s, shared, self.rng)
         await self.clock.sleep(min(delay_s, max_delay_s))
@@ -154,16 +161,20 @@
     return answer
 
 
-def should_read_platform(answer: HubAnswer, since_read_s: float, is_hub: bool) -> bool:
+def should_read_platform(
+    answer: HubAnswer, since_read_s: float, is_hub: bool, max_period_s: float = math.inf
+) -> bool:
     """Return whether a daemon reads the platform itself.
 
     :param since_read_s: seconds since its last own read, answered or not.
+    :param max_period_s: most seconds between own reads while hubs hold old reads.
     """
     match answer:
         case Confirmed() | Changed():
             return False
         case HubStale():
-            return since_read_s >= (STALE_HUB_PERIOD_S if is_hub else STALE_HUB_PERIOD_NON_HUB_S)
+            period_s = STALE_HUB_PERIOD_S if is_hub else STALE_HUB_PERIOD_NON_HUB_S
+            return since_read_s >= min(period_s, max_period_s)
         case ReadNow():
             return True
 
--- a/greengagehoist/gateway/tests/test_replicas.py
+++ b/greengagehoist/gateway/tests/test_replicas.py
@@ -206,3 +206,53 @@
 
     known = known_over_time(PlatformAway(clock, silent_s, listed), first_read_s)
     assert {len(ids) for at, ids in known.items() if at > 1.5} == {3}
+
+
+DRAIN_S = 3.0
+
+
+class StaleHub(Recorder):
+    """A hub that is cut off from the platform: it has read nothing since ``AWAY_FROM_S``."""
+
+    def __init__(self, clock):
+        super().__init__("relay")
+        self.clock = clock
+        self.began = clock.monotonic()
+
+    async def ask(self, message):
+        at = min(self.clock.monotonic(), self.began + AWAY_FROM_S)
+        return encode_replicas(replicas(3), at)._replace(era=1)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("left_s", [5.0, 6.0, 7.0, 8.0, 9.0])
+def test_replica_that_left_while_the_hubs_are_cut_off_is_dropped(clock, seed, left_s):
+    """Guards against sends to replicas that left more than the drain time ago.
+
+    Each old answer of a hub counted as an outage of the platform, so that the list which the daemon
+    then read itself removed nothing until the hubs could read again.
+    """
+
+    async def scenario():
+        topology = topology_of(Member("vm-1", "a", "x:1", 1))
+        topology.hubs.value, topology.shared.value = frozenset({"hub"}), True
+        hub, platform = StaleHub(clock), PlatformAway(clock, 1.0, lambda now: listed(now))
+        platform.began -= 100.0  # It is never away.
+        reads = SharedReads(
+            hub, "replicas", "vm-1", topology, clock, random.Random(seed), 0.6 * DRAIN_S
+        )
+        controller = ReplicaController(platform, reads, clock, (), platform.failed_at)
+        task = asyncio.get_running_loop().create_task(controller.run())
+        known = {}
+        while (at := clock.monotonic() - hub.began) < left_s + 2 * DRAIN_S:
+            known[at] = frozenset(controller.table.value.replicas)
+            await clock.advance(STEP_S)
+        task.cancel()
+        return known
+
+    def listed(now):
+        return replicas(3) if now - 100.0 < left_s else replicas(2)
+
+    known = asyncio.run(scenario())
+    late = {at for at, ids in known.items() if "i-2" in ids}
+    assert left_s - STEP_S <= max(late) <= left_s + DRAIN_S - 5 * STEP_S
