Log the prompt length and the time of the first event of a stream

Cause: the log did not tell by prompt length how long callers wait for the first event, which the work on long and short prompts needs. Change: stream_ended has tokens_in and first_event_ms, from the arrival of the request. Result: no behaviour changes; tests of the gateway daemon pass.

--- a/greengagehoist/gateway/filters/_stream_relay.py
+++ b/greengagehoist/gateway/filters/_stream_relay.py
@@ -102,7 +102,9 @@
 
 
 def _log_stream_end(exchange: Exchange, replica: Replica, reader: ResponseReader, end: str) -> None:
-    splitter = exchange.progress.splitter
+    progress, prompt = exchange.progress, exchange.req.prompt
+    splitter, begun_at = progress.splitter, progress.answer_begun_at
+    first_event_s = begun_at - exchange.arrived if begun_at is not None else None
     log_event(
         "stream_ended",
         request=exchange.req.request_id,
@@ -111,4 +113,6 @@
         framing="connection" if reader.ends_with_connection else "message",
         last_event=splitter.last_id,
         partial_bytes=splitter.partial_bytes,
+        tokens_in=prompt.tokens_in if prompt is not None else "",
+        first_event_ms="" if first_event_s is None else round(first_event_s * 1000),
     )
