Read load reports with four figures

A report with a fourth figure, the slowdown of the replica in percent, was dropped, so load was ignored altogether where replicas state it. Load has a slowdown now. What is readable is used: an unreadable or non-positive fourth figure counts as 1.0, further figures are ignored, and the first unreadable report is logged (load_report_unreadable).

--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -96,11 +96,19 @@
 MAX_PIECE_COUNT_DIGITS = 5
 MAX_TOKEN_DIGITS = 9
 MAX_LOAD_DIGITS = 9
+# The fourth figure of a load report is in percent of the usual duration, within these factors.
+USUAL_PERCENT = 100
+MIN_SLOWDOWN = 0.01
+MAX_SLOWDOWN = 100.0
+MAX_LOAD_FIGURES = 4
 
 
 class PlatformWireFormat:
     """Implements :class:`~greengagehoist.gateway.WireFormat` for the hosting platform."""
 
+    def __init__(self):
+        self._unreadable_load_logged = False
+
     def read_request(self, head: RequestHead, body: bytes) -> GatewayRequest:
         """Decode a client's request.
 
@@ -152,11 +160,17 @@
 
     def read_reply(self, head: ResponseHead) -> ReplicaReply:
         """Decode the headers of a replica's response."""
+        load, unreadable = _load(head.headers)
+        if unreadable and not self._unreadable_load_logged:
+            self._unreadable_load_logged = True
+            log_event(
+                "load_report_unreadable", "WARNING", value=show_value(unreadable[:MAX_SHOWN_CHARS])
+            )
         return ReplicaReply(
             request_id=_text(head.headers, REQUEST_ID),
             not_executed=get_header(head.headers, NOT_EXECUTED.lower()) is not None,
             signed=get_header(head.headers, SERVER_STAMP.lower()) is not None,
-            load=_load(head.headers),
+            load=load,
             leaving=_text(head.headers, SERVER_LEAVING) == "1",
             pause_s=_pause(head),
             limit=_limit(head.headers),
@@ -323,9 +337,23 @@
     return Limited(min(float(item) for item in values))
 
 
-def _load(headers: Headers) -> Load | None:
+def _load(headers: Headers) -> tuple[Load | None, str]:
+    """Return the load that a response reports and, if a part of it is unreadable, its text.
+
+    The load is None if its first three figures are unreadable. Replicas of some deployments add a
+    fourth figure, the slowdown in percent; further ones are not known and ignored.
+    """
     text = _text(headers, LOAD_REPORT)
-    parts = [item.strip() for item in text.split(",")] if text else []
-    if len(parts) != 3 or not all(_is_number(item, MAX_LOAD_DIGITS) for item in parts):
-        return None
-    return Load(*(int(item) for item in parts))
+    if not text:
+        return None, ""
+    parts = [item.strip() for item in text.split(",", MAX_LOAD_FIGURES)[:MAX_LOAD_FIGURES]]
+    if len(parts) < 3 or not all(_is_number(item, MAX_LOAD_DIGITS) for item in parts[:3]):
+        return None, text
+    load = Load(*(int(item) for item in parts[:3]))
+    if len(parts) == 3:
+        return load, ""
+    percent = float(parts[3]) if _DECIMAL.fullmatch(parts[3]) else 0.0
+    if percent <= 0:
+        return load, text
+    slowdown = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, percent / USUAL_PERCENT))
+    return load._replace(slowdown=slowdown), ""
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -21,6 +21,7 @@
 from greengagehoist.http1 import ProtocolError, RequestHead, ResponseHead
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, TooLate
 from greengagehoist.platform import PlatformWireFormat
+from greengagehoist.platform import _headers as headers_module
 from greengagehoist.replicas import (
     MAX_PAUSE_S,
     Limited,
@@ -200,6 +201,41 @@
     assert reply.load == Load(3, 0, 8)
 
 
+@pytest.mark.parametrize(
+    "value, expected",
+    [
+        (b"3,0,8", Load(3, 0, 8)),
+        (b"3,0,8,160", Load(3, 0, 8, 1.6)),
+        (b" 3 , 0 ,8 , 62.5", Load(3, 0, 8, 0.625)),
+        (b"3,0,8,100,7,x", Load(3, 0, 8, 1.0)),
+        (b"3,0,8,", Load(3, 0, 8)),
+        (b"3,0,8,0", Load(3, 0, 8)),
+        (b"3,0,8,-40", Load(3, 0, 8)),
+        (b"3,0,8,nan", Load(3, 0, 8)),
+        (b"3,0,8,1e9", Load(3, 0, 8)),
+        (b"3,0,8,999999999", Load(3, 0, 8, 100.0)),
+        (b"3,0", None),
+        (b"3,-1,8,100", None),
+        (b"x,0,8,100", None),
+        (b"", None),
+    ],
+)
+def test_readable_figures_of_a_load_report_are_used(wire, value, expected):
+    """Else the load is ignored altogether where replicas add a figure or state one badly."""
+    head = ResponseHead(200, b"", ((b"X-Greengagehoist-Load-Report", value),))
+    assert wire.read_reply(head).load == expected
+
+
+def test_unreadable_load_report_is_logged_once(wire, monkeypatch):
+    """A replica that states it badly does so in each answer."""
+    logged = []
+    monkeypatch.setattr(headers_module, "log_event", lambda event, *_, **__: logged.append(event))
+    head = ResponseHead(200, b"", ((b"X-Greengagehoist-Load-Report", b"3,0,8,soon"),))
+    for _ in range(3):
+        wire.read_reply(head)
+    assert logged == ["load_report_unreadable"]
+
+
 def test_stage_call_names_key_or_inputs(wire):
     pieces = (
         Piece("r1", 0, 2, "pk", (), 0.9),
--- a/greengagehoist/replicas/_types.py
+++ b/greengagehoist/replicas/_types.py
@@ -29,11 +29,15 @@
 
 
 class Load(NamedTuple):
-    """Load that a replica reports with an answer."""
+    """Load that a replica reports with an answer.
+
+    :param slowdown: how long its work takes now relative to the usual time; 1.0 if it does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
