Learn the speed of replicas from the times of their answers

Pure, not used yet: a robust estimate for each replica with that of its service as the prior, and the requests that a daemon has at each replica. By the model of slow spells in the tests (15 % of the time, 2.5 times, 600 ms) a reported slowdown is better than the learnt mean up to an age of about 0.25 s, which is the constant.

--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -28,6 +28,12 @@
     expected_s,
     subtract_counts,
 )
+from greengagehoist.replicas._learnt_speed import (
+    SLOWDOWN_MAX_AGE_S,
+    LearntSlowdown,
+    LearntSpeeds,
+)
+from greengagehoist.replicas._own_sends import OwnSend, OwnSends
 from greengagehoist.replicas._send_limits import (
     Incarnation,
     LimitState,
@@ -63,6 +69,8 @@
     "AnyReplica",
     "Granted",
     "Incarnation",
+    "LearntSlowdown",
+    "LearntSpeeds",
     "LimitState",
     "Limited",
     "Load",
@@ -72,6 +80,8 @@
     "NO_REQUESTS",
     "Need",
     "Observed",
+    "OwnSend",
+    "OwnSends",
     "PermitQueue",
     "PlainWork",
     "PromptAffinity",
@@ -83,6 +93,7 @@
     "ReplicaCounts",
     "ReplicaKnowledge",
     "ReplicaTable",
+    "SLOWDOWN_MAX_AGE_S",
     "SendLimit",
     "SendLimits",
     "TimedChoice",
--- /dev/null
+++ b/greengagehoist/replicas/_learnt_speed.py
@@ -0,0 +1,69 @@
+"""Slowdown of replicas, as learnt from the times of their answers."""
+
+import math
+from typing import NamedTuple
+
+# A reported slowdown counts for this long. After that, the learnt mean is the better estimate where
+# replicas are slow for some 0.6 s at a time.
+SLOWDOWN_MAX_AGE_S = 0.25
+# Answers that the estimate of the service counts for at a replica without answers.
+PRIOR_WEIGHT = 2.0
+# Answers that an estimate counts for at most, so that it follows a lasting change.
+MAX_WEIGHT = 40.0
+# An answer changes an estimate as if it differed by at most this, in the logarithm, because some take
+# several times as long as usual. The bound is wider while there are few answers.
+MAX_DEVIATION = 0.3
+MIN_SLOWDOWN = 0.05
+MAX_SLOWDOWN = 20.0
+# Replicas that are remembered.
+MAX_REMEMBERED = 4096
+
+
+class LearntSlowdown(NamedTuple):
+    """An estimate of a slowdown.
+
+    :param log: its natural logarithm.
+    :param weight: answers that it counts for.
+    """
+
+    log: float = 0.0
+    weight: float = 0.0
+
+    @property
+    def factor(self) -> float:
+        """The duration of work relative to the usual one."""
+        return math.exp(self.log)
+
+    def observe(self, ratio: float) -> "LearntSlowdown":
+        """Return the estimate after an answer that took ``ratio`` times as long as usual."""
+        seen = math.log(min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, ratio)))
+        bound = MAX_DEVIATION + 1.0 / (1.0 + self.weight)
+        deviation = min(bound, max(-bound, seen - self.log))
+        weight = min(MAX_WEIGHT, self.weight + 1.0)
+        return LearntSlowdown(self.log + deviation / weight, weight)
+
+
+class LearntSpeeds:
+    """Slowdown of each replica, with that of its service as the prior."""
+
+    def __init__(self):
+        self._replicas: dict[str, LearntSlowdown] = {}
+        self._services: dict[str, LearntSlowdown] = {}
+
+    def observe(self, replica_id: str, service: str, ratio: float) -> LearntSlowdown:
+        """Add an answer that took ``ratio`` times as long as usual; return the new estimate."""
+        prior = self._prior(service)
+        learnt = self._replicas.pop(replica_id, prior).observe(ratio)
+        self._replicas[replica_id] = learnt
+        if len(self._replicas) > MAX_REMEMBERED:
+            del self._replicas[next(iter(self._replicas))]
+        self._services[service] = self._services.get(service, LearntSlowdown()).observe(ratio)
+        return learnt
+
+    def of(self, replica_id: str, service: str) -> LearntSlowdown:
+        """Return the estimate of a replica."""
+        return self._replicas.get(replica_id) or self._prior(service)
+
+    def _prior(self, service: str) -> LearntSlowdown:
+        learnt = self._services.get(service, LearntSlowdown())
+        return learnt._replace(weight=min(PRIOR_WEIGHT, learnt.weight))
