Choose replicas by the expected time to the first event

Takes effect in deployments with hubs, or once a load report of the service has stated a slowdown, for services whose engines' memory is configured (kv_capacity) and for plain ones; others are served as before. Each send has a ticket, so that its prompt tokens count as ahead until its first event and its memory until its end. Times of answers teach the speed of replicas; a reported slowdown is taken relative to the usual one of that replica, so that a constant false figure changes nothing.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -24,6 +24,7 @@
     SendLimitController,
     SetReadPeriod,
     SharedReads,
+    TimeRanking,
     topology_of,
 )
 from greengagehoist.gateway.filters import (
@@ -42,7 +43,8 @@
 from greengagehoist.membership import Member, choose_hub_links
 from greengagehoist.peers import Broadcast, Goodbye, PeerController, UpdateHeartbeat
 from greengagehoist.platform_client import DeploymentCodec, PlatformController
-from greengagehoist.utils import Clock, Measurements, check_address, log_event
+from greengagehoist.replicas import LoadView
+from greengagehoist.utils import Clock, Measurements, Published, check_address, log_event
 
 # Time for which the load balancer still sends connections after readiness fails: two failed checks,
 # one a second, and the duration of the second check.
@@ -156,6 +158,13 @@
             self.limits.view,
             clock,
             settings.data_centre,
+            TimeRanking(
+                self.deployments.snapshot,
+                topology.shared,
+                Published(LoadView()),
+                settings.data_centre,
+                rng,
+            ),
         )
         self.pools = PoolController(
             self.deployments.snapshot,
--- a/greengagehoist/deployment/__init__.py
+++ b/greengagehoist/deployment/__init__.py
@@ -14,6 +14,7 @@
 from greengagehoist.deployment._types import (
     Backend,
     Deployment,
+    EngineLimits,
     Idempotent,
     Limits,
     NonIdempotent,
@@ -30,6 +31,7 @@
     "Allowed",
     "Backend",
     "Deployment",
+    "EngineLimits",
     "Idempotent",
     "KeyDecision",
     "DeploymentSnapshot",
--- a/greengagehoist/deployment/_types.py
+++ b/greengagehoist/deployment/_types.py
@@ -83,14 +83,27 @@
     result_bytes: float
 
 
+class EngineLimits(NamedTuple):
+    """Capacity of one replica of an engine.
+
+    :param slots: requests that it runs at once.
+    :param kv_tokens: tokens in its memory, 0 if the configuration does not say.
+    """
+
+    slots: int
+    kv_tokens: int
+
+
 class Service(NamedTuple):
     """A group of replicas.
 
     :param pool: limits of a stage pool, None for other services.
+    :param engine: limits of an engine, None for other services.
     """
 
     name: str
     pool: PoolLimits | None
+    engine: EngineLimits | None = None
 
 
 class Tenant(NamedTuple):
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -107,6 +107,7 @@
     :ivar on_trial: whether the first send may try a prompt part that is in quarantine.
     :ivar splitter: events of a resumable stream, None before the first send.
     :ivar reserved_bytes: memory that the request has asked for to buffer its answer.
+    :ivar ticket: identifies the latest send at the placement controller, 0 before the first.
     :ivar request_key: key of the request for the quarantine, None before it is needed.
     """
 
@@ -123,6 +124,7 @@
         self.splitter: EventSplitter | None = None
         self.reserved_bytes = 0
         self.request_key: int | None = None
+        self.ticket = 0
 
 
 class Exchange(NamedTuple):
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -11,12 +11,14 @@
 from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
 from greengagehoist.gateway.controllers._placement import (
+    AnswerBegun,
     AnswerObserved,
     Choose,
     DeferSends,
     FindHome,
     LoadReported,
     NotBefore,
+    OwnLoadChanged,
     PlacementController,
     RequestEnded,
 )
@@ -50,6 +52,7 @@
     SendLimitController,
 )
 from greengagehoist.gateway.controllers._shared_reads import SharedReads
+from greengagehoist.gateway.controllers._time_ranking import TimedSend, TimeRanking
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
 __all__ = [
@@ -60,6 +63,7 @@
     "MEMBER_POLL_PERIOD_S",
     "NO_REPLICA_WAIT_S",
     "AcquireSend",
+    "AnswerBegun",
     "AnswerObserved",
     "CancelAcquire",
     "CancelStages",
@@ -74,6 +78,7 @@
     "LoadReported",
     "MemberController",
     "NotBefore",
+    "OwnLoadChanged",
     "PlacementController",
     "PoolController",
     "QuarantineController",
@@ -94,6 +99,8 @@
     "StageEnd",
     "StagePlan",
     "SubmitStage",
+    "TimeRanking",
+    "TimedSend",
     "Topology",
     "TrialDecision",
     "format_key",
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -4,6 +4,13 @@
 from typing import Any, NamedTuple
 
 from greengagehoist.gateway.controllers._reach import Reach
+from greengagehoist.gateway.controllers._time_ranking import (
+    SpeedSample,
+    TimedSend,
+    TimeRanking,
+    is_notable,
+    log_choice,
+)
 from greengagehoist.replicas import (
     Affinity,
     Incarnation,
@@ -11,7 +18,9 @@
     Observed,
     Replica,
     ReplicaAvailability,
+    ReplicaCounts,
     ReplicaTable,
+    TimedChoice,
     choose,
     incarnation_of,
 )
@@ -40,6 +49,8 @@
     :param model: model that the replica must serve, empty for any.
     :param permitted: id of a replica that goes before all others, because the request has a permit
         for it; empty for none.
+    :param send: what the request needs, for the choice by expected time.
+    :param request: id of the request for the log.
     """
 
     service: str
@@ -47,6 +58,8 @@
     exclude: frozenset[str] = frozenset()
     model: str = ""
     permitted: str = ""
+    send: TimedSend = TimedSend()
+    request: str = ""
 
 
 class NotBefore(NamedTuple):
@@ -69,6 +82,28 @@
     service: str
     affinity: Affinity
     model: str = ""
+    send: TimedSend = TimedSend()
+
+
+class AnswerBegun(NamedTuple):
+    """Report the first event of an answer.
+
+    :param ticket: ticket of the request.
+    """
+
+    ticket: int
+    replica: Replica
+
+
+class OwnLoadChanged(NamedTuple):
+    """Tell followers that the requests of this daemon at replicas have changed.
+
+    :param counts: by replica id.
+    :param sample: what an answer has told of the speed of its replica, None if nothing.
+    """
+
+    counts: dict[str, ReplicaCounts]
+    sample: SpeedSample | None
 
 
 class RequestEnded(NamedTuple):
@@ -76,10 +111,12 @@
 
     :param failure: ``""`` for success, ``unreachable``, ``rejected``, ``failed``, or ``cancelled``
         if the client closed the request.
+    :param ticket: ticket of the request.
     """
 
     replica_id: str
     failure: str = ""
+    ticket: int = 0
 
 
 class LoadReported(NamedTuple):
@@ -125,6 +162,8 @@
     :param reach: published set of daemons and data centres that can be reached.
     :param limits: published limits of replicas, in requests a second.
     :param zone: data centre of this daemon.
+    :param ranking: chooses by expected time where a service calls for it.
+    :param followers: controllers that receive :class:`OwnLoadChanged`.
     """
 
     def __init__(
@@ -134,6 +173,8 @@
         limits: Published[dict[Incarnation, float]],
         clock: Clock,
         zone: str,
+        ranking: TimeRanking,
+        followers: tuple[Controller, ...] = (),
     ):
         super().__init__("placement")
         self.table = table
@@ -141,6 +182,12 @@
         self.limits = limits
         self.clock = clock
         self.zone = zone
+        self.ranking = ranking
+        self.followers = followers
+        # Choices by time since the start, and of these, those outside of the home or the data centre.
+        self.choices = 0
+        self.choices_elsewhere = 0
+        self._ranked: TimedChoice | None = None
         self._health: dict[str, _Health] = {}
         self._zone_avoid_until: dict[str, float] = {}
         self._availability = ReplicaAvailability(lambda: table.value)
@@ -150,8 +197,11 @@
         match message:
             case Choose():
                 reply(self._choose(message))
-            case FindHome(service, affinity, model):
-                reply(self._find(Choose(service, affinity, frozenset(), model)))
+            case FindHome(service, affinity, model, send):
+                reply(self._find(Choose(service, affinity, frozenset(), model, send=send)))
+            case AnswerBegun(ticket, replica):
+                sample = self.ranking.begin_answer(ticket, replica, self.clock.monotonic())
+                self._tell_own_load(ticket, sample)
             case RequestEnded():
                 self._record_end(message)
             case AnswerObserved():
@@ -165,6 +215,9 @@
                 health.observed = health.observed._replace(
                     load=load, reported_at=self.clock.monotonic(), sent_since_report=0
                 )
+                replica = self.table.value.replicas.get(replica_id)
+                if replica is not None:
+                    self.ranking.observe_load(replica, load)
 
     def _health_of(self, replica_id: str) -> _Health:
         return self._health.setdefault(replica_id, _Health())
@@ -198,12 +251,44 @@
         permitted = [item for item in available if item.replica_id == query.permitted]
         if permitted:
             return permitted[0]
-        found = choose(available, self._observed_load, query.affinity, self.zone, now)
+        found = self._rank(query, available, now)
         earliest = min(sends_from, key=sends_from.__getitem__, default=None)
         if found is None and earliest is not None and sends_from[earliest] < math.inf:
             return NotBefore(sends_from[earliest], earliest)
         return found
 
+    def _rank(self, query: Choose, available: list[Replica], now: float) -> Replica | None:
+        """Return the best replica by expected time, or by utilization where that is not known."""
+        if not self.ranking.is_on(query.service):
+            return choose(available, self._observed_load, query.affinity, self.zone, now)
+        observed = {item.replica_id: self._observed_load(item.replica_id) for item in available}
+        choice = self.ranking.choose(
+            query.service, query.send, query.affinity, available, observed, now
+        )
+        self._ranked = choice
+        return choice.replica if choice is not None else None
+
+    def _begin_timed(self, query: Choose, replica: Replica) -> None:
+        """Count a request for the choice by expected time."""
+        if not query.send.ticket or not self.ranking.is_on(query.service):
+            return
+        choice, self._ranked = self._ranked, None
+        if choice is None or choice.replica != replica:
+            # A permit for this replica was waited for.
+            choice = TimedChoice(replica, 0.0, False, None, 0.0)
+        self.ranking.begin(query.service, query.send, choice, self.clock.monotonic())
+        self.choices += 1
+        if is_notable(choice, self.zone):
+            self.choices_elsewhere += 1
+            log_choice(query.request, query.service, choice, self.zone)
+        self._tell_own_load(query.send.ticket, None)
+
+    def _tell_own_load(self, ticket: int, sample: SpeedSample | None) -> None:
+        if ticket:
+            changed = OwnLoadChanged(self.ranking.sends.counts(), sample)
+            for follower in self.followers:
+                follower.tell(changed)
+
     def _limit_of(self, replica: Replica, query: Choose) -> float | None:
         """Return the limit within which a request has to wait for room."""
         if replica.replica_id == query.permitted:
@@ -240,6 +325,7 @@
                 in_flight=health.observed.in_flight + 1,
                 sent_since_report=health.observed.sent_since_report + 1,
             )
+            self._begin_timed(query, found)
         self._evict_unlisted()
         return found
 
@@ -247,6 +333,8 @@
         health = self._health_of(end.replica_id)
         observed = health.observed._replace(in_flight=max(0, health.observed.in_flight - 1))
         now = self.clock.monotonic()
+        if self.ranking.sends.end(end.ticket):
+            self._tell_own_load(end.ticket, None)
         replica = self.table.value.replicas.get(end.replica_id)
         if replica is not None:
             self._availability.end_send(replica, end.failure in ("", "rejected"), now)
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -18,6 +18,7 @@
 )
 from greengagehoist.gateway._events import EventSplitter
 from greengagehoist.gateway.controllers import (
+    AnswerBegun,
     AnswerObserved,
     FreeResults,
     LoadReported,
@@ -218,7 +219,8 @@
             raise
         finally:
             self.shutdown.end_send(exchange, answered)
-            self.placement.tell(RequestEnded(replica.replica_id, failure))
+            ticket = exchange.progress.ticket
+            self.placement.tell(RequestEnded(replica.replica_id, failure, ticket))
 
     async def _connect_and_send(
         self, exchange: Exchange, replica: Replica, splitter: EventSplitter
@@ -296,7 +298,7 @@
                 head,
                 reader,
                 self.clock,
-                lambda: self._begin_body(exchange),
+                lambda: self._begin_body(exchange, replica),
                 BufferSpace(self.buffers, exchange.progress, replica.replica_id),
             )
         if exchange.progress.started:
@@ -337,7 +339,8 @@
             await self.clock.sleep(INPUT_FETCH_S)
             self._free_inputs(exchange)
 
-    def _begin_body(self, exchange: Exchange) -> None:
+    def _begin_body(self, exchange: Exchange, replica: Replica) -> None:
+        self.placement.tell(AnswerBegun(exchange.progress.ticket, replica))
         self._free_inputs(exchange)
         self.shutdown.begin_body(exchange)
 
--- a/greengagehoist/gateway/filters/_replica_choice.py
+++ b/greengagehoist/gateway/filters/_replica_choice.py
@@ -1,12 +1,14 @@
 """Choice of the replica for the next send of a request."""
 
+import itertools
+
 from greengagehoist.gateway import Exchange, Reply, failure_reply
 from greengagehoist.gateway.controllers import Choose, NotBefore, RequestEnded
 from greengagehoist.gateway.filters._late_start import refuse_late_start
+from greengagehoist.gateway.filters._need import affinity_of, timed_send
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._send_limits import SendLimitGate
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
-from greengagehoist.gateway.filters._stages import affinity_of
 from greengagehoist.replicas import Granted, Replica
 from greengagehoist.utils import Clock, Controller, log_event
 
@@ -35,10 +37,12 @@
         self.limits = limits
         self.shutdown = shutdown
         self.clock = clock
+        self._tickets = itertools.count(1)
 
     async def choose(self, exchange: Exchange) -> Replica | Reply:
         """Return the replica for the next send, or a reply if there will be none in time."""
         progress, permitted = exchange.progress, ""
+        progress.ticket = next(self._tickets)
         while True:
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
@@ -53,6 +57,8 @@
                     progress.tried,
                     model_of(exchange),
                     permitted,
+                    timed_send(exchange, progress.ticket),
+                    exchange.req.request_id,
                 )
             )
             match found:
@@ -88,7 +94,9 @@
         finally:
             if not granted:
                 # The replica counts as busy with the request since it was chosen.
-                self.placement.tell(RequestEnded(replica.replica_id, "cancelled"))
+                self.placement.tell(
+                    RequestEnded(replica.replica_id, "cancelled", exchange.progress.ticket)
+                )
         return granted
 
 
--- a/greengagehoist/gateway/filters/_stages.py
+++ b/greengagehoist/gateway/filters/_stages.py
@@ -9,7 +9,6 @@
     InputsLost,
     NotRun,
     Proceed,
-    Prompt,
     Reply,
     failure_reply,
 )
@@ -25,9 +24,14 @@
 )
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
 from greengagehoist.gateway.filters._late_start import refuse_late_start
+from greengagehoist.gateway.filters._need import affinity_of, shared_tokens, timed_send
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
 from greengagehoist.pieces import StageWork, estimate_completion_s
-from greengagehoist.replicas import Affinity, AnyReplica, PromptAffinity, Replica, ReplicaTable
+from greengagehoist.replicas import (
+    MIN_SINGLE_HOME_TOKENS,
+    Replica,
+    ReplicaTable,
+)
 from greengagehoist.utils import Clock, Controller, Published, log_event
 
 # No request is refused if its longest expected wait at a pool is below this.
@@ -45,7 +49,7 @@
 LARGE_RESULT_BYTES = 500_000
 # A prompt with at least this many shared tokens goes to the replica that holds them, in any data
 # centre.
-MIN_HOME_TOKENS = 1500
+MIN_HOME_TOKENS = MIN_SINGLE_HOME_TOKENS
 # Attempts to run the stages of a request; another one follows the loss of their results.
 MAX_STAGE_ATTEMPTS = 2
 
@@ -85,7 +89,12 @@
         try:
             prompt = exchange.req.prompt
             found = await self.placement.ask(
-                FindHome(exchange.service, affinity_of(prompt), prompt.model if prompt else "")
+                FindHome(
+                    exchange.service,
+                    affinity_of(prompt),
+                    prompt.model if prompt else "",
+                    timed_send(exchange, 0),
+                )
             )
             refusal = refuse_late_start(exchange, found, self.clock.monotonic())
             refusal = refusal or await self._refuse_overload(exchange)
@@ -384,18 +393,3 @@
         )
         for number, stage in enumerate(stages)
     )
-
-
-def affinity_of(prompt: Prompt | None, zone: str = "") -> Affinity:
-    """Return the affinity to the replicas that hold the last shared part of the prompt.
-
-    :param zone: data centre of the stage results that the request reads, empty for any.
-    """
-    if prompt is None or len(prompt.parts) < 2:
-        return AnyReplica()
-    return PromptAffinity(prompt.parts[-2].part_id, zone)
-
-
-def shared_tokens(prompt: Prompt) -> int:
-    """Return the tokens of the parts that other requests may share."""
-    return sum(part.tokens for part in prompt.parts[:-1])
--- a/greengagehoist/platform/_config.py
+++ b/greengagehoist/platform/_config.py
@@ -5,6 +5,7 @@
 from greengagehoist.deployment import (
     Backend,
     Deployment,
+    EngineLimits,
     Idempotent,
     Limits,
     NonIdempotent,
@@ -21,6 +22,7 @@
 
 BYTES_PER_MB = 1_000_000
 MAX_VERSION = 2**63 - 1
+MAX_COUNT = 10**9
 
 
 def decode_deployment(raw: dict[str, Any]) -> Deployment:
@@ -86,7 +88,20 @@
         piece_s=pool["item_ms"] / 1000,
         result_bytes=pool["headroom_mb"] * BYTES_PER_MB,
     )
-    return Service(raw["name"], limits or None)
+    return Service(raw["name"], limits or None, _engine(raw.get("engine")))
+
+
+def _engine(raw: dict[str, Any] | None) -> EngineLimits | None:
+    # Services other than engines have no "engine". Its figures only improve the choice of replicas,
+    # so that a missing one must not cost the configuration.
+    if not isinstance(raw, dict):
+        return None
+    return EngineLimits(_count(raw.get("slots")), _count(raw.get("kv_capacity")))
+
+
+def _count(value: Any) -> int:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return int(value) if is_number and 0 < value <= MAX_COUNT else 0
 
 
 def _limits(raw: dict[str, Any]) -> Limits:
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagehoist.deployment import Idempotent, Streaming, find_route
+from greengagehoist.deployment import EngineLimits, Idempotent, Streaming, find_route
 from greengagehoist.platform import StoreCodec
 from greengagehoist.platform._store import decode_replica
 from greengagehoist.platform_client import (
@@ -53,6 +53,7 @@
     ],
     "services": [
         {"name": "llm", "engine": {"slots": 48}},
+        {"name": "large", "engine": {"slots": 64, "kv_capacity": 572328}},
         {
             "name": "pool",
             "segments": {"batch": 5, "call_ms": 150.0, "item_ms": 25.6, "headroom_mb": 24.4},
@@ -98,6 +99,18 @@
     assert [item.weight for item in split.backends] == [90, 10]
     assert deployment.services["pool"].pool.result_bytes == 24.4e6
     assert deployment.tenants["k2"].name == "t"
+    assert deployment.services["llm"].engine == EngineLimits(48, 0)
+    assert deployment.services["large"].engine == EngineLimits(64, 572328)
+    assert deployment.services["pool"].engine is None
+
+
+@pytest.mark.parametrize(
+    "engine", [{}, 3, {"slots": "x", "kv_capacity": -1}, {"kv_capacity": True}]
+)
+def test_odd_limits_of_an_engine_do_not_cost_the_configuration(calls, engine):
+    changed = {**CONFIG, "services": [{"name": "llm", "engine": engine}]}
+    read = calls.decode(ReadDeployment(), 200, body(rows=[row("config", changed)]))
+    assert read.deployment.services["llm"].engine in (None, EngineLimits(0, 0))
 
 
 def test_unchanged_row_is_not_decoded_again(calls):
