Share between daemons which requests are at which replicas

Each daemon sees a response of a given replica only once a minute. LoadViewController reports the own requests and the speeds that answers tell, at most each 0.1 s and only on change, to one hub of the data centre; hubs send the changed sums to their daemons each 0.25 s and to the hubs of other data centres each 0.5 s. Without hubs, daemons tell each other. PlacementController counts the others' requests by a published view.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -13,6 +13,7 @@
     BufferController,
     DeploymentController,
     Leave,
+    LoadViewController,
     MemberController,
     PlacementController,
     PoolController,
@@ -43,8 +44,7 @@
 from greengagehoist.membership import Member, choose_hub_links
 from greengagehoist.peers import Broadcast, Goodbye, PeerController, UpdateHeartbeat
 from greengagehoist.platform_client import DeploymentCodec, PlatformController
-from greengagehoist.replicas import LoadView
-from greengagehoist.utils import Clock, Measurements, Published, check_address, log_event
+from greengagehoist.utils import Clock, Measurements, check_address, log_event
 
 # Time for which the load balancer still sends connections after readiness fails: two failed checks,
 # one a second, and the duration of the second check.
@@ -145,6 +145,7 @@
             call_codec.read_deployment,
             clock,
         )
+        snapshot = self.deployments.snapshot
         self.replicas = ReplicaController(
             self.platform,
             reads("replicas", period_s),
@@ -152,19 +153,17 @@
             failed_at=self.platform.failed_at,
         )
         self.limits = SendLimitController(self.peers, own, topology, self.reach.reach, clock)
+        self.loads = LoadViewController(
+            self.peers, own, topology, self.reach.reach, self.replicas.table, clock
+        )
         self.placement = PlacementController(
             self.replicas.table,
             self.reach.reach,
             self.limits.view,
             clock,
             settings.data_centre,
-            TimeRanking(
-                self.deployments.snapshot,
-                topology.shared,
-                Published(LoadView()),
-                settings.data_centre,
-                rng,
-            ),
+            TimeRanking(snapshot, topology.shared, self.loads.view, settings.data_centre, rng),
+            (self.loads,),
         )
         self.pools = PoolController(
             self.deployments.snapshot,
@@ -184,8 +183,7 @@
         self.buffers = BufferController(int(BUFFER_FRACTION * settings.memory_bytes))
         self.platform.followers = (self.members,)
         self.replicas.followers = (self.pools,)
-        self.reach.followers = (self.pools, self.limits)
-        snapshot = self.deployments.snapshot
+        self.reach.followers = (self.pools, self.limits, self.loads)
         self.route_filter = RouteFilter(snapshot, clock, 0.0, 0.0)
         self.apply_settings(settings)
         first_event_latency = FirstEventLatency()
@@ -258,6 +256,7 @@
             self.members,
             self.reach,
             self.relay,
+            self.loads,
             self.placement,
             self.limits,
             self.pools,
@@ -309,6 +308,10 @@
             replicas=len(self.replicas.table.value.replicas),
             quarantined_parts=sum(len(item.held) for item in quarantine.services.values()),
             crashes_attributed=quarantine.crashes,
+            load_view_age_seconds=self.loads.view.value.age_s(now),
+            load_messages=self.loads.messages,
+            placed_by_time=self.placement.choices,
+            placed_elsewhere=self.placement.choices_elsewhere,
         )
         return 200, self.measurements.text()
 
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -7,6 +7,7 @@
     ReserveBuffer,
 )
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
+from greengagehoist.gateway.controllers._load_view import LoadViewController
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
@@ -42,7 +43,7 @@
     TrialDecision,
     format_key,
 )
-from greengagehoist.gateway.controllers._reach import Reach, ReachController
+from greengagehoist.gateway.controllers._reach import Reach, ReachChanged, ReachController
 from greengagehoist.gateway.controllers._relay import RelayController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
 from greengagehoist.gateway.controllers._send_limits import (
@@ -52,7 +53,7 @@
     SendLimitController,
 )
 from greengagehoist.gateway.controllers._shared_reads import SharedReads
-from greengagehoist.gateway.controllers._time_ranking import TimedSend, TimeRanking
+from greengagehoist.gateway.controllers._time_ranking import SpeedSample, TimedSend, TimeRanking
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
 __all__ = [
@@ -76,6 +77,7 @@
     "Leave",
     "LimitObserved",
     "LoadReported",
+    "LoadViewController",
     "MemberController",
     "NotBefore",
     "OwnLoadChanged",
@@ -84,6 +86,7 @@
     "QuarantineController",
     "QuarantineView",
     "Reach",
+    "ReachChanged",
     "ReachController",
     "RelayController",
     "ReplicaController",
@@ -96,6 +99,7 @@
     "ServiceView",
     "SetReadPeriod",
     "SharedReads",
+    "SpeedSample",
     "StageEnd",
     "StagePlan",
     "SubmitStage",
--- a/greengagehoist/peers/_controller.py
+++ b/greengagehoist/peers/_controller.py
@@ -29,6 +29,7 @@
     GetPeers,
     Peer,
     SendTo,
+    SendToEach,
     SetMembers,
     Subscribe,
     UpdateHeartbeat,
@@ -189,6 +190,9 @@
             case SendTo(vm, outgoing):
                 entry = self._linked.get(vm)
                 reply(entry is not None and self._send(entry, outgoing))
+            case SendToEach(vms, outgoing):
+                found = [self._linked[vm] for vm in vms if vm in self._linked]
+                reply(self._send_to_all(found, outgoing))
             case Broadcast(outgoing):
                 reply(self._broadcast(outgoing))
             case Subscribe():
@@ -324,12 +328,15 @@
             return False
 
     def _broadcast(self, message: Any) -> int:
+        return self._send_to_all(list(self._linked.values()), message)
+
+    def _send_to_all(self, entries: list[_LinkedPeer], message: Any) -> int:
         try:
             frame = PEER_CODEC.encode(message)
         except FrameError as exc:
             log_event("frame_too_large", "ERROR", reason=str(exc))
             return 0
-        return sum(entry.link.offer(frame) for entry in list(self._linked.values()))
+        return sum(entry.link.offer(frame) for entry in entries)
 
     def _peers(self) -> tuple[Peer, ...]:
         now = self.clock.monotonic()
--- a/greengagehoist/peers/_types.py
+++ b/greengagehoist/peers/_types.py
@@ -28,6 +28,13 @@
     message: PeerMessage
 
 
+class SendToEach(NamedTuple):
+    """Send a message to some peers, encoded once; replied by the number of links that queued it."""
+
+    vms: tuple[str, ...]
+    message: PeerMessage
+
+
 class Broadcast(NamedTuple):
     """Send a message to all peers with a working link; replied by the number of links that queued it."""
 
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -8,6 +8,9 @@
     Heartbeat,
     Hello,
     LeaveMark,
+    LoadReport,
+    LoadSums,
+    LoadUpdate,
     PermitCancel,
     PermitReply,
     PermitRequest,
@@ -65,5 +68,8 @@
         PermitRequest: 30,
         PermitReply: 31,
         PermitCancel: 32,
+        LoadReport: 33,
+        LoadSums: 34,
+        LoadUpdate: 35,
     }
 )
--- a/greengagehoist/peers/tests/test_controller.py
+++ b/greengagehoist/peers/tests/test_controller.py
@@ -15,6 +15,7 @@
     Hello,
     LeaveMark,
     SendTo,
+    SendToEach,
     SetMembers,
     Subscribe,
     UpdateHeartbeat,
@@ -46,6 +47,7 @@
             assert await peers[0].ask(SendTo("vm1", ConfigRequest(7)))
             assert await peers[2].ask(Broadcast(LeaveMark("engine-1", 4))) == 2
             assert not await peers[0].ask(SendTo("nobody", ConfigRequest(7)))
+            assert await peers[0].ask(SendToEach(("vm2", "nobody"), ConfigRequest(8))) == 1
 
             async def arrived():
                 return len(mailbox.received) == 2
--- a/greengagehoist/replicas/_learnt_speed.py
+++ b/greengagehoist/replicas/_learnt_speed.py
@@ -1,6 +1,7 @@
 """Slowdown of replicas, as learnt from the times of their answers."""
 
 import math
+from collections.abc import Collection
 from typing import NamedTuple
 
 # A reported slowdown counts for this long. After that, the learnt mean is the better estimate where
@@ -64,6 +65,24 @@
         """Return the estimate of a replica."""
         return self._replicas.get(replica_id) or self._prior(service)
 
+    def learnt(self, replica_id: str) -> LearntSlowdown:
+        """Return what answers of the replica itself have told."""
+        return self._replicas.get(replica_id, LearntSlowdown())
+
+    def known(self) -> frozenset[str]:
+        """Return the ids of the replicas with answers."""
+        return frozenset(self._replicas)
+
+    def keep(self, listed: Collection[str]) -> None:
+        """Forget replicas that are not listed any more."""
+        self._replicas = {key: item for key, item in self._replicas.items() if key in listed}
+
+    def seed(self, replica_id: str, learnt: LearntSlowdown) -> None:
+        """Start from what others have learnt, for a replica without answers."""
+        if replica_id not in self._replicas and learnt.weight:
+            weight = min(PRIOR_WEIGHT, learnt.weight)
+            self._replicas[replica_id] = learnt._replace(weight=weight)
+
     def _prior(self, service: str) -> LearntSlowdown:
         learnt = self._services.get(service, LearntSlowdown())
         return learnt._replace(weight=min(PRIOR_WEIGHT, learnt.weight))
--- a/greengagehoist/replicas/_load_tally.py
+++ b/greengagehoist/replicas/_load_tally.py
@@ -37,6 +37,10 @@
     replicas: dict[str, ReplicaFigures] = {}
     at: float = float("-inf")
 
+    def age_s(self, now: float) -> float:
+        """Return the age of the view in seconds, -1 if there is none."""
+        return now - self.at if self.at > float("-inf") else -1.0
+
     def figures(self, replica_id: str, now: float) -> ReplicaFigures:
         """Return what is known of a replica, nothing if the view is too old."""
         if now - self.at > VIEW_MAX_AGE_S:
@@ -116,6 +120,10 @@
         """Return the names of the sources."""
         return frozenset(self._reports)
 
+    def has_figures(self) -> bool:
+        """Return whether any source has reported figures."""
+        return any(item.replicas for item in self._reports.values())
+
     def sum_of(self, replica_id: str) -> ReplicaFigures:
         """Return the sum of all sources for a replica."""
         figures = (item.replicas.get(replica_id) for item in self._reports.values())
