Let late homes yield only where that pays, by a model of mixed prompt lengths

A model of engines with the mixes of long and short prompts showed that the ranking made overloads worse: a late home yielded at once, its parts were read again elsewhere, pushed other parts out of memory, and more homes were late. A request now leaves the home if it gains four times what the second reading costs, and the same again for each 50 ms of queue at the other replica.

Partition by length, holding back and priority by time left lose in the cases that the tests show.

--- a/greengagehoist/gateway/controllers/_time_ranking.py
+++ b/greengagehoist/gateway/controllers/_time_ranking.py
@@ -40,13 +40,11 @@
     """A request for the choice by expected time.
 
     :param ticket: identifies the request until its end, 0 if it is not sent yet.
-    :param due: time by which its answer should begin.
     """
 
     ticket: int = 0
     work: Work = PlainWork()
     shared_tokens: int = 0
-    due: float = 0.0
 
 
 class SpeedSample(NamedTuple):
@@ -119,9 +117,7 @@
         known = {
             item.replica_id: self._know(item, observed[item.replica_id], now) for item in candidates
         }
-        need = Need(
-            send.work, affinity, send.shared_tokens, send.due - now, self._kv_tokens(service)
-        )
+        need = Need(send.work, affinity, send.shared_tokens, self._kv_tokens(service))
         return choose_by_time(candidates, known.__getitem__, need, self.zone, now, self.rng)
 
     def begin(self, service: str, send: TimedSend, choice: TimedChoice, now: float) -> None:
--- a/greengagehoist/gateway/filters/_need.py
+++ b/greengagehoist/gateway/filters/_need.py
@@ -33,7 +33,7 @@
     """
     prompt = exchange.req.prompt
     if prompt is None:
-        return TimedSend(ticket, PlainWork(), 0, exchange.due)
+        return TimedSend(ticket, PlainWork())
     tokens = max(prompt.tokens_in, sum(part.tokens for part in prompt.parts))
     shared = shared_tokens(prompt)
-    return TimedSend(ticket, PromptWork(tokens, shared, prompt.tokens_out), shared, exchange.due)
+    return TimedSend(ticket, PromptWork(tokens, shared, prompt.tokens_out), shared)
--- a/greengagehoist/gateway/tests/test_load_view.py
+++ b/greengagehoist/gateway/tests/test_load_view.py
@@ -243,6 +243,18 @@
     assert max(daemon_bytes) / seconds < 20_000
 
 
+def test_long_answers_cost_one_short_message_a_second(simulation):
+    """Reports that change nothing must not make the hubs send at their full rate."""
+    long_requests(simulation, simulation.daemons, 1)
+    simulation.run(SETTLED_S)
+    before, bytes_before = simulation.messages.copy(), simulation.bytes["far"]
+    simulation.run(10.0)
+    sent = simulation.messages - before
+    assert sent["LoadReport"] <= 11 * 72 and sent["LoadUpdate"] <= 11 * 72
+    assert sent["LoadSums"] <= 11 * 12
+    assert simulation.bytes["far"] - bytes_before < 2_000
+
+
 def test_reach_change_without_requests_sends_nothing(simulation):
     daemon = simulation.daemons["vm-a9"]
     daemon.tell(ReachChanged(daemon.reach.value))
--- a/greengagehoist/replicas/_choice_by_time.py
+++ b/greengagehoist/replicas/_choice_by_time.py
@@ -11,6 +11,7 @@
     rendezvous_rank,
 )
 from greengagehoist.replicas._expected_time import (
+    USUAL_TOKENS_PER_S,
     ReplicaKnowledge,
     Work,
     copy_s,
@@ -26,8 +27,11 @@
 CROSS_ZONE_S = 0.1
 # Time that it must gain to leave the data centre of large stage results.
 MOVE_RESULTS_S = 0.3
-# Fraction of the time left at which a request at the home of its parts counts as late.
-LATE_FRACTION = 0.5
+# A request leaves the home of its parts if it gains this many times what it costs to read them again.
+# With less, late homes lose parts that must then be read again, which makes more homes late.
+COPY_FACTOR = 4.0
+# The same again for each such queue at the other replica: only idle ones read parts again for nothing.
+QUEUE_S = 0.05
 # Parts of fewer tokens have a home in each data centre: a copy of them costs less than the way.
 MIN_SINGLE_HOME_TOKENS = 1500
 KnownOf = Callable[[str], ReplicaKnowledge]
@@ -37,14 +41,12 @@
     """What a request needs of a replica.
 
     :param shared_tokens: prompt tokens in parts that other requests share.
-    :param left_s: seconds until its answer should begin.
     :param kv_tokens: tokens in the memory of a replica of its service, 0 if unknown.
     """
 
     work: Work
     affinity: Affinity
     shared_tokens: int = 0
-    left_s: float = 1.0
     kv_tokens: int = 0
 
 
@@ -90,8 +92,8 @@
 ) -> TimedChoice | None:
     """Return the choice for a request, or None if there is no candidate.
 
-    The home of the shared parts is chosen unless another replica is faster although it must read
-    them; as long as the home is not late, also by what the second copy costs others.
+    The home of the shared parts is chosen unless it is so late that another replica is faster
+    although it must read them, and although the second copy costs others time.
     """
     known = {item.replica_id: known_of(item.replica_id) for item in candidates}
     usable = [item for item in candidates if known[item.replica_id].avoid_until <= now]
@@ -109,9 +111,11 @@
         chosen = _among_near(options, known, rng)
         return TimedChoice(chosen.replica, chosen.expected_s, False, None, 0.0)
     at_home = _option(home, known[home.replica_id], need, zone, True)
-    is_late = at_home.expected_s > LATE_FRACTION * need.left_s
-    bound_s = at_home.cost_s - (0.0 if is_late else copy_s(need.work))
-    faster = [item for item in options if item.cost_s < bound_s]
+    faster = [
+        item
+        for item in options
+        if item.cost_s + _copy_price_s(known[item.replica.replica_id], need) < at_home.cost_s
+    ]
     if not faster:
         return TimedChoice(home, at_home.expected_s, True, home, at_home.expected_s)
     chosen = _next_home(faster, need)
@@ -141,6 +145,12 @@
     return _Option(replica, seconds, detour_s)
 
 
+def _copy_price_s(known: ReplicaKnowledge, need: Need) -> float:
+    """Return the seconds that a request must gain to have its shared parts read again."""
+    queued_s = known.slowdown * known.counts.waiting_tokens / USUAL_TOKENS_PER_S
+    return COPY_FACTOR * copy_s(need.work) * (1.0 + queued_s / QUEUE_S)
+
+
 def _near(options: Sequence[_Option]) -> list[_Option]:
     """Return the options that are about as good as the best, in no farther data centre."""
     best = min(options, key=lambda item: item.cost_s)
