Forget choices of cancelled requests, and log choices that leave the home

A request that was cancelled while it waited for the choice kept its replica busy for good, now in the view of all daemons.

--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -12,6 +12,7 @@
 from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
 from greengagehoist.gateway.controllers._placement import (
+    AbandonChoice,
     AnswerBegun,
     AnswerObserved,
     Choose,
@@ -63,6 +64,7 @@
     "ReserveBuffer",
     "MEMBER_POLL_PERIOD_S",
     "NO_REPLICA_WAIT_S",
+    "AbandonChoice",
     "AcquireSend",
     "AnswerBegun",
     "AnswerObserved",
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -95,6 +95,15 @@
     replica: Replica
 
 
+class AbandonChoice(NamedTuple):
+    """The task that asked for a replica was cancelled before it got the reply.
+
+    :param ticket: ticket of the request.
+    """
+
+    ticket: int
+
+
 class OwnLoadChanged(NamedTuple):
     """Tell followers that the requests of this daemon at replicas have changed.
 
@@ -199,6 +208,10 @@
                 reply(self._choose(message))
             case FindHome(service, affinity, model, send):
                 reply(self._find(Choose(service, affinity, frozenset(), model, send=send)))
+            case AbandonChoice(ticket):
+                replica_id = self.ranking.sends.replica_of(ticket)
+                if replica_id:
+                    self._record_end(RequestEnded(replica_id, "cancelled", ticket))
             case AnswerBegun(ticket, replica):
                 sample = self.ranking.begin_answer(ticket, replica, self.clock.monotonic())
                 self._tell_own_load(ticket, sample)
--- a/greengagehoist/gateway/controllers/_time_ranking.py
+++ b/greengagehoist/gateway/controllers/_time_ranking.py
@@ -181,8 +181,10 @@
 
 
 def is_notable(choice: TimedChoice, zone: str) -> bool:
-    """Return whether a choice leaves the home of the prompt's parts or the data centre."""
-    return choice.home not in (None, choice.replica) or choice.replica.zone != zone
+    """Return whether a choice leaves the home of the prompt's parts, or the data centre otherwise."""
+    if choice.home is not None and not choice.holds_parts:
+        return True
+    return choice.home is None and choice.replica.zone != zone
 
 
 def log_choice(request: str, service: str, choice: TimedChoice, zone: str) -> None:
--- a/greengagehoist/gateway/filters/_replica_choice.py
+++ b/greengagehoist/gateway/filters/_replica_choice.py
@@ -1,9 +1,15 @@
 """Choice of the replica for the next send of a request."""
 
+import asyncio
 import itertools
 
 from greengagehoist.gateway import Exchange, Reply, failure_reply
-from greengagehoist.gateway.controllers import Choose, NotBefore, RequestEnded
+from greengagehoist.gateway.controllers import (
+    AbandonChoice,
+    Choose,
+    NotBefore,
+    RequestEnded,
+)
 from greengagehoist.gateway.filters._late_start import refuse_late_start
 from greengagehoist.gateway.filters._need import affinity_of, timed_send
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
@@ -50,17 +56,7 @@
             refusal = self.shutdown.refuse(exchange) or self.gate.refuse_send(exchange)
             if refusal is not None:
                 return refusal
-            found = await self.placement.ask(
-                Choose(
-                    exchange.service,
-                    affinity_of(exchange.req.prompt, exchange.inputs_zone),
-                    progress.tried,
-                    model_of(exchange),
-                    permitted,
-                    timed_send(exchange, progress.ticket),
-                    exchange.req.request_id,
-                )
-            )
+            found = await self._ask(exchange, permitted)
             match found:
                 case Replica(replica_id):
                     if replica_id == permitted or await self._may_send(exchange, found):
@@ -86,6 +82,24 @@
                     )
                     return failure_reply(progress, "no replica available", RETRY_AFTER_S)
 
+    async def _ask(self, exchange: Exchange, permitted: str) -> Replica | NotBefore | None:
+        progress = exchange.progress
+        query = Choose(
+            exchange.service,
+            affinity_of(exchange.req.prompt, exchange.inputs_zone),
+            progress.tried,
+            model_of(exchange),
+            permitted,
+            timed_send(exchange, progress.ticket),
+            exchange.req.request_id,
+        )
+        try:
+            return await self.placement.ask(query)
+        except asyncio.CancelledError:
+            # Else the replica would count as busy with the request for good.
+            self.placement.tell(AbandonChoice(progress.ticket))
+            raise
+
     async def _may_send(self, exchange: Exchange, replica: Replica) -> bool:
         """Return whether there is room for the request within the limit of its replica."""
         granted = False
--- a/greengagehoist/gateway/tests/test_placement.py
+++ b/greengagehoist/gateway/tests/test_placement.py
@@ -14,6 +14,7 @@
     Service,
 )
 from greengagehoist.gateway.controllers import (
+    AbandonChoice,
     AnswerBegun,
     Choose,
     FindHome,
@@ -25,6 +26,7 @@
     TimedSend,
     TimeRanking,
 )
+from greengagehoist.gateway.controllers import _time_ranking as ranking_module
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
 from greengagehoist.replicas import (
     AnyReplica,
@@ -111,6 +113,40 @@
     assert setup.counts == {}
 
 
+def test_request_whose_choice_was_abandoned_counts_no_longer(setup):
+    """A client that leaves at that instant would keep the replica busy in the view of all daemons."""
+    replica = setup.choose()
+    deliver(setup.controller, AbandonChoice(1))
+    assert setup.counts == {}
+    assert setup.controller._observed_load(replica.replica_id).in_flight == 0
+
+
+@pytest.mark.parametrize(
+    "affinity, busy, is_noted",
+    [
+        (PromptAffinity("p"), False, False),
+        (PromptAffinity("p"), True, True),
+        (AnyReplica(), False, False),
+    ],
+)
+def test_choice_that_leaves_the_home_is_logged_with_times(
+    setup, monkeypatch, affinity, busy, is_noted
+):
+    logged = []
+    monkeypatch.setattr(ranking_module, "log_event", lambda event, **fields: logged.append(fields))
+    home = setup.choose(LONG, affinity).replica_id
+    if busy:
+        late = ReplicaFigures(ReplicaCounts(9, 150_000, 0, 150_000))
+        setup.view.value = LoadView({home: late}, 0.0)
+    logged.clear()
+    found = setup.choose(LONG, affinity).replica_id
+    assert bool(logged) == is_noted
+    if is_noted:
+        assert (logged[0]["replica"], logged[0]["home"]) == (found, home)
+        assert logged[0]["expected_ms"] < logged[0]["home_ms"]
+    assert setup.controller.choices_elsewhere == int(is_noted)
+
+
 def test_question_for_the_home_counts_nothing(setup):
     send = TimedSend(0, LONG, LONG.shared_tokens)
     home = deliver(setup.controller, FindHome("llm", PromptAffinity("p"), "", send))[0]
--- a/greengagehoist/replicas/_own_sends.py
+++ b/greengagehoist/replicas/_own_sends.py
@@ -43,6 +43,11 @@
         """Return the counts of a replica."""
         return self._counts.get(replica_id, NO_REQUESTS)
 
+    def replica_of(self, ticket: int) -> str:
+        """Return the id of the replica of a request, empty if it is unknown."""
+        send = self._sends.get(ticket)
+        return send.replica_id if send is not None else ""
+
     def begin(
         self,
         ticket: int,
