Test the choice by expected time from end to end

Two daemons on loopback learn of each other's requests once a report has stated a slowdown. The test showed that beginnings of answers were told where requests are not placed by time; they are not any more.

--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -213,8 +213,10 @@
                 if replica_id:
                     self._record_end(RequestEnded(replica_id, "cancelled", ticket))
             case AnswerBegun(ticket, replica):
-                sample = self.ranking.begin_answer(ticket, replica, self.clock.monotonic())
-                self._tell_own_load(ticket, sample)
+                # Unknown where the service is not placed by time.
+                if self.ranking.sends.replica_of(ticket):
+                    sample = self.ranking.begin_answer(ticket, replica, self.clock.monotonic())
+                    self._tell_own_load(sample)
             case RequestEnded():
                 self._record_end(message)
             case AnswerObserved():
@@ -294,13 +296,12 @@
         if is_notable(choice, self.zone):
             self.choices_elsewhere += 1
             log_choice(query.request, query.service, choice, self.zone)
-        self._tell_own_load(query.send.ticket, None)
+        self._tell_own_load()
 
-    def _tell_own_load(self, ticket: int, sample: SpeedSample | None) -> None:
-        if ticket:
-            changed = OwnLoadChanged(self.ranking.sends.counts(), sample)
-            for follower in self.followers:
-                follower.tell(changed)
+    def _tell_own_load(self, sample: SpeedSample | None = None) -> None:
+        changed = OwnLoadChanged(self.ranking.sends.counts(), sample)
+        for follower in self.followers:
+            follower.tell(changed)
 
     def _limit_of(self, replica: Replica, query: Choose) -> float | None:
         """Return the limit within which a request has to wait for room."""
@@ -347,7 +348,7 @@
         observed = health.observed._replace(in_flight=max(0, health.observed.in_flight - 1))
         now = self.clock.monotonic()
         if self.ranking.sends.end(end.ticket):
-            self._tell_own_load(end.ticket, None)
+            self._tell_own_load()
         replica = self.table.value.replicas.get(end.replica_id)
         if replica is not None:
             self._availability.end_send(replica, end.failure in ("", "rejected"), now)
--- a/greengagehoist/gateway/tests/test_placement.py
+++ b/greengagehoist/gateway/tests/test_placement.py
@@ -240,7 +240,9 @@
     setup = Setup(kv_tokens, shared)
     deliver(setup.controller, LoadReported("r0", Load(0, 0, 64, slowdown)))
     assert setup.ranking.is_on("llm") == is_on
-    setup.choose()
+    replica = setup.choose()
+    deliver(setup.controller, AnswerBegun(1, replica))
+    deliver(setup.controller, RequestEnded(replica.replica_id, "", 1))
     assert bool(setup.follower.told) == is_on
 
 
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -45,6 +45,7 @@
 SERVER_LEAVING = b"Server-Leaving"
 RETRY_AFTER = b"Retry-After"
 SERVER_LIMIT = b"Server-Limit"
+LOAD_REPORT = b"X-Greengagehoist-Load-Report"
 PREFIX_HASH = b"X-Greengagehoist-Prefix-Hash"
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 
@@ -148,6 +149,7 @@
     :ivar arrived_at: times on the event loop's clock at which requests and stage calls reached it.
     :ivar received: time on the event loop's clock and id of each request, except stage calls.
     :ivar limit: limit that its answers name, None for none.
+    :ivar load_report: load report of its answers, None for none.
     :ivar padding: bytes at the end of each plain answer.
     """
 
@@ -173,6 +175,7 @@
         self.arrived_at: list[float] = []
         self.received: list[tuple[float, str]] = []
         self.limit: bytes | None = None
+        self.load_report: bytes | None = None
         self.padding = b""
         self._restart: asyncio.Task | None = None
         # Last response to a stage call on each connection.
@@ -260,7 +263,8 @@
 
     def _state_headers(self) -> tuple:
         leaving = ((SERVER_LEAVING, b"1"),) if self.leaving else ()
-        return leaving if self.limit is None else (*leaving, (SERVER_LIMIT, self.limit))
+        stated = ((SERVER_LIMIT, self.limit), (LOAD_REPORT, self.load_report))
+        return leaving + tuple(item for item in stated if item[1] is not None)
 
     async def _stream(self, sock: Socket, request: Request, headers: tuple) -> None:
         last = get_header(request.head.headers, b"last-event-id")
