--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -13,6 +13,7 @@
     BufferController,
     DeploymentController,
     Leave,
+    LoadViewController,
     MemberController,
     PlacementController,
     PoolController,
@@ -24,6 +25,7 @@
     SendLimitController,
     SetReadPeriod,
     SharedReads,
+    TimeRanking,
     topology_of,
 )
 from greengagehoist.gateway.filters import (
@@ -143,6 +145,7 @@
             call_codec.read_deployment,
             clock,
         )
+        snapshot = self.deployments.snapshot
         self.replicas = ReplicaController(
             self.platform,
             reads("replicas", period_s),
@@ -150,12 +153,17 @@
             failed_at=self.platform.failed_at,
         )
         self.limits = SendLimitController(self.peers, own, topology, self.reach.reach, clock)
+        self.loads = LoadViewController(
+            self.peers, own, topology, self.reach.reach, self.replicas.table, clock
+        )
         self.placement = PlacementController(
             self.replicas.table,
             self.reach.reach,
             self.limits.view,
             clock,
             settings.data_centre,
+            TimeRanking(snapshot, topology.shared, self.loads.view, settings.data_centre, rng),
+            (self.loads,),
         )
         self.pools = PoolController(
             self.deployments.snapshot,
@@ -175,8 +183,7 @@
         self.buffers = BufferController(int(BUFFER_FRACTION * settings.memory_bytes))
         self.platform.followers = (self.members,)
         self.replicas.followers = (self.pools,)
-        self.reach.followers = (self.pools, self.limits)
-        snapshot = self.deployments.snapshot
+        self.reach.followers = (self.pools, self.limits, self.loads)
         self.route_filter = RouteFilter(snapshot, clock, 0.0, 0.0)
         self.apply_settings(settings)
         first_event_latency = FirstEventLatency()
@@ -249,6 +256,7 @@
             self.members,
             self.reach,
             self.relay,
+            self.loads,
             self.placement,
             self.limits,
             self.pools,
@@ -300,6 +308,10 @@
             replicas=len(self.replicas.table.value.replicas),
             quarantined_parts=sum(len(item.held) for item in quarantine.services.values()),
             crashes_attributed=quarantine.crashes,
+            load_view_age_seconds=self.loads.view.value.age_s(now),
+            load_messages=self.loads.messages,
+            placed_by_time=self.placement.choices,
+            placed_elsewhere=self.placement.choices_elsewhere,
         )
         return 200, self.measurements.text()
 
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -7,16 +7,20 @@
     ReserveBuffer,
 )
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
+from greengagehoist.gateway.controllers._load_view import LoadViewController
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
 from greengagehoist.gateway.controllers._placement import (
+    AbandonChoice,
+    AnswerBegun,
     AnswerObserved,
     Choose,
     DeferSends,
     FindHome,
     LoadReported,
     NotBefore,
+    OwnLoadChanged,
     PlacementController,
     RequestEnded,
 )
@@ -40,7 +44,7 @@
     TrialDecision,
     format_key,
 )
-from greengagehoist.gateway.controllers._reach import Reach, ReachController
+from greengagehoist.gateway.controllers._reach import Reach, ReachChanged, ReachController
 from greengagehoist.gateway.controllers._relay import RelayController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
 from greengagehoist.gateway.controllers._send_limits import (
@@ -50,6 +54,7 @@
     SendLimitController,
 )
 from greengagehoist.gateway.controllers._shared_reads import SharedReads
+from greengagehoist.gateway.controllers._time_ranking import SpeedSample, TimedSend, TimeRanking
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
 __all__ = [
@@ -59,7 +64,9 @@
     "ReserveBuffer",
     "MEMBER_POLL_PERIOD_S",
     "NO_REPLICA_WAIT_S",
+    "AbandonChoice",
     "AcquireSend",
+    "AnswerBegun",
     "AnswerObserved",
     "CancelAcquire",
     "CancelStages",
@@ -72,13 +79,16 @@
     "Leave",
     "LimitObserved",
     "LoadReported",
+    "LoadViewController",
     "MemberController",
     "NotBefore",
+    "OwnLoadChanged",
     "PlacementController",
     "PoolController",
     "QuarantineController",
     "QuarantineView",
     "Reach",
+    "ReachChanged",
     "ReachController",
     "RelayController",
     "ReplicaController",
@@ -91,9 +101,12 @@
     "ServiceView",
     "SetReadPeriod",
     "SharedReads",
+    "SpeedSample",
     "StageEnd",
     "StagePlan",
     "SubmitStage",
+    "TimeRanking",
+    "TimedSend",
     "Topology",
     "TrialDecision",
     "format_key",
--- a/greengagehoist/gateway/filters/_replica_choice.py
+++ b/greengagehoist/gateway/filters/_replica_choice.py
@@ -1,12 +1,20 @@
 """Choice of the replica for the next send of a request."""
 
+import asyncio
+import itertools
+
 from greengagehoist.gateway import Exchange, Reply, failure_reply
-from greengagehoist.gateway.controllers import Choose, NotBefore, RequestEnded
+from greengagehoist.gateway.controllers import (
+    AbandonChoice,
+    Choose,
+    NotBefore,
+    RequestEnded,
+)
 from greengagehoist.gateway.filters._late_start import refuse_late_start
+from greengagehoist.gateway.filters._need import affinity_of, timed_send
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
 from greengagehoist.gateway.filters._send_limits import SendLimitGate
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
-from greengagehoist.gateway.filters._stages import affinity_of
 from greengagehoist.replicas import Granted, Replica
 from greengagehoist.utils import Clock, Controller, log_event
 
@@ -35,10 +43,12 @@
         self.limits = limits
         self.shutdown = shutdown
         self.clock = clock
+        self._tickets = itertools.count(1)
 
     async def choose(self, exchange: Exchange) -> Replica | Reply:
         """Return the replica for the next send, or a reply if there will be none in time."""
         progress, permitted = exchange.progress, ""
+        progress.ticket = next(self._tickets)
         while True:
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
@@ -46,15 +56,7 @@
             refusal = self.shutdown.refuse(exchange) or self.gate.refuse_send(exchange)
             if refusal is not None:
                 return refusal
-            found = await self.placement.ask(
-                Choose(
-                    exchange.service,
-                    affinity_of(exchange.req.prompt, exchange.inputs_zone),
-                    progress.tried,
-                    model_of(exchange),
-                    permitted,
-                )
-            )
+            found = await self._ask(exchange, permitted)
             match found:
                 case Replica(replica_id):
                     if replica_id == permitted or await self._may_send(exchange, found):
@@ -80,6 +82,24 @@
                     )
                     return failure_reply(progress, "no replica available", RETRY_AFTER_S)
 
+    async def _ask(self, exchange: Exchange, permitted: str) -> Replica | NotBefore | None:
+        progress = exchange.progress
+        query = Choose(
+            exchange.service,
+            affinity_of(exchange.req.prompt, exchange.inputs_zone),
+            progress.tried,
+            model_of(exchange),
+            permitted,
+            timed_send(exchange, progress.ticket),
+            exchange.req.request_id,
+        )
+        try:
+            return await self.placement.ask(query)
+        except asyncio.CancelledError:
+            # Else the replica would count as busy with the request for good.
+            self.placement.tell(AbandonChoice(progress.ticket))
+            raise
+
     async def _may_send(self, exchange: Exchange, replica: Replica) -> bool:
         """Return whether there is room for the request within the limit of its replica."""
         granted = False
@@ -88,7 +108,9 @@
         finally:
             if not granted:
                 # The replica counts as busy with the request since it was chosen.
-                self.placement.tell(RequestEnded(replica.replica_id, "cancelled"))
+                self.placement.tell(
+                    RequestEnded(replica.replica_id, "cancelled", exchange.progress.ticket)
+                )
         return granted
 
 
