Send no work to replicas of evacuated data centres

Change: PlacementController, OwnedPool, PoolWorker, ReplicaFilter and the check before stages leave out the replicas of the published data centres, the last check right before the first byte; a send that is withheld counts as no send. A service whose replicas are all evacuated refuses at once. Settings: zones, bounds.evacuate_ms. The published set is written by nobody yet.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -12,6 +12,7 @@
     MEMBER_POLL_PERIOD_S,
     BufferController,
     DeploymentController,
+    EvacuationController,
     Leave,
     MemberController,
     PlacementController,
@@ -42,7 +43,7 @@
 from greengagehoist.membership import Member, choose_hub_links
 from greengagehoist.peers import Broadcast, Goodbye, PeerController, UpdateHeartbeat
 from greengagehoist.platform_client import DeploymentCodec, PlatformController
-from greengagehoist.utils import Clock, Measurements, check_address, log_event
+from greengagehoist.utils import Clock, Measurements, Published, check_address, log_event
 
 # Time for which the load balancer still sends connections after readiness fails: two failed checks,
 # one a second, and the duration of the second check.
@@ -149,6 +150,8 @@
             clock,
             failed_at=self.platform.failed_at,
         )
+        # Names of the data centres whose replicas get no work.
+        self.evacuated: Published[frozenset[str]] = Published(frozenset())
         self.limits = SendLimitController(self.peers, own, topology, self.reach.reach, clock)
         self.placement = PlacementController(
             self.replicas.table,
@@ -156,6 +159,7 @@
             self.limits.view,
             clock,
             settings.data_centre,
+            self.evacuated,
         )
         self.pools = PoolController(
             self.deployments.snapshot,
@@ -168,6 +172,10 @@
             self.limits,
             self.limits.view,
             self.budgets.pool_budget,
+            self.evacuated,
+        )
+        self.evacuations = EvacuationController(
+            self.evacuated, self.replicas.table, settings.data_centres, clock
         )
         self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
         gate = QuarantineGate(self.quarantine, self.quarantine.view, clock)
@@ -204,6 +212,7 @@
                     wire,
                     clock,
                     self.buffers,
+                    self.evacuated,
                 ),
             ]
         )
@@ -228,6 +237,7 @@
         self.settings = settings
         self.route_filter.revoke_after_s = bounds.revoke_s
         self.route_filter.deny_within_s = DENY_FRACTION * bounds.apply_s
+        self.evacuations.data_centres = settings.data_centres
         self.deployments.tell(SetReadPeriod(read_period(bounds)))
         self.replicas.tell(SetReadPeriod(read_period(bounds)))
         self.budgets.set_bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
@@ -254,6 +264,7 @@
             self.pools,
             self.quarantine,
             self.buffers,
+            self.evacuations,
         )
         self._tasks = [loop.create_task(item.run()) for item in controllers]
         self.peers.tell(UpdateHeartbeat(ready=True))
@@ -298,6 +309,7 @@
             configuration_version=snapshot.deployment.version if snapshot else 0,
             configuration_age_seconds=now - snapshot.confirmed_at if snapshot else -1,
             replicas=len(self.replicas.table.value.replicas),
+            evacuated_data_centres=len(self.evacuations.known.value),
             quarantined_parts=sum(len(item.held) for item in quarantine.services.values()),
             crashes_attributed=quarantine.crashes,
         )
--- a/greengagehoist/daemon/tests/gateway_system.py
+++ b/greengagehoist/daemon/tests/gateway_system.py
@@ -127,6 +127,23 @@
         self.daemons.append(daemon)
         await wait_until(lambda: daemon.reason_not_ready() == "")
 
+    async def move(self, replicas, zone):
+        """Move replicas to a data centre, and wait until all daemons have read it."""
+        for replica in replicas:
+            replica.zone = zone
+            self.store.put("servers", replica.replica_id, replica.entry())
+
+        def zones(daemon):
+            listed = daemon.replicas.table.value.replicas
+            return {listed[item.replica_id].zone for item in replicas}
+
+        await wait_until(lambda: all(zones(daemon) == {zone} for daemon in self.daemons))
+
+    def evacuate(self, *zones):
+        """Let all daemons know that these data centres are evacuated, and no others."""
+        for daemon in self.daemons:
+            daemon.evacuated.value = frozenset(zones)
+
     async def stop(self):
         for daemon in self.daemons:
             await daemon.abort()
--- a/greengagehoist/gateway/_settings.py
+++ b/greengagehoist/gateway/_settings.py
@@ -17,6 +17,8 @@
     :param retry_ratio: retries for each request to a service.
     :param retry_slack: retries in each window in addition to that ratio, over all daemons.
     :param retry_window_s: length of that window.
+    :param evacuate_s: time after which replicas of an evacuated data centre must get no work, None
+        for no rule.
     """
 
     drain_s: float = 2.0
@@ -26,6 +28,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 54.0
     retry_window_s: float = 10.0
+    evacuate_s: float | None = None
 
 
 class GatewaySettings(NamedTuple):
@@ -38,6 +41,7 @@
     :param platform: address of the platform.
     :param capacity: relative capacity of this VM: its cores, limited by its network link.
     :param memory_bytes: memory at which the process is ended.
+    :param data_centres: names of all data centres of the deployment, empty if unknown.
     """
 
     vm: str
@@ -49,3 +53,4 @@
     capacity: float
     bounds: Bounds
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    data_centres: frozenset[str] = frozenset()
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -7,6 +7,7 @@
     ReserveBuffer,
 )
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
+from greengagehoist.gateway.controllers._evacuation import EvacuationController
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
@@ -14,6 +15,7 @@
     AnswerObserved,
     Choose,
     DeferSends,
+    Evacuated,
     FindHome,
     LoadReported,
     NotBefore,
@@ -55,6 +57,8 @@
 __all__ = [
     "BUFFER_FRACTION",
     "BufferController",
+    "Evacuated",
+    "EvacuationController",
     "ReleaseBuffer",
     "ReserveBuffer",
     "MEMBER_POLL_PERIOD_S",
--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -5,7 +5,7 @@
 
 from greengagehoist.deployment import PoolLimits
 from greengagehoist.gateway.controllers._pool_replica import PoolReplica
-from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker
+from greengagehoist.gateway.controllers._pool_worker import WITHHELD, BatchEnded, PoolWorker
 from greengagehoist.pieces import (
     InputGone,
     Job,
@@ -72,6 +72,8 @@
     :param make_worker: builds the worker of a replica.
     :param limit_view: published limits of replicas, in calls a second.
     :param table: returns the newest table of the replicas.
+    :param evacuated: published data centres whose replicas get no calls; they stay members, so that
+        what is known of them and of their results is kept.
     """
 
     def __init__(
@@ -82,7 +84,9 @@
         make_worker: Callable[[Replica], PoolWorker],
         limit_view: Published[dict[Incarnation, float]],
         table: Callable[[], ReplicaTable] | None = None,
+        evacuated: Published[frozenset[str]] | None = None,
     ):
+        self.evacuated = evacuated or Published(frozenset())
         self.limit_view = limit_view
         self.service = service
         self.queue = PoolQueue(limits)
@@ -157,13 +161,18 @@
         elif limit is not None:
             self.availability.defer(replica, limit, refused_until)
 
+    def _admitted(self) -> list[PoolReplica]:
+        """Return the replicas whose data centres are not evacuated."""
+        evacuated = self.evacuated.value
+        return [item for item in self.members.values() if item.replica.zone not in evacuated]
+
     def _usable(self, listed: dict[str, Replica], now: float) -> list[PoolReplica]:
-        return [
-            member
-            for key, member in self.members.items()
-            if member.avoid_until <= now and key in listed and not listed[key].leaving
-            if self._sends_from(member, now) <= now
-        ]
+        usable = []
+        for member in self._admitted():
+            entry = listed.get(member.replica.replica_id)
+            if member.avoid_until <= now and entry is not None and not entry.leaving:
+                usable.append(member)
+        return [member for member in usable if self._sends_from(member, now) <= now]
 
     def _sends_from(self, member: PoolReplica, now: float) -> float:
         limit = self._limit_of(member, now)
@@ -217,7 +226,7 @@
                     member.result_memory.mark_full(now)
                     job.uncount_send(piece.segment)
                     reason = self._retry(job, piece.segment, now)
-                case None if end.failure == "unreachable":
+                case None if end.failure in ("unreachable", WITHHELD):
                     # No replica has received the pieces, so the next send is not a repeat.
                     job.uncount_send(piece.segment)
                     job.requeue(piece.segment)
@@ -276,10 +285,14 @@
         )
 
     def fail_without_replicas(self) -> list[JobEnd]:
-        """End all work if the pool has no replica left, instead of letting it wait until late."""
-        if self.members:
+        """End the work for which the pool has no replica left, instead of letting it wait until late.
+
+        Calls in progress in evacuated data centres are finished.
+        """
+        if self._admitted():
             return []
-        return [JobEnd(self.queue.drop(key), "failed") for key in list(self.queue.jobs)]
+        found = [key for key, job in self.queue.jobs.items() if job.waiting or not self.members]
+        return [JobEnd(self.queue.drop(key), "failed") for key in found]
 
     def release_unstarted(self) -> list[Job]:
         """Remove and return the work of which no piece was sent to a replica."""
@@ -290,6 +303,8 @@
 
     def requeue_overdue(self, now: float) -> None:
         """Requeue the pieces of calls that take much longer than expected."""
+        if not self._admitted():
+            return
         for member in self.members.values():
             limit = OVERDUE_FACTOR * member.expected_s + OVERDUE_MARGIN_S
             if member.pieces is None or member.overdue or now - member.started < limit:
@@ -314,12 +329,10 @@
 
     def wait_s(self, new: Reservation, now: float) -> float:
         """Return the seconds until the pool has finished the work ahead of new work."""
-        if not self.members:
+        admitted = self._admitted()
+        if not admitted:
             return NO_REPLICA_WAIT_S
-        ready_at = {
-            item: max(item.avoid_until, self._sends_from(item, now))
-            for item in self.members.values()
-        }
+        ready_at = {item: max(item.avoid_until, self._sends_from(item, now)) for item in admitted}
         usable = [item for item, at in ready_at.items() if at <= now]
         if not usable:
             busy = min(NO_REPLICA_WAIT_S, min(ready_at.values()) - now)
--- a/greengagehoist/gateway/controllers/_owned_pools.py
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -32,6 +32,7 @@
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
     :param make_worker: builds the worker of a replica.
     :param limit_view: published limits of replicas.
+    :param evacuated: published data centres whose replicas get no calls.
     """
 
     def __init__(
@@ -41,7 +42,9 @@
         make_retry_budget: Callable[[], RetryBudget],
         make_worker: Callable[[Replica], PoolWorker],
         limit_view: Published[dict[Incarnation, float]],
+        evacuated: Published[frozenset[str]],
     ):
+        self.evacuated = evacuated
         self.limit_view = limit_view
         self.snapshot = snapshot
         self.table = table
@@ -75,6 +78,7 @@
                 self.make_worker,
                 self.limit_view,
                 lambda: self.table.value,
+                self.evacuated,
             )
             pool.silent_zones = self._silent_zones
             self._pools[service] = pool
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -31,7 +31,7 @@
 
 
 class Choose(NamedTuple):
-    """Ask for the replica of a request; replied by ``Replica | NotBefore | None``.
+    """Ask for the replica of a request; replied by ``Replica | NotBefore | Evacuated | None``.
 
     The reply is None if there is no replica. The replica counts as busy with the request until
     :class:`RequestEnded`.
@@ -60,8 +60,12 @@
     replica: Replica
 
 
+class Evacuated(NamedTuple):
+    """All replicas of a service are in evacuated data centres."""
+
+
 class FindHome(NamedTuple):
-    """Ask what :class:`Choose` would return now; replied by ``Replica | NotBefore | None``.
+    """Ask what :class:`Choose` would return now; replied by the same types.
 
     No replica counts as busy because of this query.
     """
@@ -125,6 +129,7 @@
     :param reach: published set of daemons and data centres that can be reached.
     :param limits: published limits of replicas, in requests a second.
     :param zone: data centre of this daemon.
+    :param evacuated: published data centres whose replicas get no requests.
     """
 
     def __init__(
@@ -134,8 +139,10 @@
         limits: Published[dict[Incarnation, float]],
         clock: Clock,
         zone: str,
+        evacuated: Published[frozenset[str]] | None = None,
     ):
         super().__init__("placement")
+        self.evacuated = evacuated or Published(frozenset())
         self.table = table
         self.reach = reach
         self.limits = limits
@@ -182,12 +189,15 @@
                 pause_s=round(answer.pause_s, 2),
             )
 
-    def _find(self, query: Choose) -> Replica | NotBefore | None:
-        candidates = [
+    def _find(self, query: Choose) -> Replica | NotBefore | Evacuated | None:
+        listed = [
             item
             for item in self.table.value.of_service(query.service)
             if not query.model or not item.models or query.model in item.models
         ]
+        candidates = [item for item in listed if item.zone not in self.evacuated.value]
+        if listed and not candidates:
+            return Evacuated()
         now = self.clock.monotonic()
         sends_from = {
             item: self._availability.sends_from(item, now, self._limit_of(item, query))
@@ -231,7 +241,7 @@
         elif replica.zone in self.reach.value.silent_zones:
             self._zone_avoid_until[replica.zone] = now + ZONE_BACKOFF_S
 
-    def _choose(self, query: Choose) -> Replica | NotBefore | None:
+    def _choose(self, query: Choose) -> Replica | NotBefore | Evacuated | None:
         found = self._find(query)
         if isinstance(found, Replica):
             self._availability.begin_send(found, self.clock.monotonic())
--- a/greengagehoist/gateway/controllers/_pool_replica.py
+++ b/greengagehoist/gateway/controllers/_pool_replica.py
@@ -1,6 +1,6 @@
 """State of one replica of a stage pool."""
 
-from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker
+from greengagehoist.gateway.controllers._pool_worker import WITHHELD, BatchEnded, PoolWorker
 from greengagehoist.pieces import Piece, ResultMemory
 from greengagehoist.replicas import Replica
 from greengagehoist.utils import log_event
@@ -50,6 +50,8 @@
             self.slowness = current + SLOWNESS_SMOOTHING * (sample - current)
             self.slowness_updated_at = now
             return
+        if end.failure == WITHHELD:
+            return
         backoff = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**self.failures)
         if end.failure == "rejected":
             backoff = REJECTED_BACKOFF_S
--- a/greengagehoist/gateway/controllers/_pool_worker.py
+++ b/greengagehoist/gateway/controllers/_pool_worker.py
@@ -8,19 +8,21 @@
 from greengagehoist.http1 import IncompleteError, ProtocolError
 from greengagehoist.pieces import Made, Piece, PieceOutcome
 from greengagehoist.replicas import Load, Replica, SendLimit
-from greengagehoist.utils import Clock, Controller, log_event
+from greengagehoist.utils import Clock, Controller, Published, log_event
 
 # Timeout of a call as a multiple of its expected duration, long enough for slow replicas.
 TIMEOUT_FACTOR = 8.0
 MIN_TIMEOUT_S = 1.5
 FREE_TIMEOUT_S = 1.0
+# Failure of a call that was not sent, because the replica's data centre was evacuated meanwhile.
+WITHHELD = "withheld"
 
 
 class BatchEnded(NamedTuple):
     """End of a call at a replica of a pool.
 
     :param outcomes: outcome of each piece, or None if the call failed.
-    :param failure: ``""``, ``unreachable``, ``rejected`` or ``lost``.
+    :param failure: ``""``, ``unreachable``, ``rejected``, ``lost`` or ``withheld``.
     :param leaving: whether the replica states that it is shutting down.
     :param pause_s: seconds for which it wants no calls, None if it does not say.
     :param limit: what its answer says about its limit, None without an answer of this replica.
@@ -43,9 +45,18 @@
     """Sends one call at a time to a replica of a stage pool.
 
     :param owner: receives :class:`BatchEnded`.
+    :param evacuated: published data centres whose replicas get no calls.
     """
 
-    def __init__(self, replica: Replica, wire: WireFormat, clock: Clock, owner: Controller):
+    def __init__(
+        self,
+        replica: Replica,
+        wire: WireFormat,
+        clock: Clock,
+        owner: Controller,
+        evacuated: Published[frozenset[str]] | None = None,
+    ):
+        self.evacuated = evacuated or Published(frozenset())
         self.replica = replica
         self.wire = wire
         self.clock = clock
@@ -61,6 +72,9 @@
         try:
             await self._connection.open()
             sent_at = self.clock.monotonic()
+            if self.replica.zone in self.evacuated.value:
+                failure = WITHHELD
+                return
             async with asyncio.timeout(timeout):
                 outcomes, reply, status = await self._call(pieces)
             failure = "" if outcomes is not None else "rejected"
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -96,6 +96,7 @@
     :param limits: controller of the limits that replicas name.
     :param limit_view: published limits in force.
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
+    :param evacuated: published data centres whose replicas get no calls.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
         limits: Controller,
         limit_view: Published[dict[Incarnation, float]],
         make_retry_budget: Callable[[], RetryBudget],
+        evacuated: Published[frozenset[str]] | None = None,
     ):
         super().__init__("pools")
         self.table = table
@@ -119,7 +121,10 @@
         self.vm = vm
         self.limits = limits
         self._owners = PoolOwners(vm, topology, clock)
-        self._owned = OwnedPools(snapshot, table, make_retry_budget, self._make_worker, limit_view)
+        self.evacuated = evacuated or Published(frozenset())
+        self._owned = OwnedPools(
+            snapshot, table, make_retry_budget, self._make_worker, limit_view, self.evacuated
+        )
         self._pending: dict[JobKey, _Pending] = {}
         # Stages by request whose results the request has received.
         self._delivered: dict[str, set[int]] = {}
@@ -334,7 +339,7 @@
     # Work of the pools that this daemon owns.
 
     def _make_worker(self, replica: Replica) -> PoolWorker:
-        return PoolWorker(replica, self.wire, self.clock, self)
+        return PoolWorker(replica, self.wire, self.clock, self, self.evacuated)
 
     def _accept(self, work: StageWork, vm: str) -> None:
         """Queue a peer's work; answer a repeated submission without doing the work again."""
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -33,6 +33,7 @@
     log_failed_send,
     log_invalid_response,
     log_sent,
+    log_withheld,
 )
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
 from greengagehoist.gateway.filters._stream_relay import (
@@ -62,10 +63,11 @@
     SendAgain,
     SendEnd,
     SendState,
+    Withheld,
     decide_next,
     is_retryable,
 )
-from greengagehoist.utils import Clock, Controller
+from greengagehoist.utils import Clock, Controller, Published
 
 # A connect takes a few milliseconds unless the replica is unreachable or overloaded.
 CONNECT_TIMEOUT_S = 0.25
@@ -92,6 +94,7 @@
     :param budgets: limit the retries of each service.
     :param first_event_latency: receives the measured times from send to first event.
     :param buffers: limits the memory of large answers.
+    :param evacuated: published data centres whose replicas get no requests.
     """
 
     def __init__(
@@ -106,7 +109,9 @@
         wire: WireFormat,
         clock: Clock,
         buffers: Controller,
+        evacuated: Published[frozenset[str]] | None = None,
     ):
+        self.evacuated = evacuated or Published(frozenset())
         self.first_event_latency = first_event_latency
         self.placement = placement
         self.pools = pools
@@ -131,6 +136,8 @@
                 return replica
             end = await self._send(exchange, replica, splitter)
             match end:
+                case Withheld():
+                    continue
                 case Lost() | Broken():
                     await self.gate.report_broken(exchange, replica)
                 case NotSent() | Rejected():
@@ -193,13 +200,15 @@
 
     async def _send(
         self, exchange: Exchange, replica: Replica, splitter: EventSplitter
-    ) -> Reply | SendEnd:
+    ) -> Reply | SendEnd | Withheld:
         """Send the request once and always report the outcome to the placement controller."""
         failure, answered = "failed", False
         try:
             end = await self._connect_and_send(exchange, replica, splitter)
             answered = isinstance(end, Relayed | StreamEnded)
             match end:
+                case Withheld():
+                    failure = "cancelled"
                 case NotSent():
                     failure = "unreachable"
                 case Rejected():
@@ -222,7 +231,7 @@
 
     async def _connect_and_send(
         self, exchange: Exchange, replica: Replica, splitter: EventSplitter
-    ) -> Reply | SendEnd:
+    ) -> Reply | SendEnd | Withheld:
         remaining_s = exchange.answer_deadline - self.clock.monotonic()
         try:
             sock = await open_socket(
@@ -234,6 +243,9 @@
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
                 return NotSent()
+            if replica.zone in self.evacuated.value:
+                log_withheld(exchange, replica)
+                return Withheld()
             refusal = self.shutdown.begin_send(exchange)
             if refusal is not None:
                 return refusal
--- a/greengagehoist/gateway/filters/_replica_choice.py
+++ b/greengagehoist/gateway/filters/_replica_choice.py
@@ -11,6 +11,8 @@
 from greengagehoist.utils import Clock, Controller, log_event
 
 RETRY_AFTER_S = 0.4
+# Requests that wait look again after this time: an evacuation may have begun or ended.
+RECHECK_S = 0.25
 
 
 class ReplicaChooser:
@@ -55,19 +57,18 @@
                     permitted,
                 )
             )
+            refusal = refuse_late_start(exchange, found, self.clock.monotonic())
+            if refusal is not None:
+                return refusal
             match found:
                 case Replica(replica_id):
                     if replica_id == permitted or await self._may_send(exchange, found):
                         return found
                 case NotBefore(at, replica):
-                    now = self.clock.monotonic()
-                    refusal = refuse_late_start(exchange, found, now)
-                    if refusal is not None:
-                        return refusal
-                    wait_s = max(0.0, at - now)
+                    wait_s = max(0.0, at - self.clock.monotonic())
                     max_wait_s = remaining_s - exchange.route.target_latency_s
                     if not self.limits.is_limited(replica):
-                        await self.clock.sleep(wait_s)
+                        await self.clock.sleep(min(wait_s, RECHECK_S))
                     elif await self.limits.wait(exchange, replica, at, max_wait_s):
                         permitted = replica.replica_id
                 case None:
--- a/greengagehoist/gateway/filters/_send_log.py
+++ b/greengagehoist/gateway/filters/_send_log.py
@@ -31,6 +31,16 @@
     )
 
 
+def log_withheld(exchange: Exchange, replica: Replica) -> None:
+    """Log that a request was not sent, because the replica's data centre was evacuated meanwhile."""
+    log_event(
+        "send_withheld",
+        request=exchange.req.request_id,
+        replica=replica.replica_id,
+        zone=replica.zone,
+    )
+
+
 def log_failed_send(
     exchange: Exchange, replica: Replica, end: SendEnd, step: NextStep, now: float
 ) -> None:
--- a/greengagehoist/platform/_settings.py
+++ b/greengagehoist/platform/_settings.py
@@ -39,9 +39,17 @@
         capacity=_capacity(raw),
         bounds=_bounds(raw),
         memory_bytes=_memory_bytes(raw),
+        data_centres=_data_centres(raw),
     )
 
 
+def _data_centres(raw: Any) -> frozenset[str]:
+    """Return the names of all data centres; entries of another form are left out."""
+    zones = _get(raw, "zones")
+    names = zones if isinstance(zones, list | dict) else ()
+    return frozenset(item for item in names if isinstance(item, str))
+
+
 def _memory_bytes(raw: Any) -> int:
     value = _get(raw, "limits", "memory_mb")
     if value is None:
@@ -62,6 +70,9 @@
         value = _get(raw, "bounds", name)
         return check_float(f"bounds.{name}", value, 0.0, MAX_BOUND_S * 1000) / 1000
 
+    def optional_milliseconds(name: str) -> float | None:
+        return None if _get(raw, "bounds", name) is None else milliseconds(name)
+
     def seconds(name: str) -> float:
         return check_float(f"bounds.{name}", _get(raw, "bounds", name), 0.0, MAX_BOUND_S)
 
@@ -76,6 +87,7 @@
         retry_ratio=number("retry_budget_ratio"),
         retry_slack=number("retry_budget_slack"),
         retry_window_s=seconds("budget_window_s"),
+        evacuate_s=optional_milliseconds("evacuate_ms"),
     )
 
 
--- a/greengagehoist/platform/tests/test_settings.py
+++ b/greengagehoist/platform/tests/test_settings.py
@@ -55,3 +55,29 @@
 def test_file_without_the_expected_structure_is_refused(text):
     with pytest.raises(ValidationError):
         read_settings(text)
+
+
+def test_rules_that_a_deployment_lacks_are_absent():
+    settings = read_settings(TEXT)
+    assert settings.bounds.evacuate_s is None
+    assert settings.data_centres == frozenset()
+
+
+def test_data_centres_and_the_bound_of_evacuations_are_read():
+    """Without the names, an operator's mistake in a name cannot be told."""
+    text = TEXT.replace("drain_ms: 2000", "drain_ms: 2000\n  evacuate_ms: 5000")
+    settings = read_settings(text + "zones: [zone-a, zone-b, 3]")
+    assert settings.bounds.evacuate_s == 5.0
+    assert settings.data_centres == {"zone-a", "zone-b"}
+
+
+@pytest.mark.parametrize("zones", ["3", "zone-a", "", "true"])
+def test_odd_list_of_data_centres_is_ignored(zones):
+    assert read_settings(TEXT + f"zones: {zones}").data_centres == frozenset()
+
+
+@pytest.mark.parametrize("value", ["soon", "-1", ".nan"])
+def test_bad_bound_of_evacuations_is_named(value):
+    with pytest.raises(ValidationError) as caught:
+        read_settings(TEXT.replace("drain_ms: 2000", f"drain_ms: 2000\n  evacuate_ms: {value}"))
+    assert caught.value.field == "bounds.evacuate_ms"
--- a/greengagehoist/retries/__init__.py
+++ b/greengagehoist/retries/__init__.py
@@ -15,6 +15,7 @@
     SendAgain,
     SendEnd,
     SendState,
+    Withheld,
     decide_next,
     is_retryable,
 )
@@ -33,6 +34,7 @@
     "SendAgain",
     "SendEnd",
     "SendState",
+    "Withheld",
     "decide_next",
     "is_retryable",
     "RequestBudget",
--- a/greengagehoist/retries/_resend.py
+++ b/greengagehoist/retries/_resend.py
@@ -34,6 +34,14 @@
     """The answer started and ended before it was complete."""
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """No byte was sent, because the replica's data centre was evacuated meanwhile.
+
+    It counts as no send: another replica is chosen as if this one had not been.
+    """
+
+
 SendEnd = NotSent | Rejected | Lost | Broken
 
 
