--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -40,7 +40,7 @@
 
 
 class Choose(NamedTuple):
-    """Ask for the replica of a request; replied by ``Replica | NotBefore | None``.
+    """Ask for the replica of a request; replied by ``Replica | NotBefore | Evacuated | None``.
 
     The reply is None if there is no replica. The replica counts as busy with the request until
     :class:`RequestEnded`.
@@ -73,8 +73,12 @@
     replica: Replica
 
 
+class Evacuated(NamedTuple):
+    """All replicas of a service are in evacuated data centres."""
+
+
 class FindHome(NamedTuple):
-    """Ask what :class:`Choose` would return now; replied by ``Replica | NotBefore | None``.
+    """Ask what :class:`Choose` would return now; replied by the same types.
 
     No replica counts as busy because of this query.
     """
@@ -173,6 +177,7 @@
     :param zone: data centre of this daemon.
     :param ranking: chooses by expected time where a service calls for it.
     :param followers: controllers that receive :class:`OwnLoadChanged`.
+    :param evacuated: published data centres whose replicas get no requests.
     """
 
     def __init__(
@@ -184,8 +189,10 @@
         zone: str,
         ranking: TimeRanking,
         followers: tuple[Controller, ...] = (),
+        evacuated: Published[frozenset[str]] | None = None,
     ):
         super().__init__("placement")
+        self.evacuated = evacuated or Published(frozenset())
         self.table = table
         self.reach = reach
         self.limits = limits
@@ -250,12 +257,15 @@
                 pause_s=round(answer.pause_s, 2),
             )
 
-    def _find(self, query: Choose) -> Replica | NotBefore | None:
-        candidates = [
+    def _find(self, query: Choose) -> Replica | NotBefore | Evacuated | None:
+        listed = [
             item
             for item in self.table.value.of_service(query.service)
             if not query.model or not item.models or query.model in item.models
         ]
+        candidates = [item for item in listed if item.zone not in self.evacuated.value]
+        if listed and not candidates:
+            return Evacuated()
         now = self.clock.monotonic()
         sends_from = {
             item: self._availability.sends_from(item, now, self._limit_of(item, query))
@@ -330,7 +340,7 @@
         elif replica.zone in self.reach.value.silent_zones:
             self._zone_avoid_until[replica.zone] = now + ZONE_BACKOFF_S
 
-    def _choose(self, query: Choose) -> Replica | NotBefore | None:
+    def _choose(self, query: Choose) -> Replica | NotBefore | Evacuated | None:
         found = self._find(query)
         if isinstance(found, Replica):
             self._availability.begin_send(found, self.clock.monotonic())
