Learn the speed of plain replicas, and make the choice cheaper

Plain requests tell the speed by the time to their end, and leave their data centre after about one round of others.

--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -347,9 +347,9 @@
         health = self._health_of(end.replica_id)
         observed = health.observed._replace(in_flight=max(0, health.observed.in_flight - 1))
         now = self.clock.monotonic()
-        if self.ranking.sends.end(end.ticket):
-            self._tell_own_load()
         replica = self.table.value.replicas.get(end.replica_id)
+        if self.ranking.sends.replica_of(end.ticket):
+            self._tell_own_load(self.ranking.end(end.ticket, replica, not end.failure, now))
         if replica is not None:
             self._availability.end_send(replica, end.failure in ("", "rejected"), now)
         if end.failure != "cancelled":
--- a/greengagehoist/gateway/controllers/_time_ranking.py
+++ b/greengagehoist/gateway/controllers/_time_ranking.py
@@ -6,18 +6,21 @@
 
 from greengagehoist.deployment import DeploymentSnapshot
 from greengagehoist.replicas import (
+    NO_FIGURES,
+    NO_REQUESTS,
     SLOWDOWN_MAX_AGE_S,
     Affinity,
-    LearntSlowdown,
     LearntSpeeds,
     Load,
     LoadView,
     Need,
     Observed,
+    OwnSend,
     OwnSends,
     PlainWork,
     Replica,
     ReplicaCounts,
+    ReplicaFigures,
     ReplicaKnowledge,
     TimedChoice,
     Work,
@@ -48,7 +51,7 @@
 
 
 class SpeedSample(NamedTuple):
-    """An answer took ``ratio`` times as long to its first event as at the usual speed."""
+    """An answer took ``ratio`` times as long as at the usual speed."""
 
     replica_id: str
     ratio: float
@@ -114,8 +117,10 @@
 
         :param observed: what this daemon has observed of each of them.
         """
+        others = self.view.value.usable(now)
         known = {
-            item.replica_id: self._know(item, observed[item.replica_id], now) for item in candidates
+            item.replica_id: self._know(item, observed[item.replica_id], others, now)
+            for item in candidates
         }
         need = Need(send.work, affinity, send.shared_tokens, self._kv_tokens(service))
         return choose_by_time(candidates, known.__getitem__, need, self.zone, now, self.rng)
@@ -143,33 +148,50 @@
 
     def begin_answer(self, ticket: int, replica: Replica, now: float) -> SpeedSample | None:
         """Note the first event of an answer; return what it tells of the replica's speed."""
-        send = self.sends.begin_answer(ticket)
+        return self._learn(self.sends.begin_answer(ticket), replica, now)
+
+    def end(self, ticket: int, replica: Replica | None, ok: bool, now: float) -> SpeedSample | None:
+        """Forget a request; return what the end of a plain one tells of the replica's speed.
+
+        :param ok: whether the replica has answered it.
+        """
+        send = self.sends.end(ticket)
+        if send is None or replica is None or not ok or not isinstance(send.work, PlainWork):
+            return None
+        return self._learn(send, replica, now)
+
+    def _learn(self, send: OwnSend | None, replica: Replica, now: float) -> SpeedSample | None:
         if send is None or not send.usual_s or send.replica_id != replica.replica_id:
             return None
         ratio = (now - send.sent_at) / send.usual_s
         self.learnt.observe(replica.replica_id, replica.service, ratio)
         return SpeedSample(replica.replica_id, ratio)
 
-    def slowdown_of(self, replica: Replica, now: float) -> LearntSlowdown:
-        """Return the learnt slowdown: that of all daemons unless this one has more answers."""
-        own = self.learnt.of(replica.replica_id, replica.service)
-        shared = self.view.value.figures(replica.replica_id, now).slowdown
-        return shared if shared.weight > own.weight else own
-
     def _counts(self, replica_id: str, now: float) -> ReplicaCounts:
         others = self.view.value.figures(replica_id, now).counts
         return add_counts(others, self.sends.at(replica_id))
 
-    def _know(self, replica: Replica, observed: Observed, now: float) -> ReplicaKnowledge:
-        counts = self._counts(replica.replica_id, now)
-        slowdown = self.slowdown_of(replica, now).factor
+    def _know(
+        self,
+        replica: Replica,
+        observed: Observed,
+        others: dict[str, ReplicaFigures],
+        now: float,
+    ) -> ReplicaKnowledge:
+        replica_id = replica.replica_id
+        counts, learnt = others.get(replica_id, NO_FIGURES)
+        own = self.sends.at(replica_id)
+        if own is not NO_REQUESTS:
+            counts = add_counts(counts, own)
+        own_learnt = self.learnt.of(replica_id, replica.service)
+        slowdown = (learnt if learnt.weight > own_learnt.weight else own_learnt).factor
         load, age_s = observed.load, now - observed.reported_at
         if load is not None and age_s < REPORT_MAX_AGE_S:
             reported = load.running + load.waiting + observed.sent_since_report
             unseen = max(0, reported - counts.waiting - counts.running)
             counts = counts._replace(running=counts.running + unseen)
             if age_s <= SLOWDOWN_MAX_AGE_S and replica.service in self._states_slowdown:
-                usual = self._reported.of(replica.replica_id, replica.service).factor
+                usual = self._reported.of(replica_id, replica.service).factor
                 change = load.slowdown / usual
                 slowdown *= min(MAX_REPORTED_CHANGE, max(1 / MAX_REPORTED_CHANGE, change))
         return ReplicaKnowledge(counts, slowdown, observed.avoid_until)
--- a/greengagehoist/gateway/tests/test_placement.py
+++ b/greengagehoist/gateway/tests/test_placement.py
@@ -87,6 +87,11 @@
         send = TimedSend(self.tickets, work, getattr(work, "shared_tokens", 0))
         return deliver(self.controller, Choose(service, affinity, send=send, **fields))[0]
 
+    def know(self, replica_id, now):
+        observed = self.controller._observed_load(replica_id)
+        others = self.view.value.usable(now)
+        return self.ranking._know(REPLICAS[replica_id], observed, others, now)
+
     @property
     def counts(self):
         return self.follower.told[-1].counts
@@ -174,11 +179,10 @@
 def test_learnt_speed_of_all_daemons_takes_precedence_over_few_own_answers(setup):
     slow = ReplicaFigures(ReplicaCounts(), LearntSlowdown(1.0, 30.0))
     setup.view.value = LoadView({"r0": slow}, 0.0)
-    ranking, replica = setup.ranking, REPLICAS["r0"]
-    assert ranking.slowdown_of(replica, 0.0) == slow.slowdown
-    ranking.learnt.observe("r0", "llm", 1.0)
-    assert ranking.slowdown_of(replica, 0.0) == slow.slowdown
-    assert ranking.slowdown_of(replica, 10.0).factor < 1.1
+    assert setup.know("r0", 0.0).slowdown == slow.slowdown.factor
+    setup.ranking.learnt.observe("r0", "llm", 1.0)
+    assert setup.know("r0", 0.0).slowdown == slow.slowdown.factor
+    assert setup.know("r0", 10.0).slowdown < 1.1
 
 
 def test_answer_tells_the_speed_of_its_replica(setup):
@@ -204,9 +208,8 @@
         for _ in range(30):
             setup.ranking.observe_load(REPLICAS[replica_id], Load(0, 0, 64, 1.01))
     deliver(setup.controller, LoadReported("r0", Load(0, 0, 64, 4.0)))
-    seen = setup.controller._observed_load("r0")
-    assert setup.ranking._know(REPLICAS["r0"], seen, 0.1).slowdown > 3.0
-    assert setup.ranking._know(REPLICAS["r0"], seen, 0.4).slowdown == pytest.approx(1.0, rel=0.01)
+    assert setup.know("r0", 0.1).slowdown > 3.0
+    assert setup.know("r0", 0.4).slowdown == pytest.approx(1.0, rel=0.01)
 
 
 def test_constantly_reported_false_slowdown_gives_way_to_the_learnt_one(setup):
@@ -214,15 +217,13 @@
         setup.ranking.observe_load(REPLICAS["r0"], Load(0, 0, 64, 8.0))
         setup.ranking.learnt.observe("r0", "llm", 1.0)
     deliver(setup.controller, LoadReported("r0", Load(0, 0, 64, 8.0)))
-    seen = setup.controller._observed_load("r0")
-    assert setup.ranking._know(REPLICAS["r0"], seen, 0.0).slowdown == pytest.approx(1.0, rel=0.1)
+    assert setup.know("r0", 0.0).slowdown == pytest.approx(1.0, rel=0.1)
 
 
 def test_reported_requests_that_nobody_told_of_count(setup):
     deliver(setup.controller, LoadReported("r0", Load(40, 9, 64)))
-    seen = setup.controller._observed_load("r0")
-    assert setup.ranking._know(REPLICAS["r0"], seen, 0.5).counts.running == 49
-    assert setup.ranking._know(REPLICAS["r0"], seen, 1.5).counts.running == 0
+    assert setup.know("r0", 0.5).counts.running == 49
+    assert setup.know("r0", 1.5).counts.running == 0
 
 
 @pytest.mark.parametrize(
@@ -250,3 +251,12 @@
     chosen = Counter(setup.choose(PlainWork(), AnyReplica(), "desk").replica_id for _ in range(30))
     assert set(chosen) == set(PLAIN) and max(chosen.values()) < 18
     assert isinstance(setup.follower.told[-1], OwnLoadChanged)
+
+
+@pytest.mark.parametrize("end, is_learnt", [("", True), ("failed", False), ("cancelled", False)])
+def test_time_of_a_plain_answer_tells_the_speed(setup, end, is_learnt):
+    replica = setup.choose(PlainWork(), AnyReplica(), "desk")
+    asyncio.run(setup.clock.advance(0.5))
+    deliver(setup.controller, RequestEnded(replica.replica_id, end, 1))
+    sample = setup.follower.told[-1].sample
+    assert (sample is not None and sample.ratio > 5) == is_learnt
--- a/greengagehoist/replicas/_choice_by_time.py
+++ b/greengagehoist/replicas/_choice_by_time.py
@@ -12,6 +12,7 @@
 )
 from greengagehoist.replicas._expected_time import (
     USUAL_TOKENS_PER_S,
+    PlainWork,
     ReplicaKnowledge,
     Work,
     copy_s,
@@ -25,6 +26,8 @@
 # Time that a request must gain to leave its data centre. The way takes 2 ms; traffic between data
 # centres is expensive.
 CROSS_ZONE_S = 0.1
+# The same for a request without a prompt, which is small.
+PLAIN_CROSS_ZONE_S = 0.02
 # Time that it must gain to leave the data centre of large stage results.
 MOVE_RESULTS_S = 0.3
 # A request leaves the home of its parts if it gains this many times what it costs to read them again.
@@ -140,8 +143,11 @@
     match need.affinity:
         case PromptAffinity(_, preferred_zone) if preferred_zone:
             detour_s = 0.0 if replica.zone == preferred_zone else MOVE_RESULTS_S
+        case _ if replica.zone == zone:
+            detour_s = 0.0
         case _:
-            detour_s = 0.0 if replica.zone == zone else CROSS_ZONE_S
+            is_plain = isinstance(need.work, PlainWork)
+            detour_s = PLAIN_CROSS_ZONE_S if is_plain else CROSS_ZONE_S
     return _Option(replica, seconds, detour_s)
 
 
--- a/greengagehoist/replicas/_expected_time.py
+++ b/greengagehoist/replicas/_expected_time.py
@@ -32,7 +32,12 @@
 
 def add_counts(first: ReplicaCounts, second: ReplicaCounts) -> ReplicaCounts:
     """Return the sum of two counts."""
-    return ReplicaCounts(*(a + b for a, b in zip(first, second, strict=True)))
+    return ReplicaCounts(
+        first.waiting + second.waiting,
+        first.waiting_tokens + second.waiting_tokens,
+        first.running + second.running,
+        first.held_tokens + second.held_tokens,
+    )
 
 
 def subtract_counts(first: ReplicaCounts, second: ReplicaCounts) -> ReplicaCounts:
--- a/greengagehoist/replicas/_learnt_speed.py
+++ b/greengagehoist/replicas/_learnt_speed.py
@@ -44,30 +44,36 @@
         return LearntSlowdown(self.log + deviation / weight, weight)
 
 
+NOTHING_LEARNT = LearntSlowdown()
+
+
 class LearntSpeeds:
     """Slowdown of each replica, with that of its service as the prior."""
 
     def __init__(self):
         self._replicas: dict[str, LearntSlowdown] = {}
         self._services: dict[str, LearntSlowdown] = {}
+        self._priors: dict[str, LearntSlowdown] = {}
 
     def observe(self, replica_id: str, service: str, ratio: float) -> LearntSlowdown:
         """Add an answer that took ``ratio`` times as long as usual; return the new estimate."""
-        prior = self._prior(service)
+        prior = self._priors.get(service, NOTHING_LEARNT)
         learnt = self._replicas.pop(replica_id, prior).observe(ratio)
         self._replicas[replica_id] = learnt
         if len(self._replicas) > MAX_REMEMBERED:
             del self._replicas[next(iter(self._replicas))]
-        self._services[service] = self._services.get(service, LearntSlowdown()).observe(ratio)
+        mean = self._services.get(service, NOTHING_LEARNT).observe(ratio)
+        self._services[service] = mean
+        self._priors[service] = mean._replace(weight=min(PRIOR_WEIGHT, mean.weight))
         return learnt
 
     def of(self, replica_id: str, service: str) -> LearntSlowdown:
         """Return the estimate of a replica."""
-        return self._replicas.get(replica_id) or self._prior(service)
+        return self._replicas.get(replica_id) or self._priors.get(service, NOTHING_LEARNT)
 
     def learnt(self, replica_id: str) -> LearntSlowdown:
         """Return what answers of the replica itself have told."""
-        return self._replicas.get(replica_id, LearntSlowdown())
+        return self._replicas.get(replica_id, NOTHING_LEARNT)
 
     def known(self) -> frozenset[str]:
         """Return the ids of the replicas with answers."""
@@ -82,7 +88,3 @@
         if replica_id not in self._replicas and learnt.weight:
             weight = min(PRIOR_WEIGHT, learnt.weight)
             self._replicas[replica_id] = learnt._replace(weight=weight)
-
-    def _prior(self, service: str) -> LearntSlowdown:
-        learnt = self._services.get(service, LearntSlowdown())
-        return learnt._replace(weight=min(PRIOR_WEIGHT, learnt.weight))
--- a/greengagehoist/replicas/_load_tally.py
+++ b/greengagehoist/replicas/_load_tally.py
@@ -43,9 +43,11 @@
 
     def figures(self, replica_id: str, now: float) -> ReplicaFigures:
         """Return what is known of a replica, nothing if the view is too old."""
-        if now - self.at > VIEW_MAX_AGE_S:
-            return NO_FIGURES
-        return self.replicas.get(replica_id, NO_FIGURES)
+        return self.usable(now).get(replica_id, NO_FIGURES)
+
+    def usable(self, now: float) -> dict[str, ReplicaFigures]:
+        """Return the figures by replica id, none if the view is too old."""
+        return self.replicas if now - self.at <= VIEW_MAX_AGE_S else {}
 
 
 class Source(NamedTuple):
--- a/greengagehoist/replicas/_own_sends.py
+++ b/greengagehoist/replicas/_own_sends.py
@@ -77,13 +77,12 @@
         self._sends[ticket] = send._replace(counts=running)
         return send
 
-    def end(self, ticket: int) -> str:
-        """Forget a request; return the id of its replica, empty if it was unknown."""
+    def end(self, ticket: int) -> OwnSend | None:
+        """Forget a request; return it unless it was unknown."""
         send = self._sends.pop(ticket, None)
-        if send is None:
-            return ""
-        self._subtract(send.replica_id, send.counts)
-        return send.replica_id
+        if send is not None:
+            self._subtract(send.replica_id, send.counts)
+        return send
 
     def _add(self, replica_id: str, counts: ReplicaCounts) -> None:
         self._counts[replica_id] = add_counts(self.at(replica_id), counts)
--- a/greengagehoist/replicas/tests/test_choice_by_time.py
+++ b/greengagehoist/replicas/tests/test_choice_by_time.py
@@ -123,6 +123,17 @@
     assert choose(need, much).replica.zone == "b"
 
 
+def test_plain_requests_leave_their_data_centre_after_a_round_of_others(choose, candidates):
+    few = [item._replace(slots=6) for item in candidates if item.replica_id in ("i-0", "i-4")]
+    need = Need(PlainWork(), AnyReplica())
+    for running, zone in ((5, "a"), (6, "a"), (12, "b")):
+        known = {
+            "i-0": ReplicaKnowledge(ReplicaCounts(running=running), 0.5),
+            "i-4": ReplicaKnowledge(slowdown=0.5),
+        }
+        assert choose(need, known, among=few).replica.zone == zone
+
+
 def test_large_results_keep_their_data_centre_until_it_is_late(choose):
     need = Need(SHORT, PromptAffinity("p", "b"), SHORT.shared_tokens)
     busy = {f"i-{n}": ReplicaKnowledge(ReplicaCounts(1, 12_000, 0, 12_000)) for n in range(4, 8)}
--- a/greengagehoist/replicas/tests/test_learnt_speed.py
+++ b/greengagehoist/replicas/tests/test_learnt_speed.py
@@ -97,8 +97,8 @@
     assert sends.begin_answer(1).usual_s == 0.1
     assert sends.begin_answer(1) is None
     assert sends.at("r") == ReplicaCounts(0, 0, 1, 1050)
-    assert sends.end(1) == "r" and sends.counts() == {}
-    assert sends.end(1) == ""
+    assert sends.end(1).replica_id == "r" and sends.counts() == {}
+    assert sends.end(1) is None
 
 
 def test_request_that_is_chosen_again_counts_once():
