--- a/greengagehoist/daemon/tests/gateway_system.py
+++ b/greengagehoist/daemon/tests/gateway_system.py
@@ -84,6 +84,8 @@
     def __init__(self, bounds, engines=2):
         self.bounds = bounds
         self.store = StoreStandin()
+        # Address at which the next daemon reaches the store, empty for the store's own.
+        self.store_address = ""
         self.desks = [ReplicaStandin(f"d{n}", "desk", "a") for n in range(2)]
         self.engines = [ReplicaStandin(f"e{n}", "llm", "a", "engine") for n in range(engines)]
         self.pool = [ReplicaStandin(f"p{n}", "pool", "a") for n in range(2)]
@@ -110,7 +112,7 @@
             "127.0.0.1:0",
             "127.0.0.1:0",
             "127.0.0.1:0",
-            self.store.address,
+            self.store_address or self.store.address,
             1.0,
             self.bounds,
         )
