--- a/greengagehoist/daemon/tests/slow_links.py
+++ b/greengagehoist/daemon/tests/slow_links.py
@@ -27,7 +27,7 @@
         sock.bind(("127.0.0.1", 0))
         sock.listen(64)
         self._start(self._serve(sock, target))
-        return "127.0.0.1:%d" % sock.getsockname()[1]
+        return f"127.0.0.1:{sock.getsockname()[1]}"
 
     async def stop(self) -> None:
         """Close all connections and ports."""
