--- a/greengagehoist/codec/_peer.py
+++ b/greengagehoist/codec/_peer.py
@@ -12,6 +12,8 @@
 # Bounds the time to check shared and cyclic values, which CBOR can represent.
 MAX_VALUES = 200_000
 MAX_NESTING = 32
+# Fields of a message may be bytes; values inside of fields have JSON types.
+FIELD_DEPTH = 1
 
 _SCALARS = (str, int, float, bool, type(None))
 
@@ -97,5 +99,7 @@
             if not all(type(key) is str for key in item):
                 raise FrameError("accepted: maps with text keys")
             pending.extend((child, depth + 1) for child in item.values())
+        elif type(item) is bytes and depth == FIELD_DEPTH:
+            continue
         elif type(item) not in _SCALARS:
             raise FrameError(f"accepted: JSON types, got {type(item).__name__}")
--- a/greengagehoist/codec/tests/test_peer.py
+++ b/greengagehoist/codec/tests/test_peer.py
@@ -29,6 +29,7 @@
 )
 BY_FIELD_TYPE = {
     str: st.text(),
+    bytes: st.binary(max_size=50),
     int: INT64,
     float: st.floats(allow_nan=False),
     float | None: st.none() | st.floats(allow_nan=False),
@@ -130,6 +131,8 @@
         cbor2.dumps([5, 1, {"a": {1: 2}}]),
         cbor2.dumps([5, 1, {"a": b"bytes"}]),
         cbor2.dumps([True, "a"]),
+        cbor2.dumps([17, "service", [b"bytes"]]),
+        cbor2.dumps([3, b"bytes"]),
         b"\x81" * 10_000 + b"\x01",
         b"\x9b\xff\xff\xff\xff\xff\xff\xff\xff",
         cbor2.dumps([2, 1, 1, True, 1, 0.5, [["t", "x"]]]),
--- a/greengagehoist/daemon/tests/test_gateway_restored.py
+++ b/greengagehoist/daemon/tests/test_gateway_restored.py
@@ -31,6 +31,11 @@
     return daemon.replicas.table.value.replicas
 
 
+async def registered(system):
+    """Wait until the store lists the first daemon, so that a copy names it to those that start."""
+    await wait_until(lambda: ("greengagehoist", "member/vm0") in system.store.rows)
+
+
 async def read_of_the_list(daemon):
     """Wait until a read of the list that is sent from now on has been applied."""
     now = daemon.clock.monotonic()
@@ -127,6 +132,7 @@
     """It has read the copy only, so a revoked key would be valid again there."""
 
     async def scenario(system):
+        await registered(system)
         copy = system.store.copy()
         await put_config(system, 2, **REVOKING)
         system.store.restore(copy)
@@ -141,6 +147,7 @@
     """One lost answer of the peer, and keys that had been revoked were valid again."""
 
     async def scenario(system):
+        await registered(system)
         copy = system.store.copy()
         await put_config(system, 2, **REVOKING)
         system.store.restore(copy)
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -1,4 +1,4 @@
-"""Controller that follows the operator's configuration on the platform."""
+"""Controller that follows the operator's configuration and evacuations on the platform."""
 
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -6,6 +6,15 @@
 from returns.result import Result, Success
 
 from greengagehoist.deployment import DeploymentSnapshot
+from greengagehoist.gateway.controllers._deployment_content import (
+    decode_content,
+    deployment_token,
+    encode_content,
+    row_of_token,
+)
+from greengagehoist.gateway.controllers._deployment_reads import DeploymentReads
+from greengagehoist.gateway.controllers._evacuations import Evacuations
+from greengagehoist.gateway.controllers._held_content import HeldContent
 from greengagehoist.gateway.controllers._held_deployment import (
     HeldDeployment,
     InForce,
@@ -13,13 +22,16 @@
     ReadOutcome,
     apply_confirmation,
     apply_own_read,
+    apply_shared_evacuations,
     apply_shared_read,
+    apply_table_state,
     apply_unused_read,
 )
-from greengagehoist.gateway.controllers._relay import AddSource, AskPeer, HeldContent
+from greengagehoist.gateway.controllers._relay import AddSource, AskPeer, Waiting
 from greengagehoist.gateway.controllers._shared_reads import (
     Changed,
     Confirmed,
+    HubBusy,
     HubStale,
     ReadNow,
     SharedReads,
@@ -27,11 +39,19 @@
 from greengagehoist.peers import GetPeers, Peer, UpdateHeartbeat
 from greengagehoist.platform_client import (
     DeploymentRead,
-    ReadDeployment,
     Revision,
+    TableState,
     parse_revision,
 )
-from greengagehoist.utils import Clock, Controller, Published, Reply, Tick, log_event
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Published,
+    Reply,
+    Tick,
+    log_event,
+    show_value,
+)
 
 # Longest wait of a daemon that starts for a peer that may hold a newer configuration than the
 # platform, which may have been restored from a copy.
@@ -52,8 +72,14 @@
     sent_at: float
 
 
+class _TableRead(NamedTuple):
+    state: TableState
+    sent_at: float
+
+
 class _SharedReadEnded(NamedTuple):
     read: DeploymentRead
+    evacuations: Evacuations
     held: HeldContent
 
 
@@ -63,19 +89,22 @@
 
 class _ConfirmationReceived(NamedTuple):
     row: Revision
-    confirmed_at: float
-    proven_era: int
+    step: Confirmed
 
 
 class DeploymentController(Controller):
     """Reads the configuration periodically and publishes the newest version and its confirmation.
 
-    It polls instead of using a change feed, because only the answer to a read that was sent after
-    a given time proves that no key was revoked before that time.
+    It polls instead of waiting for a change feed, because only the answer to a read that was sent
+    after a given time proves that no key was revoked before that time. A read moves only what has
+    changed. Evacuations are in the same table and are read, passed on and published together with it.
 
     :param peers: controller of the links, by which daemons tell each other their versions.
     :param reads: decides whether a hub or the platform is asked.
     :param decode: decodes the configuration that a hub has read in a revision of its row.
+    :ivar snapshot: published configuration, None before the first one. It is published after the
+        evacuations of the same read.
+    :ivar evacuated: published data centres that get no work.
     :ivar held: published configuration and when the platform held it, for other daemons.
     """
 
@@ -93,9 +122,13 @@
         self.reads = reads
         self.decode = decode
         self.clock = clock
+        self.own_reads = DeploymentReads(platform, clock, reads.rng)
         self.snapshot: Published[DeploymentSnapshot | None] = Published(None)
+        self.evacuated: Published[frozenset[str]] = Published(frozenset())
         self.held: Published[HeldContent | None] = Published(None)
         self._deployment = HeldDeployment()
+        self._state: TableState | None = None
+        self._held_key: tuple | None = None
         self._outcome: ReadOutcome = NoConfiguration()
         self._last_read = Revision()
         self._failing = False
@@ -115,42 +148,61 @@
                 self.reads.period_s = seconds
             case _ReadEnded(result, sent_at):
                 reply(self._apply(result, sent_at))
-            case _SharedReadEnded(read, held):
-                reply(self._apply_shared_read(read, held))
+            case _TableRead(state, sent_at):
+                self._state = state
+                self._deployment = apply_table_state(self._deployment, state, sent_at)
+                self._publish_evacuations()
+                reply(None)
+            case _SharedReadEnded():
+                reply(self._apply_shared_read(*message))
             case _ReadUnused(era):
                 now = self.clock.monotonic()
                 self._deployment = apply_unused_read(self._deployment, era, now)
-            case _ConfirmationReceived():
-                reply(self._hold(*apply_confirmation(self._deployment, *message)))
+            case _ConfirmationReceived(row, step):
+                reply(self._apply_confirmation(row, step))
 
     async def _read(self) -> None:
         row, era = self._deployment.row, self._deployment.era or 0
-        step = await self.reads.next_step(row.token if row.version else "", era)
+        held = self.held.value
+        step = await self.reads.next_step(held.token if held and row.version else "", era)
         outcome: ReadOutcome | None = None
         match step:
-            case Confirmed(at, _, proven_era):
-                outcome = await self.ask(_ConfirmationReceived(row, at, proven_era))
+            case Confirmed():
+                outcome = await self.ask(_ConfirmationReceived(row, step))
             case Changed(held):
                 outcome = await self._decode_shared(held)
             case ReadNow():
-                sent_at = self.clock.monotonic()
-                result = await self.platform.ask(ReadDeployment(row))
-                if not isinstance(result, Success) or await self._ask_peers(result.unwrap()):
-                    outcome = await self.ask(_ReadEnded(result, sent_at))
-                else:
-                    self.tell(_ReadUnused(result.unwrap().row.era))
-            case HubStale():
+                outcome = await self._read_platform(row)
+            case HubStale() | HubBusy():
                 pass
         await self.reads.pause(step, isinstance(outcome, InForce))
         self.tell(Tick())
 
+    async def _read_platform(self, row: Revision) -> ReadOutcome | None:
+        state = self._state
+        # A state of an earlier era says nothing about what has changed since.
+        usable = state is not None and state.table.era == self._deployment.era
+        result, sent_at = await self.own_reads.read(row, state if usable else None)
+        if isinstance(result, Success):
+            await self.ask(_TableRead(result.unwrap().state, sent_at))
+            if not await self._ask_peers(result.unwrap()):
+                self.tell(_ReadUnused(result.unwrap().row.era))
+                return None
+        return await self.ask(_ReadEnded(result, sent_at))
+
     async def _decode_shared(self, held: HeldContent) -> ReadOutcome | None:
+        own = self._deployment
         try:
-            read = self.decode(held.content, parse_revision(held.token))
+            row = row_of_token(held.token)
+            source, evacuations = decode_content(held.content, held.table)
+            if own.snapshot is not None and (row, source) == (own.row, own.source):
+                read = DeploymentRead(own.snapshot.deployment, row, source)
+            else:
+                read = self.decode(source, row)
         except ValueError as exc:
             log_event("hub_read_unreadable", "WARNING", topic="deployment", reason=str(exc))
             return None
-        return await self.ask(_SharedReadEnded(read, held))
+        return await self.ask(_SharedReadEnded(read, evacuations, held))
 
     async def _ask_peers(self, read: DeploymentRead) -> bool:
         """Get the configuration of a peer that holds a newer one than the platform shows.
@@ -181,6 +233,9 @@
             return True
         for peer in (ahead or informed)[:MAX_PEERS_ASKED]:
             held = await self.reads.relay.ask(AskPeer("deployment", peer.vm))
+            while isinstance(held, Waiting):
+                await self.clock.sleep(held.wait_s)
+                held = await self.reads.relay.ask(AskPeer("deployment", peer.vm))
             if held is not None and held.content and await self._decode_shared(held):
                 return True
         return not (starting and ahead)
@@ -198,11 +253,31 @@
     async def _informed_peers(self) -> list[Peer]:
         return [item for item in await self.peers.ask(GetPeers()) if item.heartbeat is not None]
 
-    def _apply_shared_read(self, read: DeploymentRead, held: HeldContent) -> ReadOutcome:
-        now, known = self.clock.monotonic(), self._deployment
+    def _apply_shared_read(
+        self, read: DeploymentRead, evacuations: Evacuations, held: HeldContent
+    ) -> ReadOutcome:
+        now = self.clock.monotonic()
+        known = apply_shared_evacuations(self._deployment, evacuations)
         applied = apply_shared_read(known, read, held.at, now, held.era, held.proven_era)
+        if held.is_exact:
+            self._learn_state(TableState(evacuations.table, read.row, evacuations.zones))
         return self._hold(*applied)
 
+    def _apply_confirmation(self, row: Revision, step: Confirmed) -> ReadOutcome:
+        evacuations = self._deployment.evacuations
+        if step.table:
+            table = parse_revision(step.table)
+            evacuations = evacuations._replace(table=max(table, evacuations.table))
+            if step.is_exact:
+                self._learn_state(TableState(table, row, evacuations.zones))
+        known = self._deployment._replace(evacuations=evacuations)
+        return self._hold(*apply_confirmation(known, row, step.at, step.proven_era))
+
+    def _learn_state(self, state: TableState) -> None:
+        """Follow the state of the table that a hub has read, to read only later changes."""
+        if self._state is None or state.table >= self._state.table:
+            self._state = state
+
     def _apply(self, result: Result, sent_at: float) -> ReadOutcome | None:
         if not isinstance(result, Success):
             self._set_failing(True, result.failure().message)
@@ -215,17 +290,12 @@
 
     def _hold(self, deployment: HeldDeployment, outcome: ReadOutcome) -> ReadOutcome:
         before, self._deployment = self._deployment, deployment
+        self._publish_evacuations()
         snapshot = self.snapshot.value = deployment.snapshot
         self._log_outcome(outcome)
         if snapshot is None:
             return outcome
-        self.held.value = HeldContent(
-            deployment.row.token,
-            snapshot.confirmed_at,
-            deployment.source,
-            era=deployment.era or 0,
-            proven_era=deployment.proven_era,
-        )
+        self._publish_held(deployment, snapshot)
         if before.version != deployment.version:
             self.peers.tell(UpdateHeartbeat(config_version=deployment.version))
             log_event(
@@ -238,6 +308,34 @@
             )
         return outcome
 
+    def _publish_evacuations(self) -> None:
+        zones = self._deployment.evacuations.zones
+        if zones != self.evacuated.value:
+            self.evacuated.value = zones
+            log_event(
+                "evacuations_changed", zones=",".join(map(show_value, sorted(zones))) or "none"
+            )
+
+    def _publish_held(self, deployment: HeldDeployment, snapshot: DeploymentSnapshot) -> None:
+        held, row, evacuations = self.held.value, deployment.row, deployment.evacuations
+        key = (row, evacuations.zones, evacuations.proven_era)
+        if held is None or key != self._held_key:
+            self._held_key = key
+            content = encode_content(deployment.source, evacuations)
+            token = deployment_token(row, content)
+        else:
+            content, token = held.content, held.token
+        shown = TableState(evacuations.table, row, evacuations.zones)
+        self.held.value = HeldContent(
+            token,
+            snapshot.confirmed_at,
+            content,
+            era=deployment.era or 0,
+            proven_era=deployment.proven_era,
+            table=evacuations.table.token,
+            is_exact=self._state == shown,
+        )
+
     def _log_outcome(self, outcome: ReadOutcome) -> None:
         if outcome == self._outcome:
             return
--- a/greengagehoist/gateway/controllers/_held_deployment.py
+++ b/greengagehoist/gateway/controllers/_held_deployment.py
@@ -9,7 +9,12 @@
 from typing import NamedTuple
 
 from greengagehoist.deployment import DeploymentSnapshot, merge
-from greengagehoist.platform_client import DeploymentRead, Revision
+from greengagehoist.gateway.controllers._evacuations import (
+    Evacuations,
+    merge_evacuations,
+    read_evacuations,
+)
+from greengagehoist.platform_client import DeploymentRead, Revision, TableState
 
 # The operator writes again within about this time after the return of a store that was restored.
 OPERATOR_RETURN_S = 2.0
@@ -59,6 +64,7 @@
     :param proven_era: newest era in which reads are known to show what the operator wrote last.
     :param believed_era: era in which this daemon believes its own reads, because it knew of no other
         at its first one; what other daemons hold may prove more.
+    :param evacuations: data centres that the operator has evacuated.
     """
 
     snapshot: DeploymentSnapshot | None = None
@@ -70,6 +76,7 @@
     copied_row: Revision | None = None
     proven_era: int = 0
     believed_era: int | None = None
+    evacuations: Evacuations = Evacuations()
 
     @property
     def version(self) -> int:
@@ -82,6 +89,24 @@
     return _enter_era(held, era, now)
 
 
+def apply_table_state(held: HeldDeployment, state: TableState, sent_at: float) -> HeldDeployment:
+    """Return what is held after a read of the platform has shown the evacuations.
+
+    The era is entered only with the configuration of the same read.
+    """
+    era = state.table.era
+    if held.era is not None and era < held.era:
+        return held
+    # The operator writes the rows again one by one, so that only time proves that none is missing.
+    proven = era == held.era and sent_at >= held.era_since + OPERATOR_RETURN_S
+    return held._replace(evacuations=read_evacuations(held.evacuations, state, proven))
+
+
+def apply_shared_evacuations(held: HeldDeployment, found: Evacuations) -> HeldDeployment:
+    """Return what is held after another daemon has passed on the evacuations that it holds."""
+    return held._replace(evacuations=merge_evacuations(held.evacuations, found))
+
+
 def apply_own_read(
     held: HeldDeployment, read: DeploymentRead, sent_at: float, now: float
 ) -> tuple[HeldDeployment, ReadOutcome]:
--- a/greengagehoist/gateway/controllers/_members.py
+++ b/greengagehoist/gateway/controllers/_members.py
@@ -1,16 +1,17 @@
 """Controller that registers this daemon and keeps the list of the daemons of its deployment."""
 
-import hashlib
 import random
 from typing import Any, NamedTuple
 
 import msgspec
 from returns.result import Success
 
-from greengagehoist.gateway.controllers._relay import AddSource, HeldContent
+from greengagehoist.gateway.controllers._held_content import HeldContent
+from greengagehoist.gateway.controllers._relay import AddSource
 from greengagehoist.gateway.controllers._shared_reads import (
     Changed,
     Confirmed,
+    HubBusy,
     HubStale,
     ReadNow,
     SharedReads,
@@ -29,6 +30,7 @@
     WriteRow,
     Written,
 )
+from greengagehoist.transfers import content_token
 from greengagehoist.utils import (
     Clock,
     Controller,
@@ -150,7 +152,7 @@
                 ok = self._decode_hub_read(held)
             case ReadNow():
                 ok = await self._read_platform()
-            case HubStale():
+            case HubStale() | HubBusy():
                 pass
         await self.reads.pause(step, ok)
         self.tell(Tick())
@@ -216,11 +218,9 @@
         self.topology.links.value = choose_hub_links(self.own.vm, self.own.data_centre, all_members)
         self._publish(hubs, len(all_members))
         listed_hubs = sorted(item for item in all_members if item.vm in hubs)
-        content = msgspec.json.encode(HubList(len(all_members), tuple(listed_hubs)))
-        token = hashlib.blake2b(content, digest_size=8).hexdigest()
-        self.held.value = HeldContent(
-            token, read.sent_at, content.decode(), frozenset(members), read.era
-        )
+        content = msgspec.json.encode(HubList(len(all_members), tuple(listed_hubs))).decode()
+        token = content_token(content)
+        self.held.value = HeldContent(token, read.sent_at, content, frozenset(members), read.era)
         self.peers.tell(SetMembers(all_members))
         # Last, because writes wait for each other when many daemons start at once, and stage work
         # needs the hubs.
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -1,6 +1,5 @@
 """Controller that follows the platform's list of replicas."""
 
-import hashlib
 import math
 from typing import Any, NamedTuple
 
@@ -9,10 +8,12 @@
 
 from greengagehoist.base import Outcome
 from greengagehoist.gateway.controllers._deployment import SetReadPeriod
-from greengagehoist.gateway.controllers._relay import AddSource, HeldContent
+from greengagehoist.gateway.controllers._held_content import HeldContent
+from greengagehoist.gateway.controllers._relay import AddSource
 from greengagehoist.gateway.controllers._shared_reads import (
     Changed,
     Confirmed,
+    HubBusy,
     HubStale,
     ReadNow,
     SharedReads,
@@ -27,6 +28,7 @@
     check_replica,
     drop_missing,
 )
+from greengagehoist.transfers import content_token
 from greengagehoist.utils import (
     Clock,
     Controller,
@@ -123,6 +125,8 @@
                 ok = self._apply_hub_read(held)
             case ReadNow():
                 ok = await self._read_platform()
+            case HubBusy():
+                pass
             case HubStale():
                 # An entry that lapses meanwhile may belong to a replica that runs.
                 self.tell(_ReadEnded(None, (), self.clock.monotonic()))
@@ -253,6 +257,5 @@
 
     :param at: time at which the platform held the list.
     """
-    content = msgspec.json.encode(replicas)
-    token = hashlib.blake2b(content, digest_size=8).hexdigest()
-    return HeldContent(token, at, content.decode())
+    content = msgspec.json.encode(replicas).decode()
+    return HeldContent(content_token(content), at, content)
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -5,7 +5,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from greengagehoist.gateway.controllers._relay import MAX_HUBS_ASKED, AskHub, HeldContent
+from greengagehoist.gateway.controllers._held_content import HeldContent
+from greengagehoist.gateway.controllers._relay import MAX_HUBS_ASKED, AskHub, Waiting
 from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.utils import Clock, Controller, log_event
 
@@ -23,6 +24,8 @@
 # Delay between reads while the platform fails or nothing has been read yet.
 RETRY_DELAY_S = 0.3
 PERIOD_JITTER = 0.05
+# Time for which hubs may say that they are busy before this daemon reads itself.
+MAX_BUSY_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,12 +34,14 @@
 
     :param at: time at which the platform held it.
     :param era: newest era of the platform's table that the hub knows of.
-    :param proven_era: as of :class:`HeldContent`.
+    :param proven_era: as of :class:`HeldContent`, like the fields that follow.
     """
 
     at: float
     era: int = 0
     proven_era: int = 0
+    table: str = ""
+    is_exact: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,12 +56,22 @@
     """The hubs' own reads of the platform are too old."""
 
 
+@dataclass(frozen=True, slots=True)
+class HubBusy:
+    """The hubs hold other content and run as many transfers as they may.
+
+    :param wait_s: seconds after which one of them may be asked again.
+    """
+
+    wait_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReadNow:
     """No hub has answered, or this daemon is the one that reads for others."""
 
 
-HubAnswer = Confirmed | Changed | HubStale | ReadNow
+HubAnswer = Confirmed | Changed | HubStale | HubBusy | ReadNow
 
 
 class SharedReads:
@@ -87,6 +102,7 @@
         self.rng = rng
         self.period_s = period_s
         self._read_at = float("-inf")
+        self._busy_since = math.inf
 
     async def next_step(self, token: str, era: int = 0) -> HubAnswer:
         """Return what a hub holds, or :class:`ReadNow` if this daemon must read the platform.
@@ -100,6 +116,10 @@
             max_age_s = MAX_AGE_PERIODS * self.period_s
             answer = await ask_hubs(self.relay, self.topic, token, self.clock, max_age_s, era)
         now = self.clock.monotonic()
+        busy = isinstance(answer, HubBusy)
+        self._busy_since = min(now, self._busy_since) if busy else math.inf
+        if busy and now - self._busy_since < MAX_BUSY_S:
+            return answer
         if not should_read_platform(answer, now - self._read_at, self.topology.is_hub(self.vm)):
             return answer
         self._read_at = now
@@ -142,13 +162,19 @@
     """
     answer: HubAnswer = ReadNow()
     for skipped in range(MAX_HUBS_ASKED):
-        held = await relay.ask(AskHub(topic, token, skipped))
+        held = await relay.ask(AskHub(topic, token, skipped, max_age_s, era))
         if held is None:
             continue
-        if held.era < era or clock.monotonic() - held.at > max_age_s:
-            answer = HubStale()
+        if isinstance(held, Waiting):
+            answer = HubBusy(held.wait_s)
+            continue
+        # A transfer may take longer than the age that a read may have.
+        answered_at = clock.monotonic() if held.answered_at is None else held.answered_at
+        if held.era < era or answered_at - held.at > max_age_s:
+            if not isinstance(answer, HubBusy):
+                answer = HubStale()
         elif held.token == token:
-            return Confirmed(held.at, held.era, held.proven_era)
+            return Confirmed(held.at, held.era, held.proven_era, held.table, held.is_exact)
         elif held.content:
             return Changed(held)
     return answer
@@ -164,7 +190,7 @@
             return False
         case HubStale():
             return since_read_s >= (STALE_HUB_PERIOD_S if is_hub else STALE_HUB_PERIOD_NON_HUB_S)
-        case ReadNow():
+        case ReadNow() | HubBusy():
             return True
 
 
@@ -178,7 +204,9 @@
     :param period_s: usual seconds between reads.
     """
     delay_s = period_s
-    if not ok:
+    if isinstance(step, HubBusy):
+        delay_s = step.wait_s
+    elif not ok:
         delay_s = RETRY_DELAY_S
     elif shared:
         read = isinstance(step, ReadNow)
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -1,6 +1,7 @@
 """Guards against treating a hub's read as newer than it is, and against bursts of reads."""
 
 import asyncio
+import json
 import random
 
 import pytest
@@ -8,14 +9,18 @@
 from greengagehoist.gateway.controllers import Reach, RelayController, SharedReads, Topology
 from greengagehoist.gateway.controllers._relay import (
     ANSWER_TIMEOUT_S,
+    PIECE_TIMEOUT_S,
     AddSource,
     AskHub,
     HeldContent,
+    Waiting,
 )
 from greengagehoist.gateway.controllers._replicas import encode_replicas
 from greengagehoist.gateway.controllers._shared_reads import (
+    MAX_BUSY_S,
     Changed,
     Confirmed,
+    HubBusy,
     HubStale,
     ReadNow,
     ask_hubs,
@@ -24,14 +29,36 @@
 )
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
 from greengagehoist.membership import Member
-from greengagehoist.peers import FromPeer, SendTo, SharedRead, SharedReadRequest
+from greengagehoist.peers import (
+    ContentOffer,
+    ContentPiece,
+    ContentQuery,
+    FromPeer,
+    PieceQuery,
+    SendTo,
+)
 from greengagehoist.replicas import Replica
+from greengagehoist.transfers import ContentVersions, TransferSlots, content_token, decode_whole
 from greengagehoist.utils import Controller, Published
 
 # Two hubs in the data centre "a", in the order in which they read, and one in "b".
 FIRST, SECOND = Member("hub-a1", "a", "x:1", 1), Member("hub-a2", "a", "x:2", 1)
 FAR = Member("hub-b", "b", "x:3", 1)
 HUBS = frozenset({"hub-a1", "hub-a2", "hub-b"})
+TEXT = '{"routes":[{"name":"a"},{"name":"b"}]}'
+TOKEN = content_token(TEXT)
+# Compresses to several pieces.
+LARGE = json.dumps([{"key": f"{random.Random(1).getrandbits(800_000):x}"}, {}, {}])
+LARGE_TOKEN = content_token(LARGE)
+
+
+def offer_of(number, text=TEXT, age_s=0.0, **fields):
+    """Return a hub's offer of a whole content."""
+    versions = ContentVersions()
+    versions.note(content_token(text), text)
+    payload = versions.payload("")
+    offer = ContentOffer(number, payload.token, age_s, digest=payload.digest)
+    return offer._replace(size=len(payload.data), data=payload.data)._replace(**fields)
 
 
 @pytest.fixture
@@ -66,11 +93,12 @@
         relay, peers = make_relay()
         asked_at = clock.monotonic()
         replies = deliver(relay, AskHub("deployment", "6"))
-        (question,) = peers.sent(SharedReadRequest)
+        (question,) = peers.sent(ContentQuery)
         await clock.advance(ANSWER_TIMEOUT_S / 2)
-        answer = SharedRead(question.number, "7", 0.4, "text")
-        deliver(relay, FromPeer("hub-a1", "a", 1, answer))
-        assert replies == [HeldContent("7", asked_at - 0.4, "text")]
+        offer = offer_of(question.number, age_s=0.4)
+        deliver(relay, FromPeer("hub-a1", "a", 1, offer))
+        at, answered_at = asked_at - 0.4, clock.monotonic()
+        assert replies == [HeldContent(TOKEN, at, TEXT, answered_at=answered_at)]
 
     asyncio.run(scenario())
 
@@ -120,13 +148,12 @@
     queries = [("vm-1", "deployment", "7"), ("vm-1", "deployment", "6")]
     queries += [("vm-2", "deployment", "6"), ("vm-1", "replicas", "")]
     for number, (vm, topic, token) in enumerate(queries):
-        deliver(relay, FromPeer(vm, "a", 1, SharedReadRequest(number, topic, token)))
-    assert peers.sent(SharedRead) == [
-        SharedRead(0, "7", 1.5, ""),
-        SharedRead(1, "7", 1.5, "text"),
-        SharedRead(2, "", 0.0, ""),
-        SharedRead(3, "", 0.0, ""),
-    ]
+        deliver(relay, FromPeer(vm, "a", 1, ContentQuery(number, topic, token)))
+    same, other, unlisted, unknown = peers.sent(ContentOffer)
+    assert same == ContentOffer(0, "7", 1.5)
+    assert (other.token, other.age_s, decode_whole(other.data)) == ("7", 1.5, "text")
+    assert unlisted == ContentOffer(2, "", 0.0)
+    assert unknown == ContentOffer(3, "", 0.0)
 
 
 class FixedAnswers(Controller):
@@ -157,6 +184,10 @@
         ((SAME._replace(at=-3.0), None, None), HubStale()),
         ((NEW._replace(content=""),), ReadNow()),
         ((SAME._replace(era=3),), Confirmed(-1.0, 3)),
+        ((Waiting(0.2), SAME), Confirmed(-1.0)),
+        ((Waiting(0.2), NEW), Changed(NEW)),
+        ((Waiting(0.2), None, Waiting(0.3)), HubBusy(0.3)),
+        ((Waiting(0.2), SAME._replace(at=-3.0)), HubBusy(0.2)),
     ],
 )
 def test_only_a_fresh_read_of_a_hub_replaces_an_own_one(found, answer, clock):
@@ -216,9 +247,164 @@
     async def scenario():
         relay, peers = make_relay()
         replies = deliver(relay, AskHub("deployment", "6"))
-        (question,) = peers.sent(SharedReadRequest)
-        answer = SharedRead(question.number, "6", age_s, "")
+        (question,) = peers.sent(ContentQuery)
+        answer = ContentOffer(question.number, "6", age_s)
         deliver(relay, FromPeer("hub-a1", "a", 1, answer))
         assert replies == [None]
 
     asyncio.run(scenario())
+
+
+@pytest.fixture
+def pulling(make_relay, clock):
+    """Return a daemon's relay that asks a hub, the hub's relay, and a function that passes on."""
+    asker, asker_peers = make_relay()
+    hub, hub_peers = make_relay("hub-a1")
+    deliver(hub, AddSource("deployment", Published(HeldContent(LARGE_TOKEN, 0.0, LARGE))))
+
+    def exchange(limit=1000):
+        """Pass messages on between the two; return how many the hub has sent."""
+        passed = 0
+        while passed < limit:
+            to_hub, asker_peers.told[:] = list(asker_peers.told), []
+            for item in to_hub:
+                deliver(hub, FromPeer("vm-1", "a", 1, item.message))
+            to_asker, hub_peers.told[:] = list(hub_peers.told), []
+            if not to_asker:
+                break
+            for item in to_asker:
+                deliver(asker, FromPeer("hub-a1", "a", 1, item.message))
+                passed += 1
+        return passed
+
+    return asker, hub, exchange
+
+
+def drain(controller):
+    while not controller._mailbox.empty():
+        deliver(controller, controller._mailbox.get_nowait().message)
+
+
+def test_large_content_is_pulled_in_pieces(pulling):
+    async def scenario():
+        asker, hub, exchange = pulling
+        replies = deliver(asker, AskHub("deployment", "old"))
+        assert exchange() > 5
+        assert [item.content for item in replies] == [LARGE]
+        assert asker.transfers == hub.transfers == 0
+        assert asker.received["deployment"] == hub.offers.sent["deployment"] > 100_000
+
+    asyncio.run(scenario())
+
+
+def test_slow_transfer_goes_on_while_pieces_arrive(pulling, clock):
+    """A time-out for the whole answer discarded what had arrived, again and again."""
+
+    async def scenario():
+        asker, _, exchange = pulling
+        replies = deliver(asker, AskHub("deployment", "old"))
+        exchange(limit=1)
+        for _ in range(4):
+            await clock.advance(PIECE_TIMEOUT_S * 0.9)
+            drain(asker)
+            exchange(limit=1)
+        assert replies == [] and asker.transfers == 1
+        exchange()
+        assert replies[0].content == LARGE
+
+    asyncio.run(scenario())
+
+
+def test_transfer_is_continued_from_the_next_hub(pulling, clock):
+    """A hub that was lost during a transfer cost all that had arrived."""
+
+    async def scenario():
+        asker, hub, exchange = pulling
+        replies = deliver(asker, AskHub("deployment", "old"))
+        exchange(limit=4)
+        await clock.advance(2 * PIECE_TIMEOUT_S)
+        drain(asker)
+        assert replies == [None]
+        sent = hub.offers.sent["deployment"]
+        replies = deliver(asker, AskHub("deployment", "old", 1))
+        asker.peers.told[:] = [item._replace(vm="hub-a1") for item in asker.peers.told]
+        exchange()
+        assert replies[0].content == LARGE
+        assert hub.offers.sent["deployment"] < sent + asker.received["deployment"]
+
+    asyncio.run(scenario())
+
+
+def test_busy_hub_says_so_at_once_and_is_not_silent(pulling):
+    async def scenario():
+        asker, hub, exchange = pulling
+        hub.offers.slots = TransferSlots(limit=1)
+        hub.offers.slots.admit("vm-2", "deployment", 0.0)
+        replies = deliver(asker, AskHub("deployment", "old"))
+        assert exchange() == 1
+        assert isinstance(replies[0], Waiting)
+
+    asyncio.run(scenario())
+
+
+def test_content_that_is_too_old_is_not_transferred(pulling, clock):
+    async def scenario():
+        asker, _, exchange = pulling
+        await clock.advance(5.0)
+        replies = deliver(asker, AskHub("deployment", "old", max_age_s=2.0))
+        assert exchange() == 1
+        assert (replies[0].token, replies[0].content) == (LARGE_TOKEN, "")
+
+    asyncio.run(scenario())
+
+
+def test_change_that_does_not_fit_is_replaced_by_the_whole_content(pulling):
+    """Guards against a daemon that asks for the same change for ever."""
+
+    async def scenario():
+        asker, hub, exchange = pulling
+        earlier, later = TEXT, TEXT.replace("b", "c") + " " * 50
+        for text in (earlier, later):
+            held = HeldContent(content_token(text), 0.0, text)
+            deliver(hub, AddSource("deployment", Published(held)))
+            hub.offers._versions["deployment"].note(held.token, text)
+        own = HeldContent(TOKEN, 0.0, "another text under this token")
+        deliver(asker, AddSource("deployment", Published(own)))
+        replies = deliver(asker, AskHub("deployment", TOKEN))
+        assert exchange() == 2
+        assert replies[0].content == later
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"size": -1}, {"size": 10**12}, {"table": "x"}, {"wait_s": float("nan")}, {"digest": "d"}],
+)
+def test_offer_with_impossible_fields_is_no_answer(make_relay, fields):
+    async def scenario():
+        relay, peers = make_relay()
+        replies = deliver(relay, AskHub("deployment", "6"))
+        (question,) = peers.sent(ContentQuery)
+        deliver(relay, FromPeer("hub-a1", "a", 1, offer_of(question.number, **fields)))
+        assert replies == [None]
+
+    asyncio.run(scenario())
+
+
+def test_piece_of_an_unknown_payload_is_empty(make_relay):
+    relay, peers = make_relay("hub-a1")
+    deliver(relay, FromPeer("vm-1", "a", 1, PieceQuery(3, "deployment", "d", 0)))
+    assert peers.sent(ContentPiece) == [ContentPiece(3, 0, b"")]
+
+
+def test_daemon_reads_itself_if_hubs_stay_busy(clock):
+    """A hub that never has a free place would keep a daemon from the configuration."""
+    topology = Topology(
+        Published(True), Published(20), Published(()), Published(HUBS), Published(True)
+    )
+    relay = FixedAnswers(Waiting(0.2))
+    reads = SharedReads(relay, "deployment", "vm-1", topology, clock, random.Random(1), 2.0)
+    assert asyncio.run(reads.next_step("7")) == HubBusy(0.2)
+    asyncio.run(clock.advance(MAX_BUSY_S))
+    assert asyncio.run(reads.next_step("7")) == ReadNow()
--- a/greengagehoist/http1/__init__.py
+++ b/greengagehoist/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 over asyncio: sockets, readers of requests and responses, serialization."""
 
 from greengagehoist.http1._bounded_connection import (
+    BODY_PROGRESS,
     BufferedConnection,
     ResponseTooLargeError,
     StreamConnection,
@@ -30,6 +31,7 @@
 )
 
 __all__ = [
+    "BODY_PROGRESS",
     "LAST_CHUNK",
     "MAX_BODY_BYTES",
     "MAX_EVENT_BYTES",
--- a/greengagehoist/http1/_bounded_connection.py
+++ b/greengagehoist/http1/_bounded_connection.py
@@ -1,6 +1,8 @@
 """Connections of the HTTP client library with a limit on the bytes of a response."""
 
 import asyncio
+from collections.abc import Callable
+from contextvars import ContextVar
 from typing import Any
 
 from aiosonic.connection import Connection
@@ -16,6 +18,15 @@
 CRLF = b"\r\n"
 # Lines that are read from the buffer of a connection before other tasks may run.
 LINES_PER_TURN = 64
+READ_BYTES = 64 * 1024
+
+
+def _ignore(size: int) -> None:
+    """Report of bytes whose reader does not follow the progress."""
+
+
+# Function that a task calls with the number of bytes of a buffered body that have arrived.
+BODY_PROGRESS: ContextVar[Callable[[int], None]] = ContextVar("body_progress", default=_ignore)
 
 
 class ResponseTooLargeError(ValueError):
@@ -132,10 +143,30 @@
 class BufferedConnection(StreamConnection):
     """A connection whose responses are buffered, so that the whole body is limited.
 
-    The limit is ``MAX_BODY_BYTES``.
+    The limit is ``MAX_BODY_BYTES``. The bytes of a body are reported to ``BODY_PROGRESS`` while they
+    arrive, as a large one may take longer than the time-out of small ones.
     """
 
     max_read_bytes = MAX_BODY_BYTES
 
+    async def readexactly(self, size: int) -> bytes:
+        """Read bytes of the body.
+
+        :raises ResponseTooLargeError: if there are too many.
+        :raises asyncio.IncompleteReadError: if the connection ends before.
+        """
+        self._body_bytes += size
+        self._check_read(size)
+        self._framing_bytes = 0
+        report, body = BODY_PROGRESS.get(), bytearray()
+        while len(body) < size:
+            # The method of the base class would count the bytes again.
+            data = await Connection.read(self, min(size - len(body), READ_BYTES))
+            if not data:
+                raise asyncio.IncompleteReadError(bytes(body), size)
+            body += data
+            report(len(data))
+        return bytes(body)
+
     def _check_read(self, size: int) -> None:
         super()._check_read(self._body_bytes)
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -120,8 +120,8 @@
     request_id: str
 
 
-class SharedReadRequest(NamedTuple):
-    """Ask a hub for what it has read from the platform.
+class ContentQuery(NamedTuple):
+    """Ask a hub for what it has read from the platform; answered at once by an offer.
 
     :param topic: ``deployment``, ``replicas`` or ``members``.
     :param token: identifies the content that the sender holds, empty if there is none.
@@ -132,23 +132,59 @@
     token: str
 
 
-class SharedRead(NamedTuple):
-    """Answer to :class:`SharedReadRequest`.
+class ContentOffer(NamedTuple):
+    """Answer to :class:`ContentQuery`.
 
     :param token: identifies the content, empty if the sender has read nothing yet.
     :param age_s: seconds since the read request was sent to the platform.
-    :param content: encoded content, empty if the asking daemon holds it already.
     :param era: newest era of the platform's table that the sender knows of.
     :param proven_era: newest era of which the sender knows that the table lacks nothing that was
         written before the restore.
+    :param table: token of the newest state of the table that the content reflects, empty if its topic
+        has none.
+    :param is_exact: whether the table shows exactly this content in that state.
+    :param base: token of the content that the payload changes, empty if it is a whole content.
+    :param digest: identifies the payload, empty if the asking daemon holds the content already.
+    :param size: bytes of the payload.
+    :param wait_s: seconds after which the receiver may ask again, as other transfers are running; 0
+        if it may ask for pieces now.
+    :param data: the payload if it is small, otherwise empty.
     """
 
     number: int
     token: str
     age_s: float
-    content: str
     era: int = 0
     proven_era: int = 0
+    table: str = ""
+    is_exact: bool = False
+    base: str = ""
+    digest: str = ""
+    size: int = 0
+    wait_s: float = 0.0
+    data: bytes = b""
+
+
+class PieceQuery(NamedTuple):
+    """Ask for the piece of a payload that begins at an offset."""
+
+    number: int
+    topic: str
+    digest: str
+    offset: int
+
+
+class ContentPiece(NamedTuple):
+    """Answer to :class:`PieceQuery`.
+
+    :param data: empty if the payload is no longer held or the receiver has to wait.
+    :param wait_s: as in the offer.
+    """
+
+    number: int
+    offset: int
+    data: bytes
+    wait_s: float = 0.0
 
 
 class ReplicaCrash(NamedTuple):
@@ -354,8 +390,10 @@
     | StageCancel
     | StageReserve
     | StageWaitTimes
-    | SharedReadRequest
-    | SharedRead
+    | ContentQuery
+    | ContentOffer
+    | PieceQuery
+    | ContentPiece
     | ReplicaCrash
     | PromptAnswered
     | TrialRequest
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -4,6 +4,9 @@
 from greengagehoist.peers._messages import (
     ConfigPush,
     ConfigRequest,
+    ContentOffer,
+    ContentPiece,
+    ContentQuery,
     Goodbye,
     Heartbeat,
     Hello,
@@ -11,11 +14,10 @@
     PermitCancel,
     PermitReply,
     PermitRequest,
+    PieceQuery,
     PromptAnswered,
     ReplicaCrash,
     ReplicaLimit,
-    SharedRead,
-    SharedReadRequest,
     StageCancel,
     StageFree,
     StageReserve,
@@ -53,9 +55,7 @@
         StageCancel: 16,
         StageFree: 17,
         StageWaitTimes: 19,
-        # 18, 20 and 21 are the tags of messages of earlier versions.
-        SharedReadRequest: 22,
-        SharedRead: 23,
+        # 18 and 20 to 23 are the tags of messages of earlier versions.
         StageReserve: 24,
         ReplicaCrash: 25,
         PromptAnswered: 26,
@@ -65,5 +65,9 @@
         PermitRequest: 30,
         PermitReply: 31,
         PermitCancel: 32,
+        ContentQuery: 33,
+        ContentOffer: 34,
+        PieceQuery: 35,
+        ContentPiece: 36,
     }
 )
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -9,9 +9,11 @@
 
 from greengagehoist.deployment import Deployment
 from greengagehoist.platform._config import decode_deployment
+from greengagehoist.platform._deployment_rows import GONE, decode_read, encode_read
 from greengagehoist.platform_client import (
     DeleteRow,
     DeploymentRead,
+    HistoryGone,
     HttpCall,
     ListReplicas,
     ReadDeployment,
@@ -48,7 +50,7 @@
         """
         match message:
             case ReadDeployment():
-                return _rows_request("op", "config", "config\x00", 1)
+                return encode_read(message)
             case ListReplicas(after):
                 start = after + "\x00" if after else ""
                 return _rows_request("servers", start, "", MAX_PAGE_ROWS)
@@ -82,13 +84,15 @@
         :raises ValueError: if the content is malformed.
         :raises KeyError: if a field is missing.
         """
+        if status == GONE:
+            return HistoryGone("the store no longer has the history")
         try:
             body = msgspec.json.decode(content)
         except RecursionError as exc:
             raise ValueError("response is nested too deeply") from exc
         match message:
-            case ReadDeployment(known_row):
-                return _deployment(body["rows"], known_row, era)
+            case ReadDeployment():
+                return _decode_deployment(message, body, era)
             case ListReplicas():
                 return _replica_page(body)._replace(era=era)
             case ReadRange():
@@ -137,22 +141,13 @@
         return None
 
 
-def _deployment(rows: list[dict[str, Any]], known_row: Revision, era: int) -> DeploymentRead:
-    """Decode the configuration row.
-
-    :raises ValueError: if its value is malformed.
-    """
-    found = [row for row in rows if row["key"] == "config"]
-    if not found:
-        return DeploymentRead(None, Revision(era, 0))
-    revision = Revision(era, found[0]["ver"])
-    if revision == known_row:
-        return DeploymentRead(None, revision)
+def _decode_deployment(
+    message: ReadDeployment, body: Any, era: int
+) -> DeploymentRead | HistoryGone:
     try:
-        source = base64.b64decode(found[0]["value"]).decode()
-    except (LookupError, TypeError, ValueError) as exc:
-        raise ValueError(f"row version {revision.version} is malformed: {exc!r}") from exc
-    return DeploymentRead(_parse_deployment(source, revision), revision, source)
+        return decode_read(message, body, era, _parse_deployment)
+    except (AttributeError, LookupError, TypeError) as exc:
+        raise ValueError(f"rows of the configuration are malformed: {exc!r}") from exc
 
 
 def _parse_deployment(source: str, row: Revision) -> Deployment:
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -22,7 +22,7 @@
     not_run,
     try_acquire,
 )
-from greengagehoist.http1 import BufferedConnection
+from greengagehoist.http1 import BODY_PROGRESS, BufferedConnection
 from greengagehoist.platform_client._breaker import (
     MAX_OPEN_S,
     Breaker,
@@ -42,10 +42,14 @@
     SetVmCount,
     WriteRow,
 )
-from greengagehoist.platform_client._wire import TABLE_CODEC, HttpCall
+from greengagehoist.platform_client._wire import CALL_TIMEOUT_S, TABLE_CODEC, HttpCall
 from greengagehoist.utils import Clock, Controller, Published, Reply, log_event
 
-CALL_TIMEOUT_S = 1.0
+# Longest wait for the next bytes of a response that has begun.
+STALL_TIMEOUT_S = 1.0
+# A response that is slower than this from its beginning on is given up. It is a tenth of the narrowest
+# link, as other transfers use the link too.
+MIN_BYTES_PER_S = 62_500
 CONNECT_TIMEOUT_S = 0.5
 POOL_SIZE = 64
 MAX_WAITING_CALLS = 256
@@ -66,6 +70,24 @@
     sent_at: float
 
 
+class _BodyTimeout:
+    """Moves the time-out of a call while the body of its response arrives."""
+
+    def __init__(self, limit: asyncio.Timeout):
+        self.limit = limit
+        self.first_end = limit.when() or 0.0
+        self.arrived = 0
+
+    def extend(self, size: int) -> None:
+        """Take note of ``size`` more bytes."""
+        self.arrived += size
+        if self.limit.expired():
+            return
+        now = asyncio.get_running_loop().time()
+        latest = self.first_end + self.arrived / MIN_BYTES_PER_S
+        self.limit.reschedule(max(self.first_end, min(now + STALL_TIMEOUT_S, latest)))
+
+
 class CallCodec(Protocol):
     """Encodes platform calls as HTTP requests and decodes their responses."""
 
@@ -112,6 +134,7 @@
     :param max_open_s: maximum time that the circuit breaker stays open before a probe, in seconds.
     :param followers: controllers that receive :class:`EraChanged`.
     :ivar failed_at: time at which the newest call that failed was sent.
+    :ivar received_bytes: bytes of the bodies of all responses.
     """
 
     def __init__(
@@ -131,6 +154,7 @@
         self.max_open_s = max_open_s
         self.followers = followers
         self.failed_at: Published[float] = Published(-math.inf)
+        self.received_bytes = 0
         self._client: aiosonic.HTTPClient | None = None
         self._breaker = Breaker()
         self._buckets = {
@@ -190,8 +214,7 @@
     async def _call(self, client: aiosonic.HTTPClient, message: Any, reply: Reply) -> None:
         ok, sent_at = False, self.clock.monotonic()
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                result = Success(await self._send(client, message))
+            result = Success(await self._send(client, message))
             ok = True
         except (TimeoutError, *_CALL_ERRORS) as exc:
             result = self._failure(message, exc)
@@ -208,13 +231,17 @@
     async def _send(self, client: aiosonic.HTTPClient, message: Any) -> Any:
         call = self.codec.encode(message)
         content = {"json": call.json} if call.json is not None else {"data": call.data}
-        timeouts = Timeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S)
+        timeouts = Timeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, None)
         url = f"http://{self.address}{call.path}"
-        response = await client.request(url, call.method, timeouts=timeouts, **content)
-        era = self._check_era(response.headers)
-        if response.status_code not in call.accept:
-            raise ValueError(f"unexpected status {response.status_code}")
-        return self.codec.decode(message, response.status_code, await response.content(), era)
+        async with asyncio.timeout(call.timeout_s) as limit:
+            BODY_PROGRESS.set(_BodyTimeout(limit).extend)
+            response = await client.request(url, call.method, timeouts=timeouts, **content)
+            era = self._check_era(response.headers)
+            if response.status_code not in call.accept:
+                raise ValueError(f"unexpected status {response.status_code}")
+            body = await response.content()
+        self.received_bytes += len(body)
+        return self.codec.decode(message, response.status_code, body, era)
 
     def _check_era(self, headers: Mapping[str, str]) -> int:
         """Return the era of a response.
--- a/greengagehoist/platform_client/_types.py
+++ b/greengagehoist/platform_client/_types.py
@@ -159,27 +159,59 @@
     model: str
 
 
+class TableState(NamedTuple):
+    """What the platform's table of configurations showed in one read.
+
+    :param table: revision of the table at the read.
+    :param row: revision of the configuration's row, with version 0 if there is none.
+    :param evacuated: data centres that the operator has evacuated.
+    """
+
+    table: Revision
+    row: Revision
+    evacuated: frozenset[str] = frozenset()
+
+
 class ReadDeployment(NamedTuple):
-    """Ask for the operator's configuration; replied by ``Result[DeploymentRead, StepError]``.
+    """Ask for the operator's configuration and evacuations.
+
+    Replied by ``Result[DeploymentRead | HistoryGone, StepError]``.
 
     :param known_row: revision of the row whose content is held; the same revision is not decoded
         again.
+    :param since: state of the table since which only changes are read, None to read all.
+    :param after: key of the last row of the previous page, empty for the first page of all.
     """
 
     known_row: Revision = Revision()
+    since: TableState | None = None
+    after: str = ""
 
 
 class DeploymentRead(NamedTuple):
-    """The operator's configuration.
+    """The operator's configuration and evacuations.
 
     :param deployment: None if there is none yet or the row still has the revision ``known_row``.
     :param row: revision of the row, with version 0 if there is none.
     :param source: the configuration as the operator wrote it, empty if ``deployment`` is None.
+    :param state: what the table showed, None if that is not known.
+    :param last: key to continue after, empty if this is the last page.
     """
 
     deployment: Deployment | None
     row: Revision
     source: str = ""
+    state: TableState | None = None
+    last: str = ""
+
+
+class HistoryGone(NamedTuple):
+    """The platform cannot tell what has changed since a state of the table; it must be read whole.
+
+    :param reason: why.
+    """
+
+    reason: str
 
 
 class ListReplicas(NamedTuple):
--- a/greengagehoist/platform_client/_wire.py
+++ b/greengagehoist/platform_client/_wire.py
@@ -23,11 +23,14 @@
     Written,
 )
 
+CALL_TIMEOUT_S = 1.0
+
 
 class HttpCall(NamedTuple):
     """An HTTP request to the platform.
 
     :param accept: status codes of responses that can be decoded; all others are failures.
+    :param timeout_s: seconds within which the response begins.
     """
 
     method: str
@@ -35,6 +38,7 @@
     json: Any = None
     data: bytes | None = None
     accept: tuple[int, ...] = (200,)
+    timeout_s: float = CALL_TIMEOUT_S
 
 
 def is_write(message: Any) -> bool:
--- a/greengagehoist/standins/__init__.py
+++ b/greengagehoist/standins/__init__.py
@@ -37,7 +37,7 @@
 )
 from greengagehoist.standins._quota_simulation import Faults as SimulatedFaults
 from greengagehoist.standins._quota_simulation import Simulation
-from greengagehoist.standins._store_standin import StoreCopy, StoreStandin
+from greengagehoist.standins._store_standin import FeedFault, StoreCopy, StoreStandin
 from greengagehoist.standins._targets import build_pool, build_service
 
 __all__ = [
@@ -46,6 +46,7 @@
     "CrashesOnBody",
     "Endless",
     "EndsStream",
+    "FeedFault",
     "Full",
     "LosesAnswers",
     "MakesNothing",
--- a/greengagehoist/standins/_store_standin.py
+++ b/greengagehoist/standins/_store_standin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import enum
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
@@ -18,10 +19,23 @@
 
 
 class StoreCopy(NamedTuple):
-    """State of a store at one moment."""
+    """State of a store at one moment.
+
+    :param removed: version of the removal of each row that is gone.
+    """
 
     version: int
     rows: StoreRows
+    removed: dict[tuple[str, str], int]
+
+
+class FeedFault(enum.StrEnum):
+    """Ways in which the feed of changes fails."""
+
+    SILENT = "silent"
+    MALFORMED = "malformed"
+    GONE = "gone"
+    ERROR = "error"
 
 
 class StoreStandin(HttpStandin):
@@ -33,11 +47,18 @@
         so that it may be late and of an earlier era.
     :ivar endless: response to every call, None for the store's own.
     :ivar endless_bytes: number of bytes of each endless response.
+    :ivar feed_fault: how the feed of changes fails, None if it works.
+    :ivar history_from: version before which the feed has no history.
+    :ivar calls: path and query of each call that was answered, in order.
     """
 
     def __init__(self):
         super().__init__()
         self.rows: StoreRows = {}
+        self.removed: dict[tuple[str, str], int] = {}
+        self.feed_fault: FeedFault | None = None
+        self.history_from = 0
+        self.calls: list[str] = []
         self.version = 0
         self.available = True
         self.era = 1
@@ -49,19 +70,21 @@
         """Write a row unconditionally, in place of the operator or a replica."""
         self.version += 1
         self.rows[table, key] = (msgspec.json.encode(value), self.version)
+        self.removed.pop((table, key), None)
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row."""
         self.version += 1
-        self.rows.pop((table, key), None)
+        self._drop((table, key))
 
     def copy(self) -> StoreCopy:
         """Return a copy of the rows and the version counter, to restore them from."""
-        return StoreCopy(self.version, dict(self.rows))
+        return StoreCopy(self.version, dict(self.rows), dict(self.removed))
 
     def restore(self, copy: StoreCopy) -> None:
         """Go back to a copy and begin the next era; what was written since is lost."""
         self.version, self.rows = copy.version, dict(copy.rows)
+        self.removed = dict(copy.removed)
         self.era += 1
 
     async def handle_request(self, sock: Socket, request: Request) -> None:
@@ -73,8 +96,14 @@
         if self.endless is not None:
             self.endless_bytes.append(await send_endless(sock, self.endless))
             return
+        self.calls.append(request.head.target.decode())
         path, _, query = request.head.target.decode().partition("?")
-        if path.endswith("/rows-get"):
+        if path.endswith("/rows-feed"):
+            if self.feed_fault is FeedFault.SILENT:
+                await sock.gone
+                return
+            status, body = self._feed(parse_qs(query))
+        elif path.endswith("/rows-get"):
             status, body = 200, self._get(parse_qs(query))
         else:
             status, body = self._transact(msgspec.json.decode(request.body))
@@ -87,6 +116,31 @@
     def _get(self, query: dict[str, list[str]]) -> dict[str, Any]:
         return _read_range(self.rows, query)
 
+    def _feed(self, query: dict[str, list[str]]) -> tuple[int, dict[str, Any]]:
+        table, after = query["table"][0], int(query["after"][0])
+        match self.feed_fault:
+            case FeedFault.MALFORMED:
+                return 200, {"rows": [{"ver": "x"}]}
+            case FeedFault.ERROR:
+                return 500, {}
+        if self.feed_fault is FeedFault.GONE or after < self.history_from:
+            return 410, {}
+        found = [
+            _encode_row(self.rows, *key)
+            for key, (_, version) in self.rows.items()
+            if key[0] == table and version > after
+        ]
+        found += [
+            {"table": table, "part": "", "key": key, "ver": version, "tombstone": True}
+            for (name, key), version in self.removed.items()
+            if name == table and version > after
+        ]
+        return 200, {"rows": found}
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        if self.rows.pop(key, None) is not None:
+            self.removed[key] = self.version
+
     def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         keys = [(item["table"], item["key"]) for item in body["expected_revision"]]
         expected = [item["ver"] for item in body["expected_revision"]]
@@ -97,8 +151,9 @@
         for item in body["writes"]:
             value = base64.b64decode(item["value"])
             self.rows[item["table"], item["key"]] = (value, self.version)
+            self.removed.pop((item["table"], item["key"]), None)
         for item in body["remove"]:
-            self.rows.pop((item["table"], item["key"]), None)
+            self._drop((item["table"], item["key"]))
         return 200, {}
 
 
