--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -45,7 +45,7 @@
 from greengagehoist.membership import Member, choose_hub_links
 from greengagehoist.peers import Broadcast, Goodbye, PeerController, UpdateHeartbeat
 from greengagehoist.platform_client import DeploymentCodec, PlatformController
-from greengagehoist.utils import Clock, Measurements, Published, check_address, log_event
+from greengagehoist.utils import Clock, Measurements, check_address, log_event
 
 # Time for which the load balancer still sends connections after readiness fails: two failed checks,
 # one a second, and the duration of the second check.
@@ -153,8 +153,7 @@
             clock,
             failed_at=self.platform.failed_at,
         )
-        # Names of the data centres whose replicas get no work.
-        self.evacuated: Published[frozenset[str]] = Published(frozenset())
+        self.evacuated = self.deployments.evacuated
         self.limits = SendLimitController(self.peers, own, topology, self.reach.reach, clock)
         self.loads = LoadViewController(
             self.peers, own, topology, self.reach.reach, self.replicas.table, clock
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -4,6 +4,9 @@
 from greengagehoist.peers._messages import (
     ConfigPush,
     ConfigRequest,
+    ContentOffer,
+    ContentPiece,
+    ContentQuery,
     Goodbye,
     Heartbeat,
     Hello,
@@ -14,11 +17,10 @@
     PermitCancel,
     PermitReply,
     PermitRequest,
+    PieceQuery,
     PromptAnswered,
     ReplicaCrash,
     ReplicaLimit,
-    SharedRead,
-    SharedReadRequest,
     StageCancel,
     StageFree,
     StageReserve,
@@ -56,9 +58,7 @@
         StageCancel: 16,
         StageFree: 17,
         StageWaitTimes: 19,
-        # 18, 20 and 21 are the tags of messages of earlier versions.
-        SharedReadRequest: 22,
-        SharedRead: 23,
+        # 18 and 20 to 23 are the tags of messages of earlier versions.
         StageReserve: 24,
         ReplicaCrash: 25,
         PromptAnswered: 26,
@@ -71,5 +71,9 @@
         LoadReport: 33,
         LoadSums: 34,
         LoadUpdate: 35,
+        ContentQuery: 36,
+        ContentOffer: 37,
+        PieceQuery: 38,
+        ContentPiece: 39,
     }
 )
