Decide who gets a stage pool that is overloaded, with a model of the load

Cause: in bursts the pools served urgent kinds alone, and requests that were admitted became late when more urgent ones overtook them. Waits also counted slow replicas, which get no work beside fast ones. Change: package overload with the pure decision (admit, or refuse with the time of room), guaranteed minimums for kinds, tenants, data centres and sizes, weights by the work needed, and room reserved for returns. The queue orders by due time with a head start of 0.1 s a rank instead of strictly by rank; waits count the replicas that get work. The daemons don't use the decision yet.

--- a/greengagehoist/gateway/controllers/_owned_pool.py
+++ b/greengagehoist/gateway/controllers/_owned_pool.py
@@ -6,6 +6,7 @@
 from greengagehoist.deployment import PoolLimits
 from greengagehoist.gateway.controllers._pool_replica import PoolReplica
 from greengagehoist.gateway.controllers._pool_worker import BatchEnded, PoolWorker
+from greengagehoist.overload import PoolAdmission
 from greengagehoist.pieces import (
     InputGone,
     Job,
@@ -87,6 +88,7 @@
         self.service = service
         self.queue = PoolQueue(limits)
         self.tenant_rates = TenantRates()
+        self.admission = PoolAdmission()
         self.retry_budget = retry_budget
         self.make_worker = make_worker
         self.members: dict[str, PoolReplica] = {}
@@ -330,12 +332,21 @@
         speed = self._speed(usable, now)
         return max(0.0, busy) + self.queue.wait_s(new, speed, now)
 
+    def pieces_per_s(self, now: float) -> float:
+        """Return what the replicas that get work do with full calls, at least what one does."""
+        batch = self.queue.limits.batch
+        return self._speed(self._reachable(now), now) * batch / self.queue.expected_s(batch)
+
+    def _reachable(self, now: float) -> list[PoolReplica]:
+        return [item for item in self.members.values() if item.avoid_until <= now]
+
     def _speed(self, usable: list[PoolReplica], now: float) -> float:
         """Return the number of replicas at the expected speed that do as much as these.
 
         It is below one only if limits allow no more.
         """
-        speed = sum(self._speed_of(item, now) for item in usable)
+        fast = [item for item in usable if item.slowness_at(now) < SLOWNESS_LIMIT]
+        speed = sum(self._speed_of(item, now) for item in fast or usable)
         limits = self.limit_view.value
         limited = usable and all(incarnation_of(item.replica) in limits for item in usable)
         return speed if limited else max(1.0, speed)
--- a/greengagehoist/gateway/tests/test_owned_pool.py
+++ b/greengagehoist/gateway/tests/test_owned_pool.py
@@ -143,3 +143,12 @@
     unlimited_s = pool.wait_s(reservation, 0.0)
     pool.limit_view.value = {("r0", 1): 0.5, ("r1", 1): 0.5}
     assert pool.wait_s(reservation, 0.0) > 2 * unlimited_s
+
+
+def test_wait_counts_only_the_replicas_that_get_work(pool):
+    """Slow replicas get none beside fast ones; counting them admits what will be late."""
+    pool.queue.add(work(count=40), "", 0.0)
+    pool.members["r1"].slowness, pool.members["r1"].slowness_updated_at = 3.0, 0.0
+    with_slow_s = pool.wait_s(Reservation(4, 1, 9.0), 0.0)
+    del pool.members["r1"]
+    assert with_slow_s == pool.wait_s(Reservation(4, 1, 9.0), 0.0)
--- /dev/null
+++ b/greengagehoist/overload/__init__.py
@@ -0,0 +1,33 @@
+"""Who gets the capacity of stage pools when there is too little, and when refused clients return."""
+
+from greengagehoist.overload._decision import (
+    Admit,
+    Decision,
+    Need,
+    PoolWait,
+    Refuse,
+    decide,
+    longest_retry_after_s,
+)
+from greengagehoist.overload._guarantees import Guarantees, Origin
+from greengagehoist.overload._pool import GUARANTEED_RANK, Asked, PoolAdmission, Standing
+from greengagehoist.overload._returns import ExpectedReturns
+from greengagehoist.overload._sizes import Sizes
+
+__all__ = [
+    "GUARANTEED_RANK",
+    "Admit",
+    "Asked",
+    "Decision",
+    "ExpectedReturns",
+    "Guarantees",
+    "Need",
+    "Origin",
+    "PoolAdmission",
+    "PoolWait",
+    "Refuse",
+    "Sizes",
+    "Standing",
+    "decide",
+    "longest_retry_after_s",
+]
--- a/greengagehoist/pieces/__init__.py
+++ b/greengagehoist/pieces/__init__.py
@@ -1,7 +1,7 @@
 """Stage work, split into pieces that the replicas of a stage pool process in batches."""
 
 from greengagehoist.pieces._estimate import estimate_completion_s
-from greengagehoist.pieces._queue import Job, JobKey, PoolQueue, Reservation
+from greengagehoist.pieces._queue import RANK_HEAD_START_S, Job, JobKey, PoolQueue, Reservation
 from greengagehoist.pieces._result_memory import ResultMemory
 from greengagehoist.pieces._tenant_rates import TenantRates
 from greengagehoist.pieces._types import (
@@ -15,6 +15,7 @@
 )
 
 __all__ = [
+    "RANK_HEAD_START_S",
     "InputGone",
     "Job",
     "JobKey",
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -22,6 +22,9 @@
 # Assumed utilization of the replicas: calls are not always full, and replicas wait for memory and
 # for messages.
 PLANNED_UTILIZATION = 0.8
+# Work counts as due this much later for each step of its rank. A strict order by rank makes work
+# that was admitted before late, and starves the last rank.
+RANK_HEAD_START_S = 0.1
 
 
 class JobKey(NamedTuple):
@@ -35,13 +38,17 @@
     """Pieces that a request will submit when its earlier stages have ended.
 
     :param due: time at which the results should exist, in seconds on the monotonic clock.
+    :param rank: 0 for the most urgent requests; negative for those that go before them.
     :param excess: whether the tenant is above its usual share of the pool.
+    :param promised: whether the work is done by ``due`` though the answer is late: room for it was
+        promised when an earlier attempt of the client was refused.
     """
 
     pieces: int
     rank: int
     due: float
     excess: bool = False
+    promised: bool = False
 
 
 class Job:
@@ -49,16 +56,25 @@
 
     :param origin: VM of the daemon that waits for the results, empty for this daemon.
     :param queued_at: time at which the work was queued, in seconds on the monotonic clock.
-    :param excess: whether the tenant was above its usual share of the pool.
+    :param reserved: reservation of the request, None if there is none.
+    :ivar rank: rank in the queue.
+    :ivar due: time at which the results should exist.
     :ivar waiting: segments that wait for a call.
     :ivar handles: handles of the results by segment.
     :ivar sends: number of sends by segment.
     """
 
-    __slots__ = ("excess", "handles", "origin", "queued_at", "sends", "waiting", "work")
-
-    def __init__(self, work: StageWork, origin: str, queued_at: float, excess: bool = False):
-        self.excess = excess
+    __slots__ = ("due", "excess", "handles", "origin", "queued_at", "rank", "sends", "waiting")
+    __slots__ += ("work",)
+
+    def __init__(
+        self, work: StageWork, origin: str, queued_at: float, reserved: Reservation | None = None
+    ):
+        self.excess = reserved is not None and reserved.excess
+        self.rank = work.rank if reserved is None else min(work.rank, reserved.rank)
+        self.due = work.due
+        if reserved is not None and reserved.promised:
+            self.due = max(work.due, reserved.due)
         self.work = work
         self.origin = origin
         self.queued_at = queued_at
@@ -113,7 +129,7 @@
     def add(self, work: StageWork, origin: str, now: float) -> Job:
         """Queue the pieces of a stage; replaces an earlier submission of the same stage."""
         reserved = self.reserved.pop(work.request_id, None)
-        job = Job(work, origin, now, reserved is not None and reserved.excess)
+        job = Job(work, origin, now, reserved)
         self.jobs[job.key] = job
         if reserved is not None and reserved.pieces > len(work.segments):
             left = reserved.pieces - len(work.segments)
@@ -146,12 +162,14 @@
 
         :param replicas: above 0; below 1 if limits keep the replicas from working all the time.
         """
-        new_key = self._sort_key(*new, now)
+        new_key = self._reserved_key(new, now)
         pieces = sum(
             len(job.waiting) for job in self.jobs.values() if self._job_key(job, now) <= new_key
         )
         pieces += sum(
-            item.pieces for item in self.reserved.values() if self._sort_key(*item, now) <= new_key
+            item.pieces
+            for item in self.reserved.values()
+            if self._reserved_key(item, now) <= new_key
         )
         calls = pieces / self.limits.batch
         busy = calls * self.limits.call_s + pieces * self.limits.piece_s
@@ -181,7 +199,7 @@
         read_zone = job.work.zone
         if read_zone in ("", zone) or read_zone not in zones:
             return False
-        latest_start = job.work.due - self.expected_s(min(len(job.waiting), self.limits.batch))
+        latest_start = job.due - self.expected_s(min(len(job.waiting), self.limits.batch))
         spare = latest_start - ZONE_SLACK_S
         return now < job.queued_at + ZONE_WAIT_S or now < min(
             spare, job.queued_at + MAX_ZONE_WAIT_S
@@ -190,21 +208,24 @@
     def _abandon_at(self, job: Job) -> float:
         # A client's retry may be late from the start; it then waits for spare capacity.
         min_wait = MIN_LATE_WAIT * (job.work.deadline - job.queued_at)
-        return max(job.work.due + LATE_RETENTION_S, job.queued_at + min_wait)
+        return max(job.due + LATE_RETENTION_S, job.queued_at + min_wait)
+
+    def _job_key(self, job: Job, now: float) -> tuple[bool, bool, float]:
+        return self._sort_key(len(job.waiting), job.rank, job.due, job.excess, now)
 
-    def _job_key(self, job: Job, now: float) -> tuple[bool, bool, int, float]:
-        return self._sort_key(len(job.waiting), job.work.rank, job.work.due, job.excess, now)
+    def _reserved_key(self, item: Reservation, now: float) -> tuple[bool, bool, float]:
+        return self._sort_key(item.pieces, item.rank, item.due, item.excess, now)
 
     def _sort_key(
         self, pieces: int, rank: int, due: float, excess: bool, now: float
-    ) -> tuple[bool, bool, int, float]:
+    ) -> tuple[bool, bool, float]:
         """Return the sort key of work.
 
         In-time work goes before late work, then tenants within their usual share before others,
-        then by rank, then by due time.
+        then by due time, with a head start for urgent ranks.
         """
         late = now + self.expected_s(min(pieces, self.limits.batch)) > due
-        return late, excess, rank, due
+        return late, excess, due + RANK_HEAD_START_S * rank
 
     def pop_batch(
         self, zone: str, zones: frozenset[str], free_bytes: float, idle: int, now: float
@@ -212,9 +233,9 @@
         """Remove and return the pieces of the next call to a replica.
 
         Work that can still meet its due time goes before late work; then tenants within their usual
-        share, then the most urgent requests, then those that are due first. Work whose results are read in another zone waits
-        ``ZONE_WAIT_S`` for a replica there, or up to ``MAX_ZONE_WAIT_S`` if it still meets its
-        due time.
+        share, then those that are due first, with a head start for urgent ranks. Work whose results
+        are read in another zone waits ``ZONE_WAIT_S`` for a replica there, or up to
+        ``MAX_ZONE_WAIT_S`` if it still meets its due time.
 
         :param zone: data centre of the replica.
         :param zones: data centres with replicas that accept calls.
@@ -229,10 +250,10 @@
             if job.waiting and not self._waits_for_zone(job, zone, zones, now)
         ]
 
-        def order(job: Job) -> tuple[bool, bool, int, float]:
-            late, excess, rank, due = self._job_key(job, now)
+        def order(job: Job) -> tuple[bool, bool, float]:
+            *urgency, due = self._job_key(job, now)
             preference_s = ZONE_PREFERENCE_S if job.work.zone == zone else 0.0
-            return late, excess, rank, due - preference_s
+            return *urgency, due - preference_s
 
         ready.sort(key=order)
         waiting = sum(len(job.waiting) for job in ready)
