Refuse overload with the time of room, and keep room for the return

Cause: refused requests were told a constant Retry-After of 2.5 s, so their clients came back together and were refused again; owners of pools did not know that a request had been refused. Change: StageReserve names the route, the size and whether the client has tried before; StageWaitTimes names the time of room; StageCancel says that the request was refused, and when its client comes back if it was promised room. Owners reserve that room in aggregate, because the next attempt has another id and may reach another daemon. The admission of stage work moves from StageFilter to StageAdmission, which calls the pure decision. Retry-After is at most a third of the time that the client has left.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -168,6 +168,7 @@
             self.limits,
             self.limits.view,
             self.budgets.pool_budget,
+            settings.data_centre,
         )
         self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
         gate = QuarantineGate(self.quarantine, self.quarantine.view, clock)
--- a/greengagehoist/gateway/controllers/_owned_pools.py
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -6,9 +6,11 @@
 from greengagehoist.deployment import DeploymentSnapshot
 from greengagehoist.gateway.controllers._owned_pool import OwnedPool
 from greengagehoist.gateway.controllers._pool_messages import ReserveStages, StagePlan
+from greengagehoist.gateway.controllers._pool_reservation import refuse, reserve
 from greengagehoist.gateway.controllers._pool_worker import PoolWorker
+from greengagehoist.overload import Asked, PoolWait
 from greengagehoist.peers import StageResult
-from greengagehoist.pieces import Job, JobKey, Reservation, StageWork
+from greengagehoist.pieces import Job, JobKey, StageWork
 from greengagehoist.replicas import Incarnation, Replica, ReplicaTable
 from greengagehoist.retries import RetryBudget
 from greengagehoist.utils import Published, log_event
@@ -93,23 +95,40 @@
         pool.sync(self.table.value.of_service(pool.service))
 
     def reserve(
-        self, message: ReserveStages, plans: Iterable[StagePlan], now: float
-    ) -> dict[str, float]:
-        """Reserve work; returns the seconds until the work ahead of it is done, by service.
+        self, message: ReserveStages, plans: Iterable[StagePlan], zone: str, now: float
+    ) -> dict[str, PoolWait]:
+        """Reserve work; returns how long it waits, by service.
 
         :param plans: those of the services whose pools this daemon owns.
+        :param zone: data centre of the daemon that has received the request.
         """
         waits = {}
         for service, pieces, due in plans:
             pool = self.get(service)
             if pool is not None:
-                excess = pool.tenant_rates.is_excess(message.tenant, pieces, now)
-                new = Reservation(pieces, message.rank, due, excess)
+                asked = Asked(
+                    message.request_id,
+                    message.kind,
+                    message.tenant,
+                    zone,
+                    pieces,
+                    message.size,
+                    message.further,
+                )
+                wait = reserve(pool, asked, message.rank, due, now)
                 known = pool.members or self.knows_replicas
-                waits[service] = pool.wait_s(new, now) if known else 0.0
-                pool.queue.reserve(message.request_id, new)
+                waits[service] = wait if known else PoolWait(0.0, 0.0)
         return waits
 
+    def refuse(self, request_id: str, returns_in_s: float | None, now: float) -> tuple[str, ...]:
+        """Remove a refused request and expect its return; returns the handles of its results.
+
+        :param returns_in_s: seconds until its client comes back to promised room, None without one.
+        """
+        for pool in self:
+            refuse(pool, request_id, returns_in_s, now)
+        return self.drop_request(request_id)
+
     def find_job(self, work: StageWork) -> Job | None:
         """Return the job of an earlier submission of the same work that is still in progress."""
         pool = self._pools.get(work.service)
@@ -133,6 +152,8 @@
 
     def drop_request(self, request_id: str) -> tuple[str, ...]:
         """Remove all work of a request; returns the handles of its results."""
+        for pool in self:
+            pool.admission.end(request_id)
         dropped = [job for pool in self for job in pool.queue.drop_request(request_id)]
         return tuple(handle for job in dropped for handle in job.handles.values())
 
--- a/greengagehoist/gateway/controllers/_pool_messages.py
+++ b/greengagehoist/gateway/controllers/_pool_messages.py
@@ -55,28 +55,39 @@
 
 
 class ReserveStages(NamedTuple):
-    """Announce the stage work of a request; replied by the waiting time of each service.
+    """Announce the stage work of a request; replied by the wait of each service.
 
-    The reply maps each service to the seconds until it has finished the work ahead of the request.
-    Services whose owner does not answer in time are left out.
+    The reply maps each service to its :class:`PoolWait`. Services whose owner does not answer in
+    time are left out.
 
     :param tenant: holder of the request's key, empty if there is none.
+    :param kind: name of the request's route.
+    :param size: tokens of the prompt, or pieces of all stages without a prompt.
+    :param further: whether the client has sent the request before.
     """
 
     request_id: str
     rank: int
     plans: tuple[StagePlan, ...]
     tenant: str = ""
+    kind: str = ""
+    size: int = 0
+    further: bool = False
 
 
 class CancelStages(NamedTuple):
     """Drop the waiting and the reserved stage work of a request that has ended.
 
     :param reserved: whether some of the reserved work was not submitted.
+    :param refused: whether it was refused because the pools are overloaded.
+    :param returns_in_s: seconds until its client comes back to the room that it was promised, None
+        if it was promised none.
     """
 
     request_id: str
     reserved: bool
+    refused: bool = False
+    returns_in_s: float | None = None
 
 
 class FreeResults(NamedTuple):
@@ -138,6 +149,9 @@
         message.rank,
         tuple(plan.due - now for plan in plans),
         message.tenant,
+        message.kind,
+        message.size,
+        message.further,
     )
 
 
@@ -145,4 +159,6 @@
     """Convert a peer's reservation, with times on the own clock."""
     found = zip(sent.services, sent.pieces, sent.due_in_s, strict=False)
     plans = tuple(StagePlan(service, pieces, now + due_in) for service, pieces, due_in in found)
-    return ReserveStages(sent.request_id, sent.rank, plans, sent.tenant)
+    return ReserveStages(
+        sent.request_id, sent.rank, plans, sent.tenant, sent.kind, sent.size, sent.further
+    )
--- a/greengagehoist/gateway/controllers/_pool_reservation.py
+++ b/greengagehoist/gateway/controllers/_pool_reservation.py
@@ -28,7 +28,8 @@
         wait_s *= standing.weight
     backlog_s = pool.wait_s(Reservation(asked.pieces, rank, now), now)
     pool.queue.reserve(asked.request_id, new)
-    return PoolWait(wait_s, returns.room_s(asked.pieces, per_s, backlog_s, now))
+    room_s = returns.room_s(asked.pieces, per_s, backlog_s, now)
+    return PoolWait(wait_s, min(room_s, NO_REPLICA_WAIT_S))
 
 
 def refuse(pool: OwnedPool, request_id: str, returns_in_s: float | None, now: float) -> None:
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -33,6 +33,7 @@
 )
 from greengagehoist.gateway.controllers._send_limits import AcquireSend, LimitObserved
 from greengagehoist.gateway.controllers._topology import Topology
+from greengagehoist.overload import PoolWait
 from greengagehoist.peers import (
     FromPeer,
     Goodbye,
@@ -96,6 +97,7 @@
     :param limits: controller of the limits that replicas name.
     :param limit_view: published limits in force.
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
+    :param data_centre: data centre of the own VM.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         limits: Controller,
         limit_view: Published[dict[Incarnation, float]],
         make_retry_budget: Callable[[], RetryBudget],
+        data_centre: str = "",
     ):
         super().__init__("pools")
         self.table = table
@@ -117,6 +120,7 @@
         self.wire = wire
         self.clock = clock
         self.vm = vm
+        self.data_centre = data_centre
         self.limits = limits
         self._owners = PoolOwners(vm, topology, clock)
         self._owned = OwnedPools(snapshot, table, make_retry_budget, self._make_worker, limit_view)
@@ -142,8 +146,8 @@
         match message:
             case SubmitStage(work):
                 self._submit(work, reply)
-            case FromPeer(vm, _, _, sent):
-                self._handle_peer_message(vm, sent)
+            case FromPeer(vm, zone, _, sent):
+                self._handle_peer_message(vm, zone, sent)
             case BatchEnded():
                 self._handle_batch_end(message)
             case _PermitDecided():
@@ -183,10 +187,12 @@
         for owner, plans in plans_by_owner.items():
             if not owner:
                 wait_s = self._owners.hub_wait_s()
-                self._reservations.add_waits(request_id, ((p.service, wait_s) for p in plans))
+                wait = PoolWait(wait_s, wait_s)
+                self._reservations.add_waits(request_id, ((p.service, wait) for p in plans))
                 continue
             if owner == self.vm:
-                waits = self._owned.reserve(message, plans, self.clock.monotonic())
+                now = self.clock.monotonic()
+                waits = self._owned.reserve(message, plans, self.data_centre, now)
                 self._reservations.add_waits(request_id, waits.items())
                 continue
             self._reservations.add_owner(request_id, owner)
@@ -252,13 +258,21 @@
             owners = set()
         for key in [item for item in self._pending if item.request_id == request_id]:
             owners.add(self._pending.pop(key).owner)
-        self._free(self._owned.drop_request(request_id))
+        sent = StageCancel(request_id, message.refused, message.returns_in_s)
+        self._drop_request(sent)
         for owner in owners - {self.vm}:
-            self.peers.tell(SendTo(owner, StageCancel(request_id)))
+            self.peers.tell(SendTo(owner, sent))
+
+    def _drop_request(self, message: StageCancel) -> None:
+        request_id, now = message.request_id, self.clock.monotonic()
+        if message.refused:
+            self._free(self._owned.refuse(request_id, message.returns_in_s, now))
+        else:
+            self._free(self._owned.drop_request(request_id))
 
     # Messages of peers.
 
-    def _handle_peer_message(self, vm: str, message: Any) -> None:
+    def _handle_peer_message(self, vm: str, zone: str, message: Any) -> None:
         now = self.clock.monotonic()
         match message:
             case StageSubmit():
@@ -273,15 +287,22 @@
                     self._free_results(message.service, message.handles)
             case StageReserve(request_id, services):
                 reservation = from_reservation(message, now)
-                waits = self._owned.reserve(reservation, reservation.plans, now)
-                waits_s = tuple(waits.get(service, 0.0) for service in services)
-                self.peers.tell(SendTo(vm, StageWaitTimes(request_id, services, waits_s)))
-            case StageWaitTimes(request_id, services, waits_s):
-                self._reservations.add_waits(request_id, zip(services, waits_s, strict=False))
+                found = self._owned.reserve(reservation, reservation.plans, zone, now)
+                waits = [found.get(service, PoolWait(0.0, 0.0)) for service in services]
+                answer = StageWaitTimes(
+                    request_id,
+                    services,
+                    tuple(item.wait_s for item in waits),
+                    tuple(item.room_s for item in waits),
+                )
+                self.peers.tell(SendTo(vm, answer))
+            case StageWaitTimes(request_id, services, waits_s, rooms_s):
+                waits = map(PoolWait, waits_s, rooms_s)
+                self._reservations.add_waits(request_id, zip(services, waits, strict=False))
             case StageFree(_, handles):
                 self._free(handles)
-            case StageCancel(request_id):
-                self._free(self._owned.drop_request(request_id))
+            case StageCancel():
+                self._drop_request(message)
             case Goodbye():
                 # The peer still finishes the work that it has started.
                 self._owners.exclude(vm)
--- a/greengagehoist/gateway/controllers/_reservations.py
+++ b/greengagehoist/gateway/controllers/_reservations.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from greengagehoist.overload import PoolWait
 from greengagehoist.utils import Reply
 
 
@@ -10,12 +11,12 @@
 
     def __init__(self, missing: set[str], reply: Reply):
         self.missing = missing
-        self.waits: dict[str, float] = {}
+        self.waits: dict[str, PoolWait] = {}
         self.reply = reply
 
 
 class Reservations:
-    """Collects the waiting times of the services of each request, for the pool controller.
+    """Collects the waits of the services of each request, for the pool controller.
 
     :ivar owners: other daemons that may hold a reservation, by request.
     """
@@ -25,7 +26,7 @@
         self._pending: dict[str, _PendingReservation] = {}
 
     def open(self, request_id: str, services: Iterable[str], reply: Reply) -> None:
-        """Wait for the answers for ``services``; ``reply`` receives the seconds by service."""
+        """Wait for the answers for ``services``; ``reply`` receives the waits by service."""
         self._pending[request_id] = _PendingReservation(set(services), reply)
 
     def is_open(self, request_id: str) -> bool:
@@ -36,19 +37,19 @@
         """Record that another daemon may hold a reservation."""
         self.owners.setdefault(request_id, set()).add(owner)
 
-    def add_waits(self, request_id: str, waits: Iterable[tuple[str, float]]) -> None:
-        """Add the waiting times of some services; replies when all services have answered."""
+    def add_waits(self, request_id: str, waits: Iterable[tuple[str, PoolWait]]) -> None:
+        """Add the waits of some services; replies when all services have answered."""
         found = self._pending.get(request_id)
         if found is None:
             return
-        for service, seconds in waits:
-            found.waits[service] = seconds
+        for service, wait in waits:
+            found.waits[service] = wait
             found.missing.discard(service)
         if not found.missing:
             self.close(request_id)
 
     def close(self, request_id: str) -> set[str]:
-        """Reply with the waiting times so far; returns the services that have not answered."""
+        """Reply with the waits so far; returns the services that have not answered."""
         found = self._pending.pop(request_id, None)
         if found is None:
             return set()
--- a/greengagehoist/gateway/filters/_stages.py
+++ b/greengagehoist/gateway/filters/_stages.py
@@ -7,42 +7,34 @@
 from greengagehoist.gateway import (
     Exchange,
     InputsLost,
-    NotRun,
     Proceed,
     Prompt,
     Reply,
     failure_reply,
 )
 from greengagehoist.gateway.controllers import (
-    NO_REPLICA_WAIT_S,
     CancelStages,
     FindHome,
     FreeResults,
-    ReserveStages,
     StageEnd,
-    StagePlan,
     SubmitStage,
 )
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
 from greengagehoist.gateway.filters._late_start import refuse_late_start
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
-from greengagehoist.pieces import StageWork, estimate_completion_s
+from greengagehoist.gateway.filters._stage_admission import StageAdmission
+from greengagehoist.gateway.filters._stage_graph import (
+    LARGE_RESULT_BYTES,
+    final_stages,
+    start_dependencies,
+)
+from greengagehoist.overload import longest_retry_after_s
+from greengagehoist.pieces import StageWork
 from greengagehoist.replicas import Affinity, AnyReplica, PromptAffinity, Replica, ReplicaTable
 from greengagehoist.utils import Clock, Controller, Published, log_event
 
-# No request is refused if its longest expected wait at a pool is below this.
-MIN_BACKLOG_S = 0.1
-# Estimated lateness up to which a request is admitted: the pools overestimate waiting times,
-# because they assume that replicas are not fully utilized.
-LATE_TOLERANCE_S = 0.15
-# Like MIN_BACKLOG_S, for a request that can no longer be answered in time.
-MIN_LATE_BACKLOG_S = 0.4
-# Retry-After on overload, after which a burst is probably over. Clients honour a Retry-After of at
-# most a third of the time that they have left.
-OVERLOAD_RETRY_AFTER_S = 2.5
-# A stage that moves at least this many bytes runs in the data centre of their source or
-# destination.
-LARGE_RESULT_BYTES = 500_000
+# Retry-After of a request whose stages have failed, after which a burst is probably over.
+FAILED_RETRY_AFTER_S = 2.5
 # A prompt with at least this many shared tokens goes to the replica that holds them, in any data
 # centre.
 MIN_HOME_TOKENS = 1500
@@ -70,8 +62,7 @@
         clock: Clock,
     ):
         self.pools = pools
-        self.shutdown = shutdown
-        self.first_event_latency = first_event_latency
+        self.admission = StageAdmission(pools, first_event_latency, shutdown, clock)
         self.table = table
         self.placement = placement
         self.clock = clock
@@ -88,7 +79,7 @@
                 FindHome(exchange.service, affinity_of(prompt), prompt.model if prompt else "")
             )
             refusal = refuse_late_start(exchange, found, self.clock.monotonic())
-            refusal = refusal or await self._refuse_overload(exchange)
+            refusal = refusal or await self.admission.refuse(exchange)
             if refusal is not None:
                 return refusal
             if isinstance(found, Replica) and (
@@ -110,9 +101,12 @@
                 return reply
             # Some of the results may still occupy memory.
             self._free(exchange.route, handles)
-        return failure_reply(
-            exchange.progress, "stage results were lost repeatedly", OVERLOAD_RETRY_AFTER_S
-        )
+        return self._failure(exchange, "stage results were lost repeatedly")
+
+    def _failure(self, exchange: Exchange, reason: str) -> Reply:
+        left_s = exchange.answer_deadline - self.clock.monotonic()
+        retry_after_s = min(FAILED_RETRY_AFTER_S, longest_retry_after_s(left_s))
+        return failure_reply(exchange.progress, reason, retry_after_s)
 
     def _free(self, route: Route, handles: dict[int, tuple[str, ...]]) -> None:
         for number, stage_handles in handles.items():
@@ -137,9 +131,7 @@
                 reason=reason,
                 age_ms=round((self.clock.monotonic() - exchange.arrived) * 1000),
             )
-            return failure_reply(
-                exchange.progress, f"stage failed: {reason}", OVERLOAD_RETRY_AFTER_S
-            )
+            return self._failure(exchange, f"stage failed: {reason}")
         exchange.progress.stages_done = True
         final = final_stages(route)
         inputs = tuple((route.stages[number].service, handles[number]) for number in final)
@@ -167,77 +159,6 @@
         zone, size = max(bytes_by_zone.items(), key=lambda item: item[1], default=("", 0))
         return zone if size >= LARGE_RESULT_BYTES else ""
 
-    async def _refuse_overload(self, exchange: Exchange) -> Reply | None:
-        """Reserve capacity for the stages; returns a refusal if the answer would be late."""
-        stages, req = exchange.route.stages, exchange.req
-        service_times = [self._service_time_s(exchange, number) for number in range(len(stages))]
-        first_event_s, now = (
-            self.first_event_latency.expected_s(exchange.route),
-            self.clock.monotonic(),
-        )
-        fastest = estimate_completion_s(
-            start_dependencies(exchange.route), service_times, [0.0] * len(stages)
-        )
-        can_be_in_time = now + fastest + first_event_s <= exchange.due
-        plans = self._plan_stages(exchange, service_times, can_be_in_time, now)
-        if not plans:
-            return None
-        tenant = exchange.tenant.name if exchange.tenant is not None else ""
-        waits = await self.pools.ask(ReserveStages(req.request_id, exchange.rank, plans, tenant))
-        longest_wait_s = max(waits.values(), default=0.0)
-        completion_s = estimate_completion_s(
-            start_dependencies(exchange.route),
-            service_times,
-            [waits.get(item.service, 0.0) for item in stages],
-        )
-        refusal = self.shutdown.refuse(exchange, completion_s)
-        if refusal is not None:
-            return refusal
-        late_s = now + completion_s + first_event_s - exchange.due
-        negligible_s = MIN_BACKLOG_S if can_be_in_time else MIN_LATE_BACKLOG_S
-        if late_s <= LATE_TOLERANCE_S or longest_wait_s < negligible_s:
-            return None
-        reason = "stage pools are overloaded"
-        detail = f"backlog of the stage pools is {longest_wait_s:.2f} s"
-        if longest_wait_s >= NO_REPLICA_WAIT_S:
-            reason = detail = "a stage pool has no replica"
-        log_event(
-            "request_refused",
-            request=req.request_id,
-            reason=reason,
-            rank=exchange.rank,
-            backlog_ms=round(longest_wait_s * 1000),
-            late_ms=round(late_s * 1000),
-        )
-        return NotRun(detail, OVERLOAD_RETRY_AFTER_S)
-
-    def _plan_stages(
-        self, exchange: Exchange, service_times: list[float], can_be_in_time: bool, now: float
-    ) -> tuple[StagePlan, ...]:
-        """Return the work of a request at each service that it uses.
-
-        A request that cannot be answered in time counts as late in all pools.
-        """
-        plans: dict[str, StagePlan] = {}
-        for number, stage in enumerate(exchange.route.stages):
-            if service_times[number]:
-                due = now
-                if can_be_in_time:
-                    due = exchange.due - self._remaining_time_s(exchange, number)
-                plan = plans.get(stage.service, StagePlan(stage.service, 0, due))
-                pieces = plan.pieces + exchange.req.piece_counts[number]
-                plans[stage.service] = StagePlan(stage.service, pieces, max(plan.due, due))
-        return tuple(plans.values())
-
-    def _service_time_s(self, exchange: Exchange, number: int) -> float:
-        """Return the time of a stage without queueing, 0 if the request does not use the stage."""
-        counts = exchange.req.piece_counts
-        count = counts[number] if number < len(counts) else 0
-        service = exchange.snapshot.deployment.services.get(exchange.route.stages[number].service)
-        if not count or service is None or service.pool is None:
-            return 0.0
-        return service.pool.call_s + min(count, service.pool.batch) * service.pool.piece_s
-
     async def _run_stages(
         self, exchange: Exchange, attempt: int, handles: dict[int, tuple[str, ...]]
     ) -> str:
@@ -293,7 +214,7 @@
             "" if stage.after else exchange.req.piece_key,
             inputs,
             exchange.rank,
-            exchange.due - self._remaining_time_s(exchange, number),
+            exchange.due - self.admission.remaining_time_s(exchange, number),
             exchange.answer_deadline,
             self._preferred_zone(exchange, number, count, inputs),
             stage.result_bytes,
@@ -314,13 +235,6 @@
         )
         return end
 
-    def _remaining_time_s(self, exchange: Exchange, number: int) -> float:
-        """Return the time from the end of a stage to the beginning of the answer."""
-        stages = exchange.route.stages
-        service_times = [self._service_time_s(exchange, item) for item in range(len(stages))]
-        after = longest_path(exchange.route, service_times)[number] - service_times[number]
-        return after + self.first_event_latency.expected_s(exchange.route)
-
     def _preferred_zone(
         self, exchange: Exchange, number: int, count: int, inputs: tuple[str, ...]
     ) -> str:
@@ -342,50 +256,6 @@
         return ""
 
 
-def longest_path(route: Route, times: list[float]) -> list[float]:
-    """Return for each stage the time of the longest path from its start to the end of the graph.
-
-    :param times: time of each stage in seconds.
-    """
-    stages = route.stages
-    remaining = list(times)
-    for number in reversed(range(len(stages))):
-        for dependency in stages[number].after:
-            remaining[dependency] = max(
-                remaining[dependency], times[dependency] + remaining[number]
-            )
-    return remaining
-
-
-def final_stages(route: Route) -> tuple[int, ...]:
-    """Return the stages that no other stage follows; the request reads their results."""
-    followed = {dependency for stage in route.stages for dependency in stage.after}
-    return tuple(number for number in range(len(route.stages)) if number not in followed)
-
-
-def start_dependencies(route: Route) -> tuple[tuple[int, ...], ...]:
-    """Return for each stage the stages that must end before it starts.
-
-    A stage with large results and no inputs starts as late as the longest chain allows, because its
-    results occupy memory of their replicas until the request reads them.
-    """
-    stages = route.stages
-    remaining = [1] * len(stages)
-    for number in reversed(range(len(stages))):
-        for dependency in stages[number].after:
-            remaining[dependency] = max(remaining[dependency], remaining[number] + 1)
-    return tuple(
-        (
-            tuple(
-                other for other in range(len(stages)) if remaining[other] == remaining[number] + 1
-            )
-            if stage.result_bytes >= LARGE_RESULT_BYTES and not stage.after
-            else stage.after
-        )
-        for number, stage in enumerate(stages)
-    )
-
-
 def affinity_of(prompt: Prompt | None, zone: str = "") -> Affinity:
     """Return the affinity to the replicas that hold the last shared part of the prompt.
 
--- a/greengagehoist/gateway/tests/overload_model.py
+++ b/greengagehoist/gateway/tests/overload_model.py
@@ -15,7 +15,7 @@
 from greengagehoist.gateway.controllers._owned_pool import JobEnd, OwnedPool
 from greengagehoist.gateway.controllers._pool_replica import PoolReplica
 from greengagehoist.gateway.controllers._pool_worker import BatchEnded
-from greengagehoist.gateway.filters._stages import (
+from greengagehoist.gateway.filters._stage_graph import (
     final_stages,
     longest_path,
     start_dependencies,
--- a/greengagehoist/gateway/tests/overload_rules.py
+++ b/greengagehoist/gateway/tests/overload_rules.py
@@ -7,7 +7,7 @@
 from greengagehoist.gateway.controllers._owned_pool import OwnedPool
 from greengagehoist.gateway.controllers._pool_replica import PoolReplica
 from greengagehoist.gateway.controllers._pool_reservation import refuse, reserve
-from greengagehoist.gateway.filters._stages import start_dependencies
+from greengagehoist.gateway.filters._stage_graph import start_dependencies
 from greengagehoist.gateway.tests.overload_model import (
     Attempt,
     Model,
--- a/greengagehoist/gateway/tests/test_pools.py
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -20,6 +20,7 @@
 from greengagehoist.gateway.controllers._replicas import ReplicasChanged
 from greengagehoist.gateway.controllers._results import FreeHandles
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
+from greengagehoist.overload import PoolWait
 from greengagehoist.peers import (
     FromPeer,
     Goodbye,
@@ -152,14 +153,49 @@
     asyncio.run(scenario())
 
 
+def test_return_to_promised_room_is_found_at_another_daemon(make_pools, clock):
+    """A client's next attempt has another id and may reach another daemon."""
+
+    async def scenario():
+        pools, peers, _ = make_pools(OWNER, replicas=(REPLICA,))
+        for name in ("x", "y"):
+            sent = StageReserve(name, ("s",), (4,), 1, (0.3,), "t", "r", 4, False)
+            deliver(pools, FromPeer(OTHER, "z", 1, sent))
+        room_s = peers.sent(StageWaitTimes)[-1].room_s[0]
+        assert 0.0 < room_s < 5.0
+        deliver(pools, FromPeer(OTHER, "z", 1, StageCancel("y", True, 1.0)))
+        (pool,) = pools._owned
+        assert set(pool.queue.reserved) == {"x"}
+        await clock.advance(1.0)
+        late = StageReserve("y2", ("s",), (4,), 1, (-0.7,), "t", "r", 4, True)
+        deliver(pools, FromPeer("vm-c", "z", 1, late))
+        promised = pool.queue.reserved["y2"]
+        assert promised.promised
+        assert promised.due > clock.monotonic()
+        deliver(pools, FromPeer("vm-c", "z", 1, late._replace(request_id="other")))
+        assert not pool.queue.reserved["other"].promised
+
+    asyncio.run(scenario())
+
+
+def test_owner_learns_that_a_request_was_refused(make_pools, clock):
+    async def scenario():
+        pools, peers, _ = make_pools(OTHER)
+        deliver(pools, ReserveStages("x", 1, plans(clock)))
+        deliver(pools, CancelStages("x", True, refused=True, returns_in_s=2.0))
+        assert peers.sent(StageCancel) == [StageCancel("x", True, 2.0)]
+
+    asyncio.run(scenario())
+
+
 def test_reservation_waits_for_the_owner_and_ends_with_the_request(make_pools, clock):
     async def scenario():
         pools, peers, _ = make_pools(OTHER)
         replies = deliver(pools, ReserveStages("x", 1, plans(clock)))
         assert [item.pieces for item in peers.sent(StageReserve)] == [(400,)]
         assert replies == []
-        deliver(pools, FromPeer(OWNER, "z", 1, StageWaitTimes("x", ("s",), (1.5,))))
-        assert replies == [{"s": 1.5}]
+        deliver(pools, FromPeer(OWNER, "z", 1, StageWaitTimes("x", ("s",), (1.5,), (2.5,))))
+        assert replies == [{"s": PoolWait(1.5, 2.5)}]
         deliver(pools, CancelStages("x", True))
         assert peers.sent(StageCancel) == [StageCancel("x")]
 
@@ -318,7 +354,7 @@
         deliver(pools, SubmitStage(work(clock)))
         assert not list(pools._owned)
         (waits,) = deliver(pools, ReserveStages("y", 0, plans(clock)))
-        assert 0.0 < waits["s"] <= HUB_WAIT_S
+        assert 0.0 < waits["s"].wait_s <= HUB_WAIT_S
         set_reach(pools, OWNER)
         await asyncio.sleep(0)
         assert [item.request_id for item in peers.sent(StageSubmit)] == ["x"]
@@ -341,7 +377,7 @@
         replies = deliver(pools, SubmitStage(work(clock)))
         pools.table.value = ReplicaTable(read_at=clock.monotonic())
         (waits,) = deliver(pools, ReserveStages("y", 0, plans(clock, pieces=2)))
-        assert waits["s"] > 30.0
+        assert waits["s"].wait_s > 30.0
         deliver(pools, ReplicasChanged(pools.table.value))
         assert [end.reason for end in replies] == ["failed"]
 
--- a/greengagehoist/overload/_pool.py
+++ b/greengagehoist/overload/_pool.py
@@ -110,5 +110,5 @@
             self.returns.promise(asked.pieces, pieces_per_s, returns_in_s, now)
 
     def end(self, request_id: str) -> None:
-        """Forget a request that was admitted."""
+        """Forget a request that has ended."""
         self._asked.pop(request_id, None)
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -46,6 +46,9 @@
     :param pieces: number of pieces for each service.
     :param due_in_s: seconds until the results of each service are due.
     :param tenant: holder of the request's key, empty if there is none.
+    :param kind: name of the request's route.
+    :param size: tokens of the prompt, or pieces of all stages without a prompt.
+    :param further: whether the client has sent the request before.
     """
 
     request_id: str
@@ -54,17 +57,22 @@
     rank: int
     due_in_s: tuple[float, ...]
     tenant: str = ""
+    kind: str = ""
+    size: int = 0
+    further: bool = False
 
 
 class StageWaitTimes(NamedTuple):
     """Answer to :class:`StageReserve`.
 
     :param wait_s: seconds until each service has completed the work ahead of the request.
+    :param room_s: seconds until each service expects room for the request if it is refused now.
     """
 
     request_id: str
     services: tuple[str, ...]
     wait_s: tuple[float, ...]
+    room_s: tuple[float, ...]
 
 
 class StageSubmit(NamedTuple):
@@ -115,9 +123,16 @@
 
 
 class StageCancel(NamedTuple):
-    """Drop the queued and reserved work of a request that has ended."""
+    """Drop the queued and reserved work of a request that has ended.
+
+    :param refused: whether its daemon has refused it because the pools are overloaded.
+    :param returns_in_s: seconds until its client comes back to the room that it was promised, None
+        if it was promised none.
+    """
 
     request_id: str
+    refused: bool = False
+    returns_in_s: float | None = None
 
 
 class SharedReadRequest(NamedTuple):
