--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -180,6 +180,7 @@
             self.limits.view,
             self.budgets.pool_budget,
             self.evacuated,
+            settings.data_centre,
         )
         self.evacuations = EvacuationController(
             self.evacuated, self.replicas.table, settings.data_centres, clock
