Account for the memory and the descriptors that clients take from a gateway

Cause: bodies, heads and pipelined requests were collected without a limit for all connections together, announced lengths were checked after the body began, and connections were not counted.

Change: RequestReader parses small pieces into one array, checks the head at its end, bounds bytes around chunks and asks for memory before it goes on. The package memory holds one account for arriving and kept bodies, answers and unsent answers: a pure account, a pure choice of who gives way, and the controller that owns both; it replaces BufferController. The front refuses the connection with the least progress with 503 and Retry-After, and closes silent connections when the descriptors run out. Probe ports take no bodies; the peers' port bounds connections that have not said who they are. New optional settings in client_limits; limits.max_fds is read.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -6,11 +6,9 @@
 
 from greengagehoist.base import compose
 from greengagehoist.deployment import is_fresh
-from greengagehoist.gateway import Bounds, GatewaySettings, WireFormat
+from greengagehoist.gateway import Bounds, GatewaySettings, WireFormat, divide_descriptors
 from greengagehoist.gateway.controllers import (
-    BUFFER_FRACTION,
     MEMBER_POLL_PERIOD_S,
-    BufferController,
     DeploymentController,
     Leave,
     MemberController,
@@ -19,7 +17,6 @@
     QuarantineController,
     ReachController,
     RelayController,
-    ReleaseBuffer,
     ReplicaController,
     SendLimitController,
     SetReadPeriod,
@@ -38,8 +35,9 @@
     ShutdownGate,
     StageFilter,
 )
-from greengagehoist.gateway.front import GatewayFront, ProbeFront
+from greengagehoist.gateway.front import ClientSettings, GatewayFront, ProbeFront
 from greengagehoist.membership import Member, choose_hub_links
+from greengagehoist.memory import SMALL_FRACTION, MemoryController
 from greengagehoist.peers import Broadcast, Goodbye, PeerController, UpdateHeartbeat
 from greengagehoist.platform_client import DeploymentCodec, PlatformController
 from greengagehoist.utils import Clock, Measurements, check_address, log_event
@@ -105,6 +103,7 @@
         own = Member(
             settings.vm, settings.data_centre, settings.peers, incarnation, settings.capacity
         )
+        sockets = divide_descriptors(settings.max_fds, settings.client_limits)
         self.peers = PeerController(
             own,
             (),
@@ -115,6 +114,7 @@
             heartbeat_period=PEER_HEARTBEAT_PERIOD_S,
             choose=choose_hub_links,
             max_backoff=PEER_MAX_BACKOFF_S,
+            max_handshakes=sockets.peer_handshakes,
         )
         topology = self.topology = topology_of(own)
         self.budgets = RetryBudgets(
@@ -172,7 +172,9 @@
         self.quarantine = QuarantineController(self.peers, own, topology, self.reach.reach, clock)
         gate = QuarantineGate(self.quarantine, self.quarantine.view, clock)
         self.shutdown = ShutdownGate(clock)
-        self.buffers = BufferController(int(BUFFER_FRACTION * settings.memory_bytes))
+        limits, memory_bytes = settings.client_limits, settings.memory_bytes
+        share = limits.memory_share - SMALL_FRACTION
+        self.memory = MemoryController(int(share * memory_bytes), clock)
         self.platform.followers = (self.members,)
         self.replicas.followers = (self.pools,)
         self.reach.followers = (self.pools, self.limits)
@@ -203,7 +205,7 @@
                     first_event_latency,
                     wire,
                     clock,
-                    self.buffers,
+                    self.memory,
                 ),
             ]
         )
@@ -214,9 +216,19 @@
             snapshot,
             clock,
             self.measurements.observe_request,
-            lambda progress: self.buffers.tell(ReleaseBuffer(progress)),
+            self.measurements.observe_refusal,
+            self.memory,
+            ClientSettings(
+                sockets.clients,
+                limits.connections_per_address,
+                sockets.in_progress,
+                int(SMALL_FRACTION * memory_bytes),
+                limits.body_rate,
+                limits.body_grace_s,
+            ),
         )
-        self.probes = ProbeFront({ready_path: self._readiness, METRICS_PATH: self._metrics})
+        answers = {ready_path: self._readiness, METRICS_PATH: self._metrics}
+        self.probes = ProbeFront(answers, clock, sockets.probes)
         self.address = settings.clients
         self._stopping = False
         self._was_ready = False
@@ -253,7 +265,7 @@
             self.limits,
             self.pools,
             self.quarantine,
-            self.buffers,
+            self.memory,
         )
         self._tasks = [loop.create_task(item.run()) for item in controllers]
         self.peers.tell(UpdateHeartbeat(ready=True))
@@ -300,6 +312,11 @@
             replicas=len(self.replicas.table.value.replicas),
             quarantined_parts=sum(len(item.held) for item in quarantine.services.values()),
             crashes_attributed=quarantine.crashes,
+            small_bodies_bytes=self.front.small_bytes,
+            evicted_connections=self.memory.evicted,
+            probe_connections_closed=self.probes.refused,
+            peer_handshakes_closed=self.peers.handshakes.closed,
+            **{f"{k}_bytes": v for k, v in self.memory.held_by_purpose().items()},
         )
         return 200, self.measurements.text()
 
--- a/greengagehoist/daemon/tests/test_gateway_endless.py
+++ b/greengagehoist/daemon/tests/test_gateway_endless.py
@@ -156,7 +156,7 @@
     """Record the most memory that the process and its buffers hold."""
     while True:
         figures["resident"] = max(figures["resident"], resident_bytes())
-        figures["held"] = max(figures["held"], system.daemons[0].buffers.held_bytes)
+        figures["held"] = max(figures["held"], system.daemons[0].memory.held_bytes)
         await asyncio.sleep(0.005)
 
 
@@ -192,10 +192,10 @@
         watching = asyncio.ensure_future(watch(system, figures))
         await asyncio.gather(*(call_and_discard(system, path) for _ in range(60)))
         watching.cancel()
-        assert 0 < figures["held"] <= daemon.buffers.limit
+        assert 0 < figures["held"] <= daemon.memory.account.limit
         # The stand-ins and clients of the test run in the same process.
-        assert figures["resident"] - before < daemon.buffers.limit + MAX_GROWTH_KB * 1024
-        await wait_until(lambda: daemon.buffers.held_bytes == 0)
+        assert figures["resident"] - before < daemon.memory.account.limit + MAX_GROWTH_KB * 1024
+        await wait_until(lambda: daemon.memory.held_bytes == 0)
 
     run_scenario(scenario)
 
@@ -207,13 +207,13 @@
         for desk in system.desks:
             desk.padding = b"x" * 1_000_000
         daemon = system.daemons[0]
-        daemon.buffers.limit = 4_500_000
+        daemon.memory.account.limit = 4_500_000
         figures = {"resident": 0, "held": 0}
         watching = asyncio.ensure_future(watch(system, figures))
         ends = await asyncio.gather(*(system.call("/look/") for _ in range(8)))
         watching.cancel()
         assert {(status, len(body) > 1_000_000) for status, _, body in ends} == {(200, True)}
-        assert 0 < figures["held"] <= daemon.buffers.limit
+        assert 0 < figures["held"] <= daemon.memory.account.limit
 
     run_scenario(scenario)
 
--- a/greengagehoist/gateway/__init__.py
+++ b/greengagehoist/gateway/__init__.py
@@ -1,7 +1,15 @@
 """Gateway for opaque requests: core types and the interface of the wire format."""
 
 from greengagehoist.gateway._events import MAX_ID_DIGITS, parse_event_id
-from greengagehoist.gateway._settings import DEFAULT_MEMORY_BYTES, Bounds, GatewaySettings
+from greengagehoist.gateway._settings import (
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_BYTES,
+    Bounds,
+    ClientLimits,
+    GatewaySettings,
+    SocketLimits,
+    divide_descriptors,
+)
 from greengagehoist.gateway._types import (
     MISDIRECTED,
     STOPPING_RETRY_AFTER_S,
@@ -32,6 +40,8 @@
     "AnswerSink",
     "BadKey",
     "Bounds",
+    "ClientLimits",
+    "DEFAULT_MAX_FDS",
     "DEFAULT_MEMORY_BYTES",
     "Exchange",
     "Filter",
@@ -48,6 +58,7 @@
     "Prompt",
     "PromptPart",
     "Relayed",
+    "SocketLimits",
     "STOPPING_RETRY_AFTER_S",
     "ReplicaReply",
     "Reply",
@@ -55,6 +66,7 @@
     "StreamBroken",
     "StreamEnded",
     "WireFormat",
+    "divide_descriptors",
     "failure_reply",
     "parse_event_id",
 ]
--- a/greengagehoist/gateway/_settings.py
+++ b/greengagehoist/gateway/_settings.py
@@ -4,6 +4,14 @@
 
 # Memory of a VM whose settings do not name it.
 DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
+# Descriptors of a VM whose settings do not name them.
+DEFAULT_MAX_FDS = 1024
+# Descriptors that are left for files.
+FILE_DESCRIPTORS = 200
+MIN_SOCKETS = 64
+MAX_PROBE_CONNECTIONS = 32
+MIN_PEER_HANDSHAKES = 16
+MAX_PEER_HANDSHAKES = 128
 
 
 class Bounds(NamedTuple):
@@ -28,6 +36,53 @@
     retry_window_s: float = 10.0
 
 
+class ClientLimits(NamedTuple):
+    """Limits on what clients may take together; 0 derives a number from the descriptors.
+
+    :param connections: open connections of clients.
+    :param connections_per_address: open connections from one address, 0 for no limit of their own. A
+        load balancer may bring all clients from a few addresses.
+    :param in_progress: requests that are served at the same time.
+    :param memory_share: part of the process's memory that bodies and answers may take.
+    :param body_rate: bytes a second that the body of a request must have on average.
+    :param body_grace_s: time after which that rate is required.
+    """
+
+    connections: int = 0
+    connections_per_address: int = 0
+    in_progress: int = 0
+    memory_share: float = 0.3
+    body_rate: float = 64.0
+    body_grace_s: float = 30.0
+
+
+class SocketLimits(NamedTuple):
+    """Connections of each kind. The descriptors that are left serve links to peers and the store.
+
+    :param clients: connections of clients.
+    :param in_progress: requests in progress, each of which may take a connection to a replica.
+    :param probes: connections to the readiness and the metrics port together.
+    :param peer_handshakes: connections to the peers' port that have not said who they are.
+    """
+
+    clients: int
+    in_progress: int
+    probes: int
+    peer_handshakes: int
+
+
+def divide_descriptors(max_fds: int, limits: ClientLimits) -> SocketLimits:
+    """Return how the descriptors of a process are divided."""
+    sockets = max(MIN_SOCKETS, max_fds - FILE_DESCRIPTORS)
+    handshakes = min(MAX_PEER_HANDSHAKES, max(MIN_PEER_HANDSHAKES, sockets // 16))
+    return SocketLimits(
+        min(limits.connections or sockets, sockets // 2),
+        min(limits.in_progress or sockets, sockets // 4),
+        min(MAX_PROBE_CONNECTIONS, sockets // 8),
+        handshakes,
+    )
+
+
 class GatewaySettings(NamedTuple):
     """Settings of one daemon; addresses are ``ip:port``.
 
@@ -38,6 +93,7 @@
     :param platform: address of the platform.
     :param capacity: relative capacity of this VM: its cores, limited by its network link.
     :param memory_bytes: memory at which the process is ended.
+    :param max_fds: descriptors that the process may open.
     """
 
     vm: str
@@ -49,3 +105,5 @@
     capacity: float
     bounds: Bounds
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_fds: int = DEFAULT_MAX_FDS
+    client_limits: ClientLimits = ClientLimits()
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -1,11 +1,5 @@
 """Tasks that own the gateway's state and talk by messages."""
 
-from greengagehoist.gateway.controllers._buffers import (
-    BUFFER_FRACTION,
-    BufferController,
-    ReleaseBuffer,
-    ReserveBuffer,
-)
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController
@@ -53,10 +47,6 @@
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
 __all__ = [
-    "BUFFER_FRACTION",
-    "BufferController",
-    "ReleaseBuffer",
-    "ReserveBuffer",
     "MEMBER_POLL_PERIOD_S",
     "NO_REPLICA_WAIT_S",
     "AcquireSend",
--- a/greengagehoist/gateway/filters/_buffer_space.py
+++ b/greengagehoist/gateway/filters/_buffer_space.py
@@ -1,7 +1,7 @@
 """Memory of one request for what it buffers of its answer."""
 
 from greengagehoist.gateway import Progress
-from greengagehoist.gateway.controllers import ReleaseBuffer, ReserveBuffer
+from greengagehoist.memory import Buffered, ReleaseMemory, ReserveMemory
 from greengagehoist.utils import Controller
 
 # Copies of an answer that exist at the same time: its parts and the whole, or the whole and the
@@ -12,12 +12,12 @@
 class BufferSpace:
     """Reserves memory for a request; the front end releases it after the answer has been sent.
 
-    :param buffers: controller that limits the memory of all requests together.
+    :param memory: account of the memory that requests and answers take.
     :param origin: id of the replica that sends the answer.
     """
 
-    def __init__(self, buffers: Controller, progress: Progress, origin: str):
-        self.buffers = buffers
+    def __init__(self, memory: Controller, progress: Progress, origin: str):
+        self.memory = memory
         self.origin = origin
         self.progress = progress
 
@@ -28,10 +28,10 @@
             return
         self.release()
         self.progress.reserved_bytes = size
-        await self.buffers.ask(ReserveBuffer(self.origin, self.progress, size))
+        await self.memory.ask(ReserveMemory(self.progress, Buffered(), self.origin, size))
 
     def release(self) -> None:
         """Release what is reserved."""
         if self.progress.reserved_bytes:
             self.progress.reserved_bytes = 0
-            self.buffers.tell(ReleaseBuffer(self.progress))
+            self.memory.tell(ReleaseMemory(self.progress))
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -45,9 +45,9 @@
     ResponseHead,
     ResponseReader,
     Socket,
-    encode_request,
     get_header,
     open_socket,
+    write_request,
 )
 from greengagehoist.replicas import Replica
 from greengagehoist.retries import (
@@ -91,7 +91,7 @@
     :param shutdown: refuses sends whose answers would outlive the process.
     :param budgets: limit the retries of each service.
     :param first_event_latency: receives the measured times from send to first event.
-    :param buffers: limits the memory of large answers.
+    :param memory: account of the memory that requests and answers take.
     """
 
     def __init__(
@@ -105,7 +105,7 @@
         first_event_latency: FirstEventLatency,
         wire: WireFormat,
         clock: Clock,
-        buffers: Controller,
+        memory: Controller,
     ):
         self.first_event_latency = first_event_latency
         self.placement = placement
@@ -117,7 +117,7 @@
         self.budgets = budgets
         self.wire = wire
         self.clock = clock
-        self.buffers = buffers
+        self.memory = memory
 
     async def __call__(self, exchange: Exchange, proceed: Proceed) -> Reply:
         """Return a replica's answer, or a failure that says whether the request may have run."""
@@ -259,7 +259,7 @@
         headers = self.wire.replica_headers(exchange, replica, remaining_s, splitter.last_id)
         sent_at = self.clock.monotonic()
         exchange.progress.answer_begun_at = None
-        sock.write(encode_request(req.method, req.target, headers, req.body))
+        write_request(sock, req.method, req.target, headers, req.body)
         reader = ResponseReader(sock, req.method)
         free_task = asyncio.ensure_future(self._free_inputs_after_fetch(exchange))
         try:
@@ -297,7 +297,7 @@
                 reader,
                 self.clock,
                 lambda: self._begin_body(exchange),
-                BufferSpace(self.buffers, exchange.progress, replica.replica_id),
+                BufferSpace(self.memory, exchange.progress, replica.replica_id),
             )
         if exchange.progress.started:
             # The client already has the beginning of another replica's answer.
@@ -313,7 +313,7 @@
         self, exchange: Exchange, replica: Replica, head: ResponseHead, reader: ResponseReader
     ) -> Reply | SendEnd:
         try:
-            space = BufferSpace(self.buffers, exchange.progress, replica.replica_id)
+            space = BufferSpace(self.memory, exchange.progress, replica.replica_id)
             body = await reader.whole_body(reserve=space.reserve)
         except ProtocolError as exc:
             log_invalid_response(exchange, replica, exc)
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
 from greengagehoist.deployment import DeploymentSnapshot, Limits
 from greengagehoist.gateway import (
@@ -22,14 +21,15 @@
     WireFormat,
     failure_reply,
 )
-from greengagehoist.gateway.front._listen import CLOSE, listen, write_answer
+from greengagehoist.gateway.front._client import Client, ClientSettings
+from greengagehoist.gateway.front._connections import ConnectionTable, Refused, Replacing
+from greengagehoist.gateway.front._listen import CLOSE, linger, listen, write_answer
 from greengagehoist.http1 import (
     LAST_CHUNK,
     Headers,
     IncompleteError,
     ProtocolError,
     Request,
-    RequestReader,
     ResponseHead,
     SizeLimits,
     Socket,
@@ -37,12 +37,14 @@
     encode_response_head,
     end_to_end,
 )
-from greengagehoist.utils import Clock, Published, log_event
+from greengagehoist.memory import MarkUnsent, ReleaseMemory, SmallBodies
+from greengagehoist.utils import Clock, Controller, EventLimiter, Published, log_event
 
 # Delay before the close, in which a client can read the answer to a malformed request.
 LINGER_S = 0.2
 # Time for the final answers when the process ends.
 END_TIMEOUT_S = 0.2
+OVERLOAD_RETRY_AFTER_S = 1.0
 
 
 class ClientAnswer:
@@ -79,43 +81,15 @@
             self.sock.reset_on_close(False)
 
 
-class _Connection(NamedTuple):
-    """A client's connection.
-
-    :param accepted_at: time on the boot clock, in seconds.
-    :param answered: number of requests that have been answered on it.
-    """
-
-    sock: Socket
-    accepted_at: float
-    answered: int
-
-
-class _Idle(NamedTuple):
-    """A connection without a request in progress.
-
-    :param reader: receives the next request.
-    :param since: time on the boot clock at which it began to wait for it.
-    """
-
-    reader: RequestReader
-    since: float
-
-    def may_receive(self, now: float, arrival_s: float) -> bool:
-        """Return whether a request may be on its way.
-
-        :param arrival_s: seconds within which a request begins to arrive.
-        """
-        return self.reader.has_partial or now - self.since < arrival_s
-
-
 class GatewayFront:
     """Accepts clients' connections and runs each request through the filter chain.
 
     Each connection belongs to one task, which serves its requests in sequence.
 
     :param observe: receives the outcome and the duration in seconds of each request.
-    :param release: receives each request that holds memory when its answer has been sent.
+    :param observe_refusal: receives the reason for which a connection or request is refused.
+    :param memory: account of the memory that requests and answers take.
+    :param settings: limits on what clients take together.
     :ivar last_request_at: time of the newest request's arrival on the monotonic clock.
     """
 
@@ -126,19 +100,27 @@
         snapshot: Published[DeploymentSnapshot | None],
         clock: Clock,
         observe: Callable[[str, float], None],
-        release: Callable[[Progress], None],
+        observe_refusal: Callable[[str], None],
+        memory: Controller,
+        settings: ClientSettings,
     ):
         self.chain = chain
         self.wire = wire
         self.snapshot = snapshot
         self.clock = clock
         self.observe = observe
-        self.release = release
+        self.observe_refusal = observe_refusal
+        self.memory = memory
+        self.settings = settings
         self.in_flight = 0
         self.last_request_at = 0.0
         self._stopping_at: float | None = None
         self._chains: set[asyncio.Task] = set()
-        self._idle: dict[Socket, _Idle] = {}
+        self._table: ConnectionTable[Client] = ConnectionTable(
+            settings.connections, settings.connections_per_address, Client.is_silent
+        )
+        self._small = SmallBodies(settings.small_bytes)
+        self._log = EventLimiter(clock)
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
 
@@ -156,6 +138,11 @@
         """Number of open connections."""
         return len(self._tasks)
 
+    @property
+    def small_bytes(self) -> int:
+        """Memory of requests that are not in the account."""
+        return self._small.held
+
     @property
     def _stopping(self) -> bool:
         return self._stopping_at is not None
@@ -170,11 +157,11 @@
         :param arrival_s: seconds within which a request begins to arrive.
         """
         now, stay = self.clock.monotonic(), False
-        for sock, idle in list(self._idle.items()):
-            if idle.may_receive(now, arrival_s):
+        for client in self._table.waiting():
+            if client.may_receive(now, arrival_s):
                 stay = True
             else:
-                sock.close()
+                client.sock.close()
         return stay
 
     async def end_requests(self) -> None:
@@ -200,57 +187,88 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _close_all_idle(self) -> None:
-        for sock in list(self._idle):
-            sock.close()
+        for client in self._table.waiting():
+            client.sock.close()
 
     def _accept(self, sock: Socket) -> None:
-        task = asyncio.get_running_loop().create_task(self._serve(sock))
+        match self._table.admit(sock.peer_address):
+            case Refused(reason):
+                self._observe_refusal(reason, sock.peer_address)
+                sock.abort()
+                return
+            case Replacing(other):
+                self._observe_refusal("connections", other.sock.peer_address)
+                self._table.remove(other)
+                other.give_way()
+        client = Client(sock, self._limits, self.memory, self._small, self.clock.monotonic())
+        self._table.add(client, sock.peer_address)
+        task = asyncio.get_running_loop().create_task(self._serve(client))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def _limits(self) -> SizeLimits:
         snapshot = self.snapshot.value
         limits = snapshot.deployment.limits if snapshot is not None else Limits()
-        return SizeLimits(*limits)
+        return SizeLimits(*limits, self.settings.body_rate, self.settings.body_grace_s)
 
-    async def _serve(self, sock: Socket) -> None:
-        reader = RequestReader(sock, self._limits)
-        conn = _Connection(sock, self.clock.monotonic(), 0)
+    def _observe_refusal(self, reason: str, address: str) -> None:
+        self.observe_refusal(reason)
+        self._log.log("connection_refused", reason=reason, client=address, open=len(self._table))
+
+    async def _serve(self, client: Client) -> None:
+        sock = client.sock
         try:
             keep = True
             while keep and not sock.gone.done():
-                self._idle[sock] = _Idle(reader, self.clock.monotonic())
+                client.idle_since = self.clock.monotonic()
+                self._table.set_idle(client)
                 try:
-                    request = await reader.read()
+                    request = await client.reader.read()
                 finally:
-                    self._idle.pop(sock, None)
+                    self._table.set_busy(client)
                 if request is None:
                     return
-                keep = await self._answer(conn, request)
-                conn = conn._replace(answered=conn.answered + 1)
+                client.space.keep()
+                keep = await self._answer(client, request)
+                # The body must not stay in memory while the connection is idle.
+                request = None
+                client.space.release()
+                client.answered += 1
         except ProtocolError as exc:
-            log_event("request_rejected", reason=str(exc), status=exc.status)
-            self._write(sock, exc.status, (), b"", False)
-            await asyncio.sleep(LINGER_S)
+            await self._reject(client, exc)
         except IncompleteError:
             pass
         finally:
+            self._table.remove(client)
+            client.space.release()
             sock.close()
 
-    async def _answer(self, conn: _Connection, request: Request) -> bool:
+    async def _reject(self, client: Client, exc: ProtocolError) -> None:
+        """Answer a request that cannot be read, and end its connection."""
+        client.reader.discard()
+        client.space.release()
+        self.observe_refusal(f"status_{exc.status}")
+        self._log.log("request_rejected", reason=str(exc), status=exc.status)
+        headers = ()
+        if exc.retry_after_s is not None:
+            headers = ((b"Retry-After", b"%.2f" % exc.retry_after_s),)
+        self._write(client.sock, exc.status, headers, b"", False)
+        await linger(client.sock, LINGER_S)
+
+    async def _answer(self, client: Client, request: Request) -> bool:
         """Answer one request; returns whether the connection stays open."""
-        sock, arrived = conn.sock, self.clock.monotonic()
+        sock, arrived = client.sock, self.clock.monotonic()
         self.in_flight += 1
         self.last_request_at = arrived
         progress = Progress()
         try:
             req = self.wire.read_request(request.head, request.body)
             if self._stopping:
-                self._log_taken(conn, req.request_id, arrived)
+                self._log_taken(client, req.request_id, arrived)
             keep = request.head.keep_alive and not self._stopping
             sink = ClientAnswer(sock, keep, request.head.version == "1.1")
             exchange = Exchange(req, sink, arrived, progress)
-            chain = asyncio.get_running_loop().create_task(self.chain(exchange))
+            chain = asyncio.get_running_loop().create_task(self._run(exchange))
             self._chains.add(chain)
             chain.add_done_callback(self._chains.discard)
             try:
@@ -267,12 +285,20 @@
                 return False
             reply = self._result(chain, exchange)
             keep = self._finish(sock, exchange, sink, reply, keep and not self._stopping)
+            if sock.has_unsent and progress.reserved_bytes:
+                self.memory.tell(MarkUnsent(progress, sock.abort))
             await sock.flush()
             return keep
         finally:
             self.in_flight -= 1
             if progress.reserved_bytes:
-                self.release(progress)
+                self.memory.tell(ReleaseMemory(progress))
+
+    async def _run(self, exchange: Exchange) -> Reply:
+        if self.in_flight > self.settings.in_progress:
+            self._observe_refusal("requests_in_progress", "")
+            return NotRun("too many requests in progress", OVERLOAD_RETRY_AFTER_S)
+        return await self.chain(exchange)
 
     @staticmethod
     def _result(chain: asyncio.Task, exchange: Exchange) -> Reply:
@@ -327,13 +353,13 @@
     def _write(sock: Socket, status: int, headers: Headers, body: bytes, keep: bool) -> None:
         write_answer(sock, ResponseHead(status, b"", headers), body, keep)
 
-    def _log_taken(self, conn: _Connection, request_id: str, now: float) -> None:
+    def _log_taken(self, client: Client, request_id: str, now: float) -> None:
         log_event(
             "request_taken_in_stop",
             request=request_id,
             stopping_ms=round((now - self._stopping_at) * 1000),
-            connection_ms=round((now - conn.accepted_at) * 1000),
-            answered=conn.answered,
+            connection_ms=round((now - client.accepted_at) * 1000),
+            answered=client.answered,
         )
 
     def _log_end(self, exchange: Exchange, outcome: str, reason: str, status: int = 0) -> None:
--- a/greengagehoist/gateway/front/_listen.py
+++ b/greengagehoist/gateway/front/_listen.py
@@ -1,6 +1,7 @@
 """Listening sockets and complete answers, shared by all front ends."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -12,7 +13,12 @@
     end_to_end,
 )
 
-BACKLOG = 1024
+# Connections that the operating system accepts ahead. They are accepted all at once, before the first of
+# them can be closed.
+BACKLOG = 256
+PROBE_BACKLOG = 32
+# Unsent bytes of a connection from which a stream waits for its client.
+WRITE_BUFFER_BYTES = 16 * 1024
 CLOSE = (b"Connection", b"close")
 
 
@@ -32,7 +38,17 @@
         sock.write(body)
 
 
-async def listen(accept: Callable[[Socket], None], host: str, port: int) -> asyncio.Server:
+async def linger(sock: Socket, seconds: float) -> None:
+    """Discard what a client sends, which would reset the connection before it has read the answer."""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(seconds):
+            while await sock.read():
+                pass
+
+
+async def listen(
+    accept: Callable[[Socket], None], host: str, port: int, backlog: int = BACKLOG
+) -> asyncio.Server:
     """Pass each new connection at ``host:port`` to ``accept``.
 
     :raises OSError: if the address is not available.
@@ -41,9 +57,10 @@
     class Accepted(Socket):
         def connection_made(self, transport: asyncio.BaseTransport) -> None:
             super().connection_made(transport)
+            self.limit_unsent(WRITE_BUFFER_BYTES)
             accept(self)
 
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
-    return await asyncio.get_running_loop().create_server(Accepted, sock=sock, backlog=BACKLOG)
+    return await asyncio.get_running_loop().create_server(Accepted, sock=sock, backlog=backlog)
--- a/greengagehoist/http1/__init__.py
+++ b/greengagehoist/http1/__init__.py
@@ -14,7 +14,7 @@
 )
 from greengagehoist.http1._request import Request, RequestReader, SizeLimits
 from greengagehoist.http1._response import ResponseReader
-from greengagehoist.http1._socket import Socket, open_socket
+from greengagehoist.http1._socket import Socket, open_socket, write_request
 from greengagehoist.http1._types import (
     LAST_CHUNK,
     Headers,
@@ -55,4 +55,5 @@
     "end_to_end",
     "get_header",
     "open_socket",
+    "write_request",
 ]
--- a/greengagehoist/http1/_socket.py
+++ b/greengagehoist/http1/_socket.py
@@ -6,6 +6,8 @@
 import struct
 from collections import deque
 
+from greengagehoist.http1._limits import UNRESERVED_BYTES
+from greengagehoist.http1._types import Headers, encode_request_head
 from greengagehoist.utils import MAX_PORT, show_value
 
 # Reading pauses while more received bytes than this are unread.
@@ -14,6 +16,8 @@
 READ_BYTES = 16 * 1024
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long.
 USER_TIMEOUT_MS = 3000
+# Unread pieces up to this size are merged, as each of them takes more memory than its bytes.
+MERGED_BYTES = 256
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
@@ -43,6 +47,7 @@
         self._read_waiter: asyncio.Future | None = None
         self._drain_waiter: asyncio.Future | None = None
         self._write_paused = False
+        self._most_unsent: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect an unresponsive peer."""
@@ -61,7 +66,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer bytes until they are read."""
-        self._received.append(data)
+        if self._received and len(self._received[-1]) < MERGED_BYTES:
+            self._received[-1] += data
+        else:
+            self._received.append(data)
         self._unread += len(data)
         if self._unread > MAX_UNREAD_BYTES:
             self.transport.pause_reading()
@@ -117,6 +125,22 @@
             self._received.appendleft(data)
             self._unread += len(data)
 
+    @property
+    def peer_address(self) -> str:
+        """IP address of the peer, empty if it is not known."""
+        name = self.transport.get_extra_info("peername")
+        return name[0] if name else ""
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the operating system has not taken all written bytes yet."""
+        return bool(self.transport.get_write_buffer_size())
+
+    def limit_unsent(self, size: int) -> None:
+        """Let :meth:`drain` wait while more than ``size`` bytes are unsent."""
+        self._most_unsent = size
+        self.transport.set_write_buffer_limits(high=size)
+
     def write(self, data: bytes) -> None:
         """Queue bytes for the peer; they are discarded if the connection is closing."""
         if not self.transport.is_closing():
@@ -130,10 +154,10 @@
 
     async def flush(self) -> None:
         """Wait until the operating system has taken all written bytes, or the connection has ended."""
-        if self.transport.get_write_buffer_size():
+        if self.has_unsent:
             self.transport.set_write_buffer_limits(high=0)
             await self.drain()
-            self.transport.set_write_buffer_limits()
+            self.transport.set_write_buffer_limits(high=self._most_unsent)
 
     def close(self) -> None:
         """Close the connection after the queued bytes are sent."""
@@ -163,6 +187,18 @@
         _wake(self._drain_waiter)
 
 
+def write_request(
+    sock: Socket, method: bytes, target: bytes, headers: Headers, body: bytes
+) -> None:
+    """Queue a request; a large body is not copied."""
+    head = encode_request_head(method, target, headers, len(body))
+    if len(body) <= UNRESERVED_BYTES:
+        sock.write(head + body)
+    else:
+        sock.write(head)
+        sock.write(body)
+
+
 async def open_socket(host: str, port: int, timeout_s: float) -> Socket:
     """Connect to a peer.
 
--- a/greengagehoist/http1/_types.py
+++ b/greengagehoist/http1/_types.py
@@ -61,11 +61,13 @@
     """The peer sent bytes that are not a valid message.
 
     :param status: status code of the answer to a client.
+    :param retry_after_s: seconds after which another attempt is useful, None if it is not.
     """
 
-    def __init__(self, message: str, status: int = 400):
+    def __init__(self, message: str, status: int = 400, retry_after_s: float | None = None):
         super().__init__(message)
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 class IncompleteError(Exception):
@@ -95,11 +97,16 @@
 
 def encode_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
     """Return a serialized request, whose body is framed by its length."""
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(method: bytes, target: bytes, headers: Headers, body_bytes: int) -> bytes:
+    """Return a serialized request without its body."""
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines.extend(key + b": " + value for key, value in headers)
-    if body or method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if body_bytes or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % body_bytes)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def encode_response_head(status: int, reason: bytes, headers: Headers) -> bytes:
--- a/greengagehoist/peers/_controller.py
+++ b/greengagehoist/peers/_controller.py
@@ -13,6 +13,7 @@
 
 from greengagehoist.codec import MAX_FRAME_BYTES, FrameError
 from greengagehoist.membership import Member, choose_peers
+from greengagehoist.peers._handshakes import MAX_HANDSHAKES, HandshakeLimit
 from greengagehoist.peers._link import (
     CLOSE_TIMEOUT_S,
     DEAD_AFTER_S,
@@ -51,7 +52,7 @@
 DIAL_TIMEOUT_S = 1.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
-LISTEN_BACKLOG = 1024
+LISTEN_BACKLOG = 128
 NO_TLS = TlsFiles()
 
 _CONNECTION_OPTIONS = {
@@ -99,6 +100,7 @@
     :param heartbeat_period: seconds between heartbeats.
     :param choose: selects the members to link to.
     :param max_backoff: maximum delay between connection attempts to a peer, in seconds.
+    :param max_handshakes: connections of peers that have not said who they are.
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         tls: TlsFiles = NO_TLS,
         choose: Callable[[str, str, tuple[Member, ...]], tuple[Member, ...]] = choose_peers,
         max_backoff: float = MAX_BACKOFF_S,
+        max_handshakes: int = MAX_HANDSHAKES,
     ):
         super().__init__("peers")
         self.own = own
@@ -125,6 +128,7 @@
         self.tls = tls
         self.choose = choose
         self.max_backoff = max_backoff
+        self.handshakes = HandshakeLimit(max_handshakes, clock)
         self._socket: socket.socket | None = None
         self._linked: dict[str, _LinkedPeer] = {}
         self._dials: dict[str, _DialState] = {}
@@ -159,6 +163,7 @@
             backlog=LISTEN_BACKLOG,
             process_request=self._check_credential,
             ssl=server_context(self.tls, require_client=True),
+            create_connection=self.handshakes.connection_type(),
             **_CONNECTION_OPTIONS,
         )
         self.start(tick(self, self.clock, DIAL_PERIOD_S, "dial"))
@@ -181,6 +186,7 @@
             case Tick("dial"):
                 self._dial_missing()
             case LinkOpened(link, hello):
+                self.handshakes.complete(link.connection, MAX_FRAME_BYTES)
                 self._handle_link_opened(link, hello)
             case LinkClosed(link, reason):
                 self._handle_link_closed(link, reason)
--- a/greengagehoist/platform/_settings.py
+++ b/greengagehoist/platform/_settings.py
@@ -4,7 +4,13 @@
 
 import yaml
 
-from greengagehoist.gateway import DEFAULT_MEMORY_BYTES, Bounds, GatewaySettings
+from greengagehoist.gateway import (
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_BYTES,
+    Bounds,
+    ClientLimits,
+    GatewaySettings,
+)
 from greengagehoist.utils import ValidationError, check_address, check_float, check_int, check_text
 
 # Environment variable that holds the path of the settings file.
@@ -13,6 +19,11 @@
 MAX_RETRY_SETTING = 1e9
 MAX_LIMIT = 1e9
 MIN_MEMORY_MB = 1.0
+MAX_DESCRIPTORS = 10_000_000
+# With a larger share, the process itself has too little memory left.
+MAX_MEMORY_SHARE = 0.5
+MIN_MEMORY_SHARE = 0.1
+MAX_BODY_RATE = 1_000_000.0
 # Link speed above which a daemon that uses one core is limited by the core, not by the link.
 MBPS_PER_CORE = 20.0
 
@@ -39,6 +50,8 @@
         capacity=_capacity(raw),
         bounds=_bounds(raw),
         memory_bytes=_memory_bytes(raw),
+        max_fds=_max_fds(raw),
+        client_limits=_client_limits(raw),
     )
 
 
@@ -49,6 +62,38 @@
     return int(check_float("limits.memory_mb", value, MIN_MEMORY_MB, MAX_LIMIT) * 1024 * 1024)
 
 
+def _max_fds(raw: Any) -> int:
+    value = _get(raw, "limits", "max_fds")
+    if value is None:
+        return DEFAULT_MAX_FDS
+    return int(check_float("limits.max_fds", value, 1, MAX_DESCRIPTORS))
+
+
+def _client_limits(raw: Any) -> ClientLimits:
+    defaults = ClientLimits()
+
+    def count(name: str) -> int:
+        value = _get(raw, "client_limits", name)
+        if value is None:
+            return getattr(defaults, name)
+        return check_int(f"client_limits.{name}", value, 0, MAX_DESCRIPTORS)
+
+    def number(name: str, low: float, high: float) -> float:
+        value = _get(raw, "client_limits", name)
+        if value is None:
+            return getattr(defaults, name)
+        return check_float(f"client_limits.{name}", value, low, high)
+
+    return ClientLimits(
+        connections=count("connections"),
+        connections_per_address=count("connections_per_address"),
+        in_progress=count("in_progress"),
+        memory_share=number("memory_share", MIN_MEMORY_SHARE, MAX_MEMORY_SHARE),
+        body_rate=number("body_rate", 0.0, MAX_BODY_RATE),
+        body_grace_s=number("body_grace_s", 1.0, MAX_BOUND_S),
+    )
+
+
 def _capacity(raw: Any) -> float:
     def limit(name: str) -> float:
         return check_float(f"limits.{name}", _get(raw, "limits", name), 0.0, MAX_LIMIT)
--- a/greengagehoist/utils/__init__.py
+++ b/greengagehoist/utils/__init__.py
@@ -3,7 +3,13 @@
 from greengagehoist.utils._clock import Clock, SteppedClock, SystemClock
 from greengagehoist.utils._controller import Controller, MessageFailedError, Reply, Tick, tick
 from greengagehoist.utils._ids import new_id
-from greengagehoist.utils._logging import BoundedWriter, log_event, parse_pairs, setup_logging
+from greengagehoist.utils._logging import (
+    BoundedWriter,
+    EventLimiter,
+    log_event,
+    parse_pairs,
+    setup_logging,
+)
 from greengagehoist.utils._measurements import Measurements
 from greengagehoist.utils._metrics import Metrics, NullMetrics, connect_metrics
 from greengagehoist.utils._published import Published
@@ -25,6 +31,7 @@
     "BoundedWriter",
     "Clock",
     "Controller",
+    "EventLimiter",
     "MessageFailedError",
     "Measurements",
     "Metrics",
--- a/greengagehoist/utils/_logging.py
+++ b/greengagehoist/utils/_logging.py
@@ -5,11 +5,14 @@
 import select
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, TextIO
 
 from loguru import logger
 
+from greengagehoist.utils._clock import Clock
+
 _FORMAT = "ts={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level.name} {message}"
 
 # Sustained rate limit; a daemon at peak load writes a third of it.
@@ -18,6 +21,8 @@
 BURST_LINES = 3000.0
 # Once a pipe polls writable, a write of up to PIPE_BUF bytes does not block.
 MAX_WRITE_BYTES = 4096
+# Period in which a limited event is logged once for each reason.
+LIMITED_PERIOD_S = 1.0
 
 
 class BoundedWriter:
@@ -144,3 +149,29 @@
     while position < len(text) and text[position] != '"':
         position += 2 if text[position] == "\\" else 1
     return position
+
+
+class EventLimiter:
+    """Logs each kind of event at most once a second.
+
+    :param clock: time source.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self._logged_at: dict[tuple[str, Any], float] = {}
+        self._skipped: Counter[tuple[str, Any]] = Counter()
+
+    def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
+        """Log an event, unless one with the same reason was logged within a second.
+
+        The next one that is logged states how many were left out.
+
+        :param fields: as of :func:`log_event`; ``reason`` distinguishes kinds of events.
+        """
+        key, now = (event, fields.get("reason")), self.clock.monotonic()
+        if now - self._logged_at.get(key, -LIMITED_PERIOD_S) < LIMITED_PERIOD_S:
+            self._skipped[key] += 1
+            return
+        self._logged_at[key] = now
+        log_event(event, level, **fields, skipped=self._skipped.pop(key, 0) or None)
--- a/greengagehoist/utils/_measurements.py
+++ b/greengagehoist/utils/_measurements.py
@@ -24,6 +24,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.refusals = Counter(
+            "greengagehoist_refusals",
+            "Connections and requests that were refused before they were served, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             "greengagehoist_state", "State of the daemon.", ["name"], registry=self.registry
         )
@@ -33,6 +39,10 @@
         self.requests.labels(outcome).inc()
         self.latency.labels(outcome).observe(seconds)
 
+    def observe_refusal(self, reason: str) -> None:
+        """Count a connection or request that was refused before it was served."""
+        self.refusals.labels(reason).inc()
+
     def set_state(self, **values: float) -> None:
         """Set gauges by name."""
         for name, value in values.items():
