Check pipelined requests like the first one, and make way for all small bodies at once

Cause: a request that was parsed together with the end of the one before was not checked; ordinary requests waited up to 2.7 s for their turn while 300 clients held the account.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SETUP := $(VENV)/.ready
 FUZZ_FACTOR ?= 5
 FUZZ_PROCESSES ?= 5
-FUZZ_PACKAGES := $(patsubst %,greengagehoist/%/tests,config quota quarantine quiet_hours filters answers membership orders codec server)
+FUZZ_PACKAGES := $(patsubst %,greengagehoist/%/tests,config quota quarantine quiet_hours filters answers membership orders codec server http1 memory)
 
 .PHONY: demo test bench bench-quick capacity fuzz chaos soak soak-quick lint format setup lock
 
--- a/greengagehoist/gateway/_settings.py
+++ b/greengagehoist/gateway/_settings.py
@@ -10,7 +10,6 @@
 FILE_DESCRIPTORS = 200
 MIN_SOCKETS = 64
 MAX_PROBE_CONNECTIONS = 32
-MIN_PEER_HANDSHAKES = 16
 MAX_PEER_HANDSHAKES = 128
 
 
@@ -74,12 +73,11 @@
 def divide_descriptors(max_fds: int, limits: ClientLimits) -> SocketLimits:
     """Return how the descriptors of a process are divided."""
     sockets = max(MIN_SOCKETS, max_fds - FILE_DESCRIPTORS)
-    handshakes = min(MAX_PEER_HANDSHAKES, max(MIN_PEER_HANDSHAKES, sockets // 16))
     return SocketLimits(
         min(limits.connections or sockets, sockets // 2),
         min(limits.in_progress or sockets, sockets // 4),
-        min(MAX_PROBE_CONNECTIONS, sockets // 8),
-        handshakes,
+        min(MAX_PROBE_CONNECTIONS, sockets // 16),
+        min(MAX_PEER_HANDSHAKES, sockets // 16),
     )
 
 
--- a/greengagehoist/gateway/front/_listen.py
+++ b/greengagehoist/gateway/front/_listen.py
@@ -18,7 +18,9 @@
 BACKLOG = 256
 PROBE_BACKLOG = 32
 # Unsent bytes of a connection from which a stream waits for its client.
-WRITE_BUFFER_BYTES = 16 * 1024
+MAX_UNSENT_BYTES = 16 * 1024
+# Unread bytes of a connection from which it is not read. What is read at once comes on top.
+MAX_UNREAD_BYTES = 4 * 1024
 CLOSE = (b"Connection", b"close")
 
 
@@ -57,7 +59,7 @@
     class Accepted(Socket):
         def connection_made(self, transport: asyncio.BaseTransport) -> None:
             super().connection_made(transport)
-            self.limit_unsent(WRITE_BUFFER_BYTES)
+            self.limit_buffers(MAX_UNREAD_BYTES, MAX_UNSENT_BYTES)
             accept(self)
 
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/greengagehoist/http1/_request.py
+++ b/greengagehoist/http1/_request.py
@@ -89,6 +89,7 @@
         self.framing_bytes = 0
         self.length: int | None = None
         self.head: RequestHead | None = None
+        self.head_checked = False
         self.done = False
 
     @property
@@ -224,6 +225,10 @@
         refused = self._refusal is not None
         self._timeout.reschedule(loop.time() + (0.0 if refused else limits.header_timeout_s))
         body_begun_at: float | None = None
+        empty_bytes = 0
+        if requests:
+            # A part of it was parsed together with the end of the one before.
+            self._check(requests[0], limits)
         while not (requests and requests[0].done):
             if self._error is not None:
                 raise self._error
@@ -232,25 +237,33 @@
                     body_begun_at = body_begun_at or loop.time()
                     self._set_deadline(_body_deadline(requests[0], limits, body_begun_at))
                 self._received, self._parsed = await self._receive(), 0
-            had_head = bool(requests) and requests[0].head is not None
-            self._parse_piece()
-            if requests:
-                self._check(requests[0], limits, had_head)
+            size = self._parse_piece()
+            if not requests:
+                # Empty lines may precede a request.
+                empty_bytes += size
+                if empty_bytes > limits.header_bytes and self._error is None:
+                    raise ProtocolError("too many empty lines")
+            else:
+                self._check(requests[0], limits)
                 if requests[0].held_bytes > self.space.granted:
                     await self._reserve(requests[0], limits)
+            if self._has_unparsed:
+                # A body of tiny chunks takes long to parse; other connections get their turn.
+                await asyncio.sleep(0)
         partial = requests.popleft()
         body, partial.body = bytes(partial.body), bytearray()
         return Request(partial.head, body)
 
-    def _check(self, partial: _PartialRequest, limits: SizeLimits, had_head: bool) -> None:
+    def _check(self, partial: _PartialRequest, limits: SizeLimits) -> None:
         """Check what has been received of a request, and answer an expectation after its head.
 
         :raises ProtocolError: if it is invalid or too large.
         """
         _check_sizes(partial, limits)
-        if had_head or partial.head is None:
+        if partial.head_checked or partial.head is None:
             return
         _check_head(partial)
+        partial.head_checked = True
         expects = get_header(partial.head.headers, b"expect") is not None
         if expects and not partial.done and self._error is None:
             self.sock.write(CONTINUE)
@@ -279,8 +292,8 @@
             raise IncompleteError("connection closed before the end of the request")
         return data
 
-    def _parse_piece(self) -> None:
-        """Parse received bytes: the missing ones of a body, or a few."""
+    def _parse_piece(self) -> int:
+        """Parse received bytes, the missing ones of a body or a few; returns how many."""
         requests = self._callbacks.requests
         partial = requests[0] if requests else None
         size = PARSE_BYTES
@@ -298,6 +311,7 @@
         self._feed(data)
         if in_body and not partial.done:
             partial.framing_bytes += len(data) - (len(partial.body) - body_bytes)
+        return len(data)
 
     def _feed(self, data: bytes) -> None:
         try:
--- a/greengagehoist/http1/_socket.py
+++ b/greengagehoist/http1/_socket.py
@@ -48,6 +48,7 @@
         self._drain_waiter: asyncio.Future | None = None
         self._write_paused = False
         self._most_unsent: int | None = None
+        self._most_unread = MAX_UNREAD_BYTES
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect an unresponsive peer."""
@@ -71,7 +72,7 @@
         else:
             self._received.append(data)
         self._unread += len(data)
-        if self._unread > MAX_UNREAD_BYTES:
+        if self._unread > self._most_unread:
             self.transport.pause_reading()
         _wake(self._read_waiter)
 
@@ -110,7 +111,7 @@
             await self._read_waiter
         data = self._received.popleft()
         self._unread -= len(data)
-        if self._unread <= MAX_UNREAD_BYTES and not self.gone.done():
+        if self._unread <= self._most_unread and not self.gone.done():
             self.transport.resume_reading()
         return data
 
@@ -136,10 +137,14 @@
         """Whether the operating system has not taken all written bytes yet."""
         return bool(self.transport.get_write_buffer_size())
 
-    def limit_unsent(self, size: int) -> None:
-        """Let :meth:`drain` wait while more than ``size`` bytes are unsent."""
-        self._most_unsent = size
-        self.transport.set_write_buffer_limits(high=size)
+    def limit_buffers(self, unread: int, unsent: int) -> None:
+        """Set the size of its buffers.
+
+        :param unread: reading pauses while more received bytes are unread.
+        :param unsent: :meth:`drain` waits while more bytes are unsent.
+        """
+        self._most_unread, self._most_unsent = unread, unsent
+        self.transport.set_write_buffer_limits(high=unsent)
 
     def write(self, data: bytes) -> None:
         """Queue bytes for the peer; they are discarded if the connection is closing."""
--- a/greengagehoist/http1/tests/test_request.py
+++ b/greengagehoist/http1/tests/test_request.py
@@ -25,16 +25,16 @@
 )
 
 
-async def read_all(sock, count):
-    reader = RequestReader(sock, lambda: LIMITS)
+async def read_all(sock, count, limits=LIMITS):
+    reader = RequestReader(sock, lambda: limits)
     return [await reader.read() for _ in range(count)]
 
 
 @pytest.fixture
 def read(connected):
-    def run(*chunks, count=1, **ends):
+    def run(*chunks, count=1, limits=LIMITS, **ends):
         async def main():
-            return await read_all(connected(*chunks, **ends), count)
+            return await read_all(connected(*chunks, **ends), count, limits)
 
         return asyncio.run(main())
 
@@ -114,6 +114,150 @@
     assert read(reset=True) == [None]
 
 
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (POST + b"Content-Length: 51\r\n\r\n", 413),
+        (POST + b"Host: y\r\nContent-Length: 9\r\n\r\n", 400),
+        (CHUNKED + b"33\r\n" + b"x" * 51, 413),
+        (CHUNKED + b"1;" + b"a" * 40_000, 400),
+        (CHUNKED + b"0\r\n" + b"A: b\r\n" * 100, 431),
+        (CHUNKED + b"0\r\nA: " + b"b" * 40_000, 400),
+    ],
+    ids=["length", "host", "excess byte", "extension", "trailers", "trailer"],
+)
+def test_request_is_refused_before_its_end(read, data, status):
+    """Guards against a request that is read on although it can only be refused."""
+    with pytest.raises(ProtocolError) as caught:
+        read(data)
+    assert caught.value.status == status
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        POST + b"Host: y\r\nContent-Length: 2\r\n\r\nhi",
+        POST + b"Host: y\r\nContent-Length: 2\r\n\r\n",
+        POST + b"Content-Length: 60\r\n\r\n" + b"x" * 60,
+    ],
+)
+def test_pipelined_request_is_checked_like_the_first(connected, second):
+    """Guards against requests that are not checked because they arrive with the one before."""
+
+    async def main():
+        reader = RequestReader(connected(PIPELINED[:56] + second), lambda: LIMITS)
+        assert (await reader.read()).body == b"hi"
+        with pytest.raises(ProtocolError) as caught:
+            await reader.read()
+        assert caught.value.status in (400, 413)
+
+    asyncio.run(main())
+
+
+def test_body_in_chunks_of_one_byte_is_read(read):
+    """Guards against a bound on bytes around chunks that refuses an ordinary client."""
+    limits = SizeLimits(400, 20_000, 0.2, 0.2)
+    data = CHUNKED + b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"
+    assert read(data, limits=limits)[0].body == b"x" * 20_000
+
+
+def test_only_few_pipelined_requests_are_parsed_ahead(connected):
+    """Guards against requests that take fifty times their bytes while they wait."""
+
+    async def main():
+        reader = RequestReader(
+            connected(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 500), lambda: LIMITS
+        )
+        for _ in range(500):
+            assert (await reader.read()).head.target == b"/"
+            assert len(reader._callbacks.requests) < 100
+        assert not reader.has_partial
+
+    asyncio.run(main())
+
+
+class Space:
+    """Test double of the memory of a connection: grants steps of 10 bytes, or waits."""
+
+    def __init__(self, most):
+        self.granted = 0
+        self.most = most
+
+    async def reserve(self, size, most):
+        if size > self.most:
+            await asyncio.Future()
+        self.granted = size + 10
+
+
+def test_body_is_read_as_its_memory_is_granted(connected):
+    async def main():
+        sock = connected(POST + b"Content-Length: 40\r\n\r\n", b"x" * 20, b"x" * 20)
+        space = Space(10_000)
+        request = await RequestReader(sock, lambda: LIMITS, space).read()
+        assert request.body == b"x" * 40
+        assert space.granted >= 40
+
+    asyncio.run(main())
+
+
+def test_request_without_memory_is_refused_as_not_run(connected):
+    """Guards against a client that waits for memory without end, or is told that it was late."""
+
+    async def main():
+        sock = connected(POST + b"Content-Length: 40\r\n\r\n", b"x" * 20)
+        with pytest.raises(ProtocolError) as caught:
+            await RequestReader(sock, lambda: LIMITS, Space(0)).read()
+        assert (caught.value.status, caught.value.retry_after_s) == (503, 1.0)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("most", [0, 10_000], ids=["waits for memory", "waits for its client"])
+def test_refused_request_ends_at_once(connected, most):
+    async def main():
+        sock = connected(POST + b"Content-Length: 40\r\n\r\n", b"x" * 20)
+        limits = LIMITS._replace(header_timeout_s=60.0)
+        reader = RequestReader(sock, lambda: limits, Space(most))
+        reading = asyncio.ensure_future(reader.read())
+        await asyncio.sleep(0.01)
+        reader.refuse("others wait")
+        async with asyncio.timeout(5.0):
+            with pytest.raises(ProtocolError) as caught:
+                await reading
+        assert caught.value.status == 503
+        reader.discard()
+        assert not reader.has_partial
+
+    asyncio.run(main())
+
+
+def test_refusal_between_requests_ends_the_connection(connected):
+    async def main():
+        reader = RequestReader(connected(), lambda: LIMITS)
+        reader.refuse("others wait")
+        assert await reader.read() is None
+
+    asyncio.run(main())
+
+
+def test_body_below_the_least_rate_is_late(connected):
+    """Guards against a client that holds a connection by a byte now and then."""
+
+    async def main():
+        limits = LIMITS._replace(header_timeout_s=60.0, body_rate=1000.0, body_grace_s=0.05)
+        sock = connected(POST + b"Content-Length: 40\r\n\r\n", b"x" * 20)
+        async with asyncio.timeout(5.0):
+            with pytest.raises(ProtocolError) as caught:
+                await RequestReader(sock, lambda: limits).read()
+        assert caught.value.status == 408
+
+    asyncio.run(main())
+
+
 def test_hop_by_hop_and_dropped_headers_are_not_forwarded():
     headers = (
         (b"Host", b"x"),
--- a/greengagehoist/memory/_account.py
+++ b/greengagehoist/memory/_account.py
@@ -8,6 +8,8 @@
 # Part of the account that bodies of requests may take. The rest is left for answers: without it,
 # requests would wait for memory that is free only when they have ended.
 BODY_SHARE = 0.6
+# Asks up to this size are made way for together, so that ordinary requests do not wait one by one.
+SMALL_ASK_BYTES = 192 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,8 +112,14 @@
         return granted
 
     def missing_bytes(self) -> int:
-        """Return the bytes that must be given back before the next ask can be granted."""
-        return min((self._lack(key) for key in self._candidates()), default=0)
+        """Return the bytes that must be given back before those who wait can go on.
+
+        All small bodies can then go on, and at least one of the others.
+        """
+        small = [key for key, ask in self.asks.items() if ask.size <= SMALL_ASK_BYTES]
+        steps = [self.asks[key].size - self._size(key) for key in small]
+        rest = sum(steps) - max(steps, default=0)
+        return min((self._lack(key) + rest for key in self._candidates()), default=0)
 
     def _next(self) -> object | None:
         for key in self._candidates():
