--- a/greengagehoist/memory/_account.py
+++ b/greengagehoist/memory/_account.py
@@ -68,6 +68,8 @@
 
     A body asks in growing steps; an answer asks once for all that it may need.
 
+    An answer larger than what bodies leave is granted if no other answer is held.
+
     :param limit: bytes that may be held at the same time; a larger ask counts as the limit.
     """
 
@@ -150,9 +152,13 @@
         ask = self.asks[key]
         step = ask.size - self._size(key)
         lack = self.held_bytes + step - self.limit
+        bodies = self._held[Arriving] + self._held[Kept]
         if _is_body(ask.purpose):
-            bodies = self._held[Arriving] + self._held[Kept]
-            lack = max(lack, bodies + step - self._most(ask.purpose))
+            return max(lack, bodies + step - self._most(ask.purpose))
+        left = self.limit - self._most(Kept())
+        if ask.size > left and self.held_bytes == bodies:
+            # It might wait for the body of its own request.
+            return min(lack, 0)
         return lack
 
     def _most(self, purpose: Purpose) -> int:
--- a/greengagehoist/peers/tests/test_controller.py
+++ b/greengagehoist/peers/tests/test_controller.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+import pytest
 from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
 
 from greengagehoist.membership import Member
 from greengagehoist.peers import (
@@ -233,3 +235,66 @@
             await wait_for_full_mesh((first, second))
 
     asyncio.run(scenario())
+
+
+def test_handshakes_without_end_do_not_keep_peers_away(start_peers):
+    """Guards against connections that take all descriptors without saying who they are."""
+
+    async def scenario():
+        async with start_peers(2) as peers:
+            peers[0].handshakes.limit = 5
+            host, port = peers[0].own.address.split(":")
+            silent = [await asyncio.open_connection(host, int(port)) for _ in range(40)]
+
+            async def closed():
+                return peers[0].handshakes.closed >= 35
+
+            await until(closed)
+            for item in peers:
+                item.tell(set_members(peers))
+            await wait_for_full_mesh(peers)
+            for _, writer in silent:
+                writer.transport.abort()
+
+    asyncio.run(scenario())
+
+
+def test_large_message_before_hello_ends_the_connection(start_peers):
+    """Guards against messages of unknown senders that take memory before they are refused."""
+
+    async def scenario():
+        async with start_peers(1) as peers:
+            headers = {"Authorization": f"Bearer {CREDENTIAL}"}
+            async with connect(
+                f"ws://{peers[0].own.address}/", additional_headers=headers, proxy=None
+            ) as connection:
+                with pytest.raises(ConnectionClosed):
+                    await connection.send(b"x" * 1_000_000)
+                    while True:
+                        await connection.recv()
+                assert connection.close_code == 1009
+
+    asyncio.run(scenario())
+
+
+def test_large_message_after_hello_is_delivered(start_peers):
+    async def scenario():
+        async with start_peers(2) as peers:
+            for item in peers:
+                item.tell(set_members(peers))
+            await wait_for_full_mesh(peers)
+            mailbox = Mailbox()
+            task = asyncio.create_task(mailbox.run())
+            peers[0].tell(Subscribe((LeaveMark,), mailbox))
+            peers[1].tell(Subscribe((LeaveMark,), mailbox))
+            mark = LeaveMark("r" * 500_000, 4)
+            for sender in peers:
+                await sender.ask(Broadcast(mark))
+
+            async def arrived():
+                return len(mailbox.received) == 2
+
+            await until(arrived)
+            task.cancel()
+
+    asyncio.run(scenario())
--- a/greengagehoist/platform/tests/test_settings.py
+++ b/greengagehoist/platform/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from greengagehoist.gateway import DEFAULT_MAX_FDS, ClientLimits
 from greengagehoist.platform import read_settings
 from greengagehoist.utils import ValidationError
 
@@ -34,6 +35,40 @@
     assert settings.capacity == 1.0
 
 
+def test_limits_on_clients_have_defaults():
+    settings = read_settings(TEXT)
+    assert settings.client_limits == ClientLimits()
+    assert settings.max_fds == DEFAULT_MAX_FDS
+
+
+def test_limits_on_clients_are_read():
+    text = TEXT.replace("memory_mb: 300", "memory_mb: 160, max_fds: 1638")
+    limits = "client_limits: {connections: 300, body_rate: 0, memory_share: 0.4}"
+    settings = read_settings(f"{text}\n{limits}\n")
+    assert settings.memory_bytes == 160 * 1024 * 1024
+    assert settings.max_fds == 1638
+    expected = ClientLimits(connections=300, body_rate=0.0, memory_share=0.4)
+    assert settings.client_limits == expected
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        "connections: -1",
+        "connections_per_address: many",
+        "in_progress: 1.5",
+        "memory_share: 0.6",
+        "memory_share: 0.05",
+        "body_rate: -1",
+        "body_grace_s: 0",
+    ],
+)
+def test_bad_limit_on_clients_is_named(field):
+    with pytest.raises(ValidationError) as caught:
+        read_settings(f"{TEXT}\nclient_limits: {{{field}}}\n")
+    assert caught.value.field == f"client_limits.{field.partition(':')[0]}"
+
+
 @pytest.mark.parametrize(
     ("old", "new", "field"),
     [
@@ -43,6 +78,7 @@
         ("[7740, 7755]", "[]", "internal_ports.0"),
         ('"edge-1"', '""', "node_name"),
         ("cores: 2", "cores: -1", "limits.cores"),
+        ("memory_mb: 300", "max_fds: 0", "limits.max_fds"),
     ],
 )
 def test_bad_setting_is_named(old, new, field):
