Bound connections and TLS handshakes of the own interface

Cause: a client that stopped within a TLS handshake held its connection for a minute, in any number, and idle connections were not counted. Change: the listener counts connections with the gateway's ConnectionTable, at most 1,000, and handshakes, at most 64 of 5 s each; the oldest give way. Seen to fail before: the five tests of test_untrusted.py (200 handshakes of which none was closed within 10 s; 200 connections where 50 are allowed).

--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -22,13 +22,15 @@
     failure_reply,
 )
 from greengagehoist.gateway.front._client import Client, ClientSettings
-from greengagehoist.gateway.front._connections import ConnectionTable, Refused, Replacing
 from greengagehoist.gateway.front._listen import CLOSE, linger, listen, write_answer
 from greengagehoist.http1 import (
     LAST_CHUNK,
+    ConnectionTable,
     Headers,
     IncompleteError,
     ProtocolError,
+    Refused,
+    Replacing,
     Request,
     ResponseHead,
     SizeLimits,
--- a/greengagehoist/gateway/front/_probe.py
+++ b/greengagehoist/gateway/front/_probe.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 
 from greengagehoist.gateway import DEFAULT_MAX_FDS, ClientLimits, divide_descriptors
-from greengagehoist.gateway.front._connections import ConnectionTable, Refused, Replacing
 from greengagehoist.gateway.front._listen import PROBE_BACKLOG, listen, write_answer
 from greengagehoist.http1 import (
+    ConnectionTable,
     IncompleteError,
     ProtocolError,
+    Refused,
+    Replacing,
     RequestReader,
     ResponseHead,
     SizeLimits,
--- a/greengagehoist/http1/__init__.py
+++ b/greengagehoist/http1/__init__.py
@@ -5,6 +5,7 @@
     ResponseTooLargeError,
     StreamConnection,
 )
+from greengagehoist.http1._connections import Admitted, ConnectionTable, Refused, Replacing
 from greengagehoist.http1._limits import (
     MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
@@ -35,10 +36,14 @@
     "MAX_EVENT_BYTES",
     "MAX_EVENT_GAP_BYTES",
     "MAX_FRAMING_BYTES",
+    "Admitted",
     "BufferedConnection",
+    "ConnectionTable",
     "Headers",
     "IncompleteError",
     "ProtocolError",
+    "Refused",
+    "Replacing",
     "Request",
     "RequestHead",
     "RequestReader",
--- a/greengagehoist/gateway/tests/test_connections.py
+++ b/greengagehoist/http1/tests/test_connections.py
@@ -3,7 +3,7 @@
 import pytest
 
 from greengagehoist.gateway import ClientLimits, divide_descriptors
-from greengagehoist.gateway.front._connections import (
+from greengagehoist.http1 import (
     Admitted,
     ConnectionTable,
     Refused,
--- a/greengagehoist/server/_serve.py
+++ b/greengagehoist/server/_serve.py
@@ -3,12 +3,13 @@
 import asyncio
 import contextlib
 import socket
+from functools import partial
 from typing import Any, NamedTuple
 
 import uvicorn
 
-from greengagehoist.server._protocol import HeaderLimitProtocol
-from greengagehoist.utils import TlsFiles
+from greengagehoist.server._protocol import HeaderLimitProtocol, ListenerGuard, TlsProtocol
+from greengagehoist.utils import SystemClock, TlsFiles, server_context
 
 NO_TLS = TlsFiles()
 # Idle connections are closed after this time.
@@ -26,6 +27,7 @@
     address: str
     server: uvicorn.Server
     task: asyncio.Task
+    guard: ListenerGuard
 
     async def stop(self, limit: float | None = None) -> None:
         """Stop accepting connections and wait for running requests to finish.
@@ -33,6 +35,7 @@
         :param limit: seconds after which the remaining connections are aborted, None for never.
         """
         self.server.should_exit = True
+        self.guard.abort_handshakes()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit):
                 await asyncio.shield(self.task)
@@ -72,21 +75,23 @@
     """
     sock = bind(host, port)
     address = f"{host}:{sock.getsockname()[1]}"
+    guard, context = ListenerGuard(SystemClock()), server_context(tls, require_client=False)
+    protocol = partial(HeaderLimitProtocol, guard=guard)
+    if context is not None:
+        protocol = partial(TlsProtocol, guard=guard, context=context)
     cfg = uvicorn.Config(
         app,
         log_level="critical",
         access_log=False,
         lifespan="off",
-        http=HeaderLimitProtocol,
+        http=protocol,
         loop="asyncio",
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=shutdown_s,
     )
-    if any(tls):
-        cfg.ssl_certfile, cfg.ssl_keyfile = tls.certificate, tls.key
     server = _EmbeddedServer(cfg)
     task = asyncio.get_running_loop().create_task(server.serve(sockets=[sock]))
-    return Listener(address, server, task)
+    return Listener(address, server, task, guard)
 
 
 class _EmbeddedServer(uvicorn.Server):
