Merge the account of memory and descriptors of clients

Cause: the account replaces the controller of answer buffers, which the placement and the evacuations had used meanwhile. Result: tests of gateway, replicas, platform, http1, memory and peers pass.

--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -1,11 +1,5 @@
 """Tasks that own the gateway's state and talk by messages."""
 
-from greengagehoist.gateway.controllers._buffers import (
-    BUFFER_FRACTION,
-    BufferController,
-    ReleaseBuffer,
-    ReserveBuffer,
-)
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
 from greengagehoist.gateway.controllers._evacuation import EvacuationController
 from greengagehoist.gateway.controllers._load_view import LoadViewController
@@ -60,12 +54,8 @@
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
 __all__ = [
-    "BUFFER_FRACTION",
-    "BufferController",
     "Evacuated",
     "EvacuationController",
-    "ReleaseBuffer",
-    "ReserveBuffer",
     "MEMBER_POLL_PERIOD_S",
     "NO_REPLICA_WAIT_S",
     "AbandonChoice",
--- a/greengagehoist/http1/__init__.py
+++ b/greengagehoist/http1/__init__.py
@@ -6,6 +6,7 @@
     ResponseTooLargeError,
     StreamConnection,
 )
+from greengagehoist.http1._connections import Admitted, ConnectionTable, Refused, Replacing
 from greengagehoist.http1._limits import (
     MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
@@ -15,7 +16,7 @@
 )
 from greengagehoist.http1._request import Request, RequestReader, SizeLimits
 from greengagehoist.http1._response import ResponseReader
-from greengagehoist.http1._socket import Socket, open_socket
+from greengagehoist.http1._socket import Socket, open_socket, write_request
 from greengagehoist.http1._types import (
     LAST_CHUNK,
     Headers,
@@ -37,10 +38,14 @@
     "MAX_EVENT_BYTES",
     "MAX_EVENT_GAP_BYTES",
     "MAX_FRAMING_BYTES",
+    "Admitted",
     "BufferedConnection",
+    "ConnectionTable",
     "Headers",
     "IncompleteError",
     "ProtocolError",
+    "Refused",
+    "Replacing",
     "Request",
     "RequestHead",
     "RequestReader",
@@ -57,4 +62,5 @@
     "end_to_end",
     "get_header",
     "open_socket",
+    "write_request",
 ]
