--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -24,6 +24,7 @@
     SendLimitController,
     SetReadPeriod,
     SharedReads,
+    distribution_state,
     topology_of,
 )
 from greengagehoist.gateway.filters import (
@@ -300,6 +301,8 @@
             replicas=len(self.replicas.table.value.replicas),
             quarantined_parts=sum(len(item.held) for item in quarantine.services.values()),
             crashes_attributed=quarantine.crashes,
+            evacuated_zones=len(self.deployments.evacuated.value),
+            **distribution_state(self.relay, self.deployments, self.platform),
         )
         return 200, self.measurements.text()
 
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -7,6 +7,7 @@
     ReserveBuffer,
 )
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
+from greengagehoist.gateway.controllers._distribution_state import distribution_state
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
@@ -97,5 +98,6 @@
     "Topology",
     "TrialDecision",
     "format_key",
+    "distribution_state",
     "topology_of",
 ]
--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -59,6 +59,8 @@
 PEER_POLL_PERIOD_S = 0.05
 # Peers with a newer configuration that are asked in turn while they are silent.
 MAX_PEERS_ASKED = 3
+# Times that a daemon waits for a busy peer, each up to a second.
+MAX_PEER_WAITS = 5
 
 
 class SetReadPeriod(NamedTuple):
@@ -232,14 +234,19 @@
         elif not starting:
             return True
         for peer in (ahead or informed)[:MAX_PEERS_ASKED]:
-            held = await self.reads.relay.ask(AskPeer("deployment", peer.vm))
-            while isinstance(held, Waiting):
-                await self.clock.sleep(held.wait_s)
-                held = await self.reads.relay.ask(AskPeer("deployment", peer.vm))
+            held = await self._ask_peer(peer.vm)
             if held is not None and held.content and await self._decode_shared(held):
                 return True
         return not (starting and ahead)
 
+    async def _ask_peer(self, vm: str) -> HeldContent | None:
+        for _ in range(MAX_PEER_WAITS):
+            held = await self.reads.relay.ask(AskPeer("deployment", vm))
+            if not isinstance(held, Waiting):
+                return held
+            await self.clock.sleep(held.wait_s)
+        return None
+
     async def _wait_for_peers(self) -> None:
         topology, deadline = self.reads.topology, self.clock.monotonic() + PEER_WAIT_S
         while self.clock.monotonic() < deadline:
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -205,8 +205,9 @@
     """
     delay_s = period_s
     if isinstance(step, HubBusy):
-        delay_s = step.wait_s
-    elif not ok:
+        # Daemons that were sent away together do not come back together.
+        return step.wait_s * rng.uniform(1.0, 2.0)
+    if not ok:
         delay_s = RETRY_DELAY_S
     elif shared:
         read = isinstance(step, ReadNow)
