--- a/greengagehoist/daemon/tests/test_gateway_large_configuration.py
+++ b/greengagehoist/daemon/tests/test_gateway_large_configuration.py
@@ -6,7 +6,6 @@
 
 import asyncio
 
-import msgspec
 import pytest
 from loguru import logger
 
@@ -23,6 +22,7 @@
 ROUTES = 1200
 # Far beyond any usual time; it ends a run in which the configuration never arrives.
 GIVE_UP_S = 20.0
+FAULTS = "hub_silent", "configuration_reads_failing", "platform_breaker", "hub_read_unreadable"
 
 
 @pytest.fixture
@@ -64,6 +64,7 @@
             system = SlowSystem(BOUNDS)
             try:
                 await system.start(DAEMONS)
+                await wait_until(lambda: all(map(knows_hubs, system.daemons)), GIVE_UP_S)
                 await scenario(system)
             finally:
                 await system.stop()
@@ -75,17 +76,21 @@
     return run
 
 
+def knows_hubs(daemon):
+    topology = daemon.topology
+    return topology.count.value == DAEMONS and len(daemon.reach.reach.value.ready) >= 2
+
+
 def versions(system):
     snapshots = [item.deployments.snapshot.value for item in system.daemons]
     return [item.deployment.version if item else 0 for item in snapshots]
 
 
-async def put_large(system, version, **fields):
+async def put_large(system, version, routes=ROUTES, tenants=16, **fields):
     """Write a large configuration and wait until all daemons hold it."""
-    value = large_configuration(version, ROUTES, 16, **fields)
+    value = large_configuration(version, routes, tenants, **fields)
     system.store.put("op", "config", value)
     await wait_until(lambda: versions(system) == [version] * DAEMONS, GIVE_UP_S)
-    return len(msgspec.json.encode(value))
 
 
 def named(events, *names):
@@ -98,4 +103,29 @@
         await put_large(system, 3, changed=1)
 
     slow_system(scenario)
-    assert not named(events, "hub_silent", "configuration_reads_failing", "platform_breaker")
+    assert not named(events, *FAULTS)
+
+
+def test_small_change_moves_little_between_daemons(slow_system, events):
+    """Each change moved the whole configuration to each daemon."""
+
+    async def scenario(system):
+        await put_large(system, 2)
+        relays = [daemon.relay for daemon in system.daemons]
+        before = sum(relay.received["deployment"] for relay in relays)
+        await put_large(system, 3, changed=1)
+        assert sum(relay.received["deployment"] for relay in relays) - before < 10_000
+
+    slow_system(scenario)
+    assert not named(events, *FAULTS)
+
+
+def test_keys_of_many_organisations_arrive_in_pieces(slow_system, events):
+    """They do not compress, so that a change of all takes seconds on a slow link."""
+
+    async def scenario(system):
+        await put_large(system, 2, routes=40, tenants=3000)
+
+    slow_system(scenario)
+    assert named(events, "content_transfer_started")
+    assert not named(events, *FAULTS, "content_transfer_interrupted")
