Transfer nothing to a daemon that starts with what its peer holds

A daemon that starts asks a peer in any case; the answer moved the whole content. The proof of the evacuations is now a field of the offer instead of a part of the content.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -11,6 +11,7 @@
     deployment_token,
     encode_content,
     row_of_token,
+    shared_evacuations,
 )
 from greengagehoist.gateway.controllers._deployment_reads import DeploymentReads
 from greengagehoist.gateway.controllers._evacuations import Evacuations
@@ -41,7 +42,6 @@
     DeploymentRead,
     Revision,
     TableState,
-    parse_revision,
 )
 from greengagehoist.utils import (
     Clock,
@@ -196,7 +196,8 @@
         own = self._deployment
         try:
             row = row_of_token(held.token)
-            source, evacuations = decode_content(held.content, held.table)
+            source, zones = decode_content(held.content)
+            evacuations = shared_evacuations(zones, held.table, held.evacuations_era)
             if own.snapshot is not None and (row, source) == (own.row, own.source):
                 read = DeploymentRead(own.snapshot.deployment, row, source)
             else:
@@ -233,15 +234,20 @@
             )
         elif not starting:
             return True
+        # A peer that holds what was read says so and transfers nothing.
+        content = encode_content(read.source, read.state.evacuated) if read.source else ""
+        token = deployment_token(read.row, content) if content else ""
         for peer in (ahead or informed)[:MAX_PEERS_ASKED]:
-            held = await self._ask_peer(peer.vm)
+            held = await self._ask_peer(peer.vm, token)
+            if held is not None and held.token == token:
+                held = held._replace(content=content)
             if held is not None and held.content and await self._decode_shared(held):
                 return True
         return not (starting and ahead)
 
-    async def _ask_peer(self, vm: str) -> HeldContent | None:
+    async def _ask_peer(self, vm: str, token: str) -> HeldContent | None:
         for _ in range(MAX_PEER_WAITS):
-            held = await self.reads.relay.ask(AskPeer("deployment", vm))
+            held = await self.reads.relay.ask(AskPeer("deployment", vm, token))
             if not isinstance(held, Waiting):
                 return held
             await self.clock.sleep(held.wait_s)
@@ -271,13 +277,11 @@
         return self._hold(*applied)
 
     def _apply_confirmation(self, row: Revision, step: Confirmed) -> ReadOutcome:
-        evacuations = self._deployment.evacuations
-        if step.table:
-            table = parse_revision(step.table)
-            evacuations = evacuations._replace(table=max(table, evacuations.table))
-            if step.is_exact:
-                self._learn_state(TableState(table, row, evacuations.zones))
-        known = self._deployment._replace(evacuations=evacuations)
+        zones = self._deployment.evacuations.zones
+        found = shared_evacuations(zones, step.table, step.evacuations_era)
+        if step.is_exact:
+            self._learn_state(TableState(found.table, row, zones))
+        known = apply_shared_evacuations(self._deployment, found)
         return self._hold(*apply_confirmation(known, row, step.at, step.proven_era))
 
     def _learn_state(self, state: TableState) -> None:
@@ -325,10 +329,9 @@
 
     def _publish_held(self, deployment: HeldDeployment, snapshot: DeploymentSnapshot) -> None:
         held, row, evacuations = self.held.value, deployment.row, deployment.evacuations
-        key = (row, evacuations.zones, evacuations.proven_era)
-        if held is None or key != self._held_key:
-            self._held_key = key
-            content = encode_content(deployment.source, evacuations)
+        if held is None or self._held_key != (row, evacuations.zones):
+            self._held_key = row, evacuations.zones
+            content = encode_content(deployment.source, evacuations.zones)
             token = deployment_token(row, content)
         else:
             content, token = held.content, held.token
@@ -341,6 +344,7 @@
             proven_era=deployment.proven_era,
             table=evacuations.table.token,
             is_exact=self._state == shown,
+            evacuations_era=-1 if evacuations.proven_era is None else evacuations.proven_era,
         )
 
     def _log_outcome(self, outcome: ReadOutcome) -> None:
--- a/greengagehoist/gateway/controllers/_deployment_content.py
+++ b/greengagehoist/gateway/controllers/_deployment_content.py
@@ -7,27 +7,33 @@
 from greengagehoist.transfers import content_token
 
 
-class _Header(msgspec.Struct):
-    zones: tuple[str, ...]
-    proven_era: int | None
-
-
-def encode_content(source: str, evacuations: Evacuations) -> str:
-    """Return the text of a configuration and of the evacuations."""
-    header = _Header(tuple(sorted(evacuations.zones)), evacuations.proven_era)
+def encode_content(source: str, zones: frozenset[str]) -> str:
+    """Return the text of a configuration and of the evacuated data centres."""
     # The configuration stays as the operator wrote it, so that changes of it are small.
-    return msgspec.json.encode(header).decode() + "\n" + source
+    return msgspec.json.encode(sorted(zones)).decode() + "\n" + source
 
 
-def decode_content(content: str, table: str) -> tuple[str, Evacuations]:
-    """Return the configuration as the operator wrote it, and the evacuations.
+def decode_content(content: str) -> tuple[str, frozenset[str]]:
+    """Return the configuration as the operator wrote it, and the evacuated data centres.
 
-    :param table: token of the newest state of the table that shows the evacuations.
     :raises ValueError: if the content is malformed.
     """
     line, _, source = content.partition("\n")
-    header = msgspec.json.decode(line, type=_Header)
-    return source, Evacuations(frozenset(header.zones), parse_revision(table), header.proven_era)
+    try:
+        return source, frozenset(msgspec.json.decode(line, type=list[str]))
+    except RecursionError as exc:
+        raise ValueError("evacuations are nested too deeply") from exc
+
+
+def shared_evacuations(zones: frozenset[str], table: str, proven_era: int) -> Evacuations:
+    """Return the evacuations that another daemon holds.
+
+    :param table: token of the newest state of the table that shows them.
+    :param proven_era: as in :class:`HeldContent`.
+    :raises ValueError: if the token is malformed.
+    """
+    known_era = proven_era if proven_era >= 0 else None
+    return Evacuations(zones, parse_revision(table), known_era)
 
 
 def deployment_token(row: Revision, content: str) -> str:
--- a/greengagehoist/gateway/controllers/_held_content.py
+++ b/greengagehoist/gateway/controllers/_held_content.py
@@ -16,6 +16,8 @@
     :param table: token of the newest state of the platform's table that it reflects, empty if its
         topic has none.
     :param is_exact: whether the table shows exactly this content in that state.
+    :param evacuations_era: newest era of which its holder knows that it lacks no evacuation that was
+        written before the restore, -1 for none.
     :param answered_at: time of the hub's answer, None for what this daemon holds.
     """
 
@@ -27,6 +29,7 @@
     proven_era: int = 0
     table: str = ""
     is_exact: bool = False
+    evacuations_era: int = -1
     answered_at: float | None = None
 
     def may_read(self, vm: str) -> bool:
--- a/greengagehoist/gateway/controllers/_offers.py
+++ b/greengagehoist/gateway/controllers/_offers.py
@@ -33,6 +33,7 @@
             held.proven_era,
             held.table,
             held.is_exact,
+            held.evacuations_era,
         )
         if not held.content:
             return offer
--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -31,6 +31,8 @@
 # another data centre, so that a daemon notices that only its own hubs cannot read.
 MAX_HUBS_ASKED = 3
 MAX_WAIT_S = 5.0
+# Delay of an own timer from which on this daemon counts as held up.
+MAX_LATE_S = 0.02
 
 
 class Waiting(NamedTuple):
@@ -67,14 +69,24 @@
 
 
 class AskPeer(NamedTuple):
-    """Ask a linked daemon for what it holds of a topic; replied like :class:`AskHub`."""
+    """Ask a linked daemon for what it holds of a topic; replied like :class:`AskHub`.
+
+    :param token: token of the content that this daemon knows.
+    """
 
     topic: str
     vm: str
+    token: str = ""
 
 
 class _TimedOut(NamedTuple):
+    """The time for an answer is over.
+
+    :param late_s: seconds by which this daemon itself was late to notice.
+    """
+
     number: int
+    late_s: float
 
 
 class _Pending(NamedTuple):
@@ -156,8 +168,8 @@
         match message:
             case AskHub():
                 self._ask(message, reply)
-            case AskPeer(topic, vm):
-                self._query(vm, AskHub(topic, ""), reply)
+            case AskPeer(topic, vm, token):
+                self._query(vm, AskHub(topic, token), reply)
             case AddSource(topic, held):
                 self._sources[topic] = held
             case FromPeer(vm, _, _, ContentQuery(number, topic, token)):
@@ -175,8 +187,8 @@
                 pending = self._pending.pop(piece.number, None)
                 if pending is not None and pending.intake is not None:
                     self._receive_piece(pending, piece)
-            case _TimedOut(number):
-                self._time_out(number)
+            case _TimedOut(number, late_s):
+                self._time_out(number, late_s)
 
     def _held(self, topic: str) -> HeldContent | None:
         source = self._sources.get(topic)
@@ -205,18 +217,21 @@
         return self._last_number
 
     async def _start_timeout(self, number: int, delay_s: float) -> None:
+        due = self.clock.monotonic() + delay_s
         await self.clock.sleep(delay_s)
-        self.tell(_TimedOut(number))
+        self.tell(_TimedOut(number, self.clock.monotonic() - due))
 
-    def _time_out(self, number: int) -> None:
+    def _time_out(self, number: int, late_s: float) -> None:
         pending = self._pending.get(number)
         if pending is None:
             return
         now, timeout_s = self.clock.monotonic(), pending.timeout_s
         silent_s = now - max(pending.asked_at, self._heard_at.get(pending.hub, -math.inf))
-        if silent_s < timeout_s and now - pending.asked_at < PIECE_TIMEOUT_S:
-            # The hub answers other queries, or sends other contents, over the same link.
-            self.start(self._start_timeout(number, timeout_s - silent_s))
+        in_time = now - pending.asked_at < PIECE_TIMEOUT_S
+        if in_time and (silent_s < timeout_s or late_s > MAX_LATE_S):
+            # The hub answers other queries, or sends other contents, over the same link; or this
+            # daemon was held up, so that the answer may have arrived without being read.
+            self.start(self._start_timeout(number, max(MAX_LATE_S, timeout_s - silent_s)))
             return
         del self._pending[number]
         log_event("hub_silent", "WARNING", hub=pending.hub, waited_s=round(silent_s, 3))
@@ -236,6 +251,7 @@
             proven_era=offer.proven_era,
             table=offer.table,
             is_exact=offer.is_exact,
+            evacuations_era=offer.evacuations_era,
             answered_at=self.clock.monotonic(),
         )
         query = pending.query
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -42,6 +42,7 @@
     proven_era: int = 0
     table: str = ""
     is_exact: bool = False
+    evacuations_era: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,7 +175,14 @@
             if not isinstance(answer, HubBusy):
                 answer = HubStale()
         elif held.token == token:
-            return Confirmed(held.at, held.era, held.proven_era, held.table, held.is_exact)
+            return Confirmed(
+                held.at,
+                held.era,
+                held.proven_era,
+                held.table,
+                held.is_exact,
+                held.evacuations_era,
+            )
         elif held.content:
             return Changed(held)
     return answer
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -14,6 +14,7 @@
     AskHub,
     HeldContent,
     Waiting,
+    _TimedOut,
 )
 from greengagehoist.gateway.controllers._replicas import encode_replicas
 from greengagehoist.gateway.controllers._shared_reads import (
@@ -408,3 +409,18 @@
     assert asyncio.run(reads.next_step("7")) == HubBusy(0.2)
     asyncio.run(clock.advance(MAX_BUSY_S))
     assert asyncio.run(reads.next_step("7")) == ReadNow()
+
+
+def test_daemon_that_was_held_up_does_not_take_the_hub_for_silent(make_relay, clock):
+    """The answer had arrived, but the timer was handled before it."""
+
+    async def scenario():
+        relay, _ = make_relay()
+        replies = deliver(relay, AskHub("deployment", "7"))
+        await clock.advance(2 * ANSWER_TIMEOUT_S)
+        deliver(relay, _TimedOut(1, ANSWER_TIMEOUT_S))
+        assert replies == []
+        deliver(relay, FromPeer("hub-a1", "a", 1, offer_of(1)))
+        assert [item.content for item in replies] == [TEXT]
+
+    asyncio.run(scenario())
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -143,6 +143,8 @@
     :param table: token of the newest state of the table that the content reflects, empty if its topic
         has none.
     :param is_exact: whether the table shows exactly this content in that state.
+    :param evacuations_era: newest era of which the sender knows that it lacks no evacuation that was
+        written before the restore, -1 for none.
     :param base: token of the content that the payload changes, empty if it is a whole content.
     :param digest: identifies the payload, empty if the asking daemon holds the content already.
     :param size: bytes of the payload.
@@ -158,6 +160,7 @@
     proven_era: int = 0
     table: str = ""
     is_exact: bool = False
+    evacuations_era: int = -1
     base: str = ""
     digest: str = ""
     size: int = 0
