--- a/greengagehoist/platform/_deployment_rows.py
+++ b/greengagehoist/platform/_deployment_rows.py
@@ -21,7 +21,9 @@
 # First key after those with the prefix.
 EVACUATION_END = "evacuate0"
 MAX_ROWS = 500
-GONE = 410
+# Statuses of a store that has no history since a version, or no feed at all. They are answers, so that
+# they do not count as an outage.
+NO_HISTORY = (404, 405, 410, 501)
 # A feed that does not respond is replaced by a whole read, which must still be in time.
 FEED_TIMEOUT_S = 0.5
 
@@ -33,7 +35,7 @@
     if message.since is not None:
         query = f"table={OPERATOR_TABLE}&after={message.since.table.version}&wait_ms=0"
         path = f"/greengagehoist/rows-feed?{query}"
-        return HttpCall("GET", path, accept=(200, GONE), timeout_s=FEED_TIMEOUT_S)
+        return HttpCall("GET", path, accept=(200, *NO_HISTORY), timeout_s=FEED_TIMEOUT_S)
     start = quote(f"{message.after}\x00", safe="") if message.after else CONFIG_KEY
     query = f"table={OPERATOR_TABLE}&part=&limit={MAX_ROWS}&from={start}&target={EVACUATION_END}"
     return HttpCall("GET", f"/greengagehoist/rows-get?{query}")
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -9,7 +9,7 @@
 
 from greengagehoist.deployment import Deployment
 from greengagehoist.platform._config import DeploymentDecoder
-from greengagehoist.platform._deployment_rows import GONE, decode_read, encode_read
+from greengagehoist.platform._deployment_rows import NO_HISTORY, decode_read, encode_read
 from greengagehoist.platform_client import (
     DeleteRow,
     DeploymentRead,
@@ -87,8 +87,8 @@
         :raises ValueError: if the content is malformed.
         :raises KeyError: if a field is missing.
         """
-        if status == GONE:
-            return HistoryGone("the store no longer has the history")
+        if status in NO_HISTORY:
+            return HistoryGone(f"the store has no history, status {status}")
         try:
             body = msgspec.json.decode(content)
         except RecursionError as exc:
