--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -24,6 +24,7 @@
     SetReadPeriod,
     SharedReads,
     TimeRanking,
+    distribution_state,
     topology_of,
 )
 from greengagehoist.gateway.filters import (
@@ -341,6 +342,7 @@
             probe_connections_closed=self.probes.refused,
             peer_handshakes_closed=self.peers.handshakes.closed,
             **{f"{k}_bytes": v for k, v in self.memory.held_by_purpose().items()},
+            **distribution_state(self.relay, self.deployments, self.platform),
         )
         return 200, self.measurements.text()
 
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -1,6 +1,7 @@
 """Tasks that own the gateway's state and talk by messages."""
 
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
+from greengagehoist.gateway.controllers._distribution_state import distribution_state
 from greengagehoist.gateway.controllers._evacuation import EvacuationController
 from greengagehoist.gateway.controllers._load_view import LoadViewController
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
@@ -104,5 +105,6 @@
     "Topology",
     "TrialDecision",
     "format_key",
+    "distribution_state",
     "topology_of",
 ]
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -42,6 +42,7 @@
     proven_era: int = 0
     table: str = ""
     is_exact: bool = False
+    evacuations_era: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,7 +182,14 @@
             if not isinstance(answer, HubBusy):
                 answer = HubStale()
         elif held.token == token:
-            return Confirmed(held.at, held.era, held.proven_era, held.table, held.is_exact)
+            return Confirmed(
+                held.at,
+                held.era,
+                held.proven_era,
+                held.table,
+                held.is_exact,
+                held.evacuations_era,
+            )
         elif held.content:
             return Changed(held)
     return answer
@@ -216,8 +224,9 @@
     """
     delay_s = period_s
     if isinstance(step, HubBusy):
-        delay_s = step.wait_s
-    elif not ok:
+        # Daemons that were sent away together do not come back together.
+        return step.wait_s * rng.uniform(1.0, 2.0)
+    if not ok:
         delay_s = RETRY_DELAY_S
     elif shared:
         read = isinstance(step, ReadNow)
