--- a/greengagehoist/base/_token_bucket.py
+++ b/greengagehoist/base/_token_bucket.py
@@ -12,16 +12,18 @@
     :param rate: tokens added per second; a call needs one token.
     :param tokens: tokens in the bucket at ``updated_at``.
     :param updated_at: time on the monotonic clock, in seconds.
+    :param burst: most tokens in the bucket, None for those of ``BURST_S``.
     """
 
     rate: float
     tokens: float
     updated_at: float
+    burst: float | None = None
 
 
 def capacity(bucket: Bucket) -> float:
     """Return the maximum number of tokens in the bucket."""
-    return max(1.0, bucket.rate * BURST_S)
+    return max(1.0, bucket.rate * BURST_S if bucket.burst is None else bucket.burst)
 
 
 def refill(bucket: Bucket, now: float) -> Bucket:
--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -23,6 +23,7 @@
     ReleaseBuffer,
     ReplicaController,
     SendLimitController,
+    SetColdRule,
     SetReadPeriod,
     SharedReads,
     topology_of,
@@ -43,6 +44,7 @@
 from greengagehoist.membership import Member, choose_hub_links
 from greengagehoist.peers import Broadcast, Goodbye, PeerController, UpdateHeartbeat
 from greengagehoist.platform_client import DeploymentCodec, PlatformController
+from greengagehoist.replicas import ColdRule
 from greengagehoist.utils import Clock, Measurements, Published, check_address, log_event
 
 # Time for which the load balancer still sends connections after readiness fails: two failed checks,
@@ -152,7 +154,15 @@
         )
         # Names of the data centres whose replicas get no work.
         self.evacuated: Published[frozenset[str]] = Published(frozenset())
-        self.limits = SendLimitController(self.peers, own, topology, self.reach.reach, clock)
+        self.limits = SendLimitController(
+            self.peers,
+            own,
+            topology,
+            self.reach.reach,
+            clock,
+            self.deployments.snapshot,
+            self.evacuated,
+        )
         self.placement = PlacementController(
             self.replicas.table,
             self.reach.reach,
@@ -160,6 +170,7 @@
             clock,
             settings.data_centre,
             self.evacuated,
+            self.limits.cold,
         )
         self.pools = PoolController(
             self.deployments.snapshot,
@@ -182,7 +193,7 @@
         self.shutdown = ShutdownGate(clock)
         self.buffers = BufferController(int(BUFFER_FRACTION * settings.memory_bytes))
         self.platform.followers = (self.members,)
-        self.replicas.followers = (self.pools,)
+        self.replicas.followers = (self.limits, self.pools)
         self.reach.followers = (self.pools, self.limits)
         snapshot = self.deployments.snapshot
         self.route_filter = RouteFilter(snapshot, clock, 0.0, 0.0)
@@ -205,7 +216,9 @@
                     self.placement,
                     self.pools,
                     gate,
-                    SendLimitGate(self.limits, self.limits.view, self.placement, clock),
+                    SendLimitGate(
+                        self.limits, self.limits.view, self.placement, clock, self.limits.cold
+                    ),
                     self.shutdown,
                     self.budgets,
                     first_event_latency,
@@ -238,6 +251,7 @@
         self.route_filter.revoke_after_s = bounds.revoke_s
         self.route_filter.deny_within_s = DENY_FRACTION * bounds.apply_s
         self.evacuations.data_centres = settings.data_centres
+        self.limits.tell(SetColdRule(cold_rule(bounds)))
         self.deployments.tell(SetReadPeriod(read_period(bounds)))
         self.replicas.tell(SetReadPeriod(read_period(bounds)))
         self.budgets.set_bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
@@ -309,6 +323,8 @@
             configuration_version=snapshot.deployment.version if snapshot else 0,
             configuration_age_seconds=now - snapshot.confirmed_at if snapshot else -1,
             replicas=len(self.replicas.table.value.replicas),
+            cold_replicas=sum(item.has_begun for item in self.limits.cold.value.values()),
+            permits_refused=self.limits.owned.refusals,
             evacuated_data_centres=len(self.evacuations.known.value),
             quarantined_parts=sum(len(item.held) for item in quarantine.services.values()),
             crashes_attributed=quarantine.crashes,
@@ -353,6 +369,13 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
+def cold_rule(bounds: Bounds) -> ColdRule | None:
+    """Return the bounds of cold replicas, None if the settings lack one of them."""
+    if bounds.cold_overshoot is None or bounds.cold_slack is None:
+        return None
+    return ColdRule(bounds.cold_overshoot, bounds.cold_slack)
+
+
 def read_period(bounds: Bounds) -> float:
     """Return the period of platform reads, in seconds, that satisfies the bounds."""
     return READ_PERIOD_FRACTION * min(bounds.apply_s, bounds.drain_s)
--- a/greengagehoist/deployment/_types.py
+++ b/greengagehoist/deployment/_types.py
@@ -87,10 +87,14 @@
     """A group of replicas.
 
     :param pool: limits of a stage pool, None for other services.
+    :param cold_start_s: seconds for which a replica is cold after its start.
+    :param cold_per_s: requests a second that a cold replica takes, 0 for no rule.
     """
 
     name: str
     pool: PoolLimits | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Tenant(NamedTuple):
--- a/greengagehoist/gateway/_settings.py
+++ b/greengagehoist/gateway/_settings.py
@@ -19,6 +19,9 @@
     :param retry_window_s: length of that window.
     :param evacuate_s: time after which replicas of an evacuated data centre must get no work, None
         for no rule.
+    :param cold_overshoot: most requests for a cold replica in a second, as a multiple of its service's
+        allowance; None for no rule.
+    :param cold_slack: requests in addition to that; None for no rule.
     """
 
     drain_s: float = 2.0
@@ -29,6 +32,8 @@
     retry_slack: float = 54.0
     retry_window_s: float = 10.0
     evacuate_s: float | None = None
+    cold_overshoot: float | None = None
+    cold_slack: float | None = None
 
 
 class GatewaySettings(NamedTuple):
--- a/greengagehoist/gateway/_types.py
+++ b/greengagehoist/gateway/_types.py
@@ -72,6 +72,8 @@
     :param pause_s: seconds for which the replica wants no requests from this daemon, None if it does
         not say.
     :param limit: what it says about the requests that it takes from all daemons together.
+    :param cold_s: seconds for which it states to be cold, NaN if it states no time, None if it states
+        nothing.
     """
 
     request_id: str | None
@@ -81,6 +83,7 @@
     leaving: bool = False
     pause_s: float | None = None
     limit: SendLimit = Unlimited()
+    cold_s: float | None = None
 
 
 class AnswerSink(Protocol):
@@ -107,6 +110,7 @@
     :ivar on_trial: whether the first send may try a prompt part that is in quarantine.
     :ivar splitter: events of a resumable stream, None before the first send.
     :ivar reserved_bytes: memory that the request has asked for to buffer its answer.
+    :ivar permit_until: time until which the latest permit for a replica with a limit is good.
     :ivar request_key: key of the request for the quarantine, None before it is needed.
     """
 
@@ -122,6 +126,7 @@
         self.on_trial = False
         self.splitter: EventSplitter | None = None
         self.reserved_bytes = 0
+        self.permit_until = 0.0
         self.request_key: int | None = None
 
 
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -8,6 +8,13 @@
 )
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
 from greengagehoist.gateway.controllers._evacuation import EvacuationController
+from greengagehoist.gateway.controllers._limit_messages import (
+    AcquireSend,
+    CancelAcquire,
+    ColdObserved,
+    LimitObserved,
+    SetColdRule,
+)
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController
 from greengagehoist.gateway.controllers._owned_pool import NO_REPLICA_WAIT_S
@@ -45,12 +52,7 @@
 from greengagehoist.gateway.controllers._reach import Reach, ReachController
 from greengagehoist.gateway.controllers._relay import RelayController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
-from greengagehoist.gateway.controllers._send_limits import (
-    AcquireSend,
-    CancelAcquire,
-    LimitObserved,
-    SendLimitController,
-)
+from greengagehoist.gateway.controllers._send_limits import SendLimitController
 from greengagehoist.gateway.controllers._shared_reads import SharedReads
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
 
@@ -59,6 +61,8 @@
     "BufferController",
     "Evacuated",
     "EvacuationController",
+    "ColdObserved",
+    "SetColdRule",
     "ReleaseBuffer",
     "ReserveBuffer",
     "MEMBER_POLL_PERIOD_S",
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -6,12 +6,14 @@
 from greengagehoist.gateway.controllers._reach import Reach
 from greengagehoist.replicas import (
     Affinity,
+    ColdState,
     Incarnation,
     Load,
     Observed,
     Replica,
     ReplicaAvailability,
     ReplicaTable,
+    WarmUp,
     choose,
     incarnation_of,
 )
@@ -130,6 +132,7 @@
     :param limits: published limits of replicas, in requests a second.
     :param zone: data centre of this daemon.
     :param evacuated: published data centres whose replicas get no requests.
+    :param cold: published cold replicas, which take part in a growing share of the choices.
     """
 
     def __init__(
@@ -140,8 +143,11 @@
         clock: Clock,
         zone: str,
         evacuated: Published[frozenset[str]] | None = None,
+        cold: Published[dict[Incarnation, ColdState]] | None = None,
     ):
         super().__init__("placement")
+        self.cold = cold or Published({})
+        self._warm_up = WarmUp()
         self.evacuated = evacuated or Published(frozenset())
         self.table = table
         self.reach = reach
@@ -208,6 +214,7 @@
         permitted = [item for item in available if item.replica_id == query.permitted]
         if permitted:
             return permitted[0]
+        available = self._warm_up.admit(available, self.cold.value, now)
         found = choose(available, self._observed_load, query.affinity, self.zone, now)
         earliest = min(sends_from, key=sends_from.__getitem__, default=None)
         if found is None and earliest is not None and sends_from[earliest] < math.inf:
--- a/greengagehoist/gateway/controllers/_pool_worker.py
+++ b/greengagehoist/gateway/controllers/_pool_worker.py
@@ -27,6 +27,7 @@
     :param pause_s: seconds for which it wants no calls, None if it does not say.
     :param limit: what its answer says about its limit, None without an answer of this replica.
     :param sent_at: time at which the call was sent.
+    :param cold_s: seconds for which the replica states to be cold, None if it states nothing.
     """
 
     replica_id: str
@@ -39,6 +40,7 @@
     pause_s: float | None = None
     limit: SendLimit | None = None
     sent_at: float = 0.0
+    cold_s: float | None = None
 
 
 class PoolWorker:
@@ -97,7 +99,7 @@
             if reply is not None:
                 end = end._replace(load=reply.load, leaving=reply.leaving, pause_s=reply.pause_s)
                 if status != MISDIRECTED:
-                    end = end._replace(limit=reply.limit, sent_at=sent_at)
+                    end = end._replace(limit=reply.limit, sent_at=sent_at, cold_s=reply.cold_s)
             self.owner.tell(end)
 
     async def _call(
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -5,6 +5,11 @@
 
 from greengagehoist.deployment import DeploymentSnapshot
 from greengagehoist.gateway import WireFormat
+from greengagehoist.gateway.controllers._limit_messages import (
+    AcquireSend,
+    ColdObserved,
+    LimitObserved,
+)
 from greengagehoist.gateway.controllers._owned_pool import JobEnd, OwnedPool
 from greengagehoist.gateway.controllers._owned_pools import OwnedPools
 from greengagehoist.gateway.controllers._pool_messages import (
@@ -31,7 +36,6 @@
     ResultController,
     ResultsFreed,
 )
-from greengagehoist.gateway.controllers._send_limits import AcquireSend, LimitObserved
 from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.peers import (
     FromPeer,
@@ -394,6 +398,8 @@
                 continue
             if end.limit is not None:
                 self.limits.tell(LimitObserved(member.replica, end.limit, end.sent_at))
+            if end.cold_s is not None:
+                self.limits.tell(ColdObserved(member.replica, end.cold_s))
             for job_end in effect.ends:
                 self._end_job(job_end)
             self._free(effect.orphaned)
--- a/greengagehoist/gateway/controllers/_replicas.py
+++ b/greengagehoist/gateway/controllers/_replicas.py
@@ -19,6 +19,7 @@
 )
 from greengagehoist.platform_client import ListReplicas
 from greengagehoist.replicas import (
+    ColdEntries,
     Replica,
     ReplicaTable,
     apply_outage,
@@ -56,12 +57,14 @@
 
     :param replicas: None if it failed.
     :param sent_at: time at which the platform was asked, or at which the newest failed call was sent.
+    :param odd_cold: entries whose cold period is no time, None if unknown.
     """
 
     replicas: tuple[Replica, ...] | None
     unreadable: tuple[str, ...]
     sent_at: float
     era: int = 0
+    odd_cold: tuple[str, ...] | None = None
 
 
 class ReplicaController(Controller):
@@ -93,6 +96,8 @@
         self._listed: tuple[Replica, ...] = ()
         self.held: Published[HeldContent | None] = Published(None)
         self._unreadable: tuple[str, ...] = ()
+        self._odd_cold: tuple[str, ...] = ()
+        self._cold_entries = ColdEntries()
         self._era: int | None = None
 
     async def run(self) -> None:
@@ -140,6 +145,7 @@
         sent_at = self.clock.monotonic()
         replicas: list[Replica] = []
         unreadable: tuple[str, ...] = ()
+        odd_cold: tuple[str, ...] = ()
         after, ok, era = "", True, None
         while ok:
             result: Result = await self.platform.ask(ListReplicas(after))
@@ -157,10 +163,12 @@
                 break
             replicas.extend(page.replicas)
             unreadable += page.unreadable
+            odd_cold += page.odd_cold
             after = page.last
             if not after:
                 break
-        self.tell(_ReadEnded(tuple(replicas) if ok else None, unreadable, sent_at, era or 0))
+        held = self._cold_entries.hold(replicas, self.clock.monotonic()) if ok else None
+        self.tell(_ReadEnded(held, unreadable, sent_at, era or 0, odd_cold))
         return bool(ok and replicas)
 
     def _apply_hub_read(self, held: HeldContent) -> bool:
@@ -194,6 +202,10 @@
                 "replica_entries_unreadable", "WARNING", count=len(read.unreadable), keys=names
             )
             self._unreadable = read.unreadable
+        if read.odd_cold is not None and read.odd_cold != self._odd_cold:
+            names = ",".join(show_value(key) for key in read.odd_cold[:MAX_LOGGED_KEYS])
+            log_event("replica_cold_unreadable", "WARNING", count=len(read.odd_cold), keys=names)
+            self._odd_cold = read.odd_cold
         table = apply_read(before, read.replicas, read.sent_at)
         table = drop_missing(table, self.clock.monotonic())
         self.table.value = table
--- a/greengagehoist/gateway/controllers/_send_limits.py
+++ b/greengagehoist/gateway/controllers/_send_limits.py
@@ -3,8 +3,24 @@
 import math
 from typing import Any, NamedTuple
 
-from greengagehoist.gateway.controllers._owners import choose_owner
+from greengagehoist.deployment import DeploymentSnapshot
+from greengagehoist.gateway.controllers._cold_limits import ColdLimits, log_cold_changes
+from greengagehoist.gateway.controllers._limit_messages import (
+    AcquireSend,
+    CancelAcquire,
+    ColdObserved,
+    LimitObserved,
+    SetColdRule,
+)
+from greengagehoist.gateway.controllers._owned_permits import (
+    PENDING,
+    OwnedPermits,
+    PermitCalls,
+    SendAsk,
+)
+from greengagehoist.gateway.controllers._ownership import Ownership
 from greengagehoist.gateway.controllers._reach import Reach, ReachChanged
+from greengagehoist.gateway.controllers._replicas import ReplicasChanged
 from greengagehoist.gateway.controllers._spread import Spread
 from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.membership import Member
@@ -15,66 +31,38 @@
     PermitCancel,
     PermitReply,
     PermitRequest,
+    ReplicaCold,
     ReplicaLimit,
     SendTo,
     Subscribe,
 )
 from greengagehoist.replicas import (
-    MIN_RATE_PER_S,
+    ColdState,
     Granted,
     Incarnation,
     LimitState,
-    PermitQueue,
     Queued,
     Refused,
-    Replica,
-    SendLimit,
     SendLimits,
     UnreadableLimit,
     incarnation_of,
 )
-from greengagehoist.utils import Clock, Controller, Published, Reply, log_event, show_value
+from greengagehoist.utils import (
+    Clock,
+    Controller,
+    Published,
+    Reply,
+    Tick,
+    log_event,
+    show_value,
+    tick,
+)
 
 # Allows for several round trips to the daemon that grants permits.
 OWNER_TIMEOUT_S = 0.15
-# Retry-After while the owner of a limit, or the number of daemons, is unknown.
-PENDING_RETRY_AFTER_S = 0.3
-PENDING = Refused(PENDING_RETRY_AFTER_S)
-# Permits are granted at most this much after their time.
-MIN_WAKE_S = 0.002
-
-
-class LimitObserved(NamedTuple):
-    """Report what a replica's answer says about its limit.
-
-    :param sent_at: time at which the request was sent.
-    """
-
-    replica: Replica
-    limit: SendLimit
-    sent_at: float
-
-
-class AcquireSend(NamedTuple):
-    """Ask for a permit to send one request to a replica with a limit.
-
-    Replied by ``Granted | Refused``.
-
-    :param rank: 0 is the most urgent.
-    :param max_wait_s: seconds for which the request can wait, 0 to ask for a permit now.
-    :param ticket: identifies the ask in :class:`CancelAcquire`, 0 if it is never cancelled.
-    """
-
-    replica: Replica
-    rank: int
-    max_wait_s: float = 0.0
-    ticket: int = 0
-
-
-class CancelAcquire(NamedTuple):
-    """Give up waiting for a permit."""
-
-    ticket: int
+TICK_S = 0.1
+# Replicas whose unreadable statements are named in the log.
+MAX_NAMED_ODD = 1000
 
 
 class _TimedOut(NamedTuple):
@@ -107,9 +95,16 @@
     the members only grants their share of the rate, so that the owners on both sides of a partition
     keep the limit together. A daemon that reaches nobody is the owner of its own share.
 
+    The allowance of a cold replica is a limit with a known end, which all daemons read for themselves.
+    It is strict: its owner grants nothing while another one may still grant.
+
     :param own: this daemon.
     :param reach: published set of daemons that can be reached.
+    :param snapshot: published configuration.
+    :param evacuated: published data centres whose replicas get no requests.
     :ivar view: published limits in force, in requests a second.
+    :ivar cold: published replicas that are cold and have an allowance.
+    :ivar owned: permits of the limits that this daemon owns.
     """
 
     def __init__(
@@ -119,6 +114,8 @@
         topology: Topology,
         reach: Published[Reach],
         clock: Clock,
+        snapshot: Published[DeploymentSnapshot | None] | None = None,
+        evacuated: Published[frozenset[str]] | None = None,
     ):
         super().__init__("send_limits")
         self.peers = peers
@@ -127,17 +124,28 @@
         self.reach = reach
         self.clock = clock
         self.view: Published[dict[Incarnation, float]] = Published({})
+        self.cold: Published[dict[Incarnation, ColdState]] = Published({})
+        self._cold = ColdLimits(snapshot or Published(None), evacuated or Published(frozenset()))
+        self._odd_cold: set[Incarnation] = set()
+        self._ownership = Ownership(own.vm, topology, reach, clock)
         self._limits = SendLimits()
         self._spread = Spread(peers, own, topology, reach)
-        self._queues: dict[Incarnation, PermitQueue] = {}
-        self._wakes: set[Incarnation] = set()
+        self.owned = OwnedPermits(
+            self.view,
+            self._limits,
+            self._cold,
+            self._ownership,
+            clock,
+            PermitCalls(self._grant, self._refuse, self._start_wake),
+        )
         self._pending: dict[int, _Pending] = {}
         self._last_number = 0
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        kinds = (Hello, ReplicaLimit, PermitRequest, PermitReply, PermitCancel)
+        kinds = (Hello, ReplicaLimit, ReplicaCold, PermitRequest, PermitReply, PermitCancel)
         self.peers.tell(Subscribe(kinds, self))
+        self.start(tick(self, self.clock, TICK_S))
         await super().run()
 
     def handle(self, message: Any, reply: Reply) -> None:
@@ -149,10 +157,23 @@
                 self._cancel(ticket)
             case LimitObserved():
                 self._observe(message)
+            case ColdObserved():
+                self._observe_cold(message)
+            case ReplicasChanged(table):
+                self._cold.replicas.observe_list(table.replicas, self.clock.monotonic())
+                self._publish()
+            case SetColdRule(rule):
+                self._cold.rule = rule
+                self._publish()
+            case Tick():
+                self._look()
             case FromPeer(vm, data_centre, _, Hello()):
                 self._spread.add_peer(vm, data_centre)
                 for key, state in self._limits.states().items():
                     self._send_state(vm, key, state)
+                for key, state in self.cold.value.items():
+                    if math.isfinite(state.until):
+                        self._send_cold(vm, key)
             case FromPeer(vm, _, _, received):
                 self._handle_peer(vm, received)
             case ReachChanged(reach):
@@ -160,20 +181,20 @@
             case _TimedOut(number):
                 self._end(number, PENDING)
             case _Wake(key):
-                self._wakes.discard(key)
-                self._grant_due(key)
+                self.owned.wake(key)
 
     def _handle_peer(self, vm: str, message: PeerMessage) -> None:
         match message:
             case ReplicaLimit():
                 self._learn(message, vm)
+            case ReplicaCold():
+                self._learn_cold(message, vm)
             case PermitRequest():
                 self._decide_for_peer(vm, message)
             case PermitReply(number, granted, retry_after_s):
                 self._end(number, Granted() if granted else Refused(retry_after_s))
             case PermitCancel(number):
-                for queue in self._queues.values():
-                    queue.drop(vm, number)
+                self.owned.drop(vm, number)
 
     # Limits.
 
@@ -207,18 +228,56 @@
 
     def _apply_change(self, key: Incarnation, origin: str) -> None:
         """Publish a limit that has changed, and pass it on."""
-        self.view.value = self._limits.in_force()
-        limit = self.view.value.get(key)
-        if limit is None:
-            log_event("replica_limit_ended", replica=key[0])
-            queue = self._queues.pop(key, None)
-            for ask in queue.grant_all() if queue is not None else ():
-                self._grant(ask.vm, ask.number)
+        state = self._limits.state_of(key)
+        if state.in_force:
+            log_event("replica_limited", "WARNING", replica=key[0], limit_per_s=state.per_s)
         else:
-            log_event("replica_limited", "WARNING", replica=key[0], limit_per_s=limit)
-            self._grant_due(key)
+            log_event("replica_limit_ended", replica=key[0])
+        self._publish()
         self._spread.send(self._encode_state(key, self._limits.state_of(key)), origin)
 
+    def _publish(self) -> None:
+        """Publish the limits in force, and grant what waits for a limit that has ended."""
+        before, cold_before, now = self.view.value, self.cold.value, self.clock.monotonic()
+        cold, view = self._cold.cold(now), self._limits.in_force()
+        for key in cold:
+            view[key] = min(view.get(key, math.inf), self._cold.allowance(key).per_s)
+        self.view.value, self.cold.value = view, cold
+        self._ownership.look(self._cold.services)
+        log_cold_changes(cold_before, cold, view)
+        for key in before.keys() - view.keys():
+            self.owned.end(key)
+        self.owned.grant_due()
+
+    def _look(self) -> None:
+        """Notice cold periods and evacuations that have begun or ended, and changes of ownership."""
+        now, zones = self.clock.monotonic(), self._cold.evacuated.value
+        self._cold.replicas.set_evacuated(zones, now)
+        self._ownership.look(self._cold.services)
+        if self._cold.cold(now) != self.cold.value:
+            self._publish()
+        elif self.cold.value:
+            self.owned.grant_due()
+
+    def _observe_cold(self, message: ColdObserved) -> None:
+        key, now = incarnation_of(message.replica), self.clock.monotonic()
+        if math.isnan(message.cold_s):
+            if key not in self._odd_cold and len(self._odd_cold) < MAX_NAMED_ODD:
+                self._odd_cold.add(key)
+                log_event("replica_cold_unreadable", "WARNING", count=1, keys=key[0])
+        elif self._cold.replicas.observe_answer(key, message.cold_s, now):
+            self._publish()
+            self._spread.send(self._cold.encode(key, now), "")
+
+    def _learn_cold(self, report: ReplicaCold, origin: str) -> None:
+        key, now = (report.replica_id, report.born_ms), self.clock.monotonic()
+        if self._cold.learn(key, report.cold_s, report.age_s, now):
+            self._publish()
+            self._spread.send(self._cold.encode(key, now), origin)
+
+    def _send_cold(self, vm: str, key: Incarnation) -> None:
+        self.peers.tell(SendTo(vm, self._cold.encode(key, self.clock.monotonic())))
+
     def _send_state(self, vm: str, key: Incarnation, state: LimitState) -> None:
         self.peers.tell(SendTo(vm, self._encode_state(key, state)))
 
@@ -238,16 +297,16 @@
     def _dispatch(self, ask: AcquireSend, reply: Reply, until: float) -> None:
         """Ask the owner of a limit for a permit."""
         service = ask.replica.service
-        owner = choose_owner(self.own.vm, self.topology, self.reach.value, service)
+        owner = self._ownership.owner_of(service)
         self._last_number += 1
         number, key = self._last_number, incarnation_of(ask.replica)
         wait_s = max(0.0, until - self.clock.monotonic())
         if owner != self.own.vm:
             self._pending[number] = _Pending(ask, reply, owner, until)
-            request = PermitRequest(number, *key, ask.rank, wait_s)
+            request = PermitRequest(number, *key, ask.rank, wait_s, key in self.cold.value)
             self.start(self._ask_owner(owner, request))
             return
-        match self._decide(key, ask.rank, "", number, wait_s):
+        match self.owned.decide(key, SendAsk(ask.rank, "", number, wait_s)):
             case Queued():
                 self._pending[number] = _Pending(ask, reply, "", until)
                 self.start(self._time_out(number, wait_s))
@@ -277,8 +336,7 @@
             if pending.owner:
                 self.peers.tell(SendTo(pending.owner, PermitCancel(number)))
             else:
-                for queue in self._queues.values():
-                    queue.drop("", number)
+                self.owned.drop("", number)
 
     def _apply_reach(self, reach: Reach) -> None:
         """Ask the new owner where the old one is lost, and forget the asks of lost daemons."""
@@ -286,10 +344,9 @@
             if pending.owner and pending.owner not in reach.linked:
                 del self._pending[number]
                 self._dispatch(pending.ask, pending.reply, pending.until)
-        for key, queue in self._queues.items():
-            for vm in queue.waiting_vms() - reach.linked - {""}:
-                queue.drop(vm)
-            self._grant_due(key)
+        self._ownership.look(self._cold.services)
+        self.owned.keep_only(reach.linked | {""})
+        self.owned.grant_due()
 
     # Permits of the limits that this daemon owns.
 
@@ -299,47 +356,15 @@
         if state is not None and not state.in_force:
             self._send_state(vm, key, state)
         wait_s = max(0.0, request.max_wait_s)
-        # Without a state, the report of the limit is still on its way.
-        known = state is not None
-        match self._decide(key, request.rank, vm, request.number, wait_s) if known else PENDING:
+        # Otherwise what limits the replica is still on its way.
+        is_cold = key in self.cold.value
+        known = is_cold if request.cold else state is not None or is_cold
+        ask = SendAsk(request.rank, vm, request.number, wait_s)
+        match self.owned.decide(key, ask) if known else PENDING:
             case Granted():
                 self._grant(vm, request.number)
             case Refused(retry_after_s):
-                self.peers.tell(SendTo(vm, PermitReply(request.number, False, retry_after_s)))
-
-    def _decide(
-        self, key: Incarnation, rank: int, vm: str, number: int, max_wait_s: float
-    ) -> Granted | Queued | Refused:
-        per_s = self.view.value.get(key)
-        if per_s is None:
-            return Granted()
-        now, rate = self.clock.monotonic(), self._own_rate(per_s)
-        if not rate:
-            return PENDING
-        if key not in self._queues:
-            self._queues[key] = PermitQueue(rate, now)
-        self._grant_due(key)
-        decision = self._queues[key].ask(rank, vm, number, max_wait_s, now)
-        self._schedule_wake(key)
-        return decision
-
-    def _own_rate(self, per_s: float) -> float:
-        """Return the rate at which this daemon may grant permits, 0 while it knows no members."""
-        if not self.topology.known.value:
-            return 0.0
-        share = (len(self.reach.value.linked) + 1) / self.topology.count.value
-        return max(per_s, MIN_RATE_PER_S) * min(1.0, share)
-
-    def _grant_due(self, key: Incarnation) -> None:
-        queue, now = self._queues.get(key), self.clock.monotonic()
-        if queue is None:
-            return
-        rate = self._own_rate(self.view.value.get(key, 0.0))
-        if rate:
-            queue.set_rate(rate, now)
-        for ask in queue.grant_due(now):
-            self._grant(ask.vm, ask.number)
-        self._schedule_wake(key)
+                self._refuse(vm, request.number, retry_after_s)
 
     def _grant(self, vm: str, number: int) -> None:
         if vm:
@@ -347,12 +372,14 @@
         else:
             self._end(number, Granted())
 
-    def _schedule_wake(self, key: Incarnation) -> None:
-        now = self.clock.monotonic()
-        at = self._queues[key].next_at(now)
-        if key not in self._wakes and at < math.inf:
-            self._wakes.add(key)
-            self.start(self._wake(key, max(MIN_WAKE_S, at - now)))
+    def _refuse(self, vm: str, number: int, retry_after_s: float) -> None:
+        if vm:
+            self.peers.tell(SendTo(vm, PermitReply(number, False, retry_after_s)))
+        else:
+            self._end(number, Refused(retry_after_s))
+
+    def _start_wake(self, key: Incarnation, delay_s: float) -> None:
+        self.start(self._wake(key, delay_s))
 
     async def _wake(self, key: Incarnation, delay_s: float) -> None:
         await self.clock.sleep(delay_s)
--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -243,7 +243,7 @@
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
                 return NotSent()
-            if replica.zone in self.evacuated.value:
+            if replica.zone in self.evacuated.value or not self.limits.may_send(exchange, replica):
                 log_withheld(exchange, replica)
                 return Withheld()
             refusal = self.shutdown.begin_send(exchange)
--- a/greengagehoist/gateway/filters/_send_limits.py
+++ b/greengagehoist/gateway/filters/_send_limits.py
@@ -7,11 +7,14 @@
 from greengagehoist.gateway.controllers import (
     AcquireSend,
     CancelAcquire,
+    ColdObserved,
     DeferSends,
     LimitObserved,
 )
 from greengagehoist.replicas import (
     MIN_RATE_PER_S,
+    PERMIT_TTL_S,
+    ColdState,
     Granted,
     Incarnation,
     Refused,
@@ -28,6 +31,7 @@
     :param limits: controller of the limits.
     :param view: published limits in force.
     :param placement: controller that chooses the replicas.
+    :param cold: published cold replicas with an allowance.
     """
 
     def __init__(
@@ -36,7 +40,9 @@
         view: Published[dict[Incarnation, float]],
         placement: Controller,
         clock: Clock,
+        cold: Published[dict[Incarnation, ColdState]] | None = None,
     ):
+        self.cold = cold or Published({})
         self.limits = limits
         self.view = view
         self.placement = placement
@@ -66,11 +72,23 @@
             self.limits.tell(CancelAcquire(ticket))
             raise
         match decision:
+            case Granted():
+                exchange.progress.permit_until = self.clock.monotonic() + PERMIT_TTL_S
             case Refused(retry_after_s):
                 until = self.clock.monotonic() + retry_after_s
                 self.placement.tell(DeferSends(replica, until))
         return decision
 
+    def may_send(self, exchange: Exchange, replica: Replica) -> bool:
+        """Return whether the request may leave now, right before its first byte.
+
+        For a cold replica, a permit is good for a short time only: the requests of old permits could
+        arrive together.
+        """
+        if incarnation_of(replica) not in self.cold.value:
+            return True
+        return self.clock.monotonic() <= exchange.progress.permit_until
+
     async def wait(
         self, exchange: Exchange, replica: Replica, expected_at: float, max_wait_s: float
     ) -> bool:
@@ -102,6 +120,10 @@
         if status == MISDIRECTED:
             # Another replica answers at this address.
             return
+        if reply.cold_s is not None and (
+            reply.cold_s or incarnation_of(replica) in self.cold.value
+        ):
+            self.limits.tell(ColdObserved(replica, reply.cold_s))
         if isinstance(reply.limit, Unlimited) and not (is_own and self.is_limited(replica)):
             return
         self.limits.tell(LimitObserved(replica, reply.limit, sent_at))
--- a/greengagehoist/gateway/filters/_send_log.py
+++ b/greengagehoist/gateway/filters/_send_log.py
@@ -32,7 +32,7 @@
 
 
 def log_withheld(exchange: Exchange, replica: Replica) -> None:
-    """Log that a request was not sent, because the replica's data centre was evacuated meanwhile."""
+    """Log that a request was not sent, because it may not get it any more."""
     log_event(
         "send_withheld",
         request=exchange.req.request_id,
--- a/greengagehoist/gateway/tests/limit_simulation.py
+++ b/greengagehoist/gateway/tests/limit_simulation.py
@@ -5,19 +5,23 @@
 from bisect import bisect_left
 from typing import NamedTuple
 
+from greengagehoist.deployment import Deployment, DeploymentSnapshot, Limits, Service
 from greengagehoist.gateway.controllers import (
     AcquireSend,
     LimitObserved,
     Reach,
     SendLimitController,
+    SetColdRule,
     Topology,
 )
 from greengagehoist.gateway.controllers._reach import ReachChanged
 from greengagehoist.membership import Member
 from greengagehoist.peers import Broadcast, FromPeer, Hello, SendTo
-from greengagehoist.replicas import Granted, Limited, Replica
+from greengagehoist.replicas import ColdRule, Granted, Limited, Replica
 from greengagehoist.utils import Controller, Published, SteppedClock
 
+COLD_START_S = 3.0
+COLD_RULE = ColdRule(1.5, 5.0)
 REPLICA = Replica("r", "llm", "10.0.0.1", 80, "a", 8, 1, False)
 STEP_S = 0.1
 # The time after which a silent peer counts as lost, and that of a start to its first links.
@@ -58,6 +62,20 @@
         return message.vm in self.simulation.daemons
 
 
+class FreezableController(SendLimitController):
+    """Handles nothing while its daemon is frozen; its timers end all at once when it wakes."""
+
+    def __init__(self, daemon, *args):
+        super().__init__(*args)
+        self.daemon = daemon
+
+    def tell(self, message):
+        if self.daemon.is_frozen:
+            self.daemon.frozen.append(message)
+        else:
+            super().tell(message)
+
+
 class Daemon:
     """One daemon: its controller, its views, and whether it can be reached."""
 
@@ -69,13 +87,22 @@
         self.topology = Topology(self.known, self.count, links, Published(hubs), Published(shared))
         self.reach = Published(Reach())
         member = Member(vm, "a", "x:1", 1)
-        self.controller = SendLimitController(
-            Links(simulation, vm), member, self.topology, self.reach, simulation.clock
+        self.frozen: list = []
+        self.is_frozen = False
+        self.evacuated = Published(frozenset())
+        self.controller = FreezableController(
+            self,
+            Links(simulation, vm),
+            member,
+            self.topology,
+            self.reach,
+            simulation.clock,
+            simulation.snapshot,
+            self.evacuated,
         )
+        self.controller.tell(SetColdRule(simulation.cold_rule))
         self.task = asyncio.create_task(self.controller.run())
         self.side = 0
-        self.frozen: list = []
-        self.is_frozen = False
 
 
 class Simulation:
@@ -83,9 +110,16 @@
 
     :param count: number of daemons; with more than ``hubs`` of them, only hubs are linked to all.
     :param per_s: limit of the replica.
+    :param cold_per_s: requests a second that the replica takes while it is cold.
+    :param skew_s: daemons notice a change of the links up to this much later than others.
     """
 
-    def __init__(self, count, per_s, seed, hubs=0):
+    def __init__(self, count, per_s, seed, hubs=0, cold_per_s=0.0, skew_s=0.0):
+        service = Service("llm", None, COLD_START_S, cold_per_s)
+        deployment = Deployment(1, {}, {"llm": service}, {}, False, Limits())
+        self.snapshot = Published(DeploymentSnapshot(deployment, 0.0))
+        self.cold_rule = COLD_RULE if cold_per_s else None
+        self.skew_s = skew_s
         self.clock = SteppedClock()
         self.rng = random.Random(seed)
         self.per_s = per_s
@@ -106,27 +140,38 @@
     def deliver(self, origin, vm, message):
         if not self.are_linked(origin, vm):
             return
-        daemon, received = self.daemons[vm], FromPeer(origin, "a", 1, message)
-        if daemon.is_frozen:
-            daemon.frozen.append(received)
-        else:
-            daemon.controller.tell(received)
+        self.daemons[vm].controller.tell(FromPeer(origin, "a", 1, message))
 
     def update_reach(self):
         """Let each daemon see the links that it has; called after the time that it takes."""
         for vm, daemon in self.daemons.items():
-            seen = {
-                item
-                for item in self.daemons
-                if self.are_linked(vm, item) and not self.daemons[item].is_frozen
-            }
-            before, reach = daemon.reach.value, Reach(frozenset(seen), frozenset(seen))
-            if reach == before:
+            if not self.skew_s:
+                self._update_reach_of(vm, daemon)
                 continue
-            daemon.reach.value = reach
-            daemon.controller.tell(ReachChanged(reach))
-            for item in reach.linked - before.linked:
-                self.deliver(item, vm, Hello(item, "a", 1, "x:1"))
+            task = asyncio.create_task(self._update_reach_later(vm, daemon))
+            self.asks.add(task)
+            task.add_done_callback(self.asks.discard)
+
+    async def _update_reach_later(self, vm, daemon):
+        await self.clock.sleep(self.rng.uniform(0.0, self.skew_s))
+        self._update_reach_of(vm, daemon)
+
+    def _update_reach_of(self, vm, daemon):
+        seen = {
+            item
+            for item in self.daemons
+            if self.are_linked(vm, item) and not self.daemons[item].is_frozen
+        }
+        before, reach = daemon.reach.value, Reach(frozenset(seen), frozenset(seen))
+        if reach == before:
+            return
+        daemon.reach.value = reach
+        daemon.controller.tell(ReachChanged(reach))
+        for item in reach.linked - before.linked:
+            self.deliver(item, vm, Hello(item, "a", 1, "x:1"))
+
+    def start(self, daemon):
+        """Let a daemon that starts read what it needs."""
 
     def disturb(self, *vms):
         for vm in vms:
@@ -197,6 +242,7 @@
     new = f"new{simulation.started}"
     simulation.started += 1
     daemon = simulation.daemons[new] = Daemon(simulation, new, count)
+    simulation.start(daemon)
     daemon.known.value = False
     simulation.disturb(new)
     await clock.sleep(LINK_S)
--- a/greengagehoist/gateway/tests/test_send_limits.py
+++ b/greengagehoist/gateway/tests/test_send_limits.py
@@ -13,12 +13,9 @@
     SendLimitController,
     Topology,
 )
+from greengagehoist.gateway.controllers._owned_permits import PENDING_RETRY_AFTER_S
 from greengagehoist.gateway.controllers._reach import ReachChanged
-from greengagehoist.gateway.controllers._send_limits import (
-    PENDING_RETRY_AFTER_S,
-    _TimedOut,
-    _Wake,
-)
+from greengagehoist.gateway.controllers._send_limits import _TimedOut, _Wake
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
 from greengagehoist.membership import Member
 from greengagehoist.peers import (
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -218,11 +218,26 @@
     ended_age_s: float | None
 
 
+class ReplicaCold(NamedTuple):
+    """The newest statement of a replica on whether it is cold.
+
+    :param born_ms: start of its incarnation in Unix milliseconds, 0 if unknown.
+    :param cold_s: seconds for which it is still cold, 0 if it is warm.
+    :param age_s: seconds since the statement.
+    """
+
+    replica_id: str
+    born_ms: int
+    cold_s: float
+    age_s: float
+
+
 class PermitRequest(NamedTuple):
     """Ask the owner of a replica's limit for a permit to send one request.
 
     :param rank: 0 is the most urgent.
     :param max_wait_s: seconds for which the request can wait.
+    :param cold: whether the replica is cold as far as the sender knows.
     """
 
     number: int
@@ -230,6 +245,7 @@
     born_ms: int
     rank: int
     max_wait_s: float
+    cold: bool = False
 
 
 class PermitReply(NamedTuple):
@@ -361,6 +377,7 @@
     | TrialRequest
     | TrialReply
     | ReplicaLimit
+    | ReplicaCold
     | PermitRequest
     | PermitReply
     | PermitCancel
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -12,6 +12,7 @@
     PermitReply,
     PermitRequest,
     PromptAnswered,
+    ReplicaCold,
     ReplicaCrash,
     ReplicaLimit,
     SharedRead,
@@ -65,5 +66,7 @@
         PermitRequest: 30,
         PermitReply: 31,
         PermitCancel: 32,
+        # 33 to 39 are left to other work of the same time.
+        ReplicaCold: 40,
     }
 )
--- a/greengagehoist/platform/_config.py
+++ b/greengagehoist/platform/_config.py
@@ -17,10 +17,12 @@
     Tenant,
     index_routes,
 )
-from greengagehoist.utils import check_int
+from greengagehoist.replicas import MAX_COLD_S
+from greengagehoist.utils import check_float, check_int
 
 BYTES_PER_MB = 1_000_000
 MAX_VERSION = 2**63 - 1
+MAX_OPTIONAL = 1e9
 
 
 def decode_deployment(raw: dict[str, Any]) -> Deployment:
@@ -86,7 +88,17 @@
         piece_s=pool["item_ms"] / 1000,
         result_bytes=pool["headroom_mb"] * BYTES_PER_MB,
     )
-    return Service(raw["name"], limits or None)
+    return Service(
+        raw["name"],
+        limits or None,
+        cold_start_s=min(_optional(raw, "cold_start_s"), MAX_COLD_S),
+        cold_per_s=_optional(raw, "cold_per_s"),
+    )
+
+
+def _optional(raw: dict[str, Any], name: str) -> float:
+    value = raw.get(name)
+    return 0.0 if value is None else check_float(name, value, 0.0, MAX_OPTIONAL)
 
 
 def _limits(raw: dict[str, Any]) -> Limits:
--- a/greengagehoist/platform/_headers.py
+++ b/greengagehoist/platform/_headers.py
@@ -1,5 +1,6 @@
 """Headers and bodies of the calls between clients, daemons and replicas."""
 
+import math
 import re
 from typing import Any
 
@@ -24,6 +25,7 @@
 )
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, PieceOutcome, TooLate
 from greengagehoist.replicas import (
+    MAX_COLD_S,
     MAX_PAUSE_S,
     Limited,
     Load,
@@ -62,6 +64,8 @@
 RETRY_AFTER = b"Retry-After"
 # Despite its name a rate: requests a second that the replica takes from all daemons together.
 SERVER_LIMIT = b"Server-Limit"
+# Milliseconds for which the replica takes few requests.
+COLD_MS = HEADER_PREFIX + b"Cold-Ms"
 API_KEY = b"Api-Key"
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 
@@ -160,6 +164,7 @@
             leaving=_text(head.headers, SERVER_LEAVING) == "1",
             pause_s=_pause(head),
             limit=_limit(head.headers),
+            cold_s=_cold(head.headers),
         )
 
     def reply_headers(self, exchange: Exchange) -> Headers:
@@ -311,6 +316,16 @@
     return min(pause_s, MAX_PAUSE_S) if pause_s > 0 else None
 
 
+def _cold(headers: Headers) -> float | None:
+    """Return for how long a replica states to be cold, in seconds; None without a readable time."""
+    text = _text(headers, COLD_MS)
+    if text is None:
+        return None
+    if not _DECIMAL.fullmatch(text):
+        return math.nan
+    return min(float(text) / 1000, MAX_COLD_S)
+
+
 def _limit(headers: Headers) -> SendLimit:
     """Return the limit that a response names, the smallest one if it names several."""
     lines = [value for name, value in headers if name.lower() == SERVER_LIMIT.lower()]
--- a/greengagehoist/platform/_settings.py
+++ b/greengagehoist/platform/_settings.py
@@ -79,6 +79,9 @@
     def number(name: str) -> float:
         return check_float(f"bounds.{name}", _get(raw, "bounds", name), 0.0, MAX_RETRY_SETTING)
 
+    def optional_number(name: str) -> float | None:
+        return None if _get(raw, "bounds", name) is None else number(name)
+
     return Bounds(
         drain_s=milliseconds("drain_ms"),
         grace_s=seconds("grace_s"),
@@ -88,6 +91,8 @@
         retry_slack=number("retry_budget_slack"),
         retry_window_s=seconds("budget_window_s"),
         evacuate_s=optional_milliseconds("evacuate_ms"),
+        cold_overshoot=optional_number("cold_overshoot"),
+        cold_slack=optional_number("cold_slack"),
     )
 
 
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -1,6 +1,7 @@
 """Encoding of platform calls as requests to the platform's store, and decoding of its rows."""
 
 import base64
+import math
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import quote
@@ -24,7 +25,7 @@
     WriteRow,
     Written,
 )
-from greengagehoist.replicas import Replica, check_replica, parse_address
+from greengagehoist.replicas import MAX_COLD_S, Replica, check_replica, parse_address
 
 # Table of the rows that the daemons write.
 DAEMON_TABLE = "greengagehoist"
@@ -32,6 +33,8 @@
 # Number of times that the store was restored from a copy.
 ERA_HEADER = "Store-Era"
 MAX_ERA_DIGITS = 15
+# Milliseconds for which a replica takes few requests, from the time at which it wrote its entry.
+COLD_FIELD = "cold_remaining_ms"
 
 
 class StoreCodec:
@@ -172,17 +175,37 @@
 
 
 def _replica_page(body: dict[str, Any]) -> ReplicaPage:
-    found = {row["key"]: decode_replica(row["key"], _value(row)) for row in body["rows"]}
+    values = {row["key"]: (_value(row), row.get("ver", 0)) for row in body["rows"]}
+    found = {key: decode_replica(key, raw, ver) for key, (raw, ver) in values.items()}
     replicas = tuple(item for item in found.values() if item is not None)
     unreadable = tuple(str(key) for key, item in found.items() if item is None)
     last = body["rows"][-1]["key"] if body.get("has_more") and body["rows"] else ""
-    return ReplicaPage(replicas, unreadable, last)
+    odd_cold = tuple(
+        str(key) for key, (raw, _) in values.items() if found[key] and _has_odd_cold(raw)
+    )
+    return ReplicaPage(replicas, unreadable, last, odd_cold=odd_cold)
 
 
-def decode_replica(replica_id: str, raw: Any) -> Replica | None:
+def _has_odd_cold(raw: dict[str, Any]) -> bool:
+    return raw.get(COLD_FIELD) is not None and _cold_s(raw) is None
+
+
+def _cold_s(raw: dict[str, Any]) -> float | None:
+    """Return for how long a replica states to be cold, None if it states nothing or no time."""
+    value = raw.get(COLD_FIELD)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    if not value >= 0 or value == math.inf:
+        return None
+    return min(value, MAX_COLD_S * 1000) / 1000
+
+
+def decode_replica(replica_id: str, raw: Any, row: int = 0) -> Replica | None:
     """Decode an entry of the list of replicas; return None if it is malformed or not in use.
 
     Other programs write entries too, so that fields may be missing or have other types.
+
+    :param row: version of the entry's row.
     """
     match raw:
         case {
@@ -192,6 +215,7 @@
             "state": "ready" | "draining" as state,
         }:
             models = raw.get("models") or ()
+            cold_s = _cold_s(raw)
             try:
                 host, port = parse_address(address)
                 return check_replica(
@@ -205,6 +229,8 @@
                         born_ms=raw.get("born", 0),
                         leaving=state == "draining",
                         models=tuple(item["name"] for item in models),
+                        cold_s=cold_s,
+                        cold_row=row if cold_s else 0,
                     )
                 )
             except (LookupError, TypeError, ValueError):
--- a/greengagehoist/platform/tests/test_headers.py
+++ b/greengagehoist/platform/tests/test_headers.py
@@ -1,6 +1,7 @@
 """Guards against forwarding headers that clients must not set and misreading replica answers."""
 
 import json
+import math
 
 import pytest
 from hypothesis import given
@@ -22,6 +23,7 @@
 from greengagehoist.pieces import InputGone, Made, NotMade, Piece, TooLate
 from greengagehoist.platform import PlatformWireFormat
 from greengagehoist.replicas import (
+    MAX_COLD_S,
     MAX_PAUSE_S,
     Limited,
     Load,
@@ -334,3 +336,21 @@
     """RecursionError is no error that callers of a replica expect."""
     with pytest.raises(ValueError, match="nested"):
         wire.read_pieces(b"[" * 10_000 + b"]" * 10_000, 1)
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_s"), [(b"3000", 3.0), (b" 1500 ", 1.5), (b"0", 0.0), (b"999999999", MAX_COLD_S)]
+)
+def test_cold_period_is_read_from_answers_of_any_status(wire, value, cold_s):
+    for status in (200, 404, 503):
+        head = ResponseHead(status, b"", ((b"X-Greengagehoist-Cold-Ms", value),))
+        assert wire.read_reply(head).cold_s == cold_s
+
+
+@pytest.mark.parametrize(
+    "value", [b"-1", b"soon", b"nan", b"inf", b"", b"9" * 400, b"1e3", b"\xb2"]
+)
+def test_odd_cold_period_of_an_answer_is_marked(wire, value):
+    head = ResponseHead(200, b"", ((b"X-Greengagehoist-Cold-Ms", value),))
+    assert math.isnan(wire.read_reply(head).cold_s)
+    assert wire.read_reply(ResponseHead(200, b"", ())).cold_s is None
--- a/greengagehoist/platform/tests/test_settings.py
+++ b/greengagehoist/platform/tests/test_settings.py
@@ -81,3 +81,18 @@
     with pytest.raises(ValidationError) as caught:
         read_settings(TEXT.replace("drain_ms: 2000", f"drain_ms: 2000\n  evacuate_ms: {value}"))
     assert caught.value.field == "bounds.evacuate_ms"
+
+
+def test_bounds_of_cold_replicas_are_read():
+    text = TEXT.replace("drain_ms: 2000", "drain_ms: 2000\n  cold_overshoot: 1.5\n  cold_slack: 5")
+    bounds = read_settings(text).bounds
+    assert (bounds.cold_overshoot, bounds.cold_slack) == (1.5, 5.0)
+    assert read_settings(TEXT).bounds.cold_overshoot is None
+    assert read_settings(TEXT).bounds.cold_slack is None
+
+
+@pytest.mark.parametrize("field", ["cold_overshoot", "cold_slack"])
+def test_bad_bound_of_cold_replicas_is_named(field):
+    with pytest.raises(ValidationError) as caught:
+        read_settings(TEXT.replace("drain_ms: 2000", f"drain_ms: 2000\n  {field}: -1"))
+    assert caught.value.field == f"bounds.{field}"
--- a/greengagehoist/platform/tests/test_store.py
+++ b/greengagehoist/platform/tests/test_store.py
@@ -8,8 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagehoist.deployment import Idempotent, Streaming, find_route
+from greengagehoist.deployment import Idempotent, Service, Streaming, find_route
 from greengagehoist.platform import StoreCodec
+from greengagehoist.platform._config import _service
 from greengagehoist.platform._store import decode_replica
 from greengagehoist.platform_client import (
     DeleteRow,
@@ -21,6 +22,7 @@
     WriteRow,
     Written,
 )
+from greengagehoist.replicas import MAX_COLD_S
 from greengagehoist.standins._profiles import property_settings
 
 CONFIG = {
@@ -354,3 +356,47 @@
     """RecursionError is no error that callers of the platform expect."""
     with pytest.raises(ValueError, match="nested"):
         calls.decode(ListReplicas(), 200, b"[" * NESTED + b"]" * NESTED)
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_s"),
+    [(3000, 3.0), (0, 0.0), (2.5, 0.0025), (10**400, MAX_COLD_S), (1e300, MAX_COLD_S)],
+)
+def test_cold_period_of_an_entry_is_decoded_and_bounded(calls, value, cold_s):
+    rows = [row("i-1", {**ENTRY, "cold_remaining_ms": value}, ver=9)]
+    page = calls.decode(ListReplicas(), 200, body(rows=rows))
+    (replica,) = page.replicas
+    assert (replica.cold_s, replica.cold_row) == (cold_s, 9 if cold_s else 0)
+    assert page.odd_cold == ()
+
+
+@pytest.mark.parametrize("text", ["-1", '"3000"', "true", "1e999", "NaN", "[3]", "{}"])
+def test_entry_with_an_odd_cold_period_is_used_and_named(calls, text):
+    """It counts as one without a statement; its other fields are sound."""
+    sound = json.dumps(ENTRY)[:-1]
+    rows = [
+        raw_row("i-1", f'{sound}, "cold_remaining_ms": {text}}}'),
+        row("i-2", ENTRY),
+        row("i-3", {**ENTRY, "cold_remaining_ms": None}),
+    ]
+    page = calls.decode(ListReplicas(), 200, body(rows=rows))
+    read = {item.replica_id: item.cold_s for item in page.replicas}
+    # msgspec accepts no number that JSON lacks, so such an entry cannot be read at all.
+    if "i-1" in page.unreadable:
+        assert text in ("1e999", "NaN")
+        return
+    assert read == {"i-1": None, "i-2": None, "i-3": None}
+    assert page.odd_cold == ("i-1",)
+
+
+def test_allowance_of_cold_replicas_is_decoded(calls):
+    raw = {"name": "s", "cold_start_s": 3.0, "cold_per_s": 8}
+    assert _service(raw) == Service("s", None, 3.0, 8.0)
+    assert _service({"name": "s"}) == Service("s", None, 0.0, 0.0)
+    assert _service({**raw, "cold_start_s": 1e6}).cold_start_s == MAX_COLD_S
+
+
+@pytest.mark.parametrize("value", [-1, "soon", True, float("nan")])
+def test_odd_allowance_of_cold_replicas_is_a_malformed_configuration(value):
+    with pytest.raises(ValueError):
+        _service({"name": "s", "cold_per_s": value})
--- a/greengagehoist/platform_client/_types.py
+++ b/greengagehoist/platform_client/_types.py
@@ -197,12 +197,14 @@
     :param unreadable: keys of the entries that could not be decoded or describe no usable replica.
     :param last: id to continue after, empty if this is the last page.
     :param era: era of the table in which the page was read.
+    :param odd_cold: keys of the entries whose cold period is no time; they count as without one.
     """
 
     replicas: tuple[Replica, ...]
     unreadable: tuple[str, ...]
     last: str
     era: int = 0
+    odd_cold: tuple[str, ...] = ()
 
 
 class DeleteRow(NamedTuple):
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -10,6 +10,18 @@
     rendezvous_rank,
     utilization,
 )
+from greengagehoist.replicas._cold import (
+    JITTER_S,
+    MAX_COLD_S,
+    PERMIT_TTL_S,
+    Allowance,
+    ColdEntries,
+    ColdReplicas,
+    ColdRule,
+    ColdState,
+    WarmUp,
+    allowance_of,
+)
 from greengagehoist.replicas._send_limits import (
     Incarnation,
     LimitState,
@@ -41,6 +53,16 @@
 from greengagehoist.replicas._validation import check_replica, parse_address
 
 __all__ = [
+    "Allowance",
+    "ColdEntries",
+    "ColdReplicas",
+    "ColdRule",
+    "ColdState",
+    "JITTER_S",
+    "MAX_COLD_S",
+    "PERMIT_TTL_S",
+    "WarmUp",
+    "allowance_of",
     "Affinity",
     "AnyReplica",
     "Granted",
--- a/greengagehoist/replicas/_send_permits.py
+++ b/greengagehoist/replicas/_send_permits.py
@@ -58,17 +58,20 @@
     another daemon may just have granted some.
 
     :param rate: permits a second.
+    :param burst: most permits at once, None for those of a second.
     """
 
-    def __init__(self, rate: float, now: float):
-        self._bucket = Bucket(rate, 0.0, now)
+    def __init__(self, rate: float, now: float, burst: float | None = None):
+        self._bucket = Bucket(rate, 0.0, now, burst)
         self._waiting: list[PermitAsk] = []
         self._last_order = 0
 
-    def set_rate(self, rate: float, now: float) -> None:
-        """Change the permits a second."""
-        if rate != self._bucket.rate:
-            self._bucket = change_rate(self._bucket, rate, now)
+    def set_rate(self, rate: float, now: float, burst: float | None = None) -> None:
+        """Change the permits a second, and the most at once."""
+        if (rate, burst) != (self._bucket.rate, self._bucket.burst):
+            changed = change_rate(self._bucket, rate, now)._replace(burst=burst)
+            # Tokens above the new burst are discarded.
+            self._bucket = change_rate(changed, rate, now)
 
     def ask(self, rank: int, vm: str, number: int, max_wait_s: float, now: float) -> Decision:
         """Decide about a send; the caller applies :meth:`grant_due` first.
--- a/greengagehoist/replicas/_types.py
+++ b/greengagehoist/replicas/_types.py
@@ -10,6 +10,9 @@
     :param born_ms: start of the incarnation in Unix milliseconds, 0 if unknown.
     :param leaving: whether the replica is shutting down and must get no new requests.
     :param models: names of the models it serves; empty for services other than engines.
+    :param cold_s: seconds for which it takes few requests, by its entry in the list, 0 if it states
+        that it is warm, None if it states nothing.
+    :param cold_row: version of the row that states the cold period, 0 without one.
     """
 
     replica_id: str
@@ -21,6 +24,8 @@
     born_ms: int
     leaving: bool
     models: tuple[str, ...] = ()
+    cold_s: float | None = None
+    cold_row: int = 0
 
     @property
     def address(self) -> str:
--- a/greengagehoist/replicas/_validation.py
+++ b/greengagehoist/replicas/_validation.py
@@ -3,11 +3,13 @@
 import ipaddress
 from functools import lru_cache
 
+from greengagehoist.replicas._cold import MAX_COLD_S
 from greengagehoist.replicas._types import Replica
 from greengagehoist.utils._validation import (
     MAX_PORT,
     ValidationError,
     check_address,
+    check_float,
     check_int,
     check_label,
 )
@@ -37,6 +39,9 @@
     _check_host(replica.host)
     check_int("slots", replica.slots, 0, MAX_SLOTS)
     check_int("born", replica.born_ms, 0, MAX_BORN_MS)
+    if replica.cold_s is not None:
+        check_float("cold_s", replica.cold_s, 0.0, MAX_COLD_S)
+    check_int("cold_row", replica.cold_row, 0, MAX_BORN_MS)
     return replica
 
 
--- a/greengagehoist/retries/_resend.py
+++ b/greengagehoist/retries/_resend.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Withheld:
-    """No byte was sent, because the replica's data centre was evacuated meanwhile.
+    """No byte was sent, because the replica may not get requests any more.
 
     It counts as no send: another replica is chosen as if this one had not been.
     """
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -45,6 +45,7 @@
 SERVER_LEAVING = b"Server-Leaving"
 RETRY_AFTER = b"Retry-After"
 SERVER_LIMIT = b"Server-Limit"
+COLD_MS = b"X-Greengagehoist-Cold-Ms"
 PREFIX_HASH = b"X-Greengagehoist-Prefix-Hash"
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 
@@ -148,6 +149,8 @@
     :ivar arrived_at: times on the event loop's clock at which requests and stage calls reached it.
     :ivar received: time on the event loop's clock and id of each request, except stage calls.
     :ivar limit: limit that its answers name, None for none.
+    :ivar cold_ms: cold period that its list entry states, None for none.
+    :ivar cold_header: cold period that its answers state, None for none.
     :ivar padding: bytes at the end of each plain answer.
     """
 
@@ -173,6 +176,8 @@
         self.arrived_at: list[float] = []
         self.received: list[tuple[float, str]] = []
         self.limit: bytes | None = None
+        self.cold_ms: Any = None
+        self.cold_header: bytes | None = None
         self.padding = b""
         self._restart: asyncio.Task | None = None
         # Last response to a stage call on each connection.
@@ -185,7 +190,8 @@
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the replica's row value for the store's list of replicas."""
-        return {
+        cold = {} if self.cold_ms is None else {"cold_remaining_ms": self.cold_ms}
+        return cold | {
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
@@ -260,7 +266,9 @@
 
     def _state_headers(self) -> tuple:
         leaving = ((SERVER_LEAVING, b"1"),) if self.leaving else ()
-        return leaving if self.limit is None else (*leaving, (SERVER_LIMIT, self.limit))
+        cold = () if self.cold_header is None else ((COLD_MS, self.cold_header),)
+        limit = () if self.limit is None else ((SERVER_LIMIT, self.limit),)
+        return (*leaving, *cold, *limit)
 
     async def _stream(self, sock: Socket, request: Request, headers: tuple) -> None:
         last = get_header(request.head.headers, b"last-event-id")
