Withdraw waits for evacuated replicas, and read numbers that JSON lacks in entries

Cause: a request that waited for a permit of a replica whose data centre was evacuated was refused only when its wait ended; searches for a home counted as choices of cold replicas; an entry with cold_remaining_ms NaN or Infinity, as some encoders write it, cost the whole replica. Change: SendLimitController ends such waits at its next look; FindHome leaves the shares of choices alone; entries that msgspec refuses are decoded with the library's decoder.

--- a/greengagehoist/gateway/controllers/_limit_messages.py
+++ b/greengagehoist/gateway/controllers/_limit_messages.py
@@ -1,8 +1,10 @@
-"""Messages of the controller that keeps the limits which replicas name."""
+"""Messages of the controller that keeps the limits which replicas name, and reports of its peers."""
 
+import math
 from typing import NamedTuple
 
-from greengagehoist.replicas import ColdRule, Replica, SendLimit
+from greengagehoist.peers import ReplicaLimit
+from greengagehoist.replicas import ColdRule, LimitState, Replica, SendLimit
 
 
 class LimitObserved(NamedTuple):
@@ -52,3 +54,12 @@
     """Give up waiting for a permit."""
 
     ticket: int
+
+
+def decode_limit_state(report: ReplicaLimit, now: float) -> LimitState | None:
+    """Return the state that a peer reports, None if its numbers make no sense."""
+    ended_age_s = report.ended_age_s if report.ended_age_s is not None else math.inf
+    numbers = (report.per_s, report.named_age_s, ended_age_s)
+    if any(math.isnan(item) or item < 0 for item in numbers) or math.isinf(report.per_s):
+        return None
+    return LimitState(report.per_s, now - report.named_age_s, now - ended_age_s)
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -164,7 +164,7 @@
             case Choose():
                 reply(self._choose(message))
             case FindHome(service, affinity, model):
-                reply(self._find(Choose(service, affinity, frozenset(), model)))
+                reply(self._find(Choose(service, affinity, frozenset(), model), {}))
             case RequestEnded():
                 self._record_end(message)
             case AnswerObserved():
@@ -195,7 +195,9 @@
                 pause_s=round(answer.pause_s, 2),
             )
 
-    def _find(self, query: Choose) -> Replica | NotBefore | Evacuated | None:
+    def _find(
+        self, query: Choose, cold: dict[Incarnation, ColdState]
+    ) -> Replica | NotBefore | Evacuated | None:
         listed = [
             item
             for item in self.table.value.of_service(query.service)
@@ -214,7 +216,7 @@
         permitted = [item for item in available if item.replica_id == query.permitted]
         if permitted:
             return permitted[0]
-        available = self._warm_up.admit(available, self.cold.value, now)
+        available = self._warm_up.admit(available, cold, now)
         found = choose(available, self._observed_load, query.affinity, self.zone, now)
         earliest = min(sends_from, key=sends_from.__getitem__, default=None)
         if found is None and earliest is not None and sends_from[earliest] < math.inf:
@@ -249,7 +251,7 @@
             self._zone_avoid_until[replica.zone] = now + ZONE_BACKOFF_S
 
     def _choose(self, query: Choose) -> Replica | NotBefore | Evacuated | None:
-        found = self._find(query)
+        found = self._find(query, self.cold.value)
         if isinstance(found, Replica):
             self._availability.begin_send(found, self.clock.monotonic())
             health = self._health_of(found.replica_id)
--- a/greengagehoist/gateway/controllers/_send_limits.py
+++ b/greengagehoist/gateway/controllers/_send_limits.py
@@ -11,6 +11,7 @@
     ColdObserved,
     LimitObserved,
     SetColdRule,
+    decode_limit_state,
 )
 from greengagehoist.gateway.controllers._owned_permits import (
     PENDING,
@@ -215,7 +216,7 @@
 
     def _learn(self, report: ReplicaLimit, origin: str) -> None:
         key = (report.replica_id, report.born_ms)
-        state = _decode_state(report, self.clock.monotonic())
+        state = decode_limit_state(report, self.clock.monotonic())
         if state is None:
             return
         changed = self._limits.merge(key, state)
@@ -253,6 +254,7 @@
         """Notice cold periods and evacuations that have begun or ended, and changes of ownership."""
         now, zones = self.clock.monotonic(), self._cold.evacuated.value
         self._cold.replicas.set_evacuated(zones, now)
+        self._end_evacuated(zones)
         self._ownership.look(self._cold.services)
         if self._cold.cold(now) != self.cold.value:
             self._publish()
@@ -328,15 +330,24 @@
         if pending is not None:
             pending.reply(decision)
 
-    def _cancel(self, ticket: str) -> None:
+    def _cancel(self, ticket: int) -> None:
         for number, pending in list(self._pending.items()):
-            if pending.ask.ticket != ticket:
-                continue
-            del self._pending[number]
-            if pending.owner:
-                self.peers.tell(SendTo(pending.owner, PermitCancel(number)))
-            else:
-                self.owned.drop("", number)
+            if pending.ask.ticket == ticket:
+                self._withdraw(number)
+
+    def _end_evacuated(self, zones: frozenset[str]) -> None:
+        """Let the requests that wait for evacuated replicas choose again."""
+        for number, pending in list(self._pending.items()):
+            if pending.ask.replica.zone in zones:
+                self._withdraw(number)
+                pending.reply(Refused(0.0))
+
+    def _withdraw(self, number: int) -> None:
+        owner = self._pending.pop(number).owner
+        if owner:
+            self.peers.tell(SendTo(owner, PermitCancel(number)))
+        else:
+            self.owned.drop("", number)
 
     def _apply_reach(self, reach: Reach) -> None:
         """Ask the new owner where the old one is lost, and forget the asks of lost daemons."""
@@ -384,12 +395,3 @@
     async def _wake(self, key: Incarnation, delay_s: float) -> None:
         await self.clock.sleep(delay_s)
         self.tell(_Wake(key))
-
-
-def _decode_state(report: ReplicaLimit, now: float) -> LimitState | None:
-    """Return the state that a peer reports, None if its numbers make no sense."""
-    ended_age_s = report.ended_age_s if report.ended_age_s is not None else math.inf
-    numbers = (report.per_s, report.named_age_s, ended_age_s)
-    if any(math.isnan(item) or item < 0 for item in numbers) or math.isinf(report.per_s):
-        return None
-    return LimitState(report.per_s, now - report.named_age_s, now - ended_age_s)
--- a/greengagehoist/gateway/tests/test_evacuation.py
+++ b/greengagehoist/gateway/tests/test_evacuation.py
@@ -20,7 +20,13 @@
 from greengagehoist.gateway.controllers._pool_worker import WITHHELD, BatchEnded
 from greengagehoist.gateway.tests.recorder import deliver
 from greengagehoist.pieces import Made, Reservation, StageWork
-from greengagehoist.replicas import AnyReplica, PromptAffinity, Replica, ReplicaTable
+from greengagehoist.replicas import (
+    AnyReplica,
+    ColdState,
+    PromptAffinity,
+    Replica,
+    ReplicaTable,
+)
 from greengagehoist.retries import RetryBudget
 from greengagehoist.utils import Published, Tick
 
@@ -226,3 +232,19 @@
     deliver(controller, Tick())
     assert controller.known.value == {"a"}
     assert [name for name, _ in logged] == ["data_centre_evacuated"]
+
+
+def test_search_for_a_home_does_not_count_as_a_choice_of_a_cold_replica(clock, evacuated):
+    """Requests with stages search for a home before they are placed, so the share would be another."""
+    cold = Published({("a2", 1): ColdState(clock.monotonic() + 10.0, clock.monotonic() - 10.0)})
+    table = Published(ReplicaTable({name: REPLICAS[name] for name in ("a1", "a2")}, read_at=0.0))
+    views = table, Published(Reach()), Published({})
+    placement = PlacementController(*views, clock, "a", evacuated, cold)
+    for _ in range(5):
+        deliver(placement, Choose("s", AnyReplica(), frozenset({"a2"})))
+    chosen = []
+    for _ in range(20):
+        deliver(placement, FindHome("s", AnyReplica()))
+        chosen.extend(deliver(placement, Choose("s", AnyReplica())))
+        deliver(placement, RequestEnded(chosen[-1].replica_id))
+    assert 9 <= sum(item.replica_id == "a2" for item in chosen) <= 10
--- a/greengagehoist/platform/_store.py
+++ b/greengagehoist/platform/_store.py
@@ -1,6 +1,7 @@
 """Encoding of platform calls as requests to the platform's store, and decoding of its rows."""
 
 import base64
+import json
 import math
 from collections.abc import Mapping
 from typing import Any
@@ -175,7 +176,7 @@
 
 
 def _replica_page(body: dict[str, Any]) -> ReplicaPage:
-    values = {row["key"]: (_value(row), row.get("ver", 0)) for row in body["rows"]}
+    values = {row["key"]: (_entry_value(row), row.get("ver", 0)) for row in body["rows"]}
     found = {key: decode_replica(key, raw, ver) for key, (raw, ver) in values.items()}
     replicas = tuple(item for item in found.values() if item is not None)
     unreadable = tuple(str(key) for key, item in found.items() if item is None)
@@ -186,6 +187,20 @@
     return ReplicaPage(replicas, unreadable, last, odd_cold=odd_cold)
 
 
+def _entry_value(raw: dict[str, Any]) -> Any:
+    """Return the decoded value of an entry, or None if it is malformed or nested too deeply.
+
+    Some encoders write numbers that JSON lacks, as ``NaN``. They cost an entry that field only.
+    """
+    value = _value(raw)
+    if value is not None:
+        return value
+    try:
+        return json.loads(base64.b64decode(raw["value"]))
+    except (LookupError, RecursionError, TypeError, ValueError):
+        return None
+
+
 def _has_odd_cold(raw: dict[str, Any]) -> bool:
     return raw.get(COLD_FIELD) is not None and _cold_s(raw) is None
 
--- a/greengagehoist/replicas/_cold.py
+++ b/greengagehoist/replicas/_cold.py
@@ -244,8 +244,9 @@
     ) -> list[Replica]:
         """Return the replicas that take part in a choice; all if there are only cold ones."""
         if not cold:
-            self._credits.clear()
             return replicas
+        if len(self._credits) > MAX_UNLISTED:
+            self._credits.clear()
         admitted = [item for item in replicas if self._takes_part(item, cold, now)]
         return admitted or replicas
 
