Merge the allowance of cold replicas

Cause: cold replicas share the permits of limits, which the placement by time and the evacuations pass by.

--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -3,6 +3,13 @@
 from greengagehoist.gateway.controllers._deployment import DeploymentController, SetReadPeriod
 from greengagehoist.gateway.controllers._distribution_state import distribution_state
 from greengagehoist.gateway.controllers._evacuation import EvacuationController
+from greengagehoist.gateway.controllers._limit_messages import (
+    AcquireSend,
+    CancelAcquire,
+    ColdObserved,
+    LimitObserved,
+    SetColdRule,
+)
 from greengagehoist.gateway.controllers._load_view import LoadViewController
 from greengagehoist.gateway.controllers._members import POLL_PERIOD_S as MEMBER_POLL_PERIOD_S
 from greengagehoist.gateway.controllers._members import MemberController
@@ -44,12 +51,7 @@
 from greengagehoist.gateway.controllers._reach import Reach, ReachChanged, ReachController
 from greengagehoist.gateway.controllers._relay import RelayController
 from greengagehoist.gateway.controllers._replicas import ReplicaController, ReplicasChanged
-from greengagehoist.gateway.controllers._send_limits import (
-    AcquireSend,
-    CancelAcquire,
-    LimitObserved,
-    SendLimitController,
-)
+from greengagehoist.gateway.controllers._send_limits import SendLimitController
 from greengagehoist.gateway.controllers._shared_reads import SharedReads
 from greengagehoist.gateway.controllers._time_ranking import SpeedSample, TimedSend, TimeRanking
 from greengagehoist.gateway.controllers._topology import Topology, topology_of
@@ -57,6 +59,8 @@
 __all__ = [
     "Evacuated",
     "EvacuationController",
+    "ColdObserved",
+    "SetColdRule",
     "MEMBER_POLL_PERIOD_S",
     "NO_REPLICA_WAIT_S",
     "AbandonChoice",
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -13,6 +13,7 @@
 )
 from greengagehoist.replicas import (
     Affinity,
+    ColdState,
     Incarnation,
     Load,
     Observed,
@@ -21,6 +22,7 @@
     ReplicaCounts,
     ReplicaTable,
     TimedChoice,
+    WarmUp,
     choose,
     incarnation_of,
 )
@@ -178,6 +180,7 @@
     :param ranking: chooses by expected time where a service calls for it.
     :param followers: controllers that receive :class:`OwnLoadChanged`.
     :param evacuated: published data centres whose replicas get no requests.
+    :param cold: published cold replicas, which take part in a growing share of the choices.
     """
 
     def __init__(
@@ -190,8 +193,11 @@
         ranking: TimeRanking,
         followers: tuple[Controller, ...] = (),
         evacuated: Published[frozenset[str]] | None = None,
+        cold: Published[dict[Incarnation, ColdState]] | None = None,
     ):
         super().__init__("placement")
+        self.cold = cold or Published({})
+        self._warm_up = WarmUp()
         self.evacuated = evacuated or Published(frozenset())
         self.table = table
         self.reach = reach
@@ -214,7 +220,7 @@
             case Choose():
                 reply(self._choose(message))
             case FindHome(service, affinity, model, send):
-                reply(self._find(Choose(service, affinity, frozenset(), model, send=send)))
+                reply(self._find(Choose(service, affinity, frozenset(), model, send=send), {}))
             case AbandonChoice(ticket):
                 replica_id = self.ranking.sends.replica_of(ticket)
                 if replica_id:
@@ -257,7 +263,9 @@
                 pause_s=round(answer.pause_s, 2),
             )
 
-    def _find(self, query: Choose) -> Replica | NotBefore | Evacuated | None:
+    def _find(
+        self, query: Choose, cold: dict[Incarnation, ColdState]
+    ) -> Replica | NotBefore | Evacuated | None:
         listed = [
             item
             for item in self.table.value.of_service(query.service)
@@ -276,6 +284,7 @@
         permitted = [item for item in available if item.replica_id == query.permitted]
         if permitted:
             return permitted[0]
+        available = self._warm_up.admit(available, cold, now)
         found = self._rank(query, available, now)
         earliest = min(sends_from, key=sends_from.__getitem__, default=None)
         if found is None and earliest is not None and sends_from[earliest] < math.inf:
@@ -341,7 +350,7 @@
             self._zone_avoid_until[replica.zone] = now + ZONE_BACKOFF_S
 
     def _choose(self, query: Choose) -> Replica | NotBefore | Evacuated | None:
-        found = self._find(query)
+        found = self._find(query, self.cold.value)
         if isinstance(found, Replica):
             self._availability.begin_send(found, self.clock.monotonic())
             health = self._health_of(found.replica_id)
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -19,6 +19,7 @@
     PermitRequest,
     PieceQuery,
     PromptAnswered,
+    ReplicaCold,
     ReplicaCrash,
     ReplicaLimit,
     StageCancel,
@@ -75,5 +76,6 @@
         ContentOffer: 37,
         PieceQuery: 38,
         ContentPiece: 39,
+        ReplicaCold: 40,
     }
 )
--- a/greengagehoist/platform/_config.py
+++ b/greengagehoist/platform/_config.py
@@ -21,11 +21,13 @@
     Tenant,
     index_routes,
 )
-from greengagehoist.utils import check_int
+from greengagehoist.replicas import MAX_COLD_S
+from greengagehoist.utils import check_float, check_int
 
 BYTES_PER_MB = 1_000_000
 MAX_VERSION = 2**63 - 1
 MAX_COUNT = 10**9
+MAX_OPTIONAL = 1e9
 
 T = TypeVar("T")
 
@@ -132,7 +134,13 @@
         piece_s=pool["item_ms"] / 1000,
         result_bytes=pool["headroom_mb"] * BYTES_PER_MB,
     )
-    return Service(raw["name"], limits or None, _engine(raw.get("engine")))
+    return Service(
+        raw["name"],
+        limits or None,
+        _engine(raw.get("engine")),
+        cold_start_s=min(_optional(raw, "cold_start_s"), MAX_COLD_S),
+        cold_per_s=_optional(raw, "cold_per_s"),
+    )
 
 
 def _engine(raw: dict[str, Any] | None) -> EngineLimits | None:
@@ -148,6 +156,11 @@
     return int(value) if is_number and 0 < value <= MAX_COUNT else 0
 
 
+def _optional(raw: dict[str, Any], name: str) -> float:
+    value = raw.get(name)
+    return 0.0 if value is None else check_float(name, value, 0.0, MAX_OPTIONAL)
+
+
 def _limits(raw: dict[str, Any]) -> Limits:
     defaults = Limits()
     return Limits(
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -16,6 +16,18 @@
     TimedChoice,
     choose_by_time,
 )
+from greengagehoist.replicas._cold import (
+    JITTER_S,
+    MAX_COLD_S,
+    PERMIT_TTL_S,
+    Allowance,
+    ColdEntries,
+    ColdReplicas,
+    ColdRule,
+    ColdState,
+    WarmUp,
+    allowance_of,
+)
 from greengagehoist.replicas._expected_time import (
     NO_REQUESTS,
     PlainWork,
@@ -76,6 +88,16 @@
 from greengagehoist.replicas._validation import check_replica, parse_address
 
 __all__ = [
+    "Allowance",
+    "ColdEntries",
+    "ColdReplicas",
+    "ColdRule",
+    "ColdState",
+    "JITTER_S",
+    "MAX_COLD_S",
+    "PERMIT_TTL_S",
+    "WarmUp",
+    "allowance_of",
     "Affinity",
     "AnyReplica",
     "Granted",
--- a/greengagehoist/standins/_gateway_standins.py
+++ b/greengagehoist/standins/_gateway_standins.py
@@ -46,6 +46,7 @@
 RETRY_AFTER = b"Retry-After"
 SERVER_LIMIT = b"Server-Limit"
 LOAD_REPORT = b"X-Greengagehoist-Load-Report"
+COLD_MS = b"X-Greengagehoist-Cold-Ms"
 PREFIX_HASH = b"X-Greengagehoist-Prefix-Hash"
 CHUNKED = (b"Transfer-Encoding", b"chunked")
 
@@ -150,6 +151,8 @@
     :ivar received: time on the event loop's clock and id of each request, except stage calls.
     :ivar limit: limit that its answers name, None for none.
     :ivar load_report: load report of its answers, None for none.
+    :ivar cold_ms: cold period that its list entry states, None for none.
+    :ivar cold_header: cold period that its answers state, None for none.
     :ivar padding: bytes at the end of each plain answer.
     """
 
@@ -176,6 +179,8 @@
         self.received: list[tuple[float, str]] = []
         self.limit: bytes | None = None
         self.load_report: bytes | None = None
+        self.cold_ms: Any = None
+        self.cold_header: bytes | None = None
         self.padding = b""
         self._restart: asyncio.Task | None = None
         # Last response to a stage call on each connection.
@@ -188,7 +193,8 @@
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the replica's row value for the store's list of replicas."""
-        return {
+        cold = {} if self.cold_ms is None else {"cold_remaining_ms": self.cold_ms}
+        return cold | {
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
@@ -263,7 +269,11 @@
 
     def _state_headers(self) -> tuple:
         leaving = ((SERVER_LEAVING, b"1"),) if self.leaving else ()
-        stated = ((SERVER_LIMIT, self.limit), (LOAD_REPORT, self.load_report))
+        stated = (
+            (COLD_MS, self.cold_header),
+            (SERVER_LIMIT, self.limit),
+            (LOAD_REPORT, self.load_report),
+        )
         return leaving + tuple(item for item in stated if item[1] is not None)
 
     async def _stream(self, sock: Socket, request: Request, headers: tuple) -> None:
