--- a/greengagehoist/daemon/tests/test_gateway_conditional_reads.py
+++ b/greengagehoist/daemon/tests/test_gateway_conditional_reads.py
@@ -84,6 +84,17 @@
     run_scenario(scenario)
 
 
+def test_daemon_that_starts_gets_no_content_that_it_has_read(run_scenario):
+    """It asks a peer in any case, and the peer sent the whole configuration."""
+
+    async def scenario(system):
+        await wait_until(lambda: ("greengagehoist", "member/vm0") in system.store.rows)
+        await system.add_daemon("vm1")
+        assert system.daemons[1].relay.received["deployment"] == 0
+
+    run_scenario(scenario)
+
+
 def test_evacuation_outlasts_an_outage_of_the_store(run_scenario):
     async def scenario(system):
         system.store.put("op", "evacuate/b", {})
