--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -257,6 +257,8 @@
         query = pending.query
         too_old = offer.era < query.era or held.answered_at - held.at > query.max_age_s
         if too_old or not offer.digest or offer.token == query.token:
+            if offer.token == query.token:
+                self._partial.pop(query.topic, None)
             pending.reply(held)
         elif offer.wait_s > 0:
             log_event("hub_busy", topic=query.topic, hub=pending.hub, wait_s=offer.wait_s)
--- a/greengagehoist/gateway/tests/test_replicas.py
+++ b/greengagehoist/gateway/tests/test_replicas.py
@@ -20,6 +20,7 @@
 from greengagehoist.platform_client import ReplicaPage
 from greengagehoist.replicas import Replica
 from greengagehoist.replicas._table import RETURN_GRACE_S
+from greengagehoist.transfers import apply_change, encode_change, encode_whole
 from greengagehoist.utils import Published
 
 
@@ -110,6 +111,16 @@
     assert not controller._apply_hub_read(HeldContent("t", 1.0, content))
 
 
+def test_change_of_one_replica_is_small():
+    """Each change moved the whole list to each daemon."""
+    before = replicas(200)
+    after = (*before[:70], before[70]._replace(leaving=True), *before[71:])
+    texts = [encode_replicas(found, 0.0).content for found in (before, after)]
+    change = encode_change(*texts)
+    assert apply_change(texts[0], change) == texts[1]
+    assert len(change) < 200 < len(encode_whole(texts[1]))
+
+
 READ_PERIOD_S = 1.2
 AWAY_FROM_S, AWAY_UNTIL_S = 4.0, 7.0
 # Reads are late by this at most.
--- a/greengagehoist/transfers/_versions.py
+++ b/greengagehoist/transfers/_versions.py
@@ -60,7 +60,13 @@
 
     def find(self, digest: str) -> Payload | None:
         """Return a payload that was offered before, None if it is no longer held."""
-        return next((item for item in self._payloads.values() if item.digest == digest), None)
+        for key, payload in self._payloads.items():
+            if payload.digest == digest:
+                # A payload that is being sent stays while others are encoded.
+                del self._payloads[key]
+                self._payloads[key] = payload
+                return payload
+        return None
 
     def _encode(self, token: str, base: str) -> Payload:
         content = self._contents[token]
--- a/greengagehoist/transfers/tests/test_transfers.py
+++ b/greengagehoist/transfers/tests/test_transfers.py
@@ -73,6 +73,15 @@
     assert len(versions._payloads) <= MAX_PAYLOADS
 
 
+def test_payload_that_is_being_sent_is_kept_while_others_are_encoded(versions):
+    """Otherwise a transfer begins anew each time that some other changes are asked for."""
+    sent = versions.payload("")
+    for token, text in zip(TOKENS[4:], TEXTS[4:], strict=True):
+        versions.note(token, text)
+        versions.payload("")
+        assert versions.find(sent.digest) is sent
+
+
 def test_version_that_comes_back_is_the_newest_one(versions):
     versions.note(TOKENS[0], TEXTS[0])
     assert versions.payload(TOKENS[3]).token == TOKENS[0]
