Wait for a hub that is receiving a large response instead of reading it too

Cause: a hub's read of a large row takes longer than the age that its reads may have, so all daemons behind it read the row themselves, at once. Offers say that a large response is arriving, old reads of hubs are believed to be so after 0.25 s only, and a slow read is followed by a conditional one.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -122,7 +122,9 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, topology.count
         )
         self.reach = ReachController(self.peers, topology.links, clock, settings.data_centre)
-        self.relay = RelayController(self.peers, own, topology, self.reach.reach, clock)
+        self.relay = RelayController(
+            self.peers, own, topology, self.reach.reach, clock, self.platform.arriving
+        )
 
         def reads(topic: str, period_s: float) -> SharedReads:
             return SharedReads(self.relay, topic, settings.vm, topology, clock, rng, period_s)
--- a/greengagehoist/gateway/controllers/_relay.py
+++ b/greengagehoist/gateway/controllers/_relay.py
@@ -31,6 +31,8 @@
 # another data centre, so that a daemon notices that only its own hubs cannot read.
 MAX_HUBS_ASKED = 3
 MAX_WAIT_S = 5.0
+# Time after which a hub is asked again that is receiving a large response of the platform.
+READING_WAIT_S = 0.2
 # Delay of an own timer from which on this daemon counts as held up.
 MAX_LATE_S = 0.02
 
@@ -125,6 +127,7 @@
     :param own: this daemon.
     :param topology: the hubs, and the members that this daemon links to.
     :param reach: published set of daemons that can be reached.
+    :param arriving: published number of large responses of the platform that are arriving.
     :ivar offers: what this daemon offers to others.
     :ivar received: bytes of payloads that have arrived, by topic.
     """
@@ -136,6 +139,7 @@
         topology: Topology,
         reach: Published[Reach],
         clock: Clock,
+        arriving: Published[int] | None = None,
     ):
         super().__init__("relay")
         self.peers = peers
@@ -144,6 +148,7 @@
         self.reach = reach
         self.clock = clock
         self.offers = Offers(clock)
+        self.arriving = arriving or Published(0)
         self.received: Counter[str] = Counter()
         self._sources: dict[str, Published[HeldContent | None]] = {}
         self._pending: dict[int, _Pending] = {}
@@ -196,7 +201,8 @@
 
     def _answer(self, vm: str, number: int, topic: str, known_token: str) -> None:
         query = ContentQuery(number, topic, known_token)
-        self.peers.tell(SendTo(vm, self.offers.offer(vm, query, self._held(topic))))
+        offer = self.offers.offer(vm, query, self._held(topic))
+        self.peers.tell(SendTo(vm, offer._replace(is_reading=self.arriving.value > 0)))
 
     def _ask(self, query: AskHub, reply: Reply) -> None:
         hubs = self._hubs_to_ask()
@@ -256,7 +262,10 @@
         )
         query = pending.query
         too_old = offer.era < query.era or held.answered_at - held.at > query.max_age_s
-        if too_old or not offer.digest or offer.token == query.token:
+        if too_old and offer.is_reading and offer.era >= query.era:
+            # Its read is old because the next one takes long, and not because it cannot read.
+            pending.reply(Waiting(READING_WAIT_S))
+        elif too_old or not offer.digest or offer.token == query.token:
             if offer.token == query.token:
                 self._partial.pop(query.topic, None)
             pending.reply(held)
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -21,9 +21,14 @@
 STALE_HUB_PERIOD_S = 1.5
 # The same for daemons that no other one asks.
 STALE_HUB_PERIOD_NON_HUB_S = 3.0
+# Time for which hubs must have held old reads before this daemon reads itself. A hub that has just
+# received a large response holds an old read until its next one, some milliseconds later.
+STALE_CONFIRM_S = 0.25
 # Delay between reads while the platform fails or nothing has been read yet.
 RETRY_DELAY_S = 0.3
 PERIOD_JITTER = 0.05
+# Least time between the end of an own read and the next one.
+MIN_READ_DELAY_S = 0.02
 # Time for which hubs may say that they are busy before this daemon reads itself.
 MAX_BUSY_S = 4.0
 
@@ -104,6 +109,7 @@
         self.period_s = period_s
         self._read_at = float("-inf")
         self._busy_since = math.inf
+        self._stale_since = math.inf
 
     async def next_step(self, token: str, era: int = 0) -> HubAnswer:
         """Return what a hub holds, or :class:`ReadNow` if this daemon must read the platform.
@@ -119,8 +125,12 @@
         now = self.clock.monotonic()
         busy = isinstance(answer, HubBusy)
         self._busy_since = min(now, self._busy_since) if busy else math.inf
+        stale = isinstance(answer, HubStale)
+        self._stale_since = min(now, self._stale_since) if stale else math.inf
         if busy and now - self._busy_since < MAX_BUSY_S:
             return answer
+        if stale and now - self._stale_since < STALE_CONFIRM_S:
+            return answer
         if not should_read_platform(answer, now - self._read_at, self.topology.is_hub(self.vm)):
             return answer
         self._read_at = now
@@ -129,12 +139,17 @@
     async def pause(self, step: HubAnswer, ok: bool, max_delay_s: float = math.inf) -> None:
         """Wait until the next read.
 
+        A read counts from its beginning, so that one that took long is followed by the next at once.
+
         :param step: what :meth:`next_step` returned for the last read.
         :param ok: whether the last read succeeded and this daemon holds some content.
         :param max_delay_s: seconds after which the content must be read again.
         """
         shared = self.topology.shared.value
         delay_s = next_read_delay_s(step, ok, self.period_s, shared, self.rng)
+        if ok and isinstance(step, ReadNow):
+            took_s = self.clock.monotonic() - self._read_at
+            delay_s = max(MIN_READ_DELAY_S, delay_s - took_s)
         await self.clock.sleep(min(delay_s, max_delay_s))
 
     async def guard(self, read: Awaitable[None], repeat: Callable[[], None]) -> None:
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -10,6 +10,7 @@
 from greengagehoist.gateway.controllers._relay import (
     ANSWER_TIMEOUT_S,
     PIECE_TIMEOUT_S,
+    READING_WAIT_S,
     AddSource,
     AskHub,
     HeldContent,
@@ -19,6 +20,7 @@
 from greengagehoist.gateway.controllers._replicas import encode_replicas
 from greengagehoist.gateway.controllers._shared_reads import (
     MAX_BUSY_S,
+    STALE_CONFIRM_S,
     Changed,
     Confirmed,
     HubBusy,
@@ -424,3 +426,64 @@
         assert [item.content for item in replies] == [TEXT]
 
     asyncio.run(scenario())
+
+
+def test_hub_that_receives_a_large_response_is_waited_for(pulling, clock):
+    """Its read grew old meanwhile, and all daemons read the large response themselves."""
+
+    async def scenario():
+        asker, hub, exchange = pulling
+        await clock.advance(5.0)
+        hub.arriving.value = 1
+        replies = deliver(asker, AskHub("deployment", "old", max_age_s=2.0))
+        assert exchange() == 1
+        assert replies == [Waiting(READING_WAIT_S)]
+        hub.arriving.value = 0
+        replies = deliver(asker, AskHub("deployment", "old", max_age_s=2.0))
+        exchange()
+        assert isinstance(replies[0], HeldContent)
+
+    asyncio.run(scenario())
+
+
+@pytest.fixture
+def make_reads(clock):
+    """Return a function that builds the reads of a daemon with these answers of hubs."""
+
+    def make(*found):
+        topology = Topology(
+            Published(True), Published(20), Published(()), Published(HUBS), Published(True)
+        )
+        relay = FixedAnswers(*found)
+        return SharedReads(relay, "deployment", "vm-1", topology, clock, random.Random(1), 2.0)
+
+    return make
+
+
+def test_daemons_read_only_if_the_hubs_reads_stay_old(make_reads, clock):
+    """All daemons read a large configuration when their hub's read of it had taken long."""
+
+    async def scenario():
+        reads = make_reads(SAME._replace(at=-3.0))
+        assert await reads.next_step("7") == HubStale()
+        await clock.advance(STALE_CONFIRM_S)
+        assert await reads.next_step("7") == ReadNow()
+        # Later ones keep their distance.
+        await clock.advance(STALE_CONFIRM_S)
+        assert await reads.next_step("7") == HubStale()
+
+    asyncio.run(scenario())
+
+
+def test_read_that_took_long_is_followed_by_the_next_at_once(make_reads, clock):
+    """What a slow read proves is old when it ends, and others cannot use it."""
+
+    async def scenario():
+        reads = make_reads(None)
+        step = await reads.next_step("7")
+        await clock.advance(3.0)
+        pause = asyncio.ensure_future(reads.pause(step, True))
+        await clock.advance(0.05)
+        assert pause.done()
+
+    asyncio.run(scenario())
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -145,6 +145,7 @@
     :param is_exact: whether the table shows exactly this content in that state.
     :param evacuations_era: newest era of which the sender knows that it lacks no evacuation that was
         written before the restore, -1 for none.
+    :param is_reading: whether the sender is receiving a large response of the platform.
     :param base: token of the content that the payload changes, empty if it is a whole content.
     :param digest: identifies the payload, empty if the asking daemon holds the content already.
     :param size: bytes of the payload.
@@ -161,6 +162,7 @@
     table: str = ""
     is_exact: bool = False
     evacuations_era: int = -1
+    is_reading: bool = False
     base: str = ""
     digest: str = ""
     size: int = 0
--- a/greengagehoist/platform_client/_controller.py
+++ b/greengagehoist/platform_client/_controller.py
@@ -50,6 +50,7 @@
 # A response that is slower than this from its beginning on is given up. It is a tenth of the narrowest
 # link, as other transfers use the link too.
 MIN_BYTES_PER_S = 62_500
+LARGE_BODY_BYTES = 32 * 1024
 CONNECT_TIMEOUT_S = 0.5
 POOL_SIZE = 64
 MAX_WAITING_CALLS = 256
@@ -71,22 +72,34 @@
 
 
 class _BodyTimeout:
-    """Moves the time-out of a call while the body of its response arrives."""
+    """Moves the time-out of a call while the body of its response arrives.
 
-    def __init__(self, limit: asyncio.Timeout):
+    :param arriving: published number of large bodies that are arriving.
+    """
+
+    def __init__(self, limit: asyncio.Timeout, arriving: Published[int]):
         self.limit = limit
+        self.arriving = arriving
+        self.is_large = False
         self.first_end = limit.when() or 0.0
         self.arrived = 0
 
     def extend(self, size: int) -> None:
         """Take note of ``size`` more bytes."""
         self.arrived += size
+        if not self.is_large and self.arrived >= LARGE_BODY_BYTES:
+            self.is_large = True
+            self.arriving.value += 1
         if self.limit.expired():
             return
         now = asyncio.get_running_loop().time()
         latest = self.first_end + self.arrived / MIN_BYTES_PER_S
         self.limit.reschedule(max(self.first_end, min(now + STALL_TIMEOUT_S, latest)))
 
+    def end(self) -> None:
+        """Take note of the end of the call."""
+        self.arriving.value -= self.is_large
+
 
 class CallCodec(Protocol):
     """Encodes platform calls as HTTP requests and decodes their responses."""
@@ -134,6 +147,7 @@
     :param max_open_s: maximum time that the circuit breaker stays open before a probe, in seconds.
     :param followers: controllers that receive :class:`EraChanged`.
     :ivar failed_at: time at which the newest call that failed was sent.
+    :ivar arriving: published number of large bodies that are arriving.
     :ivar received_bytes: bytes of the bodies of all responses.
     """
 
@@ -155,6 +169,7 @@
         self.followers = followers
         self.failed_at: Published[float] = Published(-math.inf)
         self.received_bytes = 0
+        self.arriving: Published[int] = Published(0)
         self._client: aiosonic.HTTPClient | None = None
         self._breaker = Breaker()
         self._buckets = {
@@ -234,12 +249,16 @@
         timeouts = Timeouts(CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, None)
         url = f"http://{self.address}{call.path}"
         async with asyncio.timeout(call.timeout_s) as limit:
-            BODY_PROGRESS.set(_BodyTimeout(limit).extend)
-            response = await client.request(url, call.method, timeouts=timeouts, **content)
-            era = self._check_era(response.headers)
-            if response.status_code not in call.accept:
-                raise ValueError(f"unexpected status {response.status_code}")
-            body = await response.content()
+            progress = _BodyTimeout(limit, self.arriving)
+            BODY_PROGRESS.set(progress.extend)
+            try:
+                response = await client.request(url, call.method, timeouts=timeouts, **content)
+                era = self._check_era(response.headers)
+                if response.status_code not in call.accept:
+                    raise ValueError(f"unexpected status {response.status_code}")
+                body = await response.content()
+            finally:
+                progress.end()
         self.received_bytes += len(body)
         return self.codec.decode(message, response.status_code, body, era)
 
--- a/greengagehoist/platform_client/tests/test_body_progress.py
+++ b/greengagehoist/platform_client/tests/test_body_progress.py
@@ -10,12 +10,24 @@
 from greengagehoist.platform_client import _controller as module
 from greengagehoist.platform_client._breaker import Breaker
 from greengagehoist.platform_client._wire import HttpCall
-from greengagehoist.utils import SystemClock
+from greengagehoist.utils import Published, SystemClock
 
 BLOCKS, BLOCK = 12, b"x" * 4096
 TIMEOUT_S = 0.5
 
 
+class Recorded(Published):
+    """Records the values that are published."""
+
+    def __init__(self, value, seen):
+        self.__dict__["seen"] = seen
+        super().__init__(value)
+
+    def __setattr__(self, name, value):
+        self.seen.append(value)
+        super().__setattr__(name, value)
+
+
 class TextCodec:
     """Codec of a server that responds with text."""
 
@@ -100,3 +112,13 @@
     result, controller = fetch(TIMEOUT_S / 2, LENGTH)
     assert not isinstance(result, Success)
     assert controller._breaker.failures == 1
+    assert controller.arriving.value == 0
+
+
+def test_large_response_is_published_while_it_arrives(fetch, monkeypatch):
+    monkeypatch.setattr(module, "MIN_BYTES_PER_S", 10_000)
+    seen = []
+    monkeypatch.setattr(module, "Published", lambda value: Recorded(value, seen))
+    _, controller = fetch(0.0, LENGTH)
+    assert max(seen) == 1
+    assert controller.arriving.value == 0
