--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -29,8 +29,9 @@
 PERIOD_JITTER = 0.05
 # Least time between the end of an own read and the next one.
 MIN_READ_DELAY_S = 0.02
-# Time for which hubs may say that they are busy before this daemon reads itself.
-MAX_BUSY_S = 4.0
+# Time for which hubs may say that they are busy before this daemon reads itself. With the age of its
+# newest proof then, keys are still confirmed.
+MAX_BUSY_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
