--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HubBusy:
-    """The hubs hold other content and run as many transfers as they may.
+    """The hubs run as many transfers as they may, or receive a large response of the platform.
 
     :param wait_s: seconds after which one of them may be asked again.
     """
