--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -21,11 +21,17 @@
 STALE_HUB_PERIOD_S = 1.5
 # The same for daemons that no other one asks.
 STALE_HUB_PERIOD_NON_HUB_S = 3.0
+# Time for which hubs must have held old reads before this daemon reads itself. A hub that has just
+# received a large response holds an old read until its next one, some milliseconds later.
+STALE_CONFIRM_S = 0.25
 # Delay between reads while the platform fails or nothing has been read yet.
 RETRY_DELAY_S = 0.3
 PERIOD_JITTER = 0.05
-# Time for which hubs may say that they are busy before this daemon reads itself.
-MAX_BUSY_S = 4.0
+# Least time between the end of an own read and the next one.
+MIN_READ_DELAY_S = 0.02
+# Time for which hubs may say that they are busy before this daemon reads itself. With the age of its
+# newest proof then, keys are still confirmed.
+MAX_BUSY_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HubBusy:
-    """The hubs hold other content and run as many transfers as they may.
+    """The hubs run as many transfers as they may, or receive a large response of the platform.
 
     :param wait_s: seconds after which one of them may be asked again.
     """
@@ -106,6 +112,7 @@
         self.own_read_ok = False
         self._read_at = float("-inf")
         self._busy_since = math.inf
+        self._stale_since = math.inf
 
     async def next_step(self, token: str, era: int = 0) -> HubAnswer:
         """Return what a hub holds, or :class:`ReadNow` if this daemon must read the platform.
@@ -121,8 +128,12 @@
         now = self.clock.monotonic()
         busy = isinstance(answer, HubBusy)
         self._busy_since = min(now, self._busy_since) if busy else math.inf
+        stale = isinstance(answer, HubStale)
+        self._stale_since = min(now, self._stale_since) if stale else math.inf
         if busy and now - self._busy_since < MAX_BUSY_S:
             return answer
+        if stale and now - self._stale_since < STALE_CONFIRM_S:
+            return answer
         # While only the hubs are cut off, own reads keep the usual bounds.
         period_s = self.period_s if self.own_read_ok else math.inf
         is_hub = self.topology.is_hub(self.vm)
@@ -134,6 +145,8 @@
     async def pause(self, step: HubAnswer, ok: bool, max_delay_s: float = math.inf) -> None:
         """Wait until the next read.
 
+        A read counts from its beginning, so that one that took long is followed by the next at once.
+
         :param step: what :meth:`next_step` returned for the last read.
         :param ok: whether the last read succeeded and this daemon holds some content.
         :param max_delay_s: seconds after which the content must be read again.
@@ -142,6 +155,9 @@
             self.own_read_ok = ok
         shared = self.topology.shared.value
         delay_s = next_read_delay_s(step, ok, self.period_s, shared, self.rng)
+        if ok and isinstance(step, ReadNow):
+            took_s = self.clock.monotonic() - self._read_at
+            delay_s = max(MIN_READ_DELAY_S, delay_s - took_s)
         await self.clock.sleep(min(delay_s, max_delay_s))
 
     async def guard(self, read: Awaitable[None], repeat: Callable[[], None]) -> None:
