--- a/greengagehoist/gateway/controllers/_load_hub.py
+++ b/greengagehoist/gateway/controllers/_load_hub.py
@@ -1,7 +1,7 @@
 """Sums of one data centre at its hub, or of all other daemons where there are no hubs."""
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from greengagehoist.gateway.controllers._load_figures import (
     Figures,
@@ -16,6 +16,7 @@
     REPORT_MAX_AGE_S,
     LearntSpeeds,
     LoadTally,
+    Replica,
     ReplicaCounts,
     ReplicaFigures,
     Source,
@@ -52,18 +53,19 @@
         self._seq = 0
 
     def apply_report(
-        self, source: Source, report: LoadReport, service_of: dict[str, str], now: float
+        self, source: Source, report: LoadReport, listed: Mapping[str, Replica], now: float
     ) -> None:
         """Apply the report of a daemon.
 
-        :param service_of: service of each known replica.
+        :param listed: the known replicas.
         :raises ValueError: if it is malformed.
         """
         self._reports.apply(source, report.seq, decode_all(report.replicas, report.counts), now)
         answers = zip(report.answered[:MAX_ANSWERS], report.slowdowns, strict=False)
         for replica_id, slowdown in answers:
-            if replica_id in service_of:
-                self.learnt.observe(replica_id, service_of[replica_id], slowdown / THOUSANDTHS)
+            if replica_id in listed:
+                service = listed[replica_id].service
+                self.learnt.observe(replica_id, service, slowdown / THOUSANDTHS)
         if report.wants_all:
             self._told.discard(source.name)
         self._followers[source.name] = now
--- a/greengagehoist/gateway/controllers/_load_view.py
+++ b/greengagehoist/gateway/controllers/_load_view.py
@@ -143,8 +143,8 @@
         now = self.clock.monotonic()
         match message:
             case LoadReport():
-                services = {key: item.service for key, item in self.table.value.replicas.items()}
-                self._hub_state.apply_report(source, message, services, now)
+                listed = self.table.value.replicas
+                self._hub_state.apply_report(source, message, listed, now)
                 self._schedule(UPDATE, UPDATE_PERIOD_S)
                 self._schedule(SUMS, SUMS_PERIOD_S)
             case LoadSums():
--- a/greengagehoist/gateway/controllers/_time_ranking.py
+++ b/greengagehoist/gateway/controllers/_time_ranking.py
@@ -47,7 +47,6 @@
 
     ticket: int = 0
     work: Work = PlainWork()
-    shared_tokens: int = 0
 
 
 class SpeedSample(NamedTuple):
@@ -122,7 +121,7 @@
             item.replica_id: self._know(item, observed[item.replica_id], others, now)
             for item in candidates
         }
-        need = Need(send.work, affinity, send.shared_tokens, self._kv_tokens(service))
+        need = Need(send.work, affinity, self._kv_tokens(service))
         return choose_by_time(candidates, known.__getitem__, need, self.zone, now, self.rng)
 
     def begin(self, service: str, send: TimedSend, choice: TimedChoice, now: float) -> None:
--- a/greengagehoist/gateway/filters/_need.py
+++ b/greengagehoist/gateway/filters/_need.py
@@ -35,5 +35,4 @@
     if prompt is None:
         return TimedSend(ticket, PlainWork())
     tokens = max(prompt.tokens_in, sum(part.tokens for part in prompt.parts))
-    shared = shared_tokens(prompt)
-    return TimedSend(ticket, PromptWork(tokens, shared, prompt.tokens_out), shared)
+    return TimedSend(ticket, PromptWork(tokens, shared_tokens(prompt), prompt.tokens_out))
--- a/greengagehoist/gateway/tests/test_placement.py
+++ b/greengagehoist/gateway/tests/test_placement.py
@@ -84,7 +84,7 @@
 
     def choose(self, work=OWN, affinity=AnyReplica(), service="llm", **fields):
         self.tickets += 1
-        send = TimedSend(self.tickets, work, getattr(work, "shared_tokens", 0))
+        send = TimedSend(self.tickets, work)
         return deliver(self.controller, Choose(service, affinity, send=send, **fields))[0]
 
     def know(self, replica_id, now):
@@ -153,7 +153,7 @@
 
 
 def test_question_for_the_home_counts_nothing(setup):
-    send = TimedSend(0, LONG, LONG.shared_tokens)
+    send = TimedSend(0, LONG)
     home = deliver(setup.controller, FindHome("llm", PromptAffinity("p"), "", send))[0]
     assert setup.follower.told == [] and setup.choose(LONG, PromptAffinity("p")) == home
     assert setup.counts[home.replica_id].waiting_tokens == 3_700
--- a/greengagehoist/replicas/_choice_by_time.py
+++ b/greengagehoist/replicas/_choice_by_time.py
@@ -15,7 +15,7 @@
     PlainWork,
     ReplicaKnowledge,
     Work,
-    copy_s,
+    copy_tokens,
     expected_s,
 )
 from greengagehoist.replicas._types import Replica
@@ -43,13 +43,11 @@
 class Need(NamedTuple):
     """What a request needs of a replica.
 
-    :param shared_tokens: prompt tokens in parts that other requests share.
     :param kv_tokens: tokens in the memory of a replica of its service, 0 if unknown.
     """
 
     work: Work
     affinity: Affinity
-    shared_tokens: int = 0
     kv_tokens: int = 0
 
 
@@ -130,7 +128,7 @@
         case AnyReplica():
             return None
         case PromptAffinity(part, preferred_zone):
-            if not preferred_zone and need.shared_tokens < MIN_SINGLE_HOME_TOKENS:
+            if not preferred_zone and copy_tokens(need.work) < MIN_SINGLE_HOME_TOKENS:
                 preferred_zone = zone
             near = [item for item in usable if item.zone == preferred_zone]
             return max(near or usable, key=lambda item: rendezvous_rank(part, item.replica_id))
@@ -154,7 +152,8 @@
 def _copy_price_s(known: ReplicaKnowledge, need: Need) -> float:
     """Return the seconds that a request must gain to have its shared parts read again."""
     queued_s = known.slowdown * known.counts.waiting_tokens / USUAL_TOKENS_PER_S
-    return COPY_FACTOR * copy_s(need.work) * (1.0 + queued_s / QUEUE_S)
+    copy_s = copy_tokens(need.work) / USUAL_TOKENS_PER_S
+    return COPY_FACTOR * copy_s * (1.0 + queued_s / QUEUE_S)
 
 
 def _near(options: Sequence[_Option]) -> list[_Option]:
--- a/greengagehoist/replicas/_expected_time.py
+++ b/greengagehoist/replicas/_expected_time.py
@@ -122,14 +122,14 @@
             return BASE_S + known.slowdown * USUAL_PLAIN_S * (1.0 + excess / slots)
 
 
-def copy_s(work: Work) -> float:
-    """Return the seconds that another replica spends on a second copy of the shared parts.
+def copy_tokens(work: Work) -> int:
+    """Return the tokens that another replica reads for a second copy of the shared parts.
 
     All parts fit into the memory of the replicas once, so that a second copy takes the place of
     another part, which must then be read again.
     """
     match work:
         case PromptWork(_, shared_tokens, _):
-            return shared_tokens / USUAL_TOKENS_PER_S
+            return shared_tokens
         case PlainWork():
-            return 0.0
+            return 0
--- a/greengagehoist/replicas/tests/placement_model.py
+++ b/greengagehoist/replicas/tests/placement_model.py
@@ -250,7 +250,6 @@
         need = Need(
             work,
             PromptAffinity(request.part),
-            work.shared_tokens,
             KV_TOKENS,
         )
         known_of, priority = self._known(request.daemon), 5
--- a/greengagehoist/replicas/tests/test_choice_by_time.py
+++ b/greengagehoist/replicas/tests/test_choice_by_time.py
@@ -45,7 +45,7 @@
 
 
 def long_need(part="p"):
-    return Need(LONG, PromptAffinity(part), LONG.shared_tokens)
+    return Need(LONG, PromptAffinity(part))
 
 
 def test_equal_replicas_are_not_all_sent_to_the_first(choose):
@@ -81,7 +81,7 @@
 
 def test_small_parts_have_a_home_in_each_data_centre(choose):
     """A short prompt would cross data centres to save the reading of a few hundred tokens."""
-    need = Need(SHORT, PromptAffinity("p"), SHORT.shared_tokens)
+    need = Need(SHORT, PromptAffinity("p"))
     assert {choose(need, zone=zone).replica.zone for zone in "ab"} == {"a", "b"}
     assert len({choose(need).replica for _ in range(20)}) == 1
 
@@ -111,12 +111,12 @@
 def test_short_prompts_avoid_replicas_that_read_a_long_one(choose):
     known = {f"i-{number}": READING_LONG for number in range(3)}
     for part in range(20):
-        need = Need(SHORT, PromptAffinity(f"p{part}"), SHORT.shared_tokens)
+        need = Need(SHORT, PromptAffinity(f"p{part}"))
         assert choose(need, known).replica.replica_id == "i-3"
 
 
 def test_work_leaves_its_data_centre_only_if_that_is_sooner(choose):
-    need = Need(SHORT, AnyReplica(), 0)
+    need = Need(SHORT, AnyReplica())
     a_little = {f"i-{n}": ReplicaKnowledge(ReplicaCounts(1, 3_000, 0, 3_000)) for n in range(4)}
     assert choose(need, a_little).replica.zone == "a"
     much = {f"i-{n}": READING_LONG for n in range(4)}
@@ -135,7 +135,7 @@
 
 
 def test_large_results_keep_their_data_centre_until_it_is_late(choose):
-    need = Need(SHORT, PromptAffinity("p", "b"), SHORT.shared_tokens)
+    need = Need(SHORT, PromptAffinity("p", "b"))
     busy = {f"i-{n}": ReplicaKnowledge(ReplicaCounts(1, 12_000, 0, 12_000)) for n in range(4, 8)}
     assert choose(need).replica.zone == choose(need, busy).replica.zone == "b"
     late = {f"i-{n}": ReplicaKnowledge(ReplicaCounts(9, 90_000, 0, 90_000)) for n in range(4, 8)}
