Tell other daemons which parts have been copied away from their homes

A part that exceeds what its home can read was copied again and again, since no daemon knew of the copies. The price of leaving the home also orders the replicas that are worth it; before, a new copy went before an existing one with a short queue.

--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -165,6 +165,7 @@
             TimeRanking(snapshot, topology.shared, self.loads.view, settings.data_centre, rng),
             (self.loads,),
         )
+        self.loads.followers = (self.placement,)
         self.pools = PoolController(
             self.deployments.snapshot,
             self.replicas.table,
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -21,6 +21,7 @@
     LoadReported,
     NotBefore,
     OwnLoadChanged,
+    PartsCopied,
     PlacementController,
     RequestEnded,
 )
@@ -83,6 +84,7 @@
     "MemberController",
     "NotBefore",
     "OwnLoadChanged",
+    "PartsCopied",
     "PlacementController",
     "PoolController",
     "QuarantineController",
--- a/greengagehoist/gateway/controllers/_load_hub.py
+++ b/greengagehoist/gateway/controllers/_load_hub.py
@@ -16,6 +16,7 @@
     REPORT_MAX_AGE_S,
     LearntSpeeds,
     LoadTally,
+    PartCopy,
     Replica,
     ReplicaCounts,
     ReplicaFigures,
@@ -28,6 +29,8 @@
 FOLLOW_S = 10.0
 # Answers that a report may tell of.
 MAX_ANSWERS = 256
+# Copies of prompt parts that one message may tell of.
+MAX_COPIES = 64
 # Without changes, a message that nothing has changed is sent at most this often.
 MIN_SILENCE_S = 0.9 * REFRESH_S
 
@@ -47,6 +50,8 @@
         self._followers: dict[str, float] = {}
         self._told: set[str] = set()
         self._far_told: set[str] = set()
+        self._copies: list[PartCopy] = []
+        self._far_copies: list[PartCopy] = []
         self._sent: dict[str, Figures] = {}
         self._far_sent: dict[str, Figures] = {}
         self._sent_at = self._far_sent_at = -math.inf
@@ -79,6 +84,15 @@
         source = source._replace(name=zone)
         self._far.apply(source, message.seq, figures, now, message.is_whole)
 
+    def add_copies(self, copies: tuple[PartCopy, ...], is_far: bool) -> None:
+        """Pass copies of prompt parts on.
+
+        :param is_far: whether another data centre has told them, which has told all others itself.
+        """
+        self._copies = [*self._copies, *copies][-MAX_COPIES:]
+        if not is_far:
+            self._far_copies = [*self._far_copies, *copies][-MAX_COPIES:]
+
     def forget(self, vm: str) -> None:
         """Forget a daemon that is lost."""
         self._reports.forget(vm)
@@ -150,12 +164,13 @@
         new = tuple(sorted(self._followers.keys() - self._told))
         self._told |= self._followers.keys()
         self._seq += 1
+        copies, self._copies = _pairs_to_columns(self._copies), []
         updates = []
-        if known and (changes or now - self._sent_at > MIN_SILENCE_S):
+        if known and (changes or copies[0] or now - self._sent_at > MIN_SILENCE_S):
             self._sent_at = now
-            updates.append((known, LoadUpdate(self._seq, False, *_columns(changes))))
+            updates.append((known, LoadUpdate(self._seq, False, *_columns(changes), *copies)))
         if new:
-            updates.append((new, LoadUpdate(self._seq, True, *_columns(totals))))
+            updates.append((new, LoadUpdate(self._seq, True, *_columns(totals), *copies)))
         return updates
 
     def next_sums(self, hubs: frozenset[str], now: float) -> list[tuple[tuple[str, ...], LoadSums]]:
@@ -176,13 +191,16 @@
         known, new = hubs & self._far_told, hubs - self._far_told
         self._far_told = set(hubs)
         self._seq += 1
+        copies, self._far_copies = _pairs_to_columns(self._far_copies), []
         sums = []
-        if known and (changes or now - self._far_sent_at > MIN_SILENCE_S):
+        if known and (changes or copies[0] or now - self._far_sent_at > MIN_SILENCE_S):
             self._far_sent_at = now
-            sums.append((tuple(sorted(known)), LoadSums(self._seq, False, *_columns(changes))))
+            sums.append(
+                (tuple(sorted(known)), LoadSums(self._seq, False, *_columns(changes), *copies))
+            )
         if new:
             self._far_sent_at = now
-            sums.append((tuple(sorted(new)), LoadSums(self._seq, True, *_columns(totals))))
+            sums.append((tuple(sorted(new)), LoadSums(self._seq, True, *_columns(totals), *copies)))
         return sums
 
 
@@ -193,3 +211,7 @@
 
 def _columns(figures: dict[str, Figures]) -> tuple[tuple[str, ...], tuple[Figures, ...]]:
     return tuple(figures), tuple(figures.values())
+
+
+def _pairs_to_columns(copies: list[PartCopy]) -> tuple[tuple[int, ...], tuple[str, ...]]:
+    return tuple(key for key, _ in copies), tuple(replica_id for _, replica_id in copies)
--- a/greengagehoist/gateway/controllers/_load_view.py
+++ b/greengagehoist/gateway/controllers/_load_view.py
@@ -4,8 +4,8 @@
 from typing import Any, NamedTuple
 
 from greengagehoist.gateway.controllers._load_figures import decode_all
-from greengagehoist.gateway.controllers._load_hub import FOLLOW_S, THOUSANDTHS, LoadHub
-from greengagehoist.gateway.controllers._placement import OwnLoadChanged
+from greengagehoist.gateway.controllers._load_hub import FOLLOW_S, MAX_COPIES, THOUSANDTHS, LoadHub
+from greengagehoist.gateway.controllers._placement import OwnLoadChanged, PartsCopied
 from greengagehoist.gateway.controllers._reach import Reach, ReachChanged
 from greengagehoist.gateway.controllers._topology import Topology
 from greengagehoist.membership import Member
@@ -25,6 +25,7 @@
     REFRESH_S,
     VIEW_MAX_AGE_S,
     LoadView,
+    PartCopy,
     ReplicaCounts,
     ReplicaFigures,
     ReplicaTable,
@@ -71,6 +72,7 @@
     :param own: this daemon.
     :param reach: published set of daemons that can be reached.
     :param table: published table of the known replicas.
+    :param followers: controllers that receive :class:`PartsCopied`.
     :ivar view: published requests of all other daemons.
     :ivar messages: number of messages that it has sent or received.
     """
@@ -83,6 +85,7 @@
         reach: Published[Reach],
         table: Published[ReplicaTable],
         clock: Clock,
+        followers: tuple[Controller, ...] = (),
     ):
         super().__init__("load_view")
         self.peers = peers
@@ -91,10 +94,12 @@
         self.reach = reach
         self.table = table
         self.clock = clock
+        self.followers = followers
         self.view: Published[LoadView] = Published(LoadView())
         self._hub_state = LoadHub(Source(own.vm, own.vm, own.incarnation))
         self._own_counts: dict[str, ReplicaCounts] = {}
         self._answers: list[tuple[str, int]] = []
+        self._copies: list[PartCopy] = []
         self._seq = 0
         self._reported = (_Reported({}, 0.0), _Reported({}, 0.0))
         self._hub = ""
@@ -115,7 +120,9 @@
     def handle(self, message: Any, reply: Reply) -> None:
         """Process one message."""
         match message:
-            case OwnLoadChanged(counts, sample):
+            case OwnLoadChanged(counts, sample, copy):
+                if copy is not None:
+                    self._copies = [*self._copies, copy][-MAX_COPIES:]
                 self._own_counts = self._hub_state.own_counts = counts
                 if sample is not None and len(self._answers) < MAX_ANSWERS:
                     thousandths = max(1, round(min(sample.ratio, 100.0) * THOUSANDTHS))
@@ -145,13 +152,32 @@
             case LoadReport():
                 listed = self.table.value.replicas
                 self._hub_state.apply_report(source, message, listed, now)
+                self._pass_copies_on(message, is_far=False)
                 self._schedule(UPDATE, UPDATE_PERIOD_S)
                 self._schedule(SUMS, SUMS_PERIOD_S)
             case LoadSums():
                 self._hub_state.apply_sums(data_centre, source, message, now)
+                self._pass_copies_on(message, is_far=True)
                 self._schedule(UPDATE, UPDATE_PERIOD_S)
             case LoadUpdate():
                 self._apply_update(source.vm, message, now)
+                self._tell_copies(message)
+
+    def _pass_copies_on(self, message: LoadReport | LoadSums, is_far: bool) -> None:
+        if self.topology.shared.value:
+            self._hub_state.add_copies(self._tell_copies(message), is_far)
+        else:
+            self._tell_copies(message)
+
+    def _tell_copies(self, message: LoadReport | LoadSums | LoadUpdate) -> tuple[PartCopy, ...]:
+        """Tell followers of the copies in a message, and return them."""
+        listed = self.table.value.replicas
+        pairs = zip(message.copied_parts, message.copied_to[:MAX_COPIES], strict=False)
+        copies = tuple(item for item in pairs if item[1] in listed)
+        if copies:
+            for follower in self.followers:
+                follower.tell(PartsCopied(copies))
+        return copies
 
     # Timing.
 
@@ -188,10 +214,12 @@
     def _send_report(self) -> None:
         now = self.clock.monotonic()
         hub = self._hub = self._find_hub()
+        copies, self._copies = tuple(self._copies), []
         if self._own_counts:
             self._schedule(REPORT, REFRESH_S)
         if hub == self.own.vm:
             self._learn_own_answers()
+            self._hub_state.add_copies(copies, is_far=False)
             self._schedule(UPDATE, UPDATE_PERIOD_S)
             self._schedule(SUMS, SUMS_PERIOD_S)
             return
@@ -208,6 +236,8 @@
             tuple(counts.values()),
             tuple(key for key, _ in self._answers),
             tuple(slowdown for _, slowdown in self._answers),
+            tuple(key for key, _ in copies),
+            tuple(replica_id for _, replica_id in copies),
         )
         self.messages += 1
         if hub:
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -16,6 +16,7 @@
     Incarnation,
     Load,
     Observed,
+    PartCopy,
     Replica,
     ReplicaAvailability,
     ReplicaCounts,
@@ -105,14 +106,22 @@
 
 
 class OwnLoadChanged(NamedTuple):
-    """Tell followers that the requests of this daemon at replicas have changed.
+    """Tell followers that this daemon's requests have changed.
 
     :param counts: by replica id.
     :param sample: what an answer has told of the speed of its replica, None if nothing.
+    :param copy: a part that a request has taken away from its home, None if it has not.
     """
 
     counts: dict[str, ReplicaCounts]
-    sample: SpeedSample | None
+    sample: SpeedSample | None = None
+    copy: PartCopy | None = None
+
+
+class PartsCopied(NamedTuple):
+    """Report shared parts that other daemons' requests have taken away from their homes."""
+
+    copies: tuple[PartCopy, ...]
 
 
 class RequestEnded(NamedTuple):
@@ -193,9 +202,8 @@
         self.zone = zone
         self.ranking = ranking
         self.followers = followers
-        # Choices by time since the start, and of these, those outside of the home or the data centre.
-        self.choices = 0
-        self.choices_elsewhere = 0
+        # Choices by time since the start, and those of them that were logged.
+        self.choices = self.choices_elsewhere = 0
         self._ranked: TimedChoice | None = None
         self._health: dict[str, _Health] = {}
         self._zone_avoid_until: dict[str, float] = {}
@@ -208,6 +216,9 @@
                 reply(self._choose(message))
             case FindHome(service, affinity, model, send):
                 reply(self._find(Choose(service, affinity, frozenset(), model, send=send)))
+            case PartsCopied(copies):
+                for key, replica_id in copies:
+                    self.ranking.copies.note(key, replica_id, self.clock.monotonic())
             case AbandonChoice(ticket):
                 replica_id = self.ranking.sends.replica_of(ticket)
                 if replica_id:
@@ -289,17 +300,21 @@
             return
         choice, self._ranked = self._ranked, None
         if choice is None or choice.replica != replica:
-            # A permit for this replica was waited for.
+            # It had to wait for a permit.
             choice = TimedChoice(replica, 0.0, False, None, 0.0)
-        self.ranking.begin(query.service, query.send, choice, self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.ranking.begin(query.service, query.send, choice, now)
+        copy = self.ranking.note_copy(query.affinity, choice, now)
         self.choices += 1
         if is_notable(choice, self.zone):
             self.choices_elsewhere += 1
             log_choice(query.request, query.service, choice, self.zone)
-        self._tell_own_load()
+        self._tell_own_load(copy=copy)
 
-    def _tell_own_load(self, sample: SpeedSample | None = None) -> None:
-        changed = OwnLoadChanged(self.ranking.sends.counts(), sample)
+    def _tell_own_load(
+        self, sample: SpeedSample | None = None, copy: PartCopy | None = None
+    ) -> None:
+        changed = OwnLoadChanged(self.ranking.sends.counts(), sample, copy)
         for follower in self.followers:
             follower.tell(changed)
 
--- a/greengagehoist/gateway/controllers/_time_ranking.py
+++ b/greengagehoist/gateway/controllers/_time_ranking.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from greengagehoist.deployment import DeploymentSnapshot
+from greengagehoist.quarantine import part_key
 from greengagehoist.replicas import (
     NO_FIGURES,
     NO_REQUESTS,
@@ -17,7 +18,10 @@
     Observed,
     OwnSend,
     OwnSends,
+    PartCopies,
+    PartCopy,
     PlainWork,
+    PromptAffinity,
     Replica,
     ReplicaCounts,
     ReplicaFigures,
@@ -84,6 +88,7 @@
         self.rng = rng
         self.sends = OwnSends()
         self.learnt = LearntSpeeds()
+        self.copies = PartCopies()
         self._reported = LearntSpeeds()
         self._states_slowdown: set[str] = set()
 
@@ -121,7 +126,11 @@
             item.replica_id: self._know(item, observed[item.replica_id], others, now)
             for item in candidates
         }
-        need = Need(send.work, affinity, self._kv_tokens(service))
+        copies: frozenset[str] = frozenset()
+        match affinity:
+            case PromptAffinity(part, _):
+                copies = self.copies.of(part_key(part), now)
+        need = Need(send.work, affinity, self._kv_tokens(service), copies)
         return choose_by_time(candidates, known.__getitem__, need, self.zone, now, self.rng)
 
     def begin(self, service: str, send: TimedSend, choice: TimedChoice, now: float) -> None:
@@ -145,6 +154,14 @@
             now,
         )
 
+    def note_copy(self, affinity: Affinity, choice: TimedChoice, now: float) -> PartCopy | None:
+        """Note the copy of a part away from its home; return it if other daemons should know."""
+        match affinity:
+            case PromptAffinity(part, _) if choice.home not in (None, choice.replica):
+                copy = part_key(part), choice.replica.replica_id
+                return copy if self.copies.note(*copy, now) else None
+        return None
+
     def begin_answer(self, ticket: int, replica: Replica, now: float) -> SpeedSample | None:
         """Note the first event of an answer; return what it tells of the replica's speed."""
         return self._learn(self.sends.begin_answer(ticket), replica, now)
--- a/greengagehoist/gateway/tests/test_load_view.py
+++ b/greengagehoist/gateway/tests/test_load_view.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from greengagehoist.gateway.controllers import ReachChanged
+from greengagehoist.gateway.controllers import OwnLoadChanged, PartsCopied, ReachChanged
 from greengagehoist.gateway.controllers._load_figures import decode_figures
 from greengagehoist.gateway.tests.load_simulation import LoadSimulation
+from greengagehoist.gateway.tests.recorder import Recorder
 from greengagehoist.peers import FromPeer, LoadReport, LoadSums, LoadUpdate
 from greengagehoist.replicas import PromptWork
 
@@ -196,6 +197,30 @@
         assert learnt.weight > 20 and learnt.factor == pytest.approx(1.3, rel=0.05)
 
 
+@pytest.mark.parametrize("sizes", [(2, 2, 3), FOUR])
+def test_copies_of_parts_reach_all_daemons_once(sizes):
+    """Else the daemons of other data centres copy a hot part again."""
+    simulation = LoadSimulation(sizes)
+    followers = {vm: Recorder(vm) for vm in simulation.daemons}
+    for vm, daemon in simulation.daemons.items():
+        daemon.followers = (followers[vm],)
+    long_requests(simulation, simulation.daemons, 1)
+    simulation.run(SETTLED_S)
+    origin = simulation.daemons["vm-b1"]
+    origin.tell(OwnLoadChanged(origin.sends.counts(), None, (77, "i-000003")))
+    simulation.run(SETTLED_S)
+    for vm, follower in followers.items():
+        assert vm == "vm-b1" or follower.told == [PartsCopied(((77, "i-000003"),))]
+
+
+def test_copies_at_unlisted_replicas_are_ignored(simulation):
+    daemon, follower = simulation.daemons["vm-a9"], Recorder("follower")
+    daemon.followers = (follower,)
+    message = LoadUpdate(1, False, (), (), (1, 2, 3), ("other", "i-000001"))
+    daemon.tell(FromPeer("vm-a0", "a", 1, message))
+    assert follower.told == [PartsCopied(((2, "i-000001"),))]
+
+
 @pytest.mark.parametrize(
     "message",
     [
--- a/greengagehoist/gateway/tests/test_placement.py
+++ b/greengagehoist/gateway/tests/test_placement.py
@@ -20,6 +20,7 @@
     FindHome,
     LoadReported,
     OwnLoadChanged,
+    PartsCopied,
     PlacementController,
     Reach,
     RequestEnded,
@@ -28,6 +29,7 @@
 )
 from greengagehoist.gateway.controllers import _time_ranking as ranking_module
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
+from greengagehoist.quarantine import part_key
 from greengagehoist.replicas import (
     AnyReplica,
     LearntSlowdown,
@@ -152,6 +154,29 @@
     assert setup.controller.choices_elsewhere == int(is_noted)
 
 
+def test_copy_of_a_part_is_told_once_and_used(setup):
+    affinity = PromptAffinity("p")
+    home = setup.choose(LONG, affinity).replica_id
+    late = ReplicaFigures(ReplicaCounts(9, 150_000, 0, 150_000))
+    setup.view.value = LoadView({home: late}, 0.0)
+    copy = setup.choose(LONG, affinity).replica_id
+    assert setup.follower.told[-1].copy == (part_key("p"), copy)
+    assert setup.choose(LONG, affinity).replica_id == copy
+    assert setup.follower.told[-1].copy is None
+    # The copy need not be read again.
+    assert setup.counts[copy].waiting_tokens == 17_000 + 3_700
+
+
+def test_copies_of_other_daemons_are_used(setup):
+    home = setup.choose(LONG, PromptAffinity("p")).replica_id
+    copy = next(key for key in REPLICAS if key != home)
+    busy = ReplicaFigures(ReplicaCounts(3, 15_000, 0, 50_000))
+    setup.view.value = LoadView({home: busy}, 0.0)
+    assert setup.choose(LONG, PromptAffinity("p")).replica_id == home
+    deliver(setup.controller, PartsCopied(((part_key("p"), copy),)))
+    assert setup.choose(LONG, PromptAffinity("p")).replica_id == copy
+
+
 def test_question_for_the_home_counts_nothing(setup):
     send = TimedSend(0, LONG)
     home = deliver(setup.controller, FindHome("llm", PromptAffinity("p"), "", send))[0]
--- a/greengagehoist/peers/_messages.py
+++ b/greengagehoist/peers/_messages.py
@@ -259,6 +259,8 @@
         requests, and tokens in memory.
     :param answered: replicas whose answers told their speed since the last report.
     :param slowdowns: for each answer, its time in thousandths of the usual time.
+    :param copied_parts: keys of shared parts that requests have taken away from their homes.
+    :param copied_to: for each of them, the replica that has read it.
     """
 
     seq: int
@@ -267,6 +269,8 @@
     counts: tuple[tuple[int, ...], ...]
     answered: tuple[str, ...]
     slowdowns: tuple[int, ...]
+    copied_parts: tuple[int, ...] = ()
+    copied_to: tuple[str, ...] = ()
 
 
 class LoadSums(NamedTuple):
@@ -276,12 +280,16 @@
     :param is_whole: whether replicas that are not named have no figures; they are unchanged otherwise.
     :param figures: for each replica, the counts of :class:`LoadReport`, the learnt slowdown in
         thousandths, and the number of answers that it counts for.
+    :param copied_parts: as in :class:`LoadReport`, since the last message.
+    :param copied_to: likewise.
     """
 
     seq: int
     is_whole: bool
     replicas: tuple[str, ...]
     figures: tuple[tuple[int, ...], ...]
+    copied_parts: tuple[int, ...] = ()
+    copied_to: tuple[str, ...] = ()
 
 
 class LoadUpdate(NamedTuple):
@@ -294,6 +302,8 @@
     is_whole: bool
     replicas: tuple[str, ...]
     figures: tuple[tuple[int, ...], ...]
+    copied_parts: tuple[int, ...] = ()
+    copied_to: tuple[str, ...] = ()
 
 
 class ConfigPush(NamedTuple):
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -45,6 +45,11 @@
     merge_figures,
 )
 from greengagehoist.replicas._own_sends import OwnSend, OwnSends
+from greengagehoist.replicas._part_copies import (
+    COPY_KEPT_S,
+    PartCopies,
+    PartCopy,
+)
 from greengagehoist.replicas._send_limits import (
     Incarnation,
     LimitState,
@@ -78,6 +83,7 @@
 __all__ = [
     "Affinity",
     "AnyReplica",
+    "COPY_KEPT_S",
     "Granted",
     "Incarnation",
     "LearntSlowdown",
@@ -96,6 +102,8 @@
     "Observed",
     "OwnSend",
     "OwnSends",
+    "PartCopies",
+    "PartCopy",
     "PermitQueue",
     "PlainWork",
     "PromptAffinity",
--- a/greengagehoist/replicas/_choice_by_time.py
+++ b/greengagehoist/replicas/_choice_by_time.py
@@ -44,11 +44,13 @@
     """What a request needs of a replica.
 
     :param kv_tokens: tokens in the memory of a replica of its service, 0 if unknown.
+    :param copies: ids of replicas that hold the shared parts besides their home.
     """
 
     work: Work
     affinity: Affinity
     kv_tokens: int = 0
+    copies: frozenset[str] = frozenset()
 
 
 class TimedChoice(NamedTuple):
@@ -71,16 +73,18 @@
     """A candidate.
 
     :param detour_s: seconds that it must be sooner because it is in another data centre.
+    :param price_s: seconds that it must be sooner because it is not the home of the parts.
     """
 
     replica: Replica
     expected_s: float
     detour_s: float
+    price_s: float = 0.0
 
     @property
     def cost_s(self) -> float:
-        """Expected seconds and, in seconds, what the traffic costs."""
-        return self.expected_s + self.detour_s
+        """Expected seconds and, in seconds, what the choice costs others."""
+        return self.expected_s + self.detour_s + self.price_s
 
 
 def choose_by_time(
@@ -104,7 +108,7 @@
         return None
     home = _home_of(usable, need, zone)
     options = [
-        _option(item, known[item.replica_id], need, zone, False)
+        _option(item, known[item.replica_id], need, zone, item.replica_id in need.copies)
         for item in usable
         if item is not home
     ]
@@ -112,15 +116,17 @@
         chosen = _among_near(options, known, rng)
         return TimedChoice(chosen.replica, chosen.expected_s, False, None, 0.0)
     at_home = _option(home, known[home.replica_id], need, zone, True)
-    faster = [
-        item
+    priced = (
+        item._replace(price_s=_leave_price_s(item.replica, known, need))
         for item in options
-        if item.cost_s + _copy_price_s(known[item.replica.replica_id], need) < at_home.cost_s
-    ]
+        if item.cost_s < at_home.cost_s
+    )
+    faster = [item for item in priced if item.cost_s < at_home.cost_s]
     if not faster:
         return TimedChoice(home, at_home.expected_s, True, home, at_home.expected_s)
     chosen = _next_home(faster, need)
-    return TimedChoice(chosen.replica, chosen.expected_s, False, home, at_home.expected_s)
+    holds_parts = chosen.replica.replica_id in need.copies
+    return TimedChoice(chosen.replica, chosen.expected_s, holds_parts, home, at_home.expected_s)
 
 
 def _home_of(usable: Sequence[Replica], need: Need, zone: str) -> Replica | None:
@@ -149,6 +155,13 @@
     return _Option(replica, seconds, detour_s)
 
 
+def _leave_price_s(replica: Replica, known: dict[str, ReplicaKnowledge], need: Need) -> float:
+    """Return the seconds that a request must gain to leave the home of its parts for a replica."""
+    if replica.replica_id in need.copies:
+        return NEAR_S
+    return _copy_price_s(known[replica.replica_id], need)
+
+
 def _copy_price_s(known: ReplicaKnowledge, need: Need) -> float:
     """Return the seconds that a request must gain to have its shared parts read again."""
     queued_s = known.slowdown * known.counts.waiting_tokens / USUAL_TOKENS_PER_S
--- a/greengagehoist/replicas/tests/placement_model.py
+++ b/greengagehoist/replicas/tests/placement_model.py
@@ -166,7 +166,7 @@
         self.events, self.times = [], defaultdict(list)
         self.own = defaultdict(lambda: defaultdict(lambda: NO_REQUESTS))
         self.total = defaultdict(lambda: NO_REQUESTS)
-        self.update, self.own_at_update = {}, {}
+        self.update, self.own_at_update, self.copies = {}, {}, {}
         self.reports = {}
         self._warm(mix)
         for kind, per_s in mix.items():
@@ -218,6 +218,11 @@
 
     def _send_updates(self):
         self.update = dict(self.total)
+        holders = defaultdict(set)
+        for key, engine in self.engines.items():
+            for part in engine.parts:
+                holders[part].add(key)
+        self.copies = {part: frozenset(keys) for part, keys in holders.items() if len(keys) > 1}
         self.own_at_update = {vm: dict(counts) for vm, counts in self.own.items()}
 
     def _known(self, daemon):
@@ -251,6 +256,7 @@
             work,
             PromptAffinity(request.part),
             KV_TOKENS,
+            self.copies.get(request.part, frozenset()),
         )
         known_of, priority = self._known(request.daemon), 5
         match self.policy:
--- a/greengagehoist/replicas/tests/test_choice_by_time.py
+++ b/greengagehoist/replicas/tests/test_choice_by_time.py
@@ -100,6 +100,19 @@
     assert len(found) == 1 and home not in found
 
 
+def test_hot_part_uses_its_copies_before_it_is_copied_again(choose, candidates):
+    """Without knowledge of the copies, each late request would pay for another one."""
+    found = choose(long_need()).replica
+    home, zone = found.replica_id, found.zone
+    copy = next(item.replica_id for item in candidates if item.zone == zone and item != found)
+    need = long_need()._replace(copies=frozenset({copy}))
+    assert choose(need, zone=zone).replica.replica_id == home
+    busy = {home: ReplicaKnowledge(ReplicaCounts(3, 12_000, 0, 50_000))}
+    assert choose(long_need(), busy, zone=zone).replica.replica_id == home
+    found = choose(need, busy, zone=zone)
+    assert found.replica.replica_id == copy and found.holds_parts
+
+
 def test_parts_stay_at_their_homes_when_all_replicas_are_late(choose):
     """Parts that leave must be read again, so that an overload would feed itself."""
     late = {f"i-{n}": ReplicaKnowledge(ReplicaCounts(10, 60_000, 4, 200_000)) for n in range(8)}
--- a/greengagehoist/replicas/tests/test_mixes.py
+++ b/greengagehoist/replicas/tests/test_mixes.py
@@ -20,6 +20,7 @@
 )
 
 SEEDS = (1, 2, 3)
+HOT = LONG._replace(name="hot", parts=1)
 USUAL = ((LONG, 4.8), (MIDDLE, 5.7), (SHORT, 5.1))
 BURST = ((LONG, 14.4), (MIDDLE, 17.0), (SHORT, 15.3))
 LONG_BURST = ((LONG, 30.0), (MIDDLE, 5.7), (SHORT, 15.3))
@@ -88,6 +89,21 @@
         assert worst_s(ByTime(), mix, kind, **fields) < 4 * max(kind.budget_s, 0.8)
 
 
+@pytest.mark.parametrize("per_s", [8.0, 15.0, 25.0])
+def test_hot_part_gets_more_homes_in_time(per_s):
+    """One part that many requests share exceeds what its home can read."""
+    mix = (
+        (HOT, per_s),
+        *((kind, rate) for kind, rate in USUAL if kind is not SHORT),
+        (SHORT, 15.0),
+    )
+    for kind, _ in mix:
+        before = in_time(ByUtilization(), mix, kind)
+        assert in_time(ByTime(), mix, kind) >= max(0.85, before - 0.005)
+    copies = sum("hot-0" in item.parts for item in played(ByTime(), mix, 1).engines.values())
+    assert copies <= 1 + per_s / 5
+
+
 def test_overload_does_not_feed_itself():
     """Parts that leave late homes are read again, which makes more homes late."""
     before = worst_s(ByUtilization(), OVERLOAD, LONG)
