--- a/greengagehoist/peers/__init__.py
+++ b/greengagehoist/peers/__init__.py
@@ -1,6 +1,7 @@
 """Links between daemons and the messages sent over them."""
 
 from greengagehoist.peers._controller import PeerController
+from greengagehoist.peers._load_messages import LoadReport, LoadSums, LoadUpdate
 from greengagehoist.peers._messages import (
     ConfigPush,
     ConfigRequest,
@@ -8,9 +9,6 @@
     Heartbeat,
     Hello,
     LeaveMark,
-    LoadReport,
-    LoadSums,
-    LoadUpdate,
     PeerMessage,
     PermitCancel,
     PermitReply,
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -1,6 +1,7 @@
 """Wire codes of the peer messages."""
 
 from greengagehoist.codec import MessageCodec
+from greengagehoist.peers._load_messages import LoadReport, LoadSums, LoadUpdate
 from greengagehoist.peers._messages import (
     ConfigPush,
     ConfigRequest,
@@ -8,9 +9,6 @@
     Heartbeat,
     Hello,
     LeaveMark,
-    LoadReport,
-    LoadSums,
-    LoadUpdate,
     PermitCancel,
     PermitReply,
     PermitRequest,
