Give idle replicas requests in proportion to their speed

Of two replicas drawn by speed the one with the shorter expected time was taken, so that a replica that takes twice as long got 39 requests where each of the others got 654. Now the less busy one is taken. The sharpened test fails without the change.

--- a/greengagehoist/replicas/_choice_by_time.py
+++ b/greengagehoist/replicas/_choice_by_time.py
@@ -15,6 +15,7 @@
     PlainWork,
     ReplicaKnowledge,
     Work,
+    busy_s,
     copy_tokens,
     expected_s,
 )
@@ -192,7 +193,11 @@
 def _among_near(
     options: Sequence[_Option], known: dict[str, ReplicaKnowledge], rng: random.Random
 ) -> _Option:
-    """Return the better of two replicas, drawn by speed from those that are about as good."""
+    """Return the less busy of two replicas, drawn by speed from those that are about as good.
+
+    Idle ones are equal here, so that replicas get requests in proportion to their speed.
+    """
     near = _near(options)
     weights = [1.0 / known[item.replica.replica_id].slowdown for item in near]
-    return min(rng.choices(near, weights, k=2), key=lambda item: item.cost_s)
+    drawn = rng.choices(near, weights, k=2)
+    return min(drawn, key=lambda item: busy_s(known[item.replica.replica_id]))
--- a/greengagehoist/replicas/_expected_time.py
+++ b/greengagehoist/replicas/_expected_time.py
@@ -122,6 +122,13 @@
             return BASE_S + known.slowdown * USUAL_PLAIN_S * (1.0 + excess / slots)
 
 
+def busy_s(known: ReplicaKnowledge) -> float:
+    """Return how busy a replica is with the requests it has, in seconds of work."""
+    counts = known.counts
+    read_s = counts.waiting_tokens / USUAL_TOKENS_PER_S
+    return known.slowdown * (read_s + USUAL_STEP_S * (counts.waiting + counts.running))
+
+
 def copy_tokens(work: Work) -> int:
     """Return the tokens that another replica reads for a second copy of the shared parts.
 
--- a/greengagehoist/replicas/tests/test_choice_by_time.py
+++ b/greengagehoist/replicas/tests/test_choice_by_time.py
@@ -62,7 +62,14 @@
     }
     need = Need(PromptWork(100), AnyReplica())
     chosen = Counter(choose(need, known).replica.replica_id for _ in range(2000))
-    assert 0 < chosen["i-3"] < 0.75 * chosen["i-0"]
+    fast = (chosen["i-0"] + chosen["i-1"] + chosen["i-2"]) / 3
+    assert 0.4 < chosen["i-3"] / fast < 0.6
+
+
+def test_less_busy_replica_goes_before_a_busy_one(choose):
+    known = {"i-0": ReplicaKnowledge(ReplicaCounts(1, 1_000, 3, 9_000))}
+    chosen = Counter(choose(Need(PromptWork(100), AnyReplica()), known).replica for _ in range(900))
+    assert min(count for item, count in chosen.items() if item.replica_id != "i-0") > 250
 
 
 def test_parts_have_one_home_that_other_replicas_do_not_share(choose, candidates):
