--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -182,6 +182,7 @@
             self.evacuated,
             self.limits.cold,
         )
+        self.loads.followers = (self.placement,)
         self.pools = PoolController(
             self.deployments.snapshot,
             self.replicas.table,
--- a/greengagehoist/gateway/controllers/__init__.py
+++ b/greengagehoist/gateway/controllers/__init__.py
@@ -25,6 +25,7 @@
     LoadReported,
     NotBefore,
     OwnLoadChanged,
+    PartsCopied,
     PlacementController,
     RequestEnded,
 )
@@ -82,6 +83,7 @@
     "MemberController",
     "NotBefore",
     "OwnLoadChanged",
+    "PartsCopied",
     "PlacementController",
     "PoolController",
     "QuarantineController",
--- a/greengagehoist/gateway/controllers/_load_hub.py
+++ b/greengagehoist/gateway/controllers/_load_hub.py
@@ -1,7 +1,7 @@
 """Sums of one data centre at its hub, or of all other daemons where there are no hubs."""
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from greengagehoist.gateway.controllers._load_figures import (
     Figures,
@@ -16,6 +16,8 @@
     REPORT_MAX_AGE_S,
     LearntSpeeds,
     LoadTally,
+    PartCopy,
+    Replica,
     ReplicaCounts,
     ReplicaFigures,
     Source,
@@ -27,6 +29,8 @@
 FOLLOW_S = 10.0
 # Answers that a report may tell of.
 MAX_ANSWERS = 256
+# Copies of prompt parts that one message may tell of.
+MAX_COPIES = 64
 # Without changes, a message that nothing has changed is sent at most this often.
 MIN_SILENCE_S = 0.9 * REFRESH_S
 
@@ -46,24 +50,27 @@
         self._followers: dict[str, float] = {}
         self._told: set[str] = set()
         self._far_told: set[str] = set()
+        self._copies: list[PartCopy] = []
+        self._far_copies: list[PartCopy] = []
         self._sent: dict[str, Figures] = {}
         self._far_sent: dict[str, Figures] = {}
         self._sent_at = self._far_sent_at = -math.inf
         self._seq = 0
 
     def apply_report(
-        self, source: Source, report: LoadReport, service_of: dict[str, str], now: float
+        self, source: Source, report: LoadReport, listed: Mapping[str, Replica], now: float
     ) -> None:
         """Apply the report of a daemon.
 
-        :param service_of: service of each known replica.
+        :param listed: the known replicas.
         :raises ValueError: if it is malformed.
         """
         self._reports.apply(source, report.seq, decode_all(report.replicas, report.counts), now)
         answers = zip(report.answered[:MAX_ANSWERS], report.slowdowns, strict=False)
         for replica_id, slowdown in answers:
-            if replica_id in service_of:
-                self.learnt.observe(replica_id, service_of[replica_id], slowdown / THOUSANDTHS)
+            if replica_id in listed:
+                service = listed[replica_id].service
+                self.learnt.observe(replica_id, service, slowdown / THOUSANDTHS)
         if report.wants_all:
             self._told.discard(source.name)
         self._followers[source.name] = now
@@ -77,6 +84,15 @@
         source = source._replace(name=zone)
         self._far.apply(source, message.seq, figures, now, message.is_whole)
 
+    def add_copies(self, copies: tuple[PartCopy, ...], is_far: bool) -> None:
+        """Pass copies of prompt parts on.
+
+        :param is_far: whether another data centre has told them, which has told all others itself.
+        """
+        self._copies = [*self._copies, *copies][-MAX_COPIES:]
+        if not is_far:
+            self._far_copies = [*self._far_copies, *copies][-MAX_COPIES:]
+
     def forget(self, vm: str) -> None:
         """Forget a daemon that is lost."""
         self._reports.forget(vm)
@@ -148,12 +164,13 @@
         new = tuple(sorted(self._followers.keys() - self._told))
         self._told |= self._followers.keys()
         self._seq += 1
+        copies, self._copies = _pairs_to_columns(self._copies), []
         updates = []
-        if known and (changes or now - self._sent_at > MIN_SILENCE_S):
+        if known and (changes or copies[0] or now - self._sent_at > MIN_SILENCE_S):
             self._sent_at = now
-            updates.append((known, LoadUpdate(self._seq, False, *_columns(changes))))
+            updates.append((known, LoadUpdate(self._seq, False, *_columns(changes), *copies)))
         if new:
-            updates.append((new, LoadUpdate(self._seq, True, *_columns(totals))))
+            updates.append((new, LoadUpdate(self._seq, True, *_columns(totals), *copies)))
         return updates
 
     def next_sums(self, hubs: frozenset[str], now: float) -> list[tuple[tuple[str, ...], LoadSums]]:
@@ -174,13 +191,16 @@
         known, new = hubs & self._far_told, hubs - self._far_told
         self._far_told = set(hubs)
         self._seq += 1
+        copies, self._far_copies = _pairs_to_columns(self._far_copies), []
         sums = []
-        if known and (changes or now - self._far_sent_at > MIN_SILENCE_S):
+        if known and (changes or copies[0] or now - self._far_sent_at > MIN_SILENCE_S):
             self._far_sent_at = now
-            sums.append((tuple(sorted(known)), LoadSums(self._seq, False, *_columns(changes))))
+            sums.append(
+                (tuple(sorted(known)), LoadSums(self._seq, False, *_columns(changes), *copies))
+            )
         if new:
             self._far_sent_at = now
-            sums.append((tuple(sorted(new)), LoadSums(self._seq, True, *_columns(totals))))
+            sums.append((tuple(sorted(new)), LoadSums(self._seq, True, *_columns(totals), *copies)))
         return sums
 
 
@@ -191,3 +211,7 @@
 
 def _columns(figures: dict[str, Figures]) -> tuple[tuple[str, ...], tuple[Figures, ...]]:
     return tuple(figures), tuple(figures.values())
+
+
+def _pairs_to_columns(copies: list[PartCopy]) -> tuple[tuple[int, ...], tuple[str, ...]]:
+    return tuple(key for key, _ in copies), tuple(replica_id for _, replica_id in copies)
--- a/greengagehoist/replicas/__init__.py
+++ b/greengagehoist/replicas/__init__.py
@@ -57,6 +57,11 @@
     merge_figures,
 )
 from greengagehoist.replicas._own_sends import OwnSend, OwnSends
+from greengagehoist.replicas._part_copies import (
+    COPY_KEPT_S,
+    PartCopies,
+    PartCopy,
+)
 from greengagehoist.replicas._send_limits import (
     Incarnation,
     LimitState,
@@ -100,6 +105,7 @@
     "allowance_of",
     "Affinity",
     "AnyReplica",
+    "COPY_KEPT_S",
     "Granted",
     "Incarnation",
     "LearntSlowdown",
@@ -118,6 +124,8 @@
     "Observed",
     "OwnSend",
     "OwnSends",
+    "PartCopies",
+    "PartCopy",
     "PermitQueue",
     "PlainWork",
     "PromptAffinity",
--- a/greengagehoist/replicas/_choice_by_time.py
+++ b/greengagehoist/replicas/_choice_by_time.py
@@ -15,7 +15,8 @@
     PlainWork,
     ReplicaKnowledge,
     Work,
-    copy_s,
+    busy_s,
+    copy_tokens,
     expected_s,
 )
 from greengagehoist.replicas._types import Replica
@@ -43,14 +44,14 @@
 class Need(NamedTuple):
     """What a request needs of a replica.
 
-    :param shared_tokens: prompt tokens in parts that other requests share.
     :param kv_tokens: tokens in the memory of a replica of its service, 0 if unknown.
+    :param copies: ids of replicas that hold the shared parts besides their home.
     """
 
     work: Work
     affinity: Affinity
-    shared_tokens: int = 0
     kv_tokens: int = 0
+    copies: frozenset[str] = frozenset()
 
 
 class TimedChoice(NamedTuple):
@@ -73,16 +74,18 @@
     """A candidate.
 
     :param detour_s: seconds that it must be sooner because it is in another data centre.
+    :param price_s: seconds that it must be sooner because it is not the home of the parts.
     """
 
     replica: Replica
     expected_s: float
     detour_s: float
+    price_s: float = 0.0
 
     @property
     def cost_s(self) -> float:
-        """Expected seconds and, in seconds, what the traffic costs."""
-        return self.expected_s + self.detour_s
+        """Expected seconds and, in seconds, what the choice costs others."""
+        return self.expected_s + self.detour_s + self.price_s
 
 
 def choose_by_time(
@@ -106,7 +109,7 @@
         return None
     home = _home_of(usable, need, zone)
     options = [
-        _option(item, known[item.replica_id], need, zone, False)
+        _option(item, known[item.replica_id], need, zone, item.replica_id in need.copies)
         for item in usable
         if item is not home
     ]
@@ -114,15 +117,17 @@
         chosen = _among_near(options, known, rng)
         return TimedChoice(chosen.replica, chosen.expected_s, False, None, 0.0)
     at_home = _option(home, known[home.replica_id], need, zone, True)
-    faster = [
-        item
+    priced = (
+        item._replace(price_s=_leave_price_s(item.replica, known, need))
         for item in options
-        if item.cost_s + _copy_price_s(known[item.replica.replica_id], need) < at_home.cost_s
-    ]
+        if item.cost_s < at_home.cost_s
+    )
+    faster = [item for item in priced if item.cost_s < at_home.cost_s]
     if not faster:
         return TimedChoice(home, at_home.expected_s, True, home, at_home.expected_s)
     chosen = _next_home(faster, need)
-    return TimedChoice(chosen.replica, chosen.expected_s, False, home, at_home.expected_s)
+    holds_parts = chosen.replica.replica_id in need.copies
+    return TimedChoice(chosen.replica, chosen.expected_s, holds_parts, home, at_home.expected_s)
 
 
 def _home_of(usable: Sequence[Replica], need: Need, zone: str) -> Replica | None:
@@ -130,7 +135,7 @@
         case AnyReplica():
             return None
         case PromptAffinity(part, preferred_zone):
-            if not preferred_zone and need.shared_tokens < MIN_SINGLE_HOME_TOKENS:
+            if not preferred_zone and copy_tokens(need.work) < MIN_SINGLE_HOME_TOKENS:
                 preferred_zone = zone
             near = [item for item in usable if item.zone == preferred_zone]
             return max(near or usable, key=lambda item: rendezvous_rank(part, item.replica_id))
@@ -151,10 +156,18 @@
     return _Option(replica, seconds, detour_s)
 
 
+def _leave_price_s(replica: Replica, known: dict[str, ReplicaKnowledge], need: Need) -> float:
+    """Return the seconds that a request must gain to leave the home of its parts for a replica."""
+    if replica.replica_id in need.copies:
+        return NEAR_S
+    return _copy_price_s(known[replica.replica_id], need)
+
+
 def _copy_price_s(known: ReplicaKnowledge, need: Need) -> float:
     """Return the seconds that a request must gain to have its shared parts read again."""
     queued_s = known.slowdown * known.counts.waiting_tokens / USUAL_TOKENS_PER_S
-    return COPY_FACTOR * copy_s(need.work) * (1.0 + queued_s / QUEUE_S)
+    copy_s = copy_tokens(need.work) / USUAL_TOKENS_PER_S
+    return COPY_FACTOR * copy_s * (1.0 + queued_s / QUEUE_S)
 
 
 def _near(options: Sequence[_Option]) -> list[_Option]:
@@ -180,7 +193,11 @@
 def _among_near(
     options: Sequence[_Option], known: dict[str, ReplicaKnowledge], rng: random.Random
 ) -> _Option:
-    """Return the better of two replicas, drawn by speed from those that are about as good."""
+    """Return the less busy of two replicas, drawn by speed from those that are about as good.
+
+    Idle ones are equal here, so that replicas get requests in proportion to their speed.
+    """
     near = _near(options)
     weights = [1.0 / known[item.replica.replica_id].slowdown for item in near]
-    return min(rng.choices(near, weights, k=2), key=lambda item: item.cost_s)
+    drawn = rng.choices(near, weights, k=2)
+    return min(drawn, key=lambda item: busy_s(known[item.replica.replica_id]))
