Keep promised room for the client that it was promised to

Requests that are late anyway were refused from 0.4 s of backlog on, though their work goes last. Change: a promise is found by what both attempts have in common (route, tenant, size, pieces) at about its time. Late requests are admitted up to 1.2 s of backlog, and never if they would end after their client has left.

--- a/greengagehoist/gateway/controllers/_pool_reservation.py
+++ b/greengagehoist/gateway/controllers/_pool_reservation.py
@@ -23,7 +23,10 @@
         new = new._replace(due=max(due, now + run_s + PROMISED_SLACK_S), promised=True)
     wait_s, per_s, returns = pool.wait_s(new, now), pool.pieces_per_s(now), pool.admission.returns
     if wait_s < NO_REPLICA_WAIT_S:
-        if not standing.promised:
+        if standing.promised:
+            # The room may be needed for work that was admitted before; the return then waits a bit.
+            wait_s = max(0.0, wait_s - PROMISED_SLACK_S)
+        else:
             wait_s += returns.pieces_before(due) / per_s
         wait_s *= standing.weight
     backlog_s = pool.wait_s(Reservation(asked.pieces, rank, now), now)
--- a/greengagehoist/overload/__init__.py
+++ b/greengagehoist/overload/__init__.py
@@ -11,7 +11,7 @@
 )
 from greengagehoist.overload._guarantees import Guarantees, Origin
 from greengagehoist.overload._pool import GUARANTEED_RANK, Asked, PoolAdmission, Standing
-from greengagehoist.overload._returns import ExpectedReturns
+from greengagehoist.overload._returns import ExpectedReturns, ReturnKey
 from greengagehoist.overload._sizes import Sizes
 
 __all__ = [
@@ -26,6 +26,7 @@
     "PoolAdmission",
     "PoolWait",
     "Refuse",
+    "ReturnKey",
     "Sizes",
     "Standing",
     "decide",
--- a/greengagehoist/overload/_decision.py
+++ b/greengagehoist/overload/_decision.py
@@ -10,8 +10,9 @@
 LATE_TOLERANCE_S = 0.0
 # No request is refused if its longest expected wait at a pool is below this.
 MIN_BACKLOG_S = 0.1
-# Like MIN_BACKLOG_S, for a request that can no longer be answered in time.
-MIN_LATE_BACKLOG_S = 0.4
+# Like MIN_BACKLOG_S, for a request that can no longer be answered in time. Its work goes after that
+# of the others, so it may wait for longer; beyond this, much of it is begun and not finished.
+MIN_LATE_BACKLOG_S = 1.2
 # Clients wait for at most this fraction of the time that they have left before they come back.
 HONOURED_FRACTION = 1 / 3
 # Shortest Retry-After; a client that comes back sooner meets the same queue.
@@ -100,7 +101,8 @@
     longest_wait_s = max((item.wait_s for item in waits.values()), default=0.0)
     late_s = completion_s + need.first_event_s - need.due_in_s
     negligible_s = MIN_BACKLOG_S if need.can_be_in_time else MIN_LATE_BACKLOG_S
-    if late_s <= LATE_TOLERANCE_S or longest_wait_s < negligible_s:
+    can_end = completion_s + need.first_event_s <= need.left_s
+    if late_s <= LATE_TOLERANCE_S or (can_end and longest_wait_s < negligible_s):
         return Admit(completion_s)
     room_s = max(item.room_s for item in waits.values())
     longest_s = longest_retry_after_s(need.left_s)
--- a/greengagehoist/overload/_pool.py
+++ b/greengagehoist/overload/_pool.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from greengagehoist.overload._guarantees import Guarantees, Origin
-from greengagehoist.overload._returns import ExpectedReturns
+from greengagehoist.overload._returns import ExpectedReturns, ReturnKey
 from greengagehoist.overload._sizes import Sizes
 
 # Rank of a request whose group is short of its guarantee, and of a promised return; see
@@ -68,7 +68,7 @@
 
     def ask(self, asked: Asked, now: float) -> Standing:
         """Count a request and return how it is treated."""
-        promised = asked.further and self.returns.take(asked.pieces, now)
+        promised = asked.further and self.returns.take(_key_of(asked), now)
         short = False
         origin = None
         if not asked.further:
@@ -107,8 +107,12 @@
         if origin is not None:
             self.guarantees.refuse(origin, now)
         if returns_in_s is not None:
-            self.returns.promise(asked.pieces, pieces_per_s, returns_in_s, now)
+            self.returns.promise(_key_of(asked), pieces_per_s, returns_in_s, now)
 
     def end(self, request_id: str) -> None:
         """Forget a request that has ended."""
         self._asked.pop(request_id, None)
+
+
+def _key_of(asked: Asked) -> ReturnKey:
+    return ReturnKey(asked.kind, asked.tenant, asked.size, asked.pieces)
--- a/greengagehoist/overload/_returns.py
+++ b/greengagehoist/overload/_returns.py
@@ -1,6 +1,5 @@
 """Room that is reserved for refused requests whose clients come back."""
 
-from collections import deque
 from typing import NamedTuple
 
 # Share of a pool that is reserved for returns while it is overloaded.
@@ -12,20 +11,29 @@
 MAX_RETURNS = 1024
 
 
+class ReturnKey(NamedTuple):
+    """What both attempts of a client have in common.
+
+    The next attempt has another id and may reach another daemon. A wrong match only swaps requests
+    of one tenant and route that need the same work.
+    """
+
+    kind: str
+    tenant: str
+    size: int
+    pieces: int
+
+
 class _Return(NamedTuple):
     at: float
-    pieces: int
+    key: ReturnKey
 
 
 class ExpectedReturns:
-    """Returns that the owner of a pool has promised room, in aggregate.
-
-    A client's next attempt has another id and may reach another daemon, so returns are not told
-    apart: a further attempt takes room that is reserved for about now, whoever it was promised to.
-    """
+    """Returns to which the owner of a pool has promised room."""
 
     def __init__(self):
-        self._returns: deque[_Return] = deque()
+        self._returns: list[_Return] = []
         self._next_at = 0.0
 
     def room_s(self, pieces: int, pieces_per_s: float, backlog_s: float, now: float) -> float:
@@ -39,39 +47,31 @@
         spread_s = pieces / max(1e-9, RETURN_SHARE * pieces_per_s)
         return max(now + backlog_s, self._next_at + spread_s) - now
 
-    def promise(self, pieces: int, pieces_per_s: float, returns_in_s: float, now: float) -> None:
+    def promise(self, key: ReturnKey, pieces_per_s: float, returns_in_s: float, now: float) -> None:
         """Reserve room for a return."""
         self.expire(now)
         if len(self._returns) >= MAX_RETURNS:
             return
-        self._next_at = max(self._next_at, now) + pieces / max(1e-9, RETURN_SHARE * pieces_per_s)
-        self._returns.append(_Return(now + returns_in_s, pieces))
+        spread_s = key.pieces / max(1e-9, RETURN_SHARE * pieces_per_s)
+        self._next_at = max(self._next_at, now) + spread_s
+        self._returns.append(_Return(now + returns_in_s, key))
 
-    def take(self, pieces: int, now: float) -> bool:
-        """Take room that is reserved for about now; returns whether there is enough."""
+    def take(self, key: ReturnKey, now: float) -> bool:
+        """Take the room that is reserved for a request at about this time, if there is any."""
         self.expire(now)
-        usable = [item for item in self._returns if item.at <= now + EARLY_S]
-        if sum(item.pieces for item in usable) < pieces:
-            return False
-        missing = pieces
-        for item in usable:
-            taken = min(missing, item.pieces)
-            missing -= taken
-            self._returns.remove(item)
-            if taken < item.pieces:
-                self._returns.appendleft(item._replace(pieces=item.pieces - taken))
-            if not missing:
-                break
-        return True
+        for item in self._returns:
+            if item.key == key and item.at <= now + EARLY_S:
+                self._returns.remove(item)
+                return True
+        return False
 
     def pieces_before(self, time: float) -> int:
         """Return the pieces for which room is reserved before a time."""
-        return sum(item.pieces for item in self._returns if item.at < time)
+        return sum(item.key.pieces for item in self._returns if item.at < time)
 
     def expire(self, now: float) -> None:
         """Give up the room of returns that have not come."""
-        if any(item.at + LATE_S < now for item in self._returns):
-            self._returns = deque(item for item in self._returns if item.at + LATE_S >= now)
+        self._returns = [item for item in self._returns if item.at + LATE_S >= now]
 
     def __len__(self) -> int:
         return len(self._returns)
