Drop stage work that cannot end by its deadline, and reservations of lost daemons

Cause: work was begun up to its deadline although a call takes 0.15 s and more, and a stage had the deadline of the whole request. Change: the queue neither begins nor keeps work whose call would end after its deadline; the deadline of a stage leaves the run time of the later stages. Reservations name the daemon that has received the request and end with its link. What existed and stays: the work of a client that has left is dropped with the end of its chain, refused requests drop their reservations at once, and overdue reservations end.

--- a/greengagehoist/gateway/controllers/_owned_pools.py
+++ b/greengagehoist/gateway/controllers/_owned_pools.py
@@ -95,12 +95,18 @@
         pool.sync(self.table.value.of_service(pool.service))
 
     def reserve(
-        self, message: ReserveStages, plans: Iterable[StagePlan], zone: str, now: float
+        self,
+        message: ReserveStages,
+        plans: Iterable[StagePlan],
+        zone: str,
+        now: float,
+        origin: str = "",
     ) -> dict[str, PoolWait]:
         """Reserve work; returns how long it waits, by service.
 
         :param plans: those of the services whose pools this daemon owns.
         :param zone: data centre of the daemon that has received the request.
+        :param origin: its VM, empty for this daemon.
         """
         waits = {}
         for service, pieces, due in plans:
@@ -115,7 +121,7 @@
                     message.size,
                     message.further,
                 )
-                wait = reserve(pool, asked, message.rank, due, now)
+                wait = reserve(pool, asked, message.rank, due, now, origin)
                 known = pool.members or self.knows_replicas
                 waits[service] = wait if known else PoolWait(0.0, 0.0)
         return waits
--- a/greengagehoist/gateway/controllers/_pool_reservation.py
+++ b/greengagehoist/gateway/controllers/_pool_reservation.py
@@ -8,14 +8,17 @@
 PROMISED_SLACK_S = 0.6
 
 
-def reserve(pool: OwnedPool, asked: Asked, rank: int, due: float, now: float) -> PoolWait:
+def reserve(
+    pool: OwnedPool, asked: Asked, rank: int, due: float, now: float, origin: str = ""
+) -> PoolWait:
     """Reserve work and return how long it waits, and when there will be room if it is refused.
 
     :param due: time by which the results should exist.
+    :param origin: VM of the daemon that has received the request, empty for this daemon.
     """
     standing = pool.admission.ask(asked, now)
     excess = pool.tenant_rates.is_excess(asked.tenant, asked.pieces, now)
-    new = Reservation(asked.pieces, rank, due, excess)
+    new = Reservation(asked.pieces, rank, due, excess, origin=origin)
     if standing.guaranteed:
         new = new._replace(rank=GUARANTEED_RANK, excess=False)
     if standing.promised:
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -287,7 +287,7 @@
                     self._free_results(message.service, message.handles)
             case StageReserve(request_id, services):
                 reservation = from_reservation(message, now)
-                found = self._owned.reserve(reservation, reservation.plans, zone, now)
+                found = self._owned.reserve(reservation, reservation.plans, zone, now, vm)
                 waits = [found.get(service, PoolWait(0.0, 0.0)) for service in services]
                 answer = StageWaitTimes(
                     request_id,
--- a/greengagehoist/gateway/filters/_stage_admission.py
+++ b/greengagehoist/gateway/filters/_stage_admission.py
@@ -134,11 +134,15 @@
             return 0.0
         return service.pool.call_s + min(count, service.pool.batch) * service.pool.piece_s
 
+    def later_stages_s(self, exchange: Exchange, number: int) -> float:
+        """Return the run time of the stages after a stage, without queueing."""
+        times = self._service_times_s(exchange)
+        return longest_path(exchange.route, times)[number] - times[number]
+
     def remaining_time_s(self, exchange: Exchange, number: int) -> float:
         """Return the time from the end of a stage to the beginning of the answer."""
-        times = self._service_times_s(exchange)
-        after = longest_path(exchange.route, times)[number] - times[number]
-        return after + self.first_event_latency.expected_s(exchange.route)
+        first_event_s = self.first_event_latency.expected_s(exchange.route)
+        return self.later_stages_s(exchange, number) + first_event_s
 
 
 def _is_further(exchange: Exchange) -> bool:
--- a/greengagehoist/gateway/filters/_stages.py
+++ b/greengagehoist/gateway/filters/_stages.py
@@ -215,7 +215,7 @@
             inputs,
             exchange.rank,
             exchange.due - self.admission.remaining_time_s(exchange, number),
-            exchange.answer_deadline,
+            exchange.answer_deadline - self.admission.later_stages_s(exchange, number),
             self._preferred_zone(exchange, number, count, inputs),
             stage.result_bytes,
             attempt,
--- a/greengagehoist/gateway/tests/overload_model.py
+++ b/greengagehoist/gateway/tests/overload_model.py
@@ -315,7 +315,7 @@
                     inputs,
                     rank_of(attempt),
                     attempt.due - remaining_s(self.deployment, attempt, number),
-                    attempt.deadline,
+                    attempt.deadline - later_stages_s(self.deployment, attempt, number),
                     "",
                     stage.result_bytes,
                 )
@@ -432,10 +432,15 @@
     return times
 
 
+def later_stages_s(deployment: Deployment, attempt: Attempt, number: int) -> float:
+    """Return the run time of the stages after a stage, without queueing."""
+    times = service_times(deployment, attempt)
+    return longest_path(attempt.kind.route, times)[number] - times[number]
+
+
 def remaining_s(deployment: Deployment, attempt: Attempt, number: int) -> float:
     """Return the time from the end of a stage to the beginning of the answer."""
-    times = service_times(deployment, attempt)
-    return longest_path(attempt.kind.route, times)[number] - times[number] + attempt.kind.engine_s
+    return later_stages_s(deployment, attempt, number) + attempt.kind.engine_s
 
 
 def plans_of(
--- a/greengagehoist/pieces/_queue.py
+++ b/greengagehoist/pieces/_queue.py
@@ -42,6 +42,7 @@
     :param excess: whether the tenant is above its usual share of the pool.
     :param promised: whether the work is done by ``due`` though the answer is late: room for it was
         promised when an earlier attempt of the client was refused.
+    :param origin: VM of the daemon that has received the request, empty for this daemon.
     """
 
     pieces: int
@@ -49,6 +50,7 @@
     due: float
     excess: bool = False
     promised: bool = False
+    origin: str = ""
 
 
 class Job:
@@ -147,7 +149,9 @@
         return [self.jobs.pop(key) for key in found]
 
     def drop_origin(self, vm: str) -> list[Job]:
-        """Remove all work that the daemon of ``vm`` waits for."""
+        """Remove all work that the daemon of ``vm`` waits for, and its reservations."""
+        for request_id in [key for key, item in self.reserved.items() if item.origin == vm]:
+            del self.reserved[request_id]
         found = [key for key, job in self.jobs.items() if job.origin == vm]
         return [self.jobs.pop(key) for key in found]
 
@@ -180,7 +184,7 @@
         return self.limits.call_s + pieces * self.limits.piece_s
 
     def expire(self, now: float) -> list[Job]:
-        """Remove and return the work that is past its deadline or too late to be useful.
+        """Remove and return the work that cannot end by its deadline or is too late to be useful.
 
         Work that still waits ``LATE_RETENTION_S`` after it was due would take capacity from work
         that can still be in time.
@@ -191,10 +195,14 @@
         late = [
             key
             for key, job in self.jobs.items()
-            if job.work.deadline <= now or (job.waiting and self._abandon_at(job) <= now)
+            if not self._can_end(job, now) or (job.waiting and self._abandon_at(job) <= now)
         ]
         return [self.jobs.pop(key) for key in late]
 
+    def _can_end(self, job: Job, now: float) -> bool:
+        run_s = self.expected_s(min(len(job.waiting), self.limits.batch)) if job.waiting else 0.0
+        return now + run_s < job.work.deadline
+
     def _waits_for_zone(self, job: Job, zone: str, zones: frozenset[str], now: float) -> bool:
         read_zone = job.work.zone
         if read_zone in ("", zone) or read_zone not in zones:
@@ -247,7 +255,9 @@
         ready = [
             job
             for job in self.jobs.values()
-            if job.waiting and not self._waits_for_zone(job, zone, zones, now)
+            if job.waiting
+            and self._can_end(job, now)
+            and not self._waits_for_zone(job, zone, zones, now)
         ]
 
         def order(job: Job) -> tuple[bool, bool, float]:
--- a/greengagehoist/pieces/tests/test_queue.py
+++ b/greengagehoist/pieces/tests/test_queue.py
@@ -148,6 +148,28 @@
     assert queue.waiting_pieces() == 0
 
 
+def test_work_that_cannot_end_by_its_deadline_is_not_begun(queue):
+    """Its results would be thrown away, and the call takes the place of useful work."""
+    queue.add(work("x", 3, due=1.0, deadline=1.1), "", 0.0)
+    assert queue.pop_batch("a", ZONES, LARGE, 4, 0.95) == ()
+    assert [job.key.request_id for job in queue.expire(0.95)] == ["x"]
+
+
+def test_work_in_a_call_is_kept_until_its_deadline(queue):
+    queue.add(work("x", 3, due=1.0, deadline=1.1), "", 0.0)
+    assert len(queue.pop_batch("a", ZONES, LARGE, 4, 0.9)) == 3
+    assert queue.expire(1.0) == []
+    assert len(queue.expire(1.1)) == 1
+
+
+def test_reservations_end_with_their_daemon(queue):
+    """Reserved work of a daemon that was lost would keep others out until it is overdue."""
+    queue.reserve("x", Reservation(6, 1, 9.0, origin="vm-1"))
+    queue.reserve("y", Reservation(6, 1, 9.0))
+    queue.drop_origin("vm-1")
+    assert list(queue.reserved) == ["y"]
+
+
 def test_memory_is_released_by_freeing_and_by_expiry():
     memory = ResultMemory(10e6)
     memory.add("h1", 6e6, 0.0)
