Leave out full replicas of plain services, and name the time of their room

Cause: when all replicas of a plain service reject for want of room, each request tried all of them and was told a constant Retry-After of 0.4 s. Routes of streams are as before.

--- a/greengagehoist/gateway/filters/_replica.py
+++ b/greengagehoist/gateway/filters/_replica.py
@@ -26,7 +26,7 @@
 from greengagehoist.gateway.filters._buffer_space import BufferSpace
 from greengagehoist.gateway.filters._first_event_latency import FirstEventLatency
 from greengagehoist.gateway.filters._quarantine import QuarantineGate
-from greengagehoist.gateway.filters._replica_choice import RETRY_AFTER_S, ReplicaChooser
+from greengagehoist.gateway.filters._replica_choice import ReplicaChooser
 from greengagehoist.gateway.filters._retry_budgets import RetryBudgets
 from greengagehoist.gateway.filters._send_limits import SendLimitGate
 from greengagehoist.gateway.filters._send_log import (
@@ -74,6 +74,7 @@
 OK = 200
 FIRST_ERROR_STATUS = 400
 SERVER_ERROR = 500
+UNAVAILABLE = 503
 # Time that a replica needs to fetch the stage results: a few megabytes at 10 Gbit/s.
 INPUT_FETCH_S = 0.03
 
@@ -160,7 +161,9 @@
                 inputs_lost = end == Rejected(inputs_gone=True) or progress.inputs_freed
                 return InputsLost() if inputs_lost else None
             case RefuseNotRun():
-                return NotRun("all sends failed before the request ran", RETRY_AFTER_S)
+                return NotRun(
+                    "all sends failed before the request ran", self.chooser.retry_after_s(exchange)
+                )
             case FailUnknown():
                 return MayHaveRun("answer of the replica was lost", False)
             case AbortAnswer():
@@ -282,6 +285,11 @@
         if reply.request_id not in (None, req.request_id):
             # The answer belongs to another request, so it says nothing about this one.
             return Lost()
+        if reply.not_executed and head.status == UNAVAILABLE:
+            waiting, slots = (reply.load.waiting, reply.load.slots) if reply.load else (0, 0)
+            now = self.clock.monotonic()
+            room = self.chooser.room
+            room.observe_rejection(exchange.service, replica.replica_id, waiting, slots, now)
         if reply.not_executed or head.status == MISDIRECTED:
             return Rejected(inputs_gone=head.status == 409 and bool(exchange.inputs))
         if reply.request_id is None:
@@ -302,7 +310,11 @@
         if exchange.progress.started:
             # The client already has the beginning of another replica's answer.
             return Broken()
-        return await self._read_answer(exchange, replica, head, reader)
+        answer = await self._read_answer(exchange, replica, head, reader)
+        if isinstance(answer, Relayed):
+            took_s = self.clock.monotonic() - sent_at
+            self.chooser.room.observe_answer(exchange.service, replica.replica_id, took_s)
+        return answer
 
     def _response_timeout_s(self, exchange: Exchange) -> float | None:
         if isinstance(exchange.route.kind, Idempotent) and exchange.route.max_attempts > 1:
@@ -322,7 +334,7 @@
             return Broken()
         if self._should_retry_error(exchange, head):
             return Broken()
-        if head.status in (408, MISDIRECTED, 429, 503):
+        if head.status in (408, MISDIRECTED, 429, UNAVAILABLE):
             # These statuses tell the client that the request has not run, but the replica did not
             # state that.
             return Lost()
--- a/greengagehoist/gateway/filters/_replica_choice.py
+++ b/greengagehoist/gateway/filters/_replica_choice.py
@@ -1,5 +1,6 @@
 """Choice of the replica for the next send of a request."""
 
+from greengagehoist.deployment import Streaming
 from greengagehoist.gateway import Exchange, Reply, failure_reply
 from greengagehoist.gateway.controllers import Choose, NotBefore, RequestEnded
 from greengagehoist.gateway.filters._late_start import refuse_late_start
@@ -7,9 +8,11 @@
 from greengagehoist.gateway.filters._send_limits import SendLimitGate
 from greengagehoist.gateway.filters._shutdown import ShutdownGate
 from greengagehoist.gateway.filters._stages import affinity_of
+from greengagehoist.overload import ServiceRoom, longest_retry_after_s
 from greengagehoist.replicas import Granted, Replica
 from greengagehoist.utils import Clock, Controller, log_event
 
+# Retry-After where the route is a stream: nothing is known of the time of room at engines.
 RETRY_AFTER_S = 0.4
 
 
@@ -20,6 +23,7 @@
     :param gate: refuses requests in quarantine.
     :param limits: knows the limits that replicas name.
     :param shutdown: refuses sends whose answers would outlive the process.
+    :ivar room: what the answers of plain services show of their room.
     """
 
     def __init__(
@@ -35,10 +39,21 @@
         self.limits = limits
         self.shutdown = shutdown
         self.clock = clock
+        self.room = ServiceRoom()
+
+    def retry_after_s(self, exchange: Exchange) -> float:
+        """Return the seconds after which a replica will probably take a refused request."""
+        if isinstance(exchange.route.kind, Streaming):
+            return RETRY_AFTER_S
+        now = self.clock.monotonic()
+        longest_s = longest_retry_after_s(exchange.answer_deadline - now)
+        return self.room.retry_after_s(exchange.service, now, longest_s)
 
     async def choose(self, exchange: Exchange) -> Replica | Reply:
         """Return the replica for the next send, or a reply if there will be none in time."""
         progress, permitted = exchange.progress, ""
+        full: frozenset[str] = frozenset()
+        probes = False
         while True:
             remaining_s = exchange.answer_deadline - self.clock.monotonic()
             if remaining_s <= 0:
@@ -50,12 +65,15 @@
                 Choose(
                     exchange.service,
                     affinity_of(exchange.req.prompt, exchange.inputs_zone),
-                    progress.tried,
+                    progress.tried | full,
                     model_of(exchange),
                     permitted,
                 )
             )
             match found:
+                case Replica(replica_id) if not probes and self._is_full(exchange, replica_id):
+                    self.placement.tell(RequestEnded(replica_id, "cancelled"))
+                    full |= {replica_id}
                 case Replica(replica_id):
                     if replica_id == permitted or await self._may_send(exchange, found):
                         return found
@@ -70,6 +88,21 @@
                         await self.clock.sleep(wait_s)
                     elif await self.limits.wait(exchange, replica, at, max_wait_s):
                         permitted = replica.replica_id
+                case None if full and not progress.tried:
+                    # A place may be free by now: one of the full replicas is tried.
+                    full, probes = frozenset(), True
+                case None if full:
+                    retry_after_s = self.retry_after_s(exchange)
+                    log_event(
+                        "request_refused",
+                        request=exchange.req.request_id,
+                        reason="all replicas are full",
+                        rank=exchange.rank,
+                        tenant=exchange.tenant.name if exchange.tenant is not None else "",
+                        route=exchange.route.name,
+                        room_in_ms=round(retry_after_s * 1000),
+                    )
+                    return failure_reply(progress, "all replicas are full", retry_after_s)
                 case None:
                     log_event(
                         "no_replica",
@@ -78,7 +111,15 @@
                         service=exchange.service,
                         tried=len(progress.tried),
                     )
-                    return failure_reply(progress, "no replica available", RETRY_AFTER_S)
+                    return failure_reply(
+                        progress, "no replica available", self.retry_after_s(exchange)
+                    )
+
+    def _is_full(self, exchange: Exchange, replica_id: str) -> bool:
+        """Return whether a replica of a plain service would probably reject the request."""
+        if isinstance(exchange.route.kind, Streaming):
+            return False
+        return self.room.is_full(exchange.service, replica_id, self.clock.monotonic())
 
     async def _may_send(self, exchange: Exchange, replica: Replica) -> bool:
         """Return whether there is room for the request within the limit of its replica."""
--- a/greengagehoist/gateway/tests/test_stage_admission.py
+++ b/greengagehoist/gateway/tests/test_stage_admission.py
@@ -4,28 +4,13 @@
 
 import pytest
 
-from greengagehoist.deployment import (
-    Deployment,
-    DeploymentSnapshot,
-    Limits,
-    PoolLimits,
-    Route,
-    Service,
-    Stage,
-    Streaming,
-    Tenant,
-)
-from greengagehoist.gateway import Exchange, GatewayRequest, NotRun, Progress
+from greengagehoist.gateway import NotRun
 from greengagehoist.gateway.controllers import CancelStages, ReserveStages
 from greengagehoist.gateway.filters import FirstEventLatency, ShutdownGate
 from greengagehoist.gateway.filters._stage_admission import StageAdmission
 from greengagehoist.gateway.tests.recorder import Recorder
 from greengagehoist.overload import PoolWait
 
-STAGES = (Stage("p1", (), 8e3), Stage("p2", (0,), 60e3))
-ROUTE = Route("r", "h", "/", Streaming(True, 0.8), 30.0, 1.5, 1, (), 2, STAGES, False)
-SERVICES = {name: Service(name, PoolLimits(8, 0.15, 0.01, 10e6)) for name in ("p1", "p2")}
-
 
 class Pools(Recorder):
     """Stands for the pool controller; replies with fixed waits."""
@@ -39,30 +24,6 @@
         return self.waits
 
 
-@pytest.fixture
-def make_exchange(clock):
-    def make(counts=(2, 4), age_s=0.0, deadline_s=8.0):
-        now = clock.monotonic()
-        req = GatewayRequest(
-            "id", b"POST", b"/", "h", "/", (), b"", None, deadline_s, None, counts, "k", None
-        )
-        deployment = Deployment(1, {}, SERVICES, {}, False, Limits())
-        return Exchange(
-            req,
-            None,
-            now,
-            Progress(),
-            DeploymentSnapshot(deployment, now),
-            ROUTE,
-            "s",
-            Tenant("t", 1),
-            answer_deadline=now + deadline_s,
-            due=now - age_s + ROUTE.target_latency_s,
-        )
-
-    return make
-
-
 def run(clock, waits, exchange):
     pools = Pools(waits)
     admission = StageAdmission(pools, FirstEventLatency(), ShutdownGate(clock), clock)
--- a/greengagehoist/overload/__init__.py
+++ b/greengagehoist/overload/__init__.py
@@ -1,4 +1,4 @@
-"""Who gets the capacity of stage pools when there is too little, and when refused clients return."""
+"""Who gets the capacity when there is too little, and when refused clients return."""
 
 from greengagehoist.overload._decision import (
     Admit,
@@ -10,13 +10,22 @@
     longest_retry_after_s,
 )
 from greengagehoist.overload._guarantees import Guarantees, Origin
-from greengagehoist.overload._pool import GUARANTEED_RANK, Asked, PoolAdmission, Standing
+from greengagehoist.overload._pool import (
+    GUARANTEED_RANK,
+    AdmissionCounts,
+    Asked,
+    PoolAdmission,
+    Standing,
+    sum_counts,
+)
 from greengagehoist.overload._returns import ExpectedReturns, ReturnKey
+from greengagehoist.overload._services import ServiceRoom
 from greengagehoist.overload._sizes import Sizes
 
 __all__ = [
     "GUARANTEED_RANK",
     "Admit",
+    "AdmissionCounts",
     "Asked",
     "Decision",
     "ExpectedReturns",
@@ -27,8 +36,10 @@
     "PoolWait",
     "Refuse",
     "ReturnKey",
+    "ServiceRoom",
     "Sizes",
     "Standing",
     "decide",
     "longest_retry_after_s",
+    "sum_counts",
 ]
--- a/greengagehoist/overload/_pool.py
+++ b/greengagehoist/overload/_pool.py
@@ -1,6 +1,7 @@
 """What the owner of a pool knows about the requests that ask for its capacity."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from greengagehoist.overload._guarantees import Guarantees, Origin
@@ -56,10 +57,28 @@
     weight: float
 
 
+class AdmissionCounts(NamedTuple):
+    """Requests since the start, for the metrics.
+
+    :param refused: refused by their daemons.
+    :param guaranteed: preferred because one of their groups was short of its guarantee.
+    :param promised: refused with the promise of room.
+    :param kept: returns that have found the room that was promised to them.
+    :param expected: returns that are expected now.
+    """
+
+    refused: int = 0
+    guaranteed: int = 0
+    promised: int = 0
+    kept: int = 0
+    expected: int = 0
+
+
 class PoolAdmission:
     """Requests that ask for the capacity of one pool, and returns that it expects."""
 
     def __init__(self):
+        self._counts = AdmissionCounts()
         self.returns = ExpectedReturns()
         self.guarantees = Guarantees()
         self._sizes = Sizes()
@@ -82,6 +101,10 @@
         relative = asked.pieces / self._mean_pieces
         self._mean_pieces += MEAN_SMOOTHING * (asked.pieces - self._mean_pieces)
         scarcity = min(1.0, self.guarantees.refused_share(now) / SCARCE_FROM)
+        counts = self._counts
+        self._counts = counts._replace(
+            guaranteed=counts.guaranteed + short, kept=counts.kept + promised
+        )
         if short or promised:
             return Standing(True, promised, GUARANTEED_FACTOR)
         weight = min(MAX_RELATIVE, max(MIN_RELATIVE, relative)) ** WEIGHT_EXPONENT
@@ -104,11 +127,20 @@
         if found is None:
             return
         asked, origin = found
+        counts = self._counts
+        self._counts = counts._replace(
+            refused=counts.refused + 1, promised=counts.promised + (returns_in_s is not None)
+        )
         if origin is not None:
             self.guarantees.refuse(origin, now)
         if returns_in_s is not None:
             self.returns.promise(_key_of(asked), pieces_per_s, returns_in_s, now)
 
+    @property
+    def counts(self) -> AdmissionCounts:
+        """Requests since the start."""
+        return self._counts._replace(expected=len(self.returns))
+
     def end(self, request_id: str) -> None:
         """Forget a request that has ended."""
         self._asked.pop(request_id, None)
@@ -116,3 +148,8 @@
 
 def _key_of(asked: Asked) -> ReturnKey:
     return ReturnKey(asked.kind, asked.tenant, asked.size, asked.pieces)
+
+
+def sum_counts(counts: Iterable[AdmissionCounts]) -> AdmissionCounts:
+    """Return the sums over several pools."""
+    return AdmissionCounts(*map(sum, zip(AdmissionCounts(), *counts, strict=False)))
