--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -291,7 +291,7 @@
 
     def _metrics(self) -> tuple[int, bytes]:
         snapshot, now = self.deployments.snapshot.value, self.clock.monotonic()
-        quarantine = self.quarantine.view.value
+        quarantine, admissions = self.quarantine.view.value, self.pools.admissions.value
         self.measurements.set_state(
             in_flight=self.front.in_flight,
             connections=self.front.connections,
@@ -301,6 +301,11 @@
             replicas=len(self.replicas.table.value.replicas),
             quarantined_parts=sum(len(item.held) for item in quarantine.services.values()),
             crashes_attributed=quarantine.crashes,
+            pool_requests_refused=admissions.refused,
+            pool_requests_guaranteed=admissions.guaranteed,
+            pool_returns_promised=admissions.promised,
+            pool_returns_kept=admissions.kept,
+            pool_returns_expected=admissions.expected,
         )
         return 200, self.measurements.text()
 
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -33,7 +33,7 @@
 )
 from greengagehoist.gateway.controllers._send_limits import AcquireSend, LimitObserved
 from greengagehoist.gateway.controllers._topology import Topology
-from greengagehoist.overload import PoolWait
+from greengagehoist.overload import AdmissionCounts, PoolWait, sum_counts
 from greengagehoist.peers import (
     FromPeer,
     Goodbye,
@@ -98,6 +98,7 @@
     :param limit_view: published limits in force.
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
     :param data_centre: data centre of the own VM.
+    :ivar admissions: published counts of the requests that asked for the owned pools.
     """
 
     def __init__(
@@ -129,6 +130,7 @@
         self._delivered: dict[str, set[int]] = {}
         self._reservations = Reservations()
         self._results = ResultController(wire, clock, self)
+        self.admissions = Published(AdmissionCounts())
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -450,6 +452,7 @@
             elif pending.owner != self.vm and self._must_submit_again(pending, now):
                 self._dispatch(pending)
         self._owned.expire_results(now)
+        self.admissions.value = sum_counts(pool.admission.counts for pool in self._owned)
 
     def _must_submit_again(self, pending: _Pending, now: float) -> bool:
         if not pending.owner:
--- a/greengagehoist/gateway/tests/test_pools.py
+++ b/greengagehoist/gateway/tests/test_pools.py
@@ -20,7 +20,7 @@
 from greengagehoist.gateway.controllers._replicas import ReplicasChanged
 from greengagehoist.gateway.controllers._results import FreeHandles
 from greengagehoist.gateway.tests.recorder import Recorder, deliver
-from greengagehoist.overload import PoolWait
+from greengagehoist.overload import AdmissionCounts, PoolWait
 from greengagehoist.peers import (
     FromPeer,
     Goodbye,
@@ -174,6 +174,8 @@
         deliver(pools, FromPeer("vm-c", "z", 1, late))
         promised = pool.queue.reserved["y2"]
         assert promised.promised
+        pools._tick()
+        assert pools.admissions.value == AdmissionCounts(refused=1, promised=1, kept=1)
         assert promised.due > clock.monotonic()
 
     asyncio.run(scenario())
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -50,13 +50,10 @@
         TraceSpans: 13,
         StageSubmit: 14,
         StageResult: 15,
-        StageCancel: 16,
         StageFree: 17,
-        StageWaitTimes: 19,
-        # 18, 20 and 21 are the tags of messages of earlier versions.
+        # 16, 18 to 21 and 24 are the tags of messages of earlier versions.
         SharedReadRequest: 22,
         SharedRead: 23,
-        StageReserve: 24,
         ReplicaCrash: 25,
         PromptAnswered: 26,
         TrialRequest: 27,
@@ -65,5 +62,8 @@
         PermitRequest: 30,
         PermitReply: 31,
         PermitCancel: 32,
+        StageReserve: 40,
+        StageWaitTimes: 41,
+        StageCancel: 42,
     }
 )
