--- a/greengagehoist/daemon/_gateway.py
+++ b/greengagehoist/daemon/_gateway.py
@@ -339,7 +339,7 @@
 
     def _metrics(self) -> tuple[int, bytes]:
         snapshot, now = self.deployments.snapshot.value, self.clock.monotonic()
-        quarantine = self.quarantine.view.value
+        quarantine, admissions = self.quarantine.view.value, self.pools.admissions.value
         self.measurements.set_state(
             in_flight=self.front.in_flight,
             connections=self.front.connections,
@@ -362,6 +362,11 @@
             peer_handshakes_closed=self.peers.handshakes.closed,
             **{f"{k}_bytes": v for k, v in self.memory.held_by_purpose().items()},
             **distribution_state(self.relay, self.deployments, self.platform),
+            pool_requests_refused=admissions.refused,
+            pool_requests_guaranteed=admissions.guaranteed,
+            pool_returns_promised=admissions.promised,
+            pool_returns_kept=admissions.kept,
+            pool_returns_expected=admissions.expected,
         )
         return 200, self.measurements.text()
 
--- a/greengagehoist/gateway/controllers/_pools.py
+++ b/greengagehoist/gateway/controllers/_pools.py
@@ -37,7 +37,7 @@
     ResultsFreed,
 )
 from greengagehoist.gateway.controllers._topology import Topology
-from greengagehoist.overload import PoolWait
+from greengagehoist.overload import AdmissionCounts, PoolWait, sum_counts
 from greengagehoist.peers import (
     FromPeer,
     Goodbye,
@@ -103,6 +103,7 @@
     :param make_retry_budget: builds the retry budget of the pieces of one pool.
     :param evacuated: published data centres whose replicas get no calls.
     :param data_centre: data centre of the own VM.
+    :ivar admissions: published counts of the requests that asked for the owned pools.
     """
 
     def __init__(
@@ -138,6 +139,7 @@
         self._delivered: dict[str, set[int]] = {}
         self._reservations = Reservations()
         self._results = ResultController(wire, clock, self)
+        self.admissions = Published(AdmissionCounts())
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -296,7 +298,7 @@
                     self._free_results(message.service, message.handles)
             case StageReserve(request_id, services):
                 reservation = from_reservation(message, now)
-                found = self._owned.reserve(reservation, reservation.plans, zone, now)
+                found = self._owned.reserve(reservation, reservation.plans, zone, now, vm)
                 waits = [found.get(service, PoolWait(0.0, 0.0)) for service in services]
                 answer = StageWaitTimes(
                     request_id,
@@ -461,6 +463,7 @@
             elif pending.owner != self.vm and self._must_submit_again(pending, now):
                 self._dispatch(pending)
         self._owned.expire_results(now)
+        self.admissions.value = sum_counts(pool.admission.counts for pool in self._owned)
 
     def _must_submit_again(self, pending: _Pending, now: float) -> bool:
         if not pending.owner:
--- a/greengagehoist/peers/_wire.py
+++ b/greengagehoist/peers/_wire.py
@@ -54,11 +54,8 @@
         TraceSpans: 13,
         StageSubmit: 14,
         StageResult: 15,
-        StageCancel: 16,
         StageFree: 17,
-        StageWaitTimes: 19,
-        # 18 and 20 to 23 are the tags of messages of earlier versions.
-        StageReserve: 24,
+        # 16, 18 to 24 are the tags of messages of earlier versions.
         ReplicaCrash: 25,
         PromptAnswered: 26,
         TrialRequest: 27,
@@ -75,5 +72,8 @@
         PieceQuery: 38,
         ContentPiece: 39,
         ReplicaCold: 40,
+        StageReserve: 41,
+        StageWaitTimes: 42,
+        StageCancel: 43,
     }
 )
