Count bodies of the own interface in the daemon's memory account

Cause: callers' and operators' bodies were collected without a limit for all connections together. With the gate off, the new test fails (no 503 for 8 stalled bodies of 1 MB in an account of 3 MB).

--- a/greengagehoist/daemon/_daemon.py
+++ b/greengagehoist/daemon/_daemon.py
@@ -42,13 +42,25 @@
     StopFilter,
 )
 from greengagehoist.membership import Member
+from greengagehoist.memory import SMALL_FRACTION, MemoryController, SmallBodies
 from greengagehoist.peers import PeerController
 from greengagehoist.platform_client import PlatformController
-from greengagehoist.server import AdminApp, AdminParts, CallerApp, DrainGate, Listener, serve
+from greengagehoist.server import (
+    AdminApp,
+    AdminParts,
+    CallerApp,
+    DrainGate,
+    Listener,
+    MemoryGate,
+    serve,
+)
 from greengagehoist.utils import Clock, Controller, check_address, connect_metrics, log_event
 
 # Part of the time until the end of a stop in which the listeners close; the rest is for the tasks.
 LISTENER_SHARE = 0.6
+# Part of the process's memory that bodies of requests may take.
+MEMORY_SHARE = 0.25
+BYTES_PER_MB = 1024 * 1024
 
 
 class Daemon:
@@ -99,6 +111,9 @@
         self.metrics = connect_metrics(
             check_address("--statsd", settings.statsd) if settings.statsd else None
         )
+        memory_bytes = settings.memory * BYTES_PER_MB
+        self.memory = MemoryController(int(MEMORY_SHARE * memory_bytes), clock)
+        self.small_bodies = SmallBodies(int(SMALL_FRACTION * memory_bytes))
         self.listeners: list[Listener] = []
         self._tasks: list[asyncio.Task] = []
 
@@ -132,6 +147,7 @@
             self.orders,
             self.claims,
             self.admission,
+            self.memory,
         ]
 
     async def start(self) -> None:
@@ -160,6 +176,7 @@
         gate = DrainGate(callers.build(), self.drains)
         for app, field in ((gate, "callers"), (admin.build(), "operators")):
             host, port = check_address(f"--{field}", getattr(self.settings, field))
+            app = MemoryGate(app, self.memory, self.small_bodies)
             listener = await serve(app, host, port, tls=self.settings.tls)
             self.listeners.append(listener)
             log_event("listening", interface=field, address=listener.address)
--- a/greengagehoist/daemon/_main.py
+++ b/greengagehoist/daemon/_main.py
@@ -8,7 +8,7 @@
 import click
 
 from greengagehoist.daemon._daemon import Daemon
-from greengagehoist.daemon._settings import Settings, check_settings
+from greengagehoist.daemon._settings import DEFAULT_MEMORY_MB, Settings, check_settings
 from greengagehoist.shutdown import DEFAULT_GRACE_S
 from greengagehoist.utils import SystemClock, ValidationError, setup_logging
 
@@ -54,6 +54,12 @@
     show_default=True,
     help="Seconds between the signal to stop and the platform's SIGKILL.",
 )
+@click.option(
+    "--memory",
+    default=DEFAULT_MEMORY_MB,
+    show_default=True,
+    help="Memory of the VM for this process, in MB.",
+)
 @click.option("--tls-certificate", default="", help="PEM file; plain connections if empty.")
 @click.option("--tls-key", default="", help="PEM file of the certificate's key.")
 @click.option(
--- a/greengagehoist/daemon/_settings.py
+++ b/greengagehoist/daemon/_settings.py
@@ -17,6 +17,9 @@
 MAX_DRAIN_DELAY_S = 300.0
 MIN_GRACE_S = 1.0
 MAX_GRACE_S = 3600.0
+DEFAULT_MEMORY_MB = 256.0
+MIN_MEMORY_MB = 64.0
+MAX_MEMORY_MB = 1_000_000.0
 
 
 class Settings(NamedTuple):
@@ -25,6 +28,7 @@
     :param tls_certificate: path of this daemon's certificate; set all three TLS files or none.
     :param drain_delay: seconds between failing readiness and refusing new requests.
     :param grace: seconds between the signal to stop and the platform's SIGKILL.
+    :param memory: memory of the VM for this process, in MB.
     """
 
     vm: str
@@ -43,6 +47,7 @@
     tls_key: str = ""
     tls_authority: str = ""
     grace: float = DEFAULT_GRACE_S
+    memory: float = DEFAULT_MEMORY_MB
 
     @property
     def tls(self) -> TlsFiles:
@@ -69,6 +74,7 @@
             raise ValidationError(name, "(hidden)", f"at least {MIN_CREDENTIAL_LENGTH} characters")
     check_float("--drain-delay", settings.drain_delay, 0.0, MAX_DRAIN_DELAY_S)
     check_float("--grace", settings.grace, MIN_GRACE_S, MAX_GRACE_S)
+    check_float("--memory", settings.memory, MIN_MEMORY_MB, MAX_MEMORY_MB)
     longest = answer_time(settings.grace)
     if settings.drain_delay >= longest:
         accepted = f"less than the {longest:g} s that --grace {settings.grace:g} has for answers"
--- a/greengagehoist/server/_admin.py
+++ b/greengagehoist/server/_admin.py
@@ -25,7 +25,8 @@
     read_body,
     rejection_body,
 )
-from greengagehoist.server._callers import HTTP_STATUS
+from greengagehoist.server._callers import HTTP_STATUS, refuse_without_memory
+from greengagehoist.server._memory import NoMemoryError
 from greengagehoist.tracing import order_spans
 from greengagehoist.utils import Controller, ValidationError
 
@@ -87,7 +88,8 @@
                 Route("/admin/traces/{id}", authenticated(self.trace)),
                 Route("/admin/report", authenticated(self.report)),
                 Route("/admin/openapi.json", authenticated(self.openapi)),
-            ]
+            ],
+            exception_handlers={NoMemoryError: refuse_without_memory},
         )
 
     def _authenticated(self, endpoint: Any) -> Any:
--- a/greengagehoist/server/_bodies.py
+++ b/greengagehoist/server/_bodies.py
@@ -6,6 +6,8 @@
 
 from starlette.requests import ClientDisconnect, Request
 
+from greengagehoist.memory import BodySpace
+from greengagehoist.server._memory import SPACE, NoMemoryError
 from greengagehoist.utils import ValidationError
 
 MAX_BODY_BYTES = 256 * 1024
@@ -41,22 +43,63 @@
     """Read a body of at most ``max_bytes`` bytes within ``timeout`` seconds.
 
     :raises ValidationError: if it is too large or does not arrive in time.
+    :raises NoMemoryError: if others need its memory, or none is free in time.
     """
-    chunks, size = [], 0
+    body = bytearray()
+    collector = _Collector(request.scope.get(SPACE))
     try:
-        async with asyncio.timeout(timeout):
+        async with asyncio.timeout(timeout) as deadline:
+            collector.begin(deadline)
             async for chunk in request.stream():
-                size += len(chunk)
-                if size > max_bytes:
+                body += chunk
+                if len(body) > max_bytes:
                     raise ValidationError(
-                        "body", f"{size} bytes or more", f"at most {max_bytes} bytes"
+                        "body", f"{len(body)} bytes or more", f"at most {max_bytes} bytes"
                     )
-                chunks.append(chunk)
+                await collector.reserve(len(body), max_bytes)
     except (TimeoutError, ClientDisconnect) as exc:
+        if collector.lacks_memory:
+            raise NoMemoryError("no memory is free for the body") from exc
         raise ValidationError(
-            "body", f"{size} bytes", f"a complete body within {timeout} s"
+            "body", f"{len(body)} bytes", f"a complete body within {timeout} s"
         ) from exc
-    return b"".join(chunks)
+    collector.end()
+    return bytes(body)
+
+
+class _Collector:
+    """Memory of a body while it is collected.
+
+    :param space: memory of the request, None without an account.
+    :ivar lacks_memory: whether the body waits for memory, or must give it back.
+    """
+
+    def __init__(self, space: BodySpace | None):
+        self.space = space
+        self.lacks_memory = False
+
+    def begin(self, deadline: asyncio.Timeout) -> None:
+        """Let the account end the collection by its time-out."""
+
+        def give_way() -> None:
+            self.lacks_memory = True
+            if not deadline.expired():
+                deadline.reschedule(asyncio.get_running_loop().time())
+
+        if self.space is not None:
+            self.space.give_way = give_way
+
+    async def reserve(self, size: int, most: int) -> None:
+        """Wait until ``size`` bytes may be held."""
+        if self.space is not None and size > self.space.granted:
+            self.lacks_memory = True
+            await self.space.reserve(size, most)
+            self.lacks_memory = False
+
+    def end(self) -> None:
+        """Keep the memory of a complete body."""
+        if self.space is not None:
+            self.space.keep()
 
 
 def parse_object(content: bytes) -> dict[str, Any]:
--- a/greengagehoist/server/_callers.py
+++ b/greengagehoist/server/_callers.py
@@ -28,6 +28,7 @@
 )
 from greengagehoist.controllers import RecordSpans
 from greengagehoist.server._bodies import read_body
+from greengagehoist.server._memory import NoMemoryError
 from greengagehoist.server._rate_limit import SourceRateLimiter
 from greengagehoist.tracing import Span, parse_traceparent
 from greengagehoist.utils import (
@@ -46,6 +47,7 @@
 MAX_KEY_CHARS = 128
 MAX_DEADLINE_MS = 600_000
 KEEP_ALIVE_INTERVAL_S = 1.0
+NO_MEMORY_RETRY_AFTER = timedelta(seconds=1)
 # Customary status of a request whose client closed the connection; it is never delivered.
 CLIENT_CLOSED_REQUEST = 499
 
@@ -100,7 +102,8 @@
             routes=[
                 Route("/v1/pipelines/{name}", self.run_pipeline, methods=["POST"]),
                 Route("/v1/services/{service}/{operation}", self.call_service, methods=["POST"]),
-            ]
+            ],
+            exception_handlers={NoMemoryError: refuse_without_memory},
         )
 
     async def run_pipeline(self, request: Request) -> Response:
@@ -320,5 +323,13 @@
     return JSONResponse(failure_body(error, request_id), HTTP_STATUS[error.code], headers)
 
 
+async def refuse_without_memory(request: Request, exc: Exception) -> JSONResponse:
+    """Answer a request whose body was given up; it has not run."""
+    error = not_run("read", ErrorCode.OVERLOADED, str(exc), after=NO_MEMORY_RETRY_AFTER)
+    response = _failure_response(error, "", close=True)
+    response.headers["Retry-After"] = str(int(NO_MEMORY_RETRY_AFTER.total_seconds()))
+    return response
+
+
 def _format_event(name: str, data: dict[str, Any]) -> str:
     return f"event: {name}\ndata: {json.dumps(data)}\n\n"
--- a/greengagehoist/server/_gate.py
+++ b/greengagehoist/server/_gate.py
@@ -10,6 +10,7 @@
 from greengagehoist.controllers import BeginRequest, DaemonState, EndRequest, GetState
 from greengagehoist.server._bodies import MAX_BODY_BYTES, collect_body
 from greengagehoist.server._callers import HTTP_STATUS, failure_body
+from greengagehoist.server._memory import NoMemoryError
 from greengagehoist.utils import Controller, ValidationError
 
 # Shorter than the body timeout of accepted requests, so that it fits into the end of a stop.
@@ -59,7 +60,7 @@
     Bytes that arrive after the connection is closed would reset it, and the caller could lose the
     refusal.
     """
-    with contextlib.suppress(ValidationError):
+    with contextlib.suppress(ValidationError, NoMemoryError):
         await collect_body(Request(scope, receive), MAX_BODY_BYTES, REFUSAL_BODY_TIMEOUT_S)
     await _draining_response()(scope, receive, send)
 
--- a/greengagehoist/server/tests/test_untrusted.py
+++ b/greengagehoist/server/tests/test_untrusted.py
@@ -1,13 +1,15 @@
 """Guards against clients that hold connections or handshakes of the own interface."""
 
 import asyncio
+import random
 
 import pytest
 import trustme
 from starlette.responses import Response
 
-from greengagehoist.server import serve
-from greengagehoist.utils import TlsFiles, client_context
+from greengagehoist.memory import MemoryController, SmallBodies
+from greengagehoist.server import AdminApp, MemoryGate, serve
+from greengagehoist.utils import Controller, SystemClock, TlsFiles, client_context
 
 SILENT = 200
 # Bound after which a connection counts as never closed.
@@ -102,3 +104,44 @@
         await listener.stop(1.0)
 
     asyncio.run(run())
+
+
+async def post(address, body, missing=0):
+    """Send a request whose body may stop short."""
+    host, _, port = address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = b"POST /admin/config HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer operator\r\n"
+    writer.write(head + b"Content-Length: %d\r\n\r\n" % (len(body) + missing) + body)
+    return reader, writer
+
+
+def test_bodies_share_the_account_of_the_daemon():
+    """Guards against bodies that are collected without a limit for all connections together."""
+
+    async def run():
+        clock = SystemClock()
+        memory = MemoryController(3_000_000, clock)
+        running = asyncio.ensure_future(memory.run())
+        app = AdminApp(Controller("configs"), Controller("traces"), random.Random(1), "operator")
+        gate = MemoryGate(app.build(), memory, SmallBodies(0))
+        listener = await serve(gate, "127.0.0.1", 0)
+        stalled = [await post(listener.address, b"x" * 1_000_000, 1000) for _ in range(8)]
+        ends = [asyncio.ensure_future(reader.read(20)) for reader, _ in stalled]
+        async with asyncio.timeout(ENDLESS_S):
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        answers = [end.result() for end in ends if end.done()]
+        assert memory.account.held_bytes <= 3_000_000
+        assert all(b" 503 " in answer for answer in answers)
+        assert memory.evicted > 0
+        reader, writer = await post(listener.address, b"{}" + b" " * 100_000)
+        assert b" 400 " in await reader.read(20)
+        for end in ends:
+            end.cancel()
+        await asyncio.gather(*ends, return_exceptions=True)
+        close([*stalled, (reader, writer)])
+        while memory.held_bytes:
+            await asyncio.sleep(0.05)
+        await listener.stop(1.0)
+        running.cancel()
+
+    asyncio.run(run())
