Let only requests that are incomplete, and answers that are unsent, give way

Cause: the account may choose a connection before it has heard that its request is complete or its answer taken; the callback would then have closed a connection with a running request. Change: the callbacks check the state of the connection. A test of an answer that is not taken.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -16,6 +16,7 @@
 
 from benchmarks._soak_checks import RequestRecord, check_results
 from benchmarks._soak_faults import FaultInjector
+from benchmarks._soak_hostile import HostileClients
 from benchmarks._soak_system import BAD_PART, EVENTS, HOST, SoakSystem
 from greengagehoist.http1 import (
     IncompleteError,
@@ -178,17 +179,22 @@
             asyncio.ensure_future(clients.run(number % gateways))
             for number in range(gateways * CLIENTS_PER_GATEWAY)
         ]
+        hostile = HostileClients(system, random.Random(seed + 2))
+        sending = asyncio.ensure_future(hostile.run())
         await faults.run(time.monotonic() + seconds)
+        hostile.stopping = True
+        await sending
         await asyncio.sleep(SETTLE_S)
         clients.stopping = True
         await asyncio.gather(*tasks)
         findings = await check_recovery(system, clients)
-        findings += clients.findings
+        findings += clients.findings + hostile.check()
         findings += check_results(system, clients.sent, faults.revoked, faults.left, faults.limited)
         outcomes = Counter(f"{sent.kind}:{sent.status}" for sent in clients.sent)
         return (
             findings,
-            f"{len(clients.sent)} requests {dict(outcomes)} faults {dict(faults.applied)}",
+            f"{len(clients.sent)} requests {dict(outcomes)} faults {dict(faults.applied)} "
+            f"hostile {dict(hostile.applied)}",
         )
     finally:
         await system.stop()
--- a/greengagehoist/daemon/tests/test_gateway_refusals.py
+++ b/greengagehoist/daemon/tests/test_gateway_refusals.py
@@ -1,11 +1,12 @@
 """Guards against refusals that break their promise or do not reach the client, with stand-ins."""
 
 import asyncio
+import socket
 
 from greengagehoist.daemon.tests.gateway_system import config, wait_until
 from greengagehoist.gateway.controllers import DeploymentController
 from greengagehoist.http1 import ResponseReader, get_header
-from greengagehoist.memory import SmallBodies
+from greengagehoist.memory import SmallBodies, Unsent
 
 LARGE = 400_000
 
@@ -127,3 +128,31 @@
             sock.abort()
 
     run_scenario(scenario)
+
+
+def connect_slow(address):
+    """Return a connection of a client that reads nothing and has small buffers."""
+    host, _, port = address.partition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect((host, int(port)))
+    return sock
+
+
+def test_answer_that_is_not_taken_gives_way_to_one_that_waits(run_scenario):
+    """Guards against a client that reads nothing and holds the memory of answers."""
+
+    async def scenario(system):
+        for desk in system.desks:
+            desk.padding = b"x" * 3_900_000
+        daemon = system.daemons[0]
+        daemon.memory.account.limit = 9_000_000
+        slow = connect_slow(daemon.address)
+        slow.sendall(system.encode("/book/"))
+        await wait_until(lambda: daemon.memory.account.held_for(Unsent) > 0)
+        assert (await system.call("/look/"))[0] == 200
+        assert daemon.memory.evicted == 1
+        slow.close()
+        await wait_until(lambda: daemon.memory.held_bytes == 0)
+
+    run_scenario(scenario)
--- a/greengagehoist/daemon/tests/test_gateway_untrusted.py
+++ b/greengagehoist/daemon/tests/test_gateway_untrusted.py
@@ -33,7 +33,7 @@
 
 
 @pytest.fixture
-def withstands(tmp_path, capsys):
+def withstands(tmp_path, record_property):
     """Return a function that checks a process under one way of sending.
 
     It checks that the process lives, stays within its memory and descriptors, and answers an ordinary
@@ -54,8 +54,8 @@
                 await gateway.stop()
 
         figures, answered = asyncio.run(main())
-        with capsys.disabled():
-            print(f" {figures.peak_mb:.0f} MB, {figures.descriptors} descriptors, {answered}")
+        record_property("peak_mb", round(figures.peak_mb))
+        record_property("descriptors", figures.descriptors)
         assert figures.peak_mb <= MEMORY_MB
         assert figures.descriptors <= max_fds
         assert answered
--- a/greengagehoist/daemon/tests/untrusted_clients.py
+++ b/greengagehoist/daemon/tests/untrusted_clients.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -169,8 +169,8 @@
         finally:
             sock.abort()
 
-    async def _spawn(self) -> None:
-        settings = {
+    def _settings(self) -> dict[str, Any]:
+        return {
             "node_name": "vm0",
             "zone": "a",
             "ip": "127.0.0.1",
@@ -194,6 +194,9 @@
                 "retry_budget_slack": 54,
             },
         }
+
+    async def _spawn(self) -> None:
+        settings = self._settings()
         path, log = self.folder / "settings.yaml", self.folder / "gateway.log"
         path.write_bytes(msgspec.json.encode(settings))
         with log.open("wb") as file:
--- a/greengagehoist/gateway/front/_client.py
+++ b/greengagehoist/gateway/front/_client.py
@@ -43,7 +43,7 @@
         now: float,
     ):
         self.sock = sock
-        self.space = BodySpace(memory, small, sock.peer_address, self.give_way)
+        self.space = BodySpace(memory, small, sock.peer_address, self._give_memory_back)
         self.reader = RequestReader(sock, limits, self.space)
         self.accepted_at = self.idle_since = now
         self.answered = 0
@@ -64,4 +64,7 @@
         if self.is_silent():
             self.sock.close()
         else:
-            self.reader.refuse("too many clients")
+            self.reader.refuse("too many connections")
+
+    def _give_memory_back(self) -> None:
+        self.reader.refuse("others wait for the memory of this request")
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -288,12 +288,13 @@
             reply = self._result(chain, exchange)
             keep = self._finish(sock, exchange, sink, reply, keep and not self._stopping)
             if sock.has_unsent and progress.reserved_bytes:
-                self.memory.tell(MarkUnsent(progress, sock.abort))
+                self.memory.tell(MarkUnsent(progress, lambda: _abort_unsent(sock, progress)))
             await sock.flush()
             return keep
         finally:
             self.in_flight -= 1
             if progress.reserved_bytes:
+                progress.reserved_bytes = 0
                 self.memory.tell(ReleaseMemory(progress))
 
     async def _run(self, exchange: Exchange) -> Reply:
@@ -375,3 +376,9 @@
             reason=reason,
             took_ms=round(took * 1000),
         )
+
+
+def _abort_unsent(sock: Socket, progress: Progress) -> None:
+    """Reset a connection whose answer still holds memory."""
+    if progress.reserved_bytes:
+        sock.abort()
--- a/greengagehoist/memory/_space.py
+++ b/greengagehoist/memory/_space.py
@@ -64,6 +64,7 @@
         self.granted = 0
         self._small_bytes = 0
         self._reserved = False
+        self._kept = False
 
     async def reserve(self, size: int, most: int) -> None:
         """Wait until ``size`` bytes of a request may be held.
@@ -78,23 +79,29 @@
         self._reserved = True
         wanted = max(size, min(size + max(STEP_BYTES, size // 2), most))
         memory = wanted + wanted // SPARE_PARTS
-        await self.account.ask(ReserveMemory(self, Arriving(), self.origin, memory, self.give_way))
+        await self.account.ask(ReserveMemory(self, Arriving(), self.origin, memory, self._yield))
         self._give_back_small()
         self.granted = wanted
 
     def keep(self) -> None:
         """Keep what is held: the request is complete, and cannot give way any more."""
+        self._kept = True
         if self._reserved:
             self.account.tell(KeepMemory(self))
 
     def release(self) -> None:
         """Give back what is held."""
-        self.granted = 0
+        self.granted, self._kept = 0, False
         self._give_back_small()
         if self._reserved:
             self._reserved = False
             self.account.tell(ReleaseMemory(self))
 
+    def _yield(self) -> None:
+        # The account may choose a request before it has heard that it is complete.
+        if self._reserved and not self._kept:
+            self.give_way()
+
     def _give_back_small(self) -> None:
         if self._small_bytes:
             self.small.give_back(self._small_bytes)
--- a/greengagehoist/memory/tests/test_space.py
+++ b/greengagehoist/memory/tests/test_space.py
@@ -68,6 +68,21 @@
     assert [type(item) for item in account.told[-2:]] == [KeepMemory, ReleaseMemory]
 
 
+def test_complete_request_does_not_give_way(account):
+    """Guards against a request that is refused while it runs, as the account heard late of its end."""
+    called = []
+    space = BodySpace(account, SmallBodies(0), "a", lambda: called.append(1))
+    asyncio.run(space.reserve(50 * KB, 50 * KB))
+    give_way = account.told[0].give_way
+    give_way()
+    assert called == [1]
+    space.keep()
+    give_way()
+    space.release()
+    give_way()
+    assert called == [1]
+
+
 def test_client_that_stalls_gives_way_to_one_that_waits():
     """Guards against clients that hold all memory and stop sending."""
 
