Limit log lines by a few kinds of events, not by texts that clients send

Cause: the reason of a rejected request may contain what a client sent, so that each text was a kind of its own, with a line and an entry each.

--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -215,7 +215,8 @@
 
     def _observe_refusal(self, reason: str, address: str) -> None:
         self.observe_refusal(reason)
-        self._log.log("connection_refused", reason=reason, client=address, open=len(self._table))
+        fields = {"reason": reason, "client": address, "open": len(self._table)}
+        self._log.log("connection_refused", kind=reason, **fields)
 
     async def _serve(self, client: Client) -> None:
         sock = client.sock
@@ -250,7 +251,7 @@
         client.reader.discard()
         client.space.release()
         self.observe_refusal(f"status_{exc.status}")
-        self._log.log("request_rejected", reason=str(exc), status=exc.status)
+        self._log.log("request_rejected", kind=exc.status, reason=str(exc), status=exc.status)
         headers = ()
         if exc.retry_after_s is not None:
             headers = ((b"Retry-After", b"%.2f" % exc.retry_after_s),)
--- a/greengagehoist/memory/_controller.py
+++ b/greengagehoist/memory/_controller.py
@@ -137,6 +137,7 @@
         self._log.log(
             "memory_full",
             "WARNING",
+            kind=type(ask.purpose),
             purpose=type(ask.purpose).__name__.lower(),
             origin=ask.origin,
             held_kb=self.held_bytes // 1024,
@@ -164,6 +165,7 @@
             self._log.log(
                 "connection_evicted",
                 "WARNING",
+                kind=type(holding.purpose),
                 purpose=type(holding.purpose).__name__.lower(),
                 origin=holding.origin,
                 held_kb=holding.size // 1024,
--- a/greengagehoist/server/_protocol.py
+++ b/greengagehoist/server/_protocol.py
@@ -32,11 +32,13 @@
         """Take a new connection in; the one that it replaces, or it itself, is aborted."""
         match self.table.admit(""):
             case Refused(reason):
-                self._log.log("caller_refused", reason=reason, open=len(self.table))
+                self._log.log("caller_refused", kind=reason, reason=reason, open=len(self.table))
                 transport.abort()
                 return
             case Replacing(other):
-                self._log.log("caller_refused", reason="connections", open=len(self.table))
+                self._log.log(
+                    "caller_refused", kind="connections", reason="connections", open=MAX_CONNECTIONS
+                )
                 self.table.remove(other)
                 other.transport.abort()
         self.table.add(conn, "")
@@ -46,7 +48,9 @@
         if len(self._handshakes) >= MAX_HANDSHAKES:
             oldest = next(iter(self._handshakes))
             self.end_handshake(oldest)
-            self._log.log("caller_refused", reason="handshakes", open=len(self._handshakes))
+            self._log.log(
+                "caller_refused", kind="handshakes", reason="handshakes", open=MAX_HANDSHAKES
+            )
             oldest.abort()
         self._handshakes[transport] = None
 
--- a/greengagehoist/utils/_logging.py
+++ b/greengagehoist/utils/_logging.py
@@ -162,14 +162,15 @@
         self._logged_at: dict[tuple[str, Any], float] = {}
         self._skipped: Counter[tuple[str, Any]] = Counter()
 
-    def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
-        """Log an event, unless one with the same reason was logged within a second.
+    def log(self, event: str, level: str = "INFO", *, kind: Any = "", **fields: Any) -> None:
+        """Log an event, unless one of the same kind was logged within a second.
 
         The next one that is logged states how many were left out.
 
-        :param fields: as of :func:`log_event`; ``reason`` distinguishes kinds of events.
+        :param kind: one of a few values, never text that a client has sent.
+        :param fields: as of :func:`log_event`.
         """
-        key, now = (event, fields.get("reason")), self.clock.monotonic()
+        key, now = (event, kind), self.clock.monotonic()
         if now - self._logged_at.get(key, -LIMITED_PERIOD_S) < LIMITED_PERIOD_S:
             self._skipped[key] += 1
             return
