--- a/greengagehoist/deployment/_types.py
+++ b/greengagehoist/deployment/_types.py
@@ -98,16 +98,16 @@
     """A group of replicas.
 
     :param pool: limits of a stage pool, None for other services.
-    :param engine: limits of an engine, None for other services.
     :param cold_start_s: seconds for which a replica is cold after its start.
     :param cold_per_s: requests a second that a cold replica takes, 0 for no rule.
+    :param engine: limits of an engine, None for other services.
     """
 
     name: str
     pool: PoolLimits | None
-    engine: EngineLimits | None = None
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    engine: EngineLimits | None = None
 
 
 class Tenant(NamedTuple):
--- a/greengagehoist/gateway/front/_front.py
+++ b/greengagehoist/gateway/front/_front.py
@@ -215,7 +215,8 @@
 
     def _observe_refusal(self, reason: str, address: str) -> None:
         self.observe_refusal(reason)
-        self._log.log("connection_refused", reason=reason, client=address, open=len(self._table))
+        fields = {"reason": reason, "client": address, "open": len(self._table)}
+        self._log.log("connection_refused", kind=reason, **fields)
 
     async def _serve(self, client: Client) -> None:
         sock = client.sock
@@ -250,7 +251,7 @@
         client.reader.discard()
         client.space.release()
         self.observe_refusal(f"status_{exc.status}")
-        self._log.log("request_rejected", reason=str(exc), status=exc.status)
+        self._log.log("request_rejected", kind=exc.status, reason=str(exc), status=exc.status)
         headers = ()
         if exc.retry_after_s is not None:
             headers = ((b"Retry-After", b"%.2f" % exc.retry_after_s),)
@@ -288,12 +289,13 @@
             reply = self._result(chain, exchange)
             keep = self._finish(sock, exchange, sink, reply, keep and not self._stopping)
             if sock.has_unsent and progress.reserved_bytes:
-                self.memory.tell(MarkUnsent(progress, sock.abort))
+                self.memory.tell(MarkUnsent(progress, lambda: _abort_unsent(sock, progress)))
             await sock.flush()
             return keep
         finally:
             self.in_flight -= 1
             if progress.reserved_bytes:
+                progress.reserved_bytes = 0
                 self.memory.tell(ReleaseMemory(progress))
 
     async def _run(self, exchange: Exchange) -> Reply:
@@ -375,3 +377,9 @@
             reason=reason,
             took_ms=round(took * 1000),
         )
+
+
+def _abort_unsent(sock: Socket, progress: Progress) -> None:
+    """Reset a connection whose answer still holds memory."""
+    if progress.reserved_bytes:
+        sock.abort()
--- a/greengagehoist/gateway/tests/test_placement.py
+++ b/greengagehoist/gateway/tests/test_placement.py
@@ -58,7 +58,7 @@
 
     def __init__(self, kv_tokens=500_000, shared=True):
         services = {
-            "llm": Service("llm", None, EngineLimits(64, kv_tokens)),
+            "llm": Service("llm", None, engine=EngineLimits(64, kv_tokens)),
             "desk": Service("desk", None),
         }
         deployment = Deployment(1, {}, services, {}, False, Limits())
--- a/greengagehoist/platform/_config.py
+++ b/greengagehoist/platform/_config.py
@@ -137,7 +137,7 @@
     return Service(
         raw["name"],
         limits or None,
-        _engine(raw.get("engine")),
+        engine=_engine(raw.get("engine")),
         cold_start_s=min(_optional(raw, "cold_start_s"), MAX_COLD_S),
         cold_per_s=_optional(raw, "cold_per_s"),
     )
