Check the names of limited log events on the operators' page too

Cause: events that are logged at most once a second pass through EventLimiter, so the check of the operators' page met a name that is no literal, and could not see theirs. Change: the check leaves out the call inside EventLimiter and reads the names that its callers give. The evacuation tests build the placement controller with a ranking. Result: tests of the pages and of evacuations pass, lint is clean.

--- a/greengagehoist/gateway/tests/test_evacuation.py
+++ b/greengagehoist/gateway/tests/test_evacuation.py
@@ -46,13 +46,16 @@
     return Published(frozenset())
 
 
+def make_ranking(zone):
+    return TimeRanking(
+        Published(None), Published(False), Published(LoadView()), zone, random.Random(1)
+    )
+
+
 @pytest.fixture
 def placement(clock, evacuated):
     views = Published(TABLE), Published(Reach()), Published({})
-    ranking = TimeRanking(
-        Published(None), Published(False), Published(LoadView()), "b", random.Random(1)
-    )
-    return PlacementController(*views, clock, "b", ranking, evacuated=evacuated)
+    return PlacementController(*views, clock, "b", make_ranking("b"), evacuated=evacuated)
 
 
 @pytest.fixture
@@ -246,7 +249,9 @@
     cold = Published({("a2", 1): ColdState(clock.monotonic() + 10.0, clock.monotonic() - 10.0)})
     table = Published(ReplicaTable({name: REPLICAS[name] for name in ("a1", "a2")}, read_at=0.0))
     views = table, Published(Reach()), Published({})
-    placement = PlacementController(*views, clock, "a", evacuated, cold)
+    placement = PlacementController(
+        *views, clock, "a", make_ranking("a"), evacuated=evacuated, cold=cold
+    )
     for _ in range(5):
         deliver(placement, Choose("s", AnyReplica(), frozenset({"a2"})))
     chosen = []
--- a/greengagehoist/tests/test_operations_page.py
+++ b/greengagehoist/tests/test_operations_page.py
@@ -93,6 +93,9 @@
 def log_events():
     """Return the names of the events that the daemon logs, by place."""
     found = called(lambda func: getattr(func, "id", ""), ("log_event",))
+    # EventLimiter passes on the names that its callers give to its method "log".
+    found = {place: name for place, name in found.items() if not place.startswith("_logging.py:")}
+    found |= called(ast.unparse, ("self._log.log",))
     attributes = called(lambda func: getattr(func, "attr", ""), ("error", "exception"))
     for place, text in attributes.items():
         if text and (event := re.match(r"event=([a-z_]+)", text)):
