Read evacuations from the store in one test, and detach the others from it

Cause: tests that evacuate a data centre at once were undone by the next read of the store, since the evacuations that the configuration controller reads are now those that are obeyed. Change: these tests detach the reader; a new one writes and removes the row in the store.

--- a/greengagehoist/daemon/tests/gateway_system.py
+++ b/greengagehoist/daemon/tests/gateway_system.py
@@ -8,7 +8,7 @@
 from greengagehoist.http1 import ResponseReader, encode_request, open_socket
 from greengagehoist.platform import READY_PATH, PlatformWireFormat, StoreCodec
 from greengagehoist.standins import ReplicaStandin, StoreStandin
-from greengagehoist.utils import SystemClock
+from greengagehoist.utils import Published, SystemClock
 
 BOUNDS = Bounds(grace_s=4.0, revoke_s=3.0)
 
@@ -142,8 +142,12 @@
         await wait_until(lambda: all(zones(daemon) == {zone} for daemon in self.daemons))
 
     def evacuate(self, *zones):
-        """Let all daemons know that these data centres are evacuated, and no others."""
+        """Let all daemons know at once that these data centres are evacuated, and no others.
+
+        Their reads of the store no longer change that.
+        """
         for daemon in self.daemons:
+            daemon.deployments.evacuated = Published(frozenset())
             daemon.evacuated.value = frozenset(zones)
 
     async def stop(self):
--- a/greengagehoist/daemon/tests/test_gateway_evacuation.py
+++ b/greengagehoist/daemon/tests/test_gateway_evacuation.py
@@ -291,3 +291,25 @@
         await wait_until(lambda: b'evacuated_data_centres"} 1.0' in system.daemons[0]._metrics()[1])
 
     run_scenario(scenario)
+
+
+def test_evacuation_in_the_store_takes_effect_until_its_row_is_removed(run_scenario):
+    """Guards against rows that are read but not obeyed, or obeyed for good."""
+
+    async def scenario(system):
+        near, far = system.desks
+        await system.move([far], FAR)
+        daemon = system.daemons[0]
+        system.store.put("op", f"evacuate/{FAR}", {})
+        await wait_until(lambda: daemon.evacuated.value == {FAR})
+        arrived = far.arrivals
+        for _ in range(6):
+            assert (await system.call("/look/"))[0] == 200
+        assert far.arrivals == arrived
+        system.store.remove("op", f"evacuate/{FAR}")
+        await wait_until(lambda: not daemon.evacuated.value)
+        system.evacuate(near.zone)
+        assert (await system.call("/look/"))[0] == 200
+        assert far.arrivals == arrived + 1
+
+    run_scenario(scenario)
