Bound the wait for busy hubs, and let slow later requests make way

Cause, found in review: a daemon whose hubs are busy and hold old reads by turns restarted its wait each time, and waited 3 s for busy ones, so that its proof could be older than keys and evacuations allow. A starting daemon that did not use its first read asked only for changes from then on, and stayed without a configuration. Clients that send the bodies of their second requests slowly locked out all others. Over 4 KB of a pipelined request hid the client's close. On the own interface a pipelined request in progress counted as idle.

--- a/greengagehoist/gateway/controllers/_deployment.py
+++ b/greengagehoist/gateway/controllers/_deployment.py
@@ -159,6 +159,8 @@
                 reply(self._apply_shared_read(*message))
             case _ReadUnused(era):
                 now = self.clock.monotonic()
+                # The next read is a whole one: what this one has shown is not held.
+                self._state = None
                 self._deployment = apply_unused_read(self._deployment, era, now)
             case _ConfirmationReceived(row, step):
                 reply(self._apply_confirmation(row, step))
--- a/greengagehoist/gateway/controllers/_shared_reads.py
+++ b/greengagehoist/gateway/controllers/_shared_reads.py
@@ -29,9 +29,10 @@
 PERIOD_JITTER = 0.05
 # Least time between the end of an own read and the next one.
 MIN_READ_DELAY_S = 0.02
-# Time for which hubs may say that they are busy before this daemon reads itself. With the age of its
-# newest proof then, keys are still confirmed.
-MAX_BUSY_S = 3.0
+# Time for which hubs may be busy, or hold old reads by turns, before this daemon reads itself. The age of
+# its newest proof at the end of that read is at most two read periods and this, so with a period of
+# 1.8 s keys are still confirmed (4.8 s).
+MAX_BUSY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +112,7 @@
         self.period_s = period_s
         self.own_read_ok = False
         self._read_at = float("-inf")
-        self._busy_since = math.inf
+        self._unsure_since = math.inf
         self._stale_since = math.inf
 
     async def next_step(self, token: str, era: int = 0) -> HubAnswer:
@@ -126,13 +127,11 @@
             max_age_s = MAX_AGE_PERIODS * self.period_s
             answer = await ask_hubs(self.relay, self.topic, token, self.clock, max_age_s, era)
         now = self.clock.monotonic()
-        busy = isinstance(answer, HubBusy)
-        self._busy_since = min(now, self._busy_since) if busy else math.inf
-        stale = isinstance(answer, HubStale)
+        busy, stale = isinstance(answer, HubBusy), isinstance(answer, HubStale)
+        self._unsure_since = min(now, self._unsure_since) if busy or stale else math.inf
         self._stale_since = min(now, self._stale_since) if stale else math.inf
-        if busy and now - self._busy_since < MAX_BUSY_S:
-            return answer
-        if stale and now - self._stale_since < STALE_CONFIRM_S:
+        may_wait = busy or (stale and now - self._stale_since < STALE_CONFIRM_S)
+        if may_wait and now - self._unsure_since < MAX_BUSY_S:
             return answer
         # While only the hubs are cut off, own reads keep the usual bounds.
         period_s = self.period_s if self.own_read_ok else math.inf
--- a/greengagehoist/gateway/front/_listen.py
+++ b/greengagehoist/gateway/front/_listen.py
@@ -19,8 +19,9 @@
 PROBE_BACKLOG = 32
 # Unsent bytes of a connection from which a stream waits for its client.
 MAX_UNSENT_BYTES = 16 * 1024
-# Unread bytes of a connection from which it is not read. What is read at once comes on top.
-MAX_UNREAD_BYTES = 4 * 1024
+# Unread bytes of a connection from which it is not read. What is read at once comes on top. While it is
+# not read, the client's close is not noticed.
+MAX_UNREAD_BYTES = 32 * 1024
 CLOSE = (b"Connection", b"close")
 
 
--- a/greengagehoist/gateway/tests/test_relay.py
+++ b/greengagehoist/gateway/tests/test_relay.py
@@ -20,6 +20,8 @@
 from greengagehoist.gateway.controllers._replicas import encode_replicas
 from greengagehoist.gateway.controllers._shared_reads import (
     MAX_BUSY_S,
+    PERIOD_JITTER,
+    QUERY_PERIOD_FRACTION,
     STALE_CONFIRM_S,
     Changed,
     Confirmed,
@@ -413,6 +415,28 @@
     assert asyncio.run(reads.next_step("7")) == ReadNow()
 
 
+def test_daemon_reads_itself_if_hubs_are_busy_and_stale_by_turns(clock):
+    """Each kind of answer began the wait for the other one anew, so it had no end."""
+    topology = Topology(
+        Published(True), Published(20), Published(()), Published(HUBS), Published(True)
+    )
+    relay = FixedAnswers(Waiting(0.2))
+    reads = SharedReads(relay, "deployment", "vm-1", topology, clock, random.Random(1), 2.0)
+    old = HeldContent("7", -100.0)
+    steps = []
+    for answer in [Waiting(0.2), old] * 4:
+        relay.found = (answer,)
+        steps.append(asyncio.run(reads.next_step("7")))
+        asyncio.run(clock.advance(0.2))
+    assert ReadNow() in steps
+
+
+def test_keys_are_still_confirmed_when_hubs_are_busy():
+    """The longest wait for busy hubs, with the largest read period, exceeded the age of valid keys."""
+    query_s = 1.8 * QUERY_PERIOD_FRACTION * (1 + PERIOD_JITTER)
+    assert 1.8 + query_s + MAX_BUSY_S + 0.4 + 1.0 < 4.8
+
+
 def test_daemon_that_was_held_up_does_not_take_the_hub_for_silent(make_relay, clock):
     """The answer had arrived, but the timer was handled before it."""
 
--- a/greengagehoist/http1/_connections.py
+++ b/greengagehoist/http1/_connections.py
@@ -99,4 +99,5 @@
             for conn in islice(conns, LOOKED_AT):
                 if self.is_silent(conn):
                     return conn
-        return next(iter(self._new), None)
+        # The longest idle one is receiving a request, which has not run.
+        return next(iter(self._new), None) or next(iter(self._idle), None)
--- a/greengagehoist/http1/tests/test_connections.py
+++ b/greengagehoist/http1/tests/test_connections.py
@@ -55,8 +55,11 @@
     for conn in (1, 2, 3):
         table.set_busy(conn)
     assert table.admit("a") == Refused("connections")
+    # Only a part of the next request has been received, which is refused as not run.
     table.set_idle(1)
     loud.add(1)
+    assert table.admit("a") == Replacing(1)
+    table.set_busy(1)
     assert table.admit("a") == Refused("connections")
 
 
@@ -88,3 +91,15 @@
 def test_settings_can_only_lower_the_connections():
     limits = divide_descriptors(1638, ClientLimits(connections=50_000, in_progress=10))
     assert (limits.clients, limits.in_progress) == (719, 10)
+
+
+def test_incomplete_later_requests_make_way_if_nothing_else_can(table, loud):
+    """Clients that send the bodies of their second requests slowly locked out all others."""
+    add(table, 1, 2, 3)
+    for conn in (1, 2, 3):
+        table.set_busy(conn)
+        table.set_idle(conn)
+        loud.add(conn)
+    assert table.admit("a") == Replacing(1)
+    table.set_busy(1)
+    assert table.admit("a") == Replacing(2)
--- a/greengagehoist/server/_protocol.py
+++ b/greengagehoist/server/_protocol.py
@@ -112,8 +112,10 @@
 
     def on_response_complete(self) -> None:
         """Let the connection give way while it waits for a request."""
+        # The base class starts the next pipelined request.
+        has_next = bool(self.pipeline)
         super().on_response_complete()
-        if not self.pipeline and not self.transport.is_closing():
+        if not has_next and not self.transport.is_closing():
             self.guard.table.set_idle(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
