Keep the cold allowance with many isolated daemons, and mend three faults of the choice

Change: shares too small for a whole permit grant none; a full replica is tried if the others pause; the placement keeps the replica of each ticket; the rate of permits has a minimum. Result: the new tests fail without the change; tests of placement, replicas, cold limits and evacuations pass.

--- a/greengagehoist/gateway/controllers/_owned_permits.py
+++ b/greengagehoist/gateway/controllers/_owned_permits.py
@@ -136,6 +136,9 @@
             if not share:
                 return None
             whole = self.cold.allowance(key)
+            if 2.0 * whole.burst * share < 1.0:
+                # Whole permits of many small shares would exceed the allowance together.
+                return None
             cold = Allowance(whole.per_s * share, max(1.0, whole.burst * share))
         if state is None or not state.in_force:
             return cold
--- a/greengagehoist/gateway/controllers/_placement.py
+++ b/greengagehoist/gateway/controllers/_placement.py
@@ -218,6 +218,8 @@
         # Choices by time since the start, and those of them that were logged.
         self.choices = self.choices_elsewhere = 0
         self._ranked: TimedChoice | None = None
+        # Replica by the ticket of each request that counts as running.
+        self._chosen: dict[int, str] = {}
         self._health: dict[str, _Health] = {}
         self._zone_avoid_until: dict[str, float] = {}
         self._availability = ReplicaAvailability(lambda: table.value)
@@ -233,9 +235,8 @@
                 for key, replica_id in copies:
                     self.ranking.copies.note(key, replica_id, self.clock.monotonic())
             case AbandonChoice(ticket):
-                replica_id = self.ranking.sends.replica_of(ticket)
-                if replica_id:
-                    self._record_end(RequestEnded(replica_id, "cancelled", ticket))
+                if ticket in self._chosen:
+                    self._record_end(RequestEnded(self._chosen[ticket], "cancelled", ticket))
             case AnswerBegun(ticket, replica):
                 # Unknown where the service is not placed by time.
                 if self.ranking.sends.replica_of(ticket):
@@ -373,11 +374,14 @@
                 in_flight=health.observed.in_flight + 1,
                 sent_since_report=health.observed.sent_since_report + 1,
             )
+            if query.send.ticket:
+                self._chosen[query.send.ticket] = found.replica_id
             self._begin_timed(query, found)
         self._evict_unlisted()
         return found
 
     def _record_end(self, end: RequestEnded) -> None:
+        self._chosen.pop(end.ticket, None)
         health = self._health_of(end.replica_id)
         observed = health.observed._replace(in_flight=max(0, health.observed.in_flight - 1))
         now = self.clock.monotonic()
--- a/greengagehoist/gateway/filters/_replica_choice.py
+++ b/greengagehoist/gateway/filters/_replica_choice.py
@@ -75,6 +75,10 @@
             if refusal is not None:
                 return refusal
             found = await self._ask(exchange, permitted, full)
+            if isinstance(found, NotBefore) and full:
+                # A full replica may have a place sooner than another one ends its pause.
+                full, probes = frozenset(), True
+                continue
             refusal = refuse_late_start(exchange, found, self.clock.monotonic())
             if refusal is not None:
                 return refusal
--- a/greengagehoist/gateway/tests/test_placement.py
+++ b/greengagehoist/gateway/tests/test_placement.py
@@ -285,3 +285,13 @@
     deliver(setup.controller, RequestEnded(replica.replica_id, end, 1))
     sample = setup.follower.told[-1].sample
     assert (sample is not None and sample.ratio > 5) == is_learnt
+
+
+def test_abandoned_choice_of_a_service_that_is_not_placed_by_time_frees_its_replica():
+    """Requests whose clients left during the choice counted as running for good."""
+    setup = Setup(shared=False)
+    chosen = setup.choose(service="desk")
+    assert setup.controller._observed_load(chosen.replica_id).in_flight == 1
+    deliver(setup.controller, AbandonChoice(setup.tickets))
+    deliver(setup.controller, AbandonChoice(setup.tickets))
+    assert setup.controller._observed_load(chosen.replica_id).in_flight == 0
--- a/greengagehoist/gateway/tests/test_replica_room.py
+++ b/greengagehoist/gateway/tests/test_replica_room.py
@@ -6,7 +6,7 @@
 
 from greengagehoist.deployment import Idempotent, Route, Streaming
 from greengagehoist.gateway import Exchange, NotRun, Progress
-from greengagehoist.gateway.controllers import RequestEnded
+from greengagehoist.gateway.controllers import NotBefore, RequestEnded
 from greengagehoist.gateway.filters._replica_choice import RETRY_AFTER_S, ReplicaChooser
 from greengagehoist.gateway.tests.recorder import Recorder
 from greengagehoist.replicas import Granted, Replica
@@ -86,3 +86,15 @@
     stream = plain._replace(route=PLAIN._replace(kind=Streaming(True, 0.8)))
     assert asyncio.run(chooser.choose(stream)) == REPLICAS[0]
     assert chooser.retry_after_s(stream) == RETRY_AFTER_S
+
+
+def test_full_replica_is_tried_if_the_other_one_has_asked_for_a_pause(chooser, clock, plain):
+    """The request was refused for the whole pause although a place may be free in 0.25 s."""
+    reject(chooser, clock, "r0")
+
+    async def ask(message):
+        is_left_out = "r0" in message.exclude
+        return NotBefore(clock.monotonic() + 30.0, REPLICAS[1]) if is_left_out else REPLICAS[0]
+
+    chooser.placement.ask = ask
+    assert asyncio.run(chooser.choose(plain)) == REPLICAS[0]
--- a/greengagehoist/replicas/_cold.py
+++ b/greengagehoist/replicas/_cold.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from greengagehoist.replicas._send_limits import Incarnation, incarnation_of
+from greengagehoist.replicas._send_permits import MIN_RATE_PER_S
 from greengagehoist.replicas._types import Replica
 
 # Entries that state a longer time count as this long.
@@ -57,7 +58,7 @@
     :param per_s: requests a second by the configuration, above 0.
     """
     allowed = per_s * rule.overshoot + rule.slack
-    rate = min(per_s, max(0.0, allowed - 2.0) / (1.0 + JITTER_S))
+    rate = max(MIN_RATE_PER_S, min(per_s, (allowed - 2.0) / (1.0 + JITTER_S)))
     left = allowed - rate * (1.0 + JITTER_S)
     return Allowance(rate, max(1.0, min(rate, left / 2)))
 
--- a/greengagehoist/replicas/tests/test_cold.py
+++ b/greengagehoist/replicas/tests/test_cold.py
@@ -249,3 +249,9 @@
     cold = {KEY: ColdState(10.0, 0.0), incarnation_of(OTHER): ColdState(10.0, 0.0)}
     assert WarmUp().admit([REPLICA, OTHER], cold, 0.0) == [REPLICA, OTHER]
     assert WarmUp().admit([], cold, 0.0) == []
+
+
+@pytest.mark.parametrize(("per_s", "rule"), [(1.0, ColdRule(1.5, 0.0)), (0.5, ColdRule(1.0, 1.0))])
+def test_smallest_allowances_have_a_rate(per_s, rule):
+    """A rate of 0 was a division by zero in the queue of permits."""
+    assert allowance_of(per_s, rule).per_s > 0.0
