Try a full replica before waiting for one that pauses

Cause: with a full replica left out, a pause of the others made a request wait or be refused for the whole pause. Change: the full one is tried then.

--- a/greengagehoist/gateway/filters/_replica_choice.py
+++ b/greengagehoist/gateway/filters/_replica_choice.py
@@ -77,6 +77,9 @@
                 case Replica(replica_id):
                     if replica_id == permitted or await self._may_send(exchange, found):
                         return found
+                case NotBefore() if full:
+                    # A place at a full replica is free sooner than the others want requests.
+                    full, probes = frozenset(), True
                 case NotBefore(at, replica):
                     now = self.clock.monotonic()
                     refusal = refuse_late_start(exchange, found, now)
@@ -91,29 +94,34 @@
                 case None if full and not progress.tried:
                     # A place may be free by now: one of the full replicas is tried.
                     full, probes = frozenset(), True
-                case None if full:
-                    retry_after_s = self.retry_after_s(exchange)
-                    log_event(
-                        "request_refused",
-                        request=exchange.req.request_id,
-                        reason="all replicas are full",
-                        rank=exchange.rank,
-                        tenant=exchange.tenant.name if exchange.tenant is not None else "",
-                        route=exchange.route.name,
-                        room_in_ms=round(retry_after_s * 1000),
-                    )
-                    return failure_reply(progress, "all replicas are full", retry_after_s)
                 case None:
-                    log_event(
-                        "no_replica",
-                        "WARNING",
-                        request=exchange.req.request_id,
-                        service=exchange.service,
-                        tried=len(progress.tried),
-                    )
-                    return failure_reply(
-                        progress, "no replica available", self.retry_after_s(exchange)
-                    )
+                    return self._refuse(exchange, bool(full))
+
+    def _refuse(self, exchange: Exchange, full: bool) -> Reply:
+        """Return the reply to a request for which no replica is left.
+
+        :param full: whether some of the replicas were left out because they are full.
+        """
+        progress, retry_after_s = exchange.progress, self.retry_after_s(exchange)
+        if full:
+            log_event(
+                "request_refused",
+                request=exchange.req.request_id,
+                reason="all replicas are full",
+                rank=exchange.rank,
+                tenant=exchange.tenant.name if exchange.tenant is not None else "",
+                route=exchange.route.name,
+                room_in_ms=round(retry_after_s * 1000),
+            )
+            return failure_reply(progress, "all replicas are full", retry_after_s)
+        log_event(
+            "no_replica",
+            "WARNING",
+            request=exchange.req.request_id,
+            service=exchange.service,
+            tried=len(progress.tried),
+        )
+        return failure_reply(progress, "no replica available", retry_after_s)
 
     def _is_full(self, exchange: Exchange, replica_id: str) -> bool:
         """Return whether a replica of a plain service would probably reject the request."""
--- a/greengagehoist/gateway/tests/test_overload.py
+++ b/greengagehoist/gateway/tests/test_overload.py
@@ -9,14 +9,12 @@
 
 import pytest
 
-from greengagehoist.gateway.tests.overload_model import (
+from greengagehoist.gateway.tests.overload_loads import (
     DEPLOYMENT_A,
     DEPLOYMENT_B,
     SMALL_DEPLOYMENT,
-    TENANTS,
-    Model,
-    Trouble,
 )
+from greengagehoist.gateway.tests.overload_model import TENANTS, Model, Trouble
 from greengagehoist.gateway.tests.overload_rules import (
     FirstComeFirstServed,
     FixedRetryAfter,
--- a/greengagehoist/gateway/tests/test_replica_choice.py
+++ b/greengagehoist/gateway/tests/test_replica_choice.py
@@ -6,7 +6,7 @@
 
 from greengagehoist.deployment import Idempotent, Route, Streaming
 from greengagehoist.gateway import Exchange, NotRun, Progress
-from greengagehoist.gateway.controllers import RequestEnded
+from greengagehoist.gateway.controllers import NotBefore, RequestEnded
 from greengagehoist.gateway.filters._replica_choice import RETRY_AFTER_S, ReplicaChooser
 from greengagehoist.gateway.tests.recorder import Recorder
 from greengagehoist.replicas import Granted, Replica
@@ -19,11 +19,19 @@
 
 
 class Placement(Recorder):
-    """Chooses the first replica that is not excluded."""
+    """Chooses the first replica that is not excluded.
+
+    :ivar paused: the other replicas want no requests before this time, None if they want some.
+    """
+
+    paused = None
 
     async def ask(self, message):
         self.told.append(message)
-        return next((item for item in REPLICAS if item.replica_id not in message.exclude), None)
+        left = [item for item in REPLICAS if item.replica_id not in message.exclude]
+        if self.paused is not None and left and left[0] != REPLICAS[0]:
+            return NotBefore(self.paused, left[0])
+        return next(iter(left), None)
 
 
 class Permissive:
@@ -71,6 +79,13 @@
     assert 0.1 <= reply.retry_after_s < RETRY_AFTER_S
 
 
+def test_full_replica_is_tried_rather_than_one_that_pauses(chooser, clock, plain):
+    """Otherwise a pause of the others refuses what a full replica can run in some milliseconds."""
+    chooser.placement.paused = clock.monotonic() + 60.0
+    reject(chooser, clock, "r0")
+    assert asyncio.run(chooser.choose(plain)) == REPLICAS[0]
+
+
 def test_replicas_are_tried_again_when_their_queues_are_shorter(chooser, clock, plain):
     reject(chooser, clock, "r0", "r1")
 
