--- a/review/lib-2/cold.py
+++ b/review/lib-2/cold.py
@@ -64,7 +64,9 @@
 async def start_gateways(count, zones, folder, store, record, gateways) -> None:
     """Start gateways and wait until they are ready and linked."""
     for number in range(count):
-        gateway = Gateway(f"vm{number}", zones[number], folder, store.address, record, bounds=COLD_BOUNDS)
+        gateway = Gateway(
+            f"vm{number}", zones[number], folder, store.address, record, bounds=COLD_BOUNDS
+        )
         gateways.append(gateway)
         await gateway.start()
     for gateway in gateways:
@@ -73,13 +75,13 @@
     await asyncio.sleep(12.0)
 
 
-async def look(gateway, record, request_id) -> None:
+async def look(gateway, record, request_id, path="/look/x") -> None:
     """Send one request on a connection of its own and record its answer."""
     client = Client(gateway.port, record)
     result = "no connection"
     try:
         await client.open()
-        client.send("GET", "/look/x", request_id)
+        client.send("GET", path, request_id)
         async with asyncio.timeout(9.0):
             answer = await client.receive()
         result = str(answer.status) if answer is not None else "connection closed"
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -118,7 +118,9 @@
     return await reader.readexactly(int(head.get("Content-Length") or 0))
 
 
-def encode(start: str, headers: list[tuple[str, str]], body: bytes = b"", sized: bool = True) -> bytes:
+def encode(
+    start: str, headers: list[tuple[str, str]], body: bytes = b"", sized: bool = True
+) -> bytes:
     """Return a message, with the length of its body."""
     lines = [start, *(f"{k}: {v}" for k, v in headers)]
     if sized:
@@ -137,7 +139,7 @@
     async def start(self, port: int = 0) -> None:
         """Listen."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port, limit=2**20)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
@@ -159,7 +161,9 @@
             with contextlib.suppress(Exception):
                 writer.transport.abort()
 
-    async def answer(self, req: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+    async def answer(
+        self, req: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         """Handle a request."""
         raise NotImplementedError
 
@@ -192,7 +196,7 @@
 
     async def answer(self, req: Message, reader, writer) -> None:
         """Answer a call."""
-        method, target, _ = req.start.split(" ")
+        target = req.start.split(" ")[1]
         path, _, query = target.partition("?")
         args = {k: v[0] for k, v in parse_qs(query).items()}
         status, body = 200, {}
@@ -206,7 +210,9 @@
             }
         elif path.endswith("/rows-feed"):
             table, after = args["table"], int(args["after"])
-            rows = [self._row(t, k) for (t, k), (_, v) in self.rows.items() if t == table and v > after]
+            rows = [
+                self._row(t, k) for (t, k), (_, v) in self.rows.items() if t == table and v > after
+            ]
             rows += [
                 {"table": t, "part": "", "key": k, "ver": v, "tombstone": True}
                 for (t, k), v in self.dropped.items()
@@ -216,7 +222,8 @@
         elif path.endswith("/rows-tx"):
             status, body = self._transact(json.loads(req.body))
         body |= {"ver": self.version, "now_ms": int(time.monotonic() * 1000)}
-        await asyncio.sleep(0.004)
+        # 4 ms an answer, and 8 ms a transaction.
+        await asyncio.sleep(0.012 if path.endswith("/rows-tx") else 0.004)
         raw = json.dumps(body).encode()
         writer.write(encode(f"HTTP/1.1 {status} X", [("Content-Type", "application/json")], raw))
         await writer.drain()
@@ -289,7 +296,9 @@
         """Run a request."""
         self.note_run(request_id)
         await asyncio.sleep(0.05)
-        writer.write(encode("HTTP/1.1 200 OK", self.headers(request_id), b"done " + request_id.encode()))
+        writer.write(
+            encode("HTTP/1.1 200 OK", self.headers(request_id), b"done " + request_id.encode())
+        )
         await writer.drain()
 
 
@@ -317,7 +326,7 @@
             "ip": "127.0.0.1",
             "zone": self.zone,
             "region": "r",
-            "zones": {zone: "r" for zone in ZONES},
+            "zones": dict.fromkeys(ZONES, "r"),
             "listen": {
                 "frontend": f"127.0.0.1:{self.ports[0]}",
                 "ready": f"127.0.0.1:{self.ports[1]}",
@@ -350,7 +359,7 @@
         env |= {"PYTHONPATH": str(ROOT / "target" / "deps"), "GREENGAGEHOIST_NODE_FILE": str(path)}
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         log = (self.folder / f"{self.name}.log").open("ab")
-        words = "python3 -m greengagehoist.daemon.gateway --metrics-port".split()
+        words = ("python3", "-m", "greengagehoist.daemon.gateway", "--metrics-port")
         self.process = await asyncio.create_subprocess_exec(
             *words, str(self.ports[3]), env=env, cwd=ROOT, stdout=log, stderr=log
         )
